Serve requests end to end through separate processes

Cause: the project starts from nothing; the whole path has to exist before its parts are widened. Entries do not talk to each other yet, and every entry uses all targets.

--- /dev/null
+++ b/src/libs/protocol/TomlTable.cpp
@@ -0,0 +1,218 @@
+#include "protocol/TomlTable.h"
+
+#include <algorithm>
+#include <cctype>
+#include <chrono>
+#include <utility>
+
+namespace anvilsaddle {
+
+namespace {
+
+constexpr std::size_t MaxNameLength = 63;
+const toml::table EmptyTable;
+
+bool isName(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxNameLength &&
+         std::ranges::all_of(Text, [](unsigned char Character) {
+           return std::islower(Character) || std::isdigit(Character) || Character == '-';
+         });
+}
+
+std::string quoted(std::string_view Key) { return "'" + std::string(Key) + "'"; }
+
+} // namespace
+
+std::string TomlTable::requiredString(std::string_view Key) {
+  if (!this->find(Key)) {
+    this->addFinding(Key, "missing key " + quoted(Key));
+    return {};
+  }
+  return this->stringOr(Key, {});
+}
+
+std::string TomlTable::stringOr(std::string_view Key, std::string Default) {
+  const toml::node *Value = this->find(Key);
+  if (!Value) {
+    return Default;
+  }
+  if (const auto *Text = Value->as_string()) {
+    return Text->get();
+  }
+  this->addFindingAt(*Value, quoted(Key) + " must be a string");
+  return Default;
+}
+
+std::string TomlTable::requiredName(std::string_view Key) {
+  const std::size_t Before = this->Problems.size();
+  std::string Result = this->requiredString(Key);
+  if (this->Problems.size() == Before && !isName(Result)) {
+    this->addFinding(Key, quoted(Key) + " must be 1 to 63 lower-case letters, digits or hyphens");
+  }
+  return Result;
+}
+
+std::int64_t TomlTable::integerOr(std::string_view Key, std::int64_t Default, std::int64_t Minimum,
+                                  std::int64_t Maximum) {
+  const toml::node *Value = this->find(Key);
+  return Value ? this->checkedInteger(*Value, Key, Default, Minimum, Maximum) : Default;
+}
+
+std::int64_t TomlTable::requiredInteger(std::string_view Key, std::int64_t Minimum,
+                                        std::int64_t Maximum) {
+  const toml::node *Value = this->find(Key);
+  if (!Value) {
+    this->addFinding(Key, "missing key " + quoted(Key));
+    return Minimum;
+  }
+  return this->checkedInteger(*Value, Key, Minimum, Minimum, Maximum);
+}
+
+Duration TomlTable::millisecondsOr(std::string_view Key, Duration Default, Duration Minimum,
+                                   Duration Maximum) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  return milliseconds(this->integerOr(Key, duration_cast<milliseconds>(Default).count(),
+                                      duration_cast<milliseconds>(Minimum).count(),
+                                      duration_cast<milliseconds>(Maximum).count()));
+}
+
+bool TomlTable::booleanOr(std::string_view Key, bool Default) {
+  const toml::node *Value = this->find(Key);
+  if (!Value) {
+    return Default;
+  }
+  if (const auto *Flag = Value->as_boolean()) {
+    return Flag->get();
+  }
+  this->addFindingAt(*Value, quoted(Key) + " must be true or false");
+  return Default;
+}
+
+std::vector<std::string> TomlTable::stringsOr(std::string_view Key,
+                                              std::vector<std::string> Default) {
+  const toml::node *Value = this->find(Key);
+  if (!Value) {
+    return Default;
+  }
+  const toml::array *Elements = Value->as_array();
+  if (!Elements) {
+    this->addFindingAt(*Value, quoted(Key) + " must be an array of strings");
+    return Default;
+  }
+  std::vector<std::string> Result;
+  for (const toml::node &Element : *Elements) {
+    if (const auto *Text = Element.as_string()) {
+      Result.push_back(Text->get());
+    } else {
+      this->addFindingAt(Element, "elements of " + quoted(Key) + " must be strings");
+    }
+  }
+  return Result;
+}
+
+std::string TomlTable::choiceOr(std::string_view Key, const std::string &Default,
+                                const std::vector<std::string> &Allowed) {
+  std::string Result = this->stringOr(Key, Default);
+  if (std::ranges::find(Allowed, Result) != Allowed.end()) {
+    return Result;
+  }
+  std::string Message = quoted(Key) + " must be one of";
+  for (const std::string &Choice : Allowed) {
+    Message += " " + quoted(Choice);
+  }
+  this->addFinding(Key, std::move(Message));
+  return Default;
+}
+
+std::vector<TomlTable> TomlTable::tables(std::string_view Key) {
+  std::vector<TomlTable> Result;
+  const toml::node *Value = this->find(Key);
+  if (!Value) {
+    return Result;
+  }
+  const toml::array *Elements = Value->as_array();
+  if (!Elements) {
+    this->addFindingAt(*Value,
+                       quoted(Key) + " must be an array of tables ([[" + std::string(Key) + "]])");
+    return Result;
+  }
+  for (const toml::node &Element : *Elements) {
+    if (const toml::table *Entry = Element.as_table()) {
+      Result.emplace_back(*Entry, this->Path, this->Problems);
+    } else {
+      this->addFindingAt(Element, "elements of " + quoted(Key) + " must be tables");
+    }
+  }
+  return Result;
+}
+
+TomlTable TomlTable::table(std::string_view Key) {
+  const toml::node *Value = this->find(Key);
+  if (!Value) {
+    return {EmptyTable, this->Path, this->Problems};
+  }
+  if (const toml::table *Entry = Value->as_table()) {
+    return {*Entry, this->Path, this->Problems};
+  }
+  this->addFindingAt(*Value, quoted(Key) + " must be a table");
+  return {EmptyTable, this->Path, this->Problems};
+}
+
+void TomlTable::addFinding(std::string_view Key, std::string Message) {
+  const toml::node *Value = this->Table.get(Key);
+  this->addFindingAt(Value ? *Value : this->Table, std::move(Message));
+}
+
+void TomlTable::reportUnknownKeys() {
+  for (const auto &[Key, Value] : this->Table) {
+    if (!this->Known.contains(Key.str())) {
+      const toml::source_position Place = Key.source().begin;
+      this->Problems.push_back({this->Path, static_cast<std::uint32_t>(Place.line),
+                                static_cast<std::uint32_t>(Place.column),
+                                "unknown key " + quoted(Key.str())});
+    }
+  }
+}
+
+const toml::node *TomlTable::find(std::string_view Key) {
+  this->Known.emplace(Key);
+  return this->Table.get(Key);
+}
+
+void TomlTable::addFindingAt(const toml::node &Place, std::string Message) {
+  const toml::source_position Position = Place.source().begin;
+  this->Problems.push_back({this->Path, static_cast<std::uint32_t>(Position.line),
+                            static_cast<std::uint32_t>(Position.column), std::move(Message)});
+}
+
+std::int64_t TomlTable::checkedInteger(const toml::node &Value, std::string_view Key,
+                                       std::int64_t Default, std::int64_t Minimum,
+                                       std::int64_t Maximum) {
+  const auto *Number = Value.as_integer();
+  if (!Number) {
+    this->addFindingAt(Value, quoted(Key) + " must be an integer");
+    return Default;
+  }
+  if (Number->get() < Minimum || Number->get() > Maximum) {
+    this->addFindingAt(Value, quoted(Key) + " must be " + std::to_string(Minimum) + " to " +
+                                  std::to_string(Maximum));
+    return Default;
+  }
+  return Number->get();
+}
+
+std::optional<toml::table> parseToml(std::string_view Text, const std::string &Path,
+                                     Findings &Problems) {
+  try {
+    return toml::parse(Text);
+  } catch (const toml::parse_error &Error) {
+    const toml::source_position Position = Error.source().begin;
+    Problems.push_back({Path, static_cast<std::uint32_t>(Position.line),
+                        static_cast<std::uint32_t>(Position.column),
+                        std::string(Error.description())});
+    return std::nullopt;
+  }
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/protocol/TomlTable.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "state/Finding.h"
+#include "state/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <toml++/toml.h>
+
+namespace anvilsaddle {
+
+/// Checked access to one TOML table. Every wrong type, value out of range, missing or unknown key
+/// becomes a finding with its place. A getter that adds a finding returns its default. Not
+/// thread-safe.
+class TomlTable {
+public:
+  /// Precondition: all arguments outlive the object.
+  TomlTable(const toml::table &Table, const std::string &Path, Findings &Problems)
+      : Table(Table), Path(Path), Problems(Problems) {}
+
+  std::string requiredString(std::string_view Key);
+  std::string stringOr(std::string_view Key, std::string Default);
+  /// A required name of lower-case letters, digits and hyphens, at most 63 characters.
+  std::string requiredName(std::string_view Key);
+  std::int64_t integerOr(std::string_view Key, std::int64_t Default, std::int64_t Minimum,
+                         std::int64_t Maximum);
+  std::int64_t requiredInteger(std::string_view Key, std::int64_t Minimum, std::int64_t Maximum);
+  /// The key counts milliseconds.
+  Duration millisecondsOr(std::string_view Key, Duration Default, Duration Minimum,
+                          Duration Maximum);
+  bool booleanOr(std::string_view Key, bool Default);
+  std::vector<std::string> stringsOr(std::string_view Key, std::vector<std::string> Default);
+  /// One of the allowed values.
+  std::string choiceOr(std::string_view Key, const std::string &Default,
+                       const std::vector<std::string> &Allowed);
+  /// Elements of an array of tables; empty if the key is absent.
+  std::vector<TomlTable> tables(std::string_view Key);
+  /// A sub-table, empty if absent.
+  TomlTable table(std::string_view Key);
+
+  /// Adds a finding at the place of a key, or of the table if the key is absent.
+  void addFinding(std::string_view Key, std::string Message);
+  /// Reports the keys that no getter asked for. Call last.
+  void reportUnknownKeys();
+
+private:
+  const toml::node *find(std::string_view Key);
+  void addFindingAt(const toml::node &Place, std::string Message);
+  std::int64_t checkedInteger(const toml::node &Value, std::string_view Key, std::int64_t Default,
+                              std::int64_t Minimum, std::int64_t Maximum);
+
+  const toml::table &Table;
+  const std::string &Path;
+  Findings &Problems;
+  std::set<std::string, std::less<>> Known;
+};
+
+/// Parses TOML text; a syntax error becomes a finding and nothing is returned.
+std::optional<toml::table> parseToml(std::string_view Text, const std::string &Path,
+                                     Findings &Problems);
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/state/AuditTrail.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace anvilsaddle {
+
+/// One change and its reason. Holds no request content.
+struct AuditEntry {
+  /// Assigned by the trail, rises by one.
+  std::uint64_t Sequence = 0;
+  /// Wall clock, milliseconds since 1970-01-01 UTC.
+  std::int64_t UnixMilliseconds = 0;
+  /// What changed, for example `settings/platform` or `group/line-board@zhetysu/0`.
+  std::string What;
+  std::string From;
+  std::string To;
+  std::uint64_t Revision = 0;
+  std::string Why;
+
+  auto operator<=>(const AuditEntry &) const = default;
+};
+
+/// Bounded ring of the latest changes. Not thread-safe.
+class AuditTrail {
+public:
+  /// Precondition: Capacity is positive.
+  explicit AuditTrail(std::size_t Capacity) : Capacity(Capacity) {}
+
+  /// Stores the entry with the next sequence number and returns it.
+  const AuditEntry &append(AuditEntry Entry);
+  /// Entries with a sequence number above `After`, oldest first.
+  std::vector<AuditEntry> entriesAfter(std::uint64_t After) const;
+
+private:
+  std::size_t Capacity;
+  std::uint64_t LastSequence = 0;
+  std::deque<AuditEntry> Entries;
+};
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -0,0 +1,305 @@
+#include "transport/EntryRuntime.h"
+
+#include "coordination/RandomSource.h"
+#include "coordination/Sealer.h"
+#include "transport/Clock.h"
+#include "transport/EventLog.h"
+#include "transport/PlatformWatch.h"
+
+#include <chrono>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include <nlohmann/json.hpp>
+
+namespace anvilsaddle {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr guint TickMilliseconds = 5;
+constexpr guint MaxConnectionsPerTarget = 260;
+constexpr int MaxConnections = 20'000;
+
+const char *header(SoupServerMessage *Message, const char *Name) {
+  const char *Value =
+      soup_message_headers_get_one(soup_server_message_get_request_headers(Message), Name);
+  return Value ? Value : "";
+}
+
+RequestHead readHead(SoupServerMessage *Message, const char *Path) {
+  RequestHead Head;
+  Head.Method = soup_server_message_get_method(Message);
+  Head.Path = Path;
+  Head.Authorization = header(Message, "Authorization");
+  Head.IdempotencyKey = header(Message, "Idempotency-Key");
+  const gint64 Patience = g_ascii_strtoll(header(Message, "Deadline-Ms"), nullptr, 10);
+  if (Patience > 0) {
+    Head.Patience = std::chrono::milliseconds(Patience);
+  }
+  return Head;
+}
+
+void answerJson(SoupServerMessage *Message, const json &Body) {
+  const std::string Text = Body.dump() + "\n";
+  soup_server_message_set_status(Message, SOUP_STATUS_OK, nullptr);
+  soup_server_message_set_response(Message, "application/json", SOUP_MEMORY_COPY, Text.data(),
+                                   Text.size());
+}
+
+EntryIdentity makeIdentity(const DaemonSettings &Local, const Clock &Time, RandomSource &Random) {
+  return {Local.Vm, Local.Region, Local.Domain, {Time.unixMilliseconds(), Random.bits()}};
+}
+
+} // namespace
+
+EntryRuntime::EntryRuntime(const DaemonSettings &Local, const Clock &Time,
+                           const SettingsParser &Parser, const Sealer &Seals, RandomSource &Random)
+    : Local(Local), Time(Time), Node(makeIdentity(Local, Time, Random), Parser, Seals, Random),
+      Audit(static_cast<std::size_t>(Local.AuditEntries)),
+      Session(soup_session_new_with_options("max-conns", MaxConnections, "max-conns-per-host",
+                                            MaxConnectionsPerTarget, nullptr)),
+      Server(soup_server_new("server-header", "anvilsaddle ", nullptr)),
+      AdminServer(soup_server_new("server-header", "anvilsaddle ", nullptr)) {
+  // A proxy passes bodies and cookies on as they are.
+  soup_session_remove_feature_by_type(this->Session.get(), SOUP_TYPE_CONTENT_DECODER);
+}
+
+EntryRuntime::~EntryRuntime() { g_clear_handle_id(&this->TickTimer, g_source_remove); }
+
+std::string EntryRuntime::start() {
+  soup_server_add_early_handler(this->Server.get(), nullptr, onRequestHead, this, nullptr);
+  soup_server_add_handler(this->Server.get(), nullptr, onRequest, this, nullptr);
+  soup_server_add_handler(this->Server.get(), "/v1/entries", onEntriesRequest, this, nullptr);
+  soup_server_add_handler(this->AdminServer.get(), nullptr, onAdminRequest, this, nullptr);
+
+  const auto Listen = [](SoupServer *Target, const std::string &Address,
+                         std::uint16_t Port) -> std::string {
+    const GObjectPointer<GSocketAddress> Socket(
+        g_inet_socket_address_new_from_string(Address.c_str(), Port));
+    GError *Error = nullptr;
+    if (soup_server_listen(Target, Socket.get(), static_cast<SoupServerListenOptions>(0), &Error)) {
+      return {};
+    }
+    const GErrorPointer Failure(Error);
+    return "cannot listen on " + Address + ":" + std::to_string(Port) + ": " + Failure->message;
+  };
+  if (std::string Error = Listen(this->Server.get(), this->Local.Address, this->Local.Port);
+      !Error.empty()) {
+    return Error;
+  }
+  if (std::string Error = Listen(this->AdminServer.get(), "127.0.0.1", this->Local.AdminPort);
+      !Error.empty()) {
+    return Error;
+  }
+
+  PlatformWatch::Listener Events;
+  Events.OnSettings = [this](const std::string &Path, std::uint64_t Revision,
+                             const std::string &Text) {
+    this->Node.onSettings(Path, Revision, Text, "configuration service", this->Time.now());
+    this->carryOutEffects();
+  };
+  Events.OnVmList = [this](const VmList &List) {
+    this->Node.onVmList(List, this->Time.now());
+    this->carryOutEffects();
+  };
+  this->Platform = std::make_unique<PlatformWatch>(this->Local.ConfigurationService,
+                                                   this->Local.VmListService, std::move(Events));
+  this->Platform->start();
+  this->TickTimer = g_timeout_add(TickMilliseconds, onTick, this);
+  return {};
+}
+
+void EntryRuntime::stop(std::function<void()> Drained) {
+  if (this->Node.isStopping()) {
+    return;
+  }
+  this->OnDrained = std::move(Drained);
+  this->Node.beginStop(this->Time.now());
+}
+
+void EntryRuntime::onRequestHead(SoupServer *, SoupServerMessage *Message, const char *,
+                                 GHashTable *, gpointer Data) {
+  auto &Self = *static_cast<EntryRuntime *>(Data);
+  const goffset Length =
+      soup_message_headers_get_content_length(soup_server_message_get_request_headers(Message));
+  if (Length > Self.Local.MaxBodyBytes) {
+    Refusal Answer;
+    Answer.Status = 413;
+    Answer.Reason = "the request body is too large";
+    writeRefusal(Message, Answer);
+  }
+}
+
+void EntryRuntime::onRequest(SoupServer *, SoupServerMessage *Message, const char *Path,
+                             GHashTable *, gpointer Data) {
+  auto &Self = *static_cast<EntryRuntime *>(Data);
+  auto Admission = Self.Node.onRequest(readHead(Message, Path), Self.Time.now());
+  if (const auto *Refused = std::get_if<Refusal>(&Admission)) {
+    writeRefusal(Message, *Refused);
+    return;
+  }
+  const RequestNumber Number = std::get<RequestNumber>(Admission);
+  soup_server_message_pause(Message);
+  auto Exchange = std::make_unique<ProxyExchange>(Message, Self.Session.get(), Self.Time,
+                                                  static_cast<ExchangeListener &>(Self));
+  Exchange->setNumber(Number);
+  Self.Exchanges.emplace(Number, std::move(Exchange));
+  Self.carryOutEffects();
+}
+
+void EntryRuntime::onEntriesRequest(SoupServer *, SoupServerMessage *Message, const char *,
+                                    GHashTable *, gpointer Data) {
+  auto &Self = *static_cast<EntryRuntime *>(Data);
+  const auto Result = Self.Node.entriesFor(header(Message, "Authorization"), Self.Time.now());
+  if (const auto *Refused = std::get_if<Refusal>(&Result)) {
+    writeRefusal(Message, *Refused);
+    return;
+  }
+  const auto &Answer = std::get<EntryAnswer>(Result);
+  answerJson(Message,
+             {{"entries", Answer.Entries},
+              {"keep_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(Answer.TimeToKeep).count()},
+              {"ticket", Answer.Ticket}});
+}
+
+void EntryRuntime::onAdminRequest(SoupServer *, SoupServerMessage *Message, const char *Path,
+                                  GHashTable *Query, gpointer Data) {
+  auto &Self = *static_cast<EntryRuntime *>(Data);
+  const std::string_view Wanted(Path);
+  if (Wanted == "/admin/status") {
+    json Revisions = json::object();
+    for (const PathRevision &Entry : Self.Node.settings().revisions()) {
+      Revisions[Entry.Path] = Entry.Revision;
+    }
+    json Problems = json::array();
+    for (const Finding &Each : Self.Node.settings().pendingFindings()) {
+      Problems.push_back(toString(Each));
+    }
+    answerJson(Message, {{"vm", Self.Local.Vm.str()},
+                         {"region", Self.Local.Region.str()},
+                         {"failure_domain", Self.Local.Domain.str()},
+                         {"stopping", Self.Node.isStopping()},
+                         {"requests", Self.Exchanges.size()},
+                         {"vm_list_revision", Self.Node.vmList().Revision},
+                         {"settings", Revisions},
+                         {"findings", Problems}});
+    return;
+  }
+  if (Wanted == "/admin/targets") {
+    json Result = json::array();
+    for (const auto &[Group, Targets] : Self.Node.targetStatus()) {
+      for (const TargetStatus &Each : Targets) {
+        Result.push_back({{"group", toString(Group)},
+                          {"target", Each.Target.str()},
+                          {"slots", Each.Slots},
+                          {"limit", Each.Limit},
+                          {"in_flight", Each.InFlight},
+                          {"baseline_us", Each.Baseline.count()}});
+      }
+    }
+    answerJson(Message, Result);
+    return;
+  }
+  if (Wanted == "/admin/audit") {
+    const auto *After =
+        Query ? static_cast<const char *>(g_hash_table_lookup(Query, "after")) : nullptr;
+    json Result = json::array();
+    for (const AuditEntry &Each :
+         Self.Audit.entriesAfter(After ? g_ascii_strtoull(After, nullptr, 10) : 0)) {
+      Result.push_back({{"sequence", Each.Sequence},
+                        {"time_ms", Each.UnixMilliseconds},
+                        {"what", Each.What},
+                        {"from", Each.From},
+                        {"to", Each.To},
+                        {"revision", Each.Revision},
+                        {"why", Each.Why}});
+    }
+    answerJson(Message, Result);
+    return;
+  }
+  soup_server_message_set_status(Message, SOUP_STATUS_NOT_FOUND, nullptr);
+}
+
+gboolean EntryRuntime::onTick(gpointer Data) {
+  auto &Self = *static_cast<EntryRuntime *>(Data);
+  Self.Node.onTick(Self.Time.now());
+  Self.carryOutEffects();
+  if (Self.OnDrained && Self.Node.isDrained()) {
+    std::exchange(Self.OnDrained, nullptr)();
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+bool EntryRuntime::onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter) {
+  return this->Node.onAnswerHead(Request, Status, HasRetryAfter);
+}
+
+void EntryRuntime::onAttemptEnd(RequestNumber Request, const AttemptReport &Report) {
+  this->Node.onAttemptEnd(Request, Report, this->Time.now());
+  this->carryOutEffects();
+}
+
+void EntryRuntime::onCallerGone(RequestNumber Request) {
+  this->Node.onCallerGone(Request, this->Time.now());
+  this->carryOutEffects();
+}
+
+void EntryRuntime::onExchangeDone(RequestNumber Request) { this->Exchanges.erase(Request); }
+
+void EntryRuntime::carryOut(const Effect &Next) {
+  if (const auto *Attempt = std::get_if<StartAttempt>(&Next)) {
+    const auto Found = this->Exchanges.find(Attempt->Request);
+    if (Found == this->Exchanges.end()) {
+      AttemptReport Report;
+      Report.Outcome = AttemptOutcome::Cancelled;
+      Report.Sent = false;
+      this->Node.onAttemptEnd(Attempt->Request, Report, this->Time.now());
+      return;
+    }
+    Found->second->startAttempt(*Attempt);
+    return;
+  }
+  if (const auto *Refused = std::get_if<RefuseRequest>(&Next)) {
+    const auto Found = this->Exchanges.find(Refused->Request);
+    if (Found != this->Exchanges.end()) {
+      Found->second->refuse(Refused->Answer);
+    }
+    return;
+  }
+  if (const auto *Change = std::get_if<RecordChange>(&Next)) {
+    this->record(Change->Entry);
+  }
+}
+
+void EntryRuntime::carryOutEffects() {
+  // An effect may cause events that call this again; the outer call carries out their effects.
+  if (this->CarryingOut) {
+    return;
+  }
+  this->CarryingOut = true;
+  for (auto Effects = this->Node.takeEffects(); !Effects.empty();
+       Effects = this->Node.takeEffects()) {
+    for (const Effect &Next : Effects) {
+      this->carryOut(Next);
+    }
+  }
+  this->CarryingOut = false;
+}
+
+void EntryRuntime::record(AuditEntry Entry) {
+  Entry.UnixMilliseconds = this->Time.unixMilliseconds();
+  const AuditEntry &Stored = this->Audit.append(std::move(Entry));
+  logEvent(LogLevel::Info, "change",
+           {{"sequence", std::to_string(Stored.Sequence)},
+            {"what", Stored.What},
+            {"from", Stored.From},
+            {"to", Stored.To},
+            {"revision", std::to_string(Stored.Revision)},
+            {"why", Stored.Why}});
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/PlatformWatch.cpp
@@ -0,0 +1,139 @@
+#include "transport/PlatformWatch.h"
+
+#include "protocol/VmListJson.h"
+
+#include <memory>
+#include <utility>
+#include <variant>
+
+#include <nlohmann/json.hpp>
+
+namespace anvilsaddle {
+
+namespace {
+
+constexpr guint RetryPauseMilliseconds = 500;
+/// Longer than the service holds a watch open.
+constexpr guint WatchTimeoutSeconds = 40;
+
+} // namespace
+
+struct PlatformWatch::Call {
+  GObjectPointer<GCancellable> Cancel;
+  GObjectPointer<SoupMessage> Message;
+  std::function<void(const std::string &Body, bool Ok)> Done;
+};
+
+PlatformWatch::PlatformWatch(std::string ConfigurationService, std::string VmListService,
+                             Listener Events)
+    : ConfigurationService(std::move(ConfigurationService)),
+      VmListService(std::move(VmListService)), Events(std::move(Events)),
+      Session(soup_session_new_with_options("timeout", WatchTimeoutSeconds, nullptr)) {}
+
+PlatformWatch::~PlatformWatch() { g_cancellable_cancel(this->Cancel.get()); }
+
+void PlatformWatch::start() {
+  this->watchIndex();
+  this->watchVms();
+}
+
+void PlatformWatch::get(const std::string &Url,
+                        std::function<void(const std::string &Body, bool Ok)> Done) {
+  auto Next = std::make_unique<Call>();
+  Next->Cancel = shareObject(this->Cancel.get());
+  Next->Message.reset(soup_message_new("GET", Url.c_str()));
+  Next->Done = std::move(Done);
+  SoupMessage *Message = Next->Message.get();
+  soup_session_send_and_read_async(
+      this->Session.get(), Message, G_PRIORITY_DEFAULT, this->Cancel.get(),
+      [](GObject *Source, GAsyncResult *Result, gpointer Data) {
+        const std::unique_ptr<Call> Ended(static_cast<Call *>(Data));
+        GError *Error = nullptr;
+        const GBytesPointer Bytes(
+            soup_session_send_and_read_finish(SOUP_SESSION(Source), Result, &Error));
+        const GErrorPointer Failure(Error);
+        if (g_cancellable_is_cancelled(Ended->Cancel.get())) {
+          return;
+        }
+        if (!Bytes || soup_message_get_status(Ended->Message.get()) != SOUP_STATUS_OK) {
+          Ended->Done({}, false);
+          return;
+        }
+        gsize Size = 0;
+        const auto *Text = static_cast<const char *>(g_bytes_get_data(Bytes.get(), &Size));
+        Ended->Done(std::string(Text, Size), true);
+      },
+      Next.release());
+}
+
+void PlatformWatch::watchIndex() {
+  this->get(this->ConfigurationService + "/v1/index?after=" + std::to_string(this->IndexRevision),
+            [this](const std::string &Body, bool Ok) {
+              if (!Ok) {
+                this->later([this] { this->watchIndex(); });
+                return;
+              }
+              this->onIndex(Body);
+              this->watchIndex();
+            });
+}
+
+void PlatformWatch::onIndex(const std::string &Body) {
+  const auto Index = nlohmann::json::parse(Body, nullptr, false);
+  if (!Index.is_object() || !Index.contains("paths") || !Index["paths"].is_object()) {
+    return;
+  }
+  this->IndexRevision = Index.value("revision", std::uint64_t{0});
+  for (const auto &[Path, Value] : Index["paths"].items()) {
+    const auto Revision = Value.is_number_unsigned() ? Value.get<std::uint64_t>() : 0;
+    if (Revision <= this->Read[Path]) {
+      continue;
+    }
+    this->get(this->ConfigurationService + "/v1/settings/" + Path,
+              [this, Path = Path](const std::string &Answer, bool Ok) {
+                const auto Entry = nlohmann::json::parse(Answer, nullptr, false);
+                if (!Ok || !Entry.is_object() || !Entry.contains("text")) {
+                  this->IndexRevision = 0;
+                  return;
+                }
+                const auto Served = Entry.value("revision", std::uint64_t{0});
+                this->Read[Path] = Served;
+                this->Events.OnSettings(Path, Served, Entry.value("text", std::string()));
+              });
+  }
+}
+
+void PlatformWatch::watchVms() {
+  this->get(this->VmListService + "/v1/vms?after=" + std::to_string(this->VmRevision),
+            [this](const std::string &Body, bool Ok) {
+              auto List = readVmList(Body, "vm-list");
+              if (!Ok || std::holds_alternative<Findings>(List)) {
+                this->later([this] { this->watchVms(); });
+                return;
+              }
+              this->VmRevision = std::get<VmList>(List).Revision;
+              this->Events.OnVmList(std::get<VmList>(List));
+              this->watchVms();
+            });
+}
+
+void PlatformWatch::later(std::function<void()> Action) {
+  struct Delayed {
+    GObjectPointer<GCancellable> Cancel;
+    std::function<void()> Action;
+  };
+  auto Next =
+      std::make_unique<Delayed>(Delayed{shareObject(this->Cancel.get()), std::move(Action)});
+  g_timeout_add(
+      RetryPauseMilliseconds,
+      [](gpointer Data) -> gboolean {
+        const std::unique_ptr<Delayed> Due(static_cast<Delayed *>(Data));
+        if (!g_cancellable_is_cancelled(Due->Cancel.get())) {
+          Due->Action();
+        }
+        return G_SOURCE_REMOVE;
+      },
+      Next.release());
+}
+
+} // namespace anvilsaddle
