--- a/src/libs/coordination/EntryNode.cpp
+++ b/src/libs/coordination/EntryNode.cpp
@@ -1,319 +1,449 @@
 #include "coordination/EntryNode.h"
 
 #include "coordination/OwnerQueuePolicy.h"
+#include "coordination/RandomSource.h"
+#include "coordination/RetryPolicy.h"
 #include "coordination/Sealer.h"
-#include "coordination/Ticket.h"
 #include "state/SettingsParser.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace anvilsaddle {
 
 namespace {
 
-constexpr Duration TicketLifetime = std::chrono::minutes(10);
 constexpr Duration EntryAnswerLifetime = std::chrono::seconds(2);
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
-constexpr std::size_t LedgerCapacity = 200'000;
-
-Refusal makeRefusal(int Status, RunOutcome Outcome, std::string Reason) {
-  Refusal Result;
-  Result.Status = Status;
-  Result.Outcome = Outcome;
-  Result.Reason = std::move(Reason);
-  return Result;
-}
 
 } // namespace
 
 struct EntryNode::ActiveRequest {
+  enum class Phase { Waiting, Running, Forwarded, BackingOff };
+
+  RequestHead Head;
   RoutedRequest Routed;
   /// Set if this incarnation admitted the idempotency key and must record its outcome.
   std::string AdmittedKey;
   GroupId Group;
   TimePoint Deadline;
-  bool Running = false;
-};
-
-struct EntryNode::Group {
-  std::unique_ptr<DispatchPolicy> Policy;
-  std::map<TargetName, Endpoint> Destinations;
+  Phase State = Phase::Waiting;
+  TargetName RunsOn;
+  std::uint32_t Attempts = 0;
+  std::set<TargetName> FailedOn;
+  /// True once an attempt may have run; later refusals then say "unknown".
+  bool MayHaveRun = false;
 };
 
 EntryNode::EntryNode(EntryIdentity Self, const SettingsParser &Parser, const Sealer &Seals,
-                     RandomSource &Random)
-    : Self(std::move(Self)), Seals(Seals), Random(Random), Settings(Parser),
-      Router(this->Self.Region, Seals), Ledger(LedgerCapacity) {}
+                     RandomSource &Random, TimePoint Now)
+    : Self(std::move(Self)), Random(Random), Settings(Parser), Router(this->Self.Region, Seals),
+      Keys(this->Self, Seals), Fleet(this->Self, Now),
+      Groups([] { return std::make_unique<OwnerQueuePolicy>(); }) {}
 
 EntryNode::~EntryNode() = default;
 
 OfferOutcome EntryNode::onSettings(const std::string &Path, std::uint64_t Revision,
-                                   const std::string &Text, const std::string &Source,
+                                   const std::string &Text, const std::optional<VmName> &Peer,
                                    TimePoint Now) {
+  this->advance(Now);
+  const std::string Source = Peer ? Peer->str() : "configuration service";
   const OfferResult Result = this->Settings.offer(Path, Revision, Text);
-  if (Result.Outcome == OfferOutcome::Accepted || Result.Outcome == OfferOutcome::Refused) {
-    AuditEntry Entry;
-    Entry.What = "settings/" + Path;
-    Entry.From = std::to_string(Result.PreviousRevision);
-    Entry.Revision = Revision;
-    const bool Accepted = Result.Outcome == OfferOutcome::Accepted;
-    Entry.To = Accepted ? std::to_string(Revision) : Entry.From;
-    Entry.Why = Accepted ? "accepted from " + Source
-                         : "refused from " + Source + ": " + toString(Result.Problems.front());
-    this->Effects.emplace_back(RecordChange{std::move(Entry)});
-  }
+  const std::string Previous = std::to_string(Result.PreviousRevision);
   if (Result.Outcome == OfferOutcome::Accepted) {
-    this->rebuildGroups(Now);
+    this->recordChange("settings/" + Path, Previous, std::to_string(Revision), Revision,
+                       "accepted from " + Source);
+    this->refreshView(Now);
+  }
+  if (!Peer && Result.Outcome != OfferOutcome::Refused) {
+    this->Fleet.onServiceSettings();
+  }
+  if (Result.Outcome == OfferOutcome::Refused) {
+    this->recordChange("settings/" + Path, Previous, Previous, Revision,
+                       "refused from " + Source + ": " + toString(Result.Problems.front()));
   }
   return Result.Outcome;
 }
 
+void EntryNode::onSettingsFetched(const VmName &Entry, bool Ok, TimePoint Now) {
+  this->advance(Now);
+  this->Fleet.onSettingsFetched(Entry, Ok, Now);
+}
+
 void EntryNode::onVmList(const VmList &List, TimePoint Now) {
+  this->advance(Now);
   if (List.Revision <= this->Vms.Revision) {
     return;
   }
-  AuditEntry Entry;
-  Entry.What = "vm-list";
-  Entry.From = std::to_string(this->Vms.Revision);
-  Entry.To = std::to_string(List.Revision);
-  Entry.Revision = List.Revision;
-  Entry.Why = "newer list published";
-  this->Effects.emplace_back(RecordChange{std::move(Entry)});
+  this->recordChange("vm-list", std::to_string(this->Vms.Revision), std::to_string(List.Revision),
+                     List.Revision, "newer list published");
   this->Vms = List;
-  this->rebuildGroups(Now);
+  this->refreshView(Now);
 }
 
-std::variant<RequestNumber, Refusal> EntryNode::onRequest(const RequestHead &Head, TimePoint Now) {
+void EntryNode::onPeerMessage(const PeerMessage &Message, TimePoint Now) {
+  this->advance(Now);
+  this->sendAll(this->Fleet.onMessage(Message, Now), Now);
+  this->refreshGroups(Now);
+}
+
+std::optional<Refusal> EntryNode::checkHead(const RequestHead &Head, TimePoint Now) const {
   auto Decision = this->Router.route(this->Settings.snapshot(), Head);
   if (auto *Refused = std::get_if<Refusal>(&Decision)) {
+    if (Refused->Status == 403) {
+      const Customer *Caller =
+          Head.Forwarded ? this->Settings.snapshot().findCustomer(Head.Forwarded->Customer)
+                         : this->Router.authenticate(this->Settings.snapshot(), Head.Authorization);
+      Refused->Entries = this->Fleet.entryAddresses(
+          this->Router.allowedRegions(this->Settings.snapshot(), *Caller), {}, Now);
+    }
     return std::move(*Refused);
   }
-  auto &Routed = std::get<RoutedRequest>(Decision);
-  if (this->Stopping) {
-    Refusal Answer = makeRefusal(503, RunOutcome::NotRun, "this entry is stopping");
-    Answer.Entries = this->entryAddresses(Routed.Regions);
-    return Answer;
-  }
-  Group *Destination = this->bestGroup(Routed.Destination.Name, this->Self.Region);
-  if (!Destination) {
+  const auto &Routed = std::get<RoutedRequest>(Decision);
+  if (this->Stopping || !this->isServing()) {
     Refusal Answer =
-        makeRefusal(503, RunOutcome::NotRun, "no target of the service in this region");
-    Answer.Entries = this->entryAddresses(Routed.Regions);
+        makeRefusal(503, RunOutcome::NotRun,
+                    this->Stopping ? "this entry is stopping" : "this entry is starting");
+    Answer.Entries =
+        this->Fleet.entryAddresses(Routed.Regions, {Routed.Destination.Name}, Now);
     Answer.RetryAfter = DefaultRetryAfter;
     return Answer;
   }
-  bool KeyAdmitted = false;
-  if (auto Refused = this->admitKey(Head, Routed, Now, KeyAdmitted)) {
+  return std::nullopt;
+}
+
+std::variant<RequestNumber, Refusal> EntryNode::onRequest(const RequestHead &Head, TimePoint Now) {
+  this->advance(Now);
+  if (auto Refused = this->checkHead(Head, Now)) {
     return std::move(*Refused);
   }
+  ActiveRequest Request;
+  Request.Head = Head;
+  Request.Routed = std::get<RoutedRequest>(this->Router.route(this->Settings.snapshot(), Head));
+  const Route &Path = Request.Routed.Path;
+  Request.Deadline = Now + std::min({Path.Deadline, Request.Routed.Destination.MaxDeadline,
+                                     Head.Patience.value_or(Path.Deadline)});
+
+  std::optional<KeyOfOtherIssuer> OtherIssuer;
+  if (!Path.Repeatable && !(Head.Forwarded && Head.Forwarded->KeyAdmitted)) {
+    KeyDecision Decision = this->Keys.admit(Request.Routed.Caller.Name, Head.IdempotencyKey, Now);
+    if (auto *Refused = std::get_if<Refusal>(&Decision)) {
+      return std::move(*Refused);
+    }
+    if (const auto *Other = std::get_if<KeyOfOtherIssuer>(&Decision)) {
+      OtherIssuer = *Other;
+    } else {
+      Request.AdmittedKey = Head.IdempotencyKey;
+    }
+  }
+  if (OtherIssuer &&
+      (Head.Forwarded || !this->Fleet.isAlive(OtherIssuer->Issuer, OtherIssuer->IssuerIncarnation))) {
+    return makeRefusal(409, RunOutcome::Unknown, "the entry that issued the key is not reachable");
+  }
 
   const RequestNumber Number = ++this->LastNumber;
-  ActiveRequest Request;
-  Request.Deadline = Now + std::min({Routed.Path.Deadline, Routed.Destination.MaxDeadline,
-                                     Head.Patience.value_or(Routed.Path.Deadline)});
-  Request.AdmittedKey = KeyAdmitted ? Head.IdempotencyKey : std::string();
-  Request.Routed = std::move(Routed);
-  const auto Stored = this->Requests.emplace(Number, std::move(Request)).first;
-  this->enqueue(Number, Stored->second, Now);
+  this->Requests.emplace(Number, std::move(Request));
+  if (OtherIssuer) {
+    this->forward(Number, OtherIssuer->Issuer, false);
+  } else {
+    this->Budget.onFirstAttempt(this->Requests.at(Number).Routed.Caller.Name,
+                                this->Requests.at(Number).Routed.Destination.Name, Now);
+    this->place(Number, Now);
+  }
   return Number;
 }
 
-bool EntryNode::onAnswerHead(RequestNumber, int Status, bool HasRetryAfter) {
-  return Status != 503 || !HasRetryAfter;
+bool EntryNode::onAnswerHead(RequestNumber Number, int Status, bool HasRetryAfter) {
+  const auto Found = this->Requests.find(Number);
+  const bool ToTarget =
+      Found != this->Requests.end() && Found->second.State == ActiveRequest::Phase::Running;
+  return !ToTarget || Status != 503 || !HasRetryAfter;
 }
 
 void EntryNode::onAttemptEnd(RequestNumber Number, const AttemptReport &Report, TimePoint Now) {
+  this->advance(Now);
   const auto Found = this->Requests.find(Number);
-  if (Found == this->Requests.end() || !Found->second.Running) {
+  if (Found == this->Requests.end()) {
     return;
   }
   ActiveRequest &Request = Found->second;
-  Request.Running = false;
-  const auto Owned = this->Groups.find(Request.Group);
-  if (Owned != this->Groups.end()) {
-    Owned->second.Policy->onAttemptEnd(Number, {Report.Outcome, Report.FirstByte, Report.Total},
-                                       Now);
-  }
-  if (Report.Outcome == AttemptOutcome::Succeeded || Report.AnswerStarted) {
-    const bool Whole = Report.Outcome == AttemptOutcome::Succeeded;
-    this->finish(Number, Whole ? KeyState::Ran : KeyState::Unknown, Whole ? Report.Status : 0);
-    this->startWaiting(Now);
+  if (Request.State == ActiveRequest::Phase::Running) {
+    this->Groups.onAttemptEnd(Request.Group, Number,
+                              {Report.Outcome, Report.FirstByte, Report.Total}, Now);
+  }
+  if (Report.PeerOutcome && Report.AnswerStarted) {
+    this->finish(Number,
+                 *Report.PeerOutcome == RunOutcome::NotRun ? KeyState::NotRun : KeyState::Unknown, 0);
+  } else if (Report.Outcome == AttemptOutcome::Succeeded) {
+    this->finish(Number, KeyState::Ran, Report.Status);
+  } else if (Report.AnswerStarted) {
+    this->finish(Number, KeyState::Unknown, 0);
+  } else {
+    this->onAttemptFailed(Number, Report, Now);
+  }
+  this->startWaiting(Now);
+}
+
+void EntryNode::onAttemptFailed(RequestNumber Number, const AttemptReport &Report, TimePoint Now) {
+  ActiveRequest &Request = this->Requests.at(Number);
+  const bool Forwarded = Request.State == ActiveRequest::Phase::Forwarded;
+  const bool NotRun =
+      !Report.Sent || (Report.Outcome == AttemptOutcome::Shed && !Forwarded &&
+                       Request.Routed.Destination.ShedIsNotRun);
+  Request.MayHaveRun |= !NotRun;
+  if (Report.Outcome == AttemptOutcome::Cancelled) {
+    this->finish(Number, Request.MayHaveRun ? KeyState::Unknown : KeyState::NotRun, 0);
     return;
   }
-  const bool NotRun = !Report.Sent || (Report.Outcome == AttemptOutcome::Shed &&
-                                       Request.Routed.Destination.ShedIsNotRun);
-  const RunOutcome Outcome = NotRun ? RunOutcome::NotRun : RunOutcome::Unknown;
+  if (!Forwarded) {
+    Request.FailedOn.insert(Request.RunsOn);
+    RetryQuestion Question;
+    Question.Repeatable = Request.Routed.Path.Repeatable;
+    Question.ProvablyNotRun = NotRun;
+    Question.Replayable = Request.Head.Replayable;
+    Question.Outcome = Report.Outcome;
+    Question.Attempts = Request.Attempts;
+    Question.TimeLeft = Request.Deadline - Now;
+    const auto Delay = decideRetry(Question, this->Random.uniform());
+    if (Delay && this->Budget.tryRetry(Request.Routed.Caller.Name,
+                                       Request.Routed.Destination.Name, Now)) {
+      Request.State = ActiveRequest::Phase::BackingOff;
+      this->Retries.emplace(Now + *Delay, Number);
+      return;
+    }
+  }
+  const RunOutcome Outcome = Request.MayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun;
   switch (Report.Outcome) {
   case AttemptOutcome::DeadlineExceeded:
-    this->refuse(Number,
-                 makeRefusal(504, Outcome, "the target did not answer before the deadline"));
+    this->refuse(Number, makeRefusal(504, Outcome, "no answer before the deadline"));
     break;
   case AttemptOutcome::Shed:
     this->refuse(Number, makeRefusal(503, Outcome, "the target shed the request"));
     break;
-  case AttemptOutcome::Cancelled:
-    this->finish(Number, NotRun ? KeyState::NotRun : KeyState::Unknown, 0);
-    break;
-  case AttemptOutcome::Succeeded:
-  case AttemptOutcome::Failed:
-    this->refuse(Number, makeRefusal(502, Outcome, "the target failed before it answered"));
-    break;
+  default:
+    this->refuse(Number, makeRefusal(502, Outcome,
+                                     Forwarded ? "the entry that owns the targets did not answer"
+                                               : "the target failed before it answered"));
   }
-  this->startWaiting(Now);
 }
 
 void EntryNode::onCallerGone(RequestNumber Number, TimePoint Now) {
+  this->advance(Now);
   const auto Found = this->Requests.find(Number);
-  if (Found == this->Requests.end() || Found->second.Running) {
+  if (Found == this->Requests.end()) {
     return;
   }
-  const auto Owned = this->Groups.find(Found->second.Group);
-  if (Owned != this->Groups.end()) {
-    Owned->second.Policy->cancel(Number, Now);
+  const ActiveRequest &Request = Found->second;
+  if (Request.State == ActiveRequest::Phase::Waiting) {
+    if (DispatchPolicy *Policy = this->Groups.find(Request.Group)) {
+      Policy->cancel(Number, Now);
+    }
+  }
+  // A running attempt ends by onAttemptEnd(), because the transport cancels it.
+  if (Request.State == ActiveRequest::Phase::Waiting ||
+      Request.State == ActiveRequest::Phase::BackingOff) {
+    this->finish(Number, Request.MayHaveRun ? KeyState::Unknown : KeyState::NotRun, 0);
   }
-  this->finish(Number, KeyState::NotRun, 0);
 }
 
 std::variant<EntryAnswer, Refusal> EntryNode::entriesFor(const std::string &Authorization,
                                                          TimePoint Now) {
-  const Customer *Caller = this->Router.authenticate(this->Settings.snapshot(), Authorization);
+  this->advance(Now);
+  const SettingsSnapshot &Snapshot = this->Settings.snapshot();
+  const Customer *Caller = this->Router.authenticate(Snapshot, Authorization);
   if (!Caller) {
     return makeRefusal(401, RunOutcome::NotRun, "unknown caller or wrong key");
   }
+  std::set<ServiceName> Services;
+  for (const Route &Path : Snapshot.teams().at(teamOf(Caller->Name)).Routes) {
+    if (Path.Customer == Caller->Name) {
+      Services.insert(Path.Service);
+    }
+  }
   EntryAnswer Answer;
-  Answer.Entries =
-      this->entryAddresses(this->Router.allowedRegions(this->Settings.snapshot(), *Caller));
+  Answer.Entries = this->Fleet.entryAddresses(this->Router.allowedRegions(Snapshot, *Caller), Services, Now);
   Answer.TimeToKeep = EntryAnswerLifetime;
   if (!this->Stopping) {
-    Answer.Ticket = this->newTicket(Caller->Name, Now);
+    Answer.Ticket = this->Keys.newTicket(Caller->Name, Now);
   }
   return Answer;
 }
 
-void EntryNode::onTick(TimePoint Now) {
-  for (auto &[Id, Owned] : this->Groups) {
-    for (const RequestNumber Number : Owned.Policy->expire(Now)) {
-      this->refuse(Number,
-                   makeRefusal(504, RunOutcome::NotRun, "no slot free before the deadline"));
+Explanation EntryNode::explain(const CustomerName &Name, const std::string &Method,
+                               const std::string &UrlPath, TimePoint Now) const {
+  RequestHead Head;
+  Head.Method = Method;
+  Head.Path = UrlPath;
+  Head.Forwarded = ForwardMark{this->Self.Vm, Name, false, false};
+  Explanation Result;
+  const auto Decision = this->Router.route(this->Settings.snapshot(), Head);
+  if (const auto *Refused = std::get_if<Refusal>(&Decision)) {
+    Result.Decision = "refused with " + std::to_string(Refused->Status) + ": " + Refused->Reason;
+    return Result;
+  }
+  const auto &Routed = std::get<RoutedRequest>(Decision);
+  Result.Decision = "no owner of service " + Routed.Destination.Name.str() + " is known";
+  bool Decided = false;
+  for (const RegionName &Region : this->Settings.snapshot().platform().Regions) {
+    const bool Allowed =
+        std::ranges::find(Routed.Regions, Region) != Routed.Regions.end();
+    for (const auto &[Group, Members] : this->Targets) {
+      if (Group.Service != Routed.Destination.Name || Group.Region != Region) {
+        continue;
+      }
+      const auto Owner = this->Fleet.ownerOf(Group, Now);
+      ExplainStep Step{toString(Group), "ruled out", ""};
+      if (!Allowed) {
+        Step.Reason = "the region is not a home region of the customer";
+      } else if (!Owner) {
+        Step.Reason = "no live entry can own the group";
+      } else if (Region != this->Self.Region) {
+        Step.Reason = "only for overflow; owner " + Owner->str();
+      } else {
+        Step.Result = "chosen";
+        Step.Reason = "owner " + Owner->str() + ", " + std::to_string(Members.size()) +
+                      " usable targets";
+        Result.Decision = *Owner == this->Self.Vm ? "queued here for " + toString(Group)
+                                                  : "forwarded to " + Owner->str();
+        Decided = true;
+      }
+      Result.Steps.push_back(std::move(Step));
     }
   }
+  if (!Decided && Result.Steps.empty()) {
+    Result.Decision = "refused with 503: no target of the service is listed";
+  }
+  return Result;
+}
+
+void EntryNode::onTick(TimePoint Now) {
+  this->advance(Now);
+  this->sendAll(this->Fleet.onTick(
+Now, this->Groups.loads(), this->Groups.inFlight()), Now);
+  for (AuditEntry &Change : this->Fleet.takeChanges()) {
+    this->Effects.emplace_back(RecordChange{std::move(Change)});
+  }
+  if (const auto Watch = this->Fleet.takeWatchChange()) {
+    this->Effects.emplace_back(SetWatch{*Watch});
+  }
+  if (const auto Source = this->Fleet.nextSettingsSource(Now)) {
+    this->Effects.emplace_back(FetchSettings{*Source, this->Fleet.peerEndpoint(*Source).value()});
+  }
+  this->refreshGroups(Now);
+  for (const RequestNumber Number : this->Groups.expire(Now)) {
+    const ActiveRequest &Request = this->Requests.at(Number);
+    this->refuse(Number,
+                 makeRefusal(504, Request.MayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun,
+                             "no slot free before the deadline"));
+  }
+  this->startRetries(Now);
   this->startWaiting(Now);
 }
 
 std::optional<TimePoint> EntryNode::nextWakeup(TimePoint Now) const {
-  std::optional<TimePoint> Result;
-  for (const auto &[Id, Owned] : this->Groups) {
-    const auto Next = Owned.Policy->nextWakeup(Now);
-    if (Next && (!Result || *Next < *Result)) {
-      Result = Next;
-    }
+  auto Result = this->Groups.nextWakeup(Now);
+  if (!this->Retries.empty() && (!Result || this->Retries.begin()->first < *Result)) {
+    Result = this->Retries.begin()->first;
   }
   return Result;
 }
 
-void EntryNode::beginStop(TimePoint) { this->Stopping = true; }
+void EntryNode::beginStop(TimePoint Now) {
+  this->advance(Now);
+  this->Stopping = true;
+  this->Fleet.beginStop();
+}
+
+bool EntryNode::isServing() const { return this->Fleet.isServing(); }
 
 std::vector<Effect> EntryNode::takeEffects() { return std::exchange(this->Effects, {}); }
 
-std::vector<std::pair<GroupId, std::vector<TargetStatus>>> EntryNode::targetStatus() const {
-  std::vector<std::pair<GroupId, std::vector<TargetStatus>>> Result;
-  for (const auto &[Id, Owned] : this->Groups) {
-    Result.emplace_back(Id, Owned.Policy->status());
+void EntryNode::advance(TimePoint Now) {
+  // An entry that was paused starts nothing under a lease that ended meanwhile.
+  if (this->LeasesEnd && *this->LeasesEnd <= Now) {
+    this->refreshLeases(Now);
   }
-  return Result;
 }
 
-std::optional<Refusal> EntryNode::admitKey(const RequestHead &Head, const RoutedRequest &Routed,
-                                           TimePoint Now, bool &Admitted) {
-  if (Routed.Path.Repeatable || (Head.Forwarded && Head.Forwarded->KeyAdmitted)) {
-    return std::nullopt;
-  }
-  const CustomerName &Customer = Routed.Caller.Name;
-  const auto Ticket = parseKeyTicket(Head.IdempotencyKey, Customer, this->Seals);
-  if (!Ticket) {
-    Refusal Answer =
-        makeRefusal(428, RunOutcome::NotRun,
-                    "the route needs an Idempotency-Key of the form <ticket>.<suffix>");
-    Answer.Ticket = this->newTicket(Customer, Now);
-    return Answer;
-  }
-  if (Ticket->Issuer != this->Self.Vm || Ticket->IssuerIncarnation != this->Self.Run) {
-    return makeRefusal(409, RunOutcome::Unknown, "the entry that issued the key is not reachable");
-  }
-  if (Ticket->Expiry <= Now) {
-    return makeRefusal(409, RunOutcome::Unknown, "the ticket of the key has expired");
-  }
-  switch (this->Ledger.begin(Customer, Head.IdempotencyKey, Ticket->Expiry, Now)) {
-  case KeyAdmission::Admitted:
-    Admitted = true;
-    return std::nullopt;
-  case KeyAdmission::Duplicate:
-    return this->keyRefusal(Head, Customer);
-  case KeyAdmission::LedgerFull:
-    return makeRefusal(429, RunOutcome::NotRun, "too many idempotency keys in use at this entry");
-  }
-  return std::nullopt;
+void EntryNode::refreshView(TimePoint Now) {
+  this->Targets = computeGroups(this->Settings.snapshot(), this->Vms);
+  const bool HasSettings = !this->Settings.revisions().empty();
+  this->Fleet.setView(this->Settings.snapshot(),
+                      HasSettings ? std::optional(this->Settings.digest()) : std::nullopt, this->Vms,
+                      this->Targets, Now);
+  this->refreshGroups(Now);
 }
 
-Refusal EntryNode::keyRefusal(const RequestHead &Head, const CustomerName &Customer) const {
-  const auto Known = this->Ledger.find(Customer, Head.IdempotencyKey);
-  std::string Reason = "a request with this key may have run";
-  if (Known && Known->State == KeyState::Started) {
-    Reason = "a request with this key is in progress";
-  }
-  if (Known && Known->State == KeyState::Ran) {
-    Reason = "a request with this key ran with status " + std::to_string(Known->Status);
+void EntryNode::refreshGroups(TimePoint Now) {
+  if (!this->Fleet.takeOwnershipChange()) {
+    return;
   }
-  return makeRefusal(409, RunOutcome::Unknown, std::move(Reason));
-}
-
-std::string EntryNode::newTicket(const CustomerName &Customer, TimePoint Now) const {
-  return formatTicket({this->Self.Vm, this->Self.Run, Customer, Now + TicketLifetime}, this->Seals);
+  this->refreshLeases(Now);
+  this->startWaiting(Now);
 }
 
-std::vector<std::string> EntryNode::entryAddresses(const std::vector<RegionName> &Regions) const {
-  std::vector<std::string> Result;
-  for (const RegionName &Region : Regions) {
-    for (const Vm &Machine : this->Vms.Vms) {
-      const FailureDomain *Domain = this->Settings.snapshot().findDomain(Machine.Domain);
-      if (Machine.Role != VmRole::Entry || Machine.State != VmState::Live || !Domain ||
-          Domain->TakenOut || Domain->Region != Region ||
-          (this->Stopping && Machine.Name == this->Self.Vm)) {
-        continue;
+void EntryNode::refreshLeases(TimePoint Now) {
+  this->LeasesEnd = this->Fleet.refreshLeases(Now);
+  for (const GroupId &Group : this->Groups.ownedGroups()) {
+    if (!this->Fleet.owns(Group)) {
+      this->moveWaiting(Group, Now);
+    }
+  }
+  for (const auto &[Group, Members] : this->Targets) {
+    if (!this->Fleet.owns(Group)) {
+      continue;
+    }
+    std::vector<std::pair<GroupTarget, std::uint32_t>> Usable;
+    for (const GroupTarget &Each : Members) {
+      const std::uint32_t Slots = this->Fleet.usableSlots(Each);
+      if (Slots > 0) {
+        Usable.emplace_back(Each, Slots);
       }
-      Result.push_back(Machine.Address + ":" + std::to_string(Machine.Port));
     }
+    this->Groups.setOwned(Group, Usable, Now);
   }
-  return Result;
 }
 
-EntryNode::Group *EntryNode::bestGroup(const ServiceName &Service, const RegionName &Region) {
-  Group *Best = nullptr;
-  DispatchLoad BestLoad;
-  for (auto &[Id, Owned] : this->Groups) {
-    if (Id.Service != Service || Id.Region != Region) {
+void EntryNode::sendAll(const std::vector<OutgoingMessage> &Messages, TimePoint Now) {
+  for (const OutgoingMessage &Each : Messages) {
+    if (Each.Receiver == this->Self.Vm) {
+      this->sendAll(this->Fleet.onMessage(Each.Message, Now), Now);
       continue;
     }
-    const DispatchLoad Load = Owned.Policy->load();
-    const bool Better = Load.SpareSlots > BestLoad.SpareSlots ||
-                        (Load.SpareSlots == BestLoad.SpareSlots && Load.Queued < BestLoad.Queued);
-    if (!Best || Better) {
-      Best = &Owned;
-      BestLoad = Load;
+    if (const auto Destination = this->Fleet.peerEndpoint(Each.Receiver)) {
+      this->Effects.emplace_back(SendPeerMessage{Each.Receiver, *Destination, Each.Message});
     }
   }
-  return Best;
 }
 
-void EntryNode::enqueue(RequestNumber Number, ActiveRequest &Request, TimePoint Now) {
-  Group *Destination = nullptr;
-  for (auto &[Id, Owned] : this->Groups) {
-    if (Id.Service == Request.Routed.Destination.Name && Id.Region == this->Self.Region) {
-      Request.Group = Id;
-      Destination = &Owned;
-      break;
+void EntryNode::place(RequestNumber Number, TimePoint Now) {
+  const ActiveRequest &Request = this->Requests.at(Number);
+  const auto Group = this->Fleet.bestGroup(Request.Routed.Destination.Name, this->Groups, Now);
+  const auto Owner = Group ? this->Fleet.ownerOf(*Group, Now) : std::nullopt;
+  if (Owner == this->Self.Vm) {
+    if (!this->enqueue(Number, *Group, Now) && this->Requests.contains(Number) &&
+        !this->overflow(Number, Now)) {
+      this->refuse(Number, this->noCapacity(Request, "no capacity before the deadline", Now));
     }
+    return;
+  }
+  const bool Arrived = Request.Head.Forwarded && Request.Head.Forwarded->ToOwner;
+  if (Owner && !Arrived && this->forward(Number, *Owner, true)) {
+    return;
+  }
+  if (!Owner && !Arrived && this->overflow(Number, Now)) {
+    return;
+  }
+  this->refuse(Number, this->noCapacity(Request, Arrived ? "this entry does not own the targets"
+                                                         : "no live entry owns the targets", Now));
+}
+
+bool EntryNode::enqueue(RequestNumber Number, const GroupId &Group, TimePoint Now) {
+  ActiveRequest &Request = this->Requests.at(Number);
+  DispatchPolicy *Policy = this->Groups.find(Group);
+  if (!Policy) {
+    return false;
   }
   QueuedRequest Queued;
   Queued.Number = Number;
@@ -322,22 +452,130 @@
   Queued.MaxInFlight = Request.Routed.Caller.MaxInFlight;
   Queued.Class = Request.Routed.Path.Class;
   Queued.Deadline = Request.Deadline;
-  const EnqueueOutcome Outcome =
-      Destination ? Destination->Policy->enqueue(Queued, Now) : EnqueueOutcome::Overloaded;
-  if (Outcome == EnqueueOutcome::Queued) {
+  Queued.Excluded = Request.FailedOn;
+  Request.Group = Group;
+  Request.State = ActiveRequest::Phase::Waiting;
+  switch (Policy->enqueue(Queued, Now)) {
+  case EnqueueOutcome::Queued:
     this->startWaiting(Now);
-    return;
+    return true;
+  case EnqueueOutcome::CustomerLimit: {
+    Refusal Answer = this->noCapacity(Request, "the customer has too many requests in flight", Now);
+    Answer.Status = 429;
+    this->refuse(Number, std::move(Answer));
+    return false;
+  }
+  case EnqueueOutcome::Overloaded:
+    break;
   }
-  Refusal Answer = makeRefusal(Outcome == EnqueueOutcome::CustomerLimit ? 429 : 503,
-                               RunOutcome::NotRun, "no capacity before the deadline");
-  Answer.RetryAfter = DefaultRetryAfter;
-  this->refuse(Number, std::move(Answer));
+  return false;
+}
+
+bool EntryNode::forward(RequestNumber Number, const VmName &Entry, bool ToOwner) {
+  ActiveRequest &Request = this->Requests.at(Number);
+  const auto Destination = this->Fleet.peerEndpoint(Entry);
+  if (!Destination) {
+    return false;
+  }
+  const bool KeyAdmitted = !Request.AdmittedKey.empty() ||
+                           (Request.Head.Forwarded && Request.Head.Forwarded->KeyAdmitted);
+  Request.State = ActiveRequest::Phase::Forwarded;
+  this->Effects.emplace_back(StartForward{
+      Number, Entry, *Destination,
+      ForwardMark{this->Self.Vm, Request.Routed.Caller.Name, KeyAdmitted, ToOwner}, Request.Deadline,
+      Request.Routed.Path.Repeatable});
+  return true;
+}
+
+bool EntryNode::overflow(RequestNumber Number, TimePoint Now) {
+  const ActiveRequest &Request = this->Requests.at(Number);
+  // Links between regions are paid by volume, so bulk work waits, and a request is moved only once.
+  if (Request.Routed.Path.Class == RequestClass::Bulk || Request.Head.Forwarded ||
+      !Request.AdmittedKey.empty()) {
+    return false;
+  }
+  for (const RegionName &Region : Request.Routed.Regions) {
+    if (Region == this->Self.Region) {
+      continue;
+    }
+    const auto Owner = this->Fleet.ownerWithSpareSlots(Request.Routed.Destination.Name, Region, Now);
+    if (Owner) {
+      return this->forward(Number, *Owner, true);
+    }
+  }
+  return false;
+}
+
+void EntryNode::startWaiting(TimePoint Now) {
+  bool Again = true;
+  while (Again) {
+    Again = false;
+    for (const GroupAssignment &Next : this->Groups.assign(Now)) {
+      const RequestNumber Number = Next.Work.Request;
+      ActiveRequest &Request = this->Requests.at(Number);
+      // Settings may have changed while the request waited.
+      if (!this->mayRunHere(Request)) {
+        this->Groups.onAttemptEnd(Next.Group, Number,
+                                  {AttemptOutcome::Cancelled, Duration(0), Duration(0)}, Now);
+        this->refuse(Number,
+                     makeRefusal(403, Request.MayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun,
+                                 "the customer's settings changed while the request waited"));
+        Again = true;
+        continue;
+      }
+      Request.State = ActiveRequest::Phase::Running;
+      Request.RunsOn = Next.Work.Target;
+      ++Request.Attempts;
+      this->Effects.emplace_back(StartAttempt{Number, Next.Work.Target, Next.Destination,
+                                              Request.Deadline, Request.Routed.Path.Repeatable});
+    }
+  }
+}
+
+void EntryNode::startRetries(TimePoint Now) {
+  while (!this->Retries.empty() && this->Retries.begin()->first <= Now) {
+    const RequestNumber Number = this->Retries.begin()->second;
+    this->Retries.erase(this->Retries.begin());
+    const auto Found = this->Requests.find(Number);
+    if (Found != this->Requests.end() &&
+        Found->second.State == ActiveRequest::Phase::BackingOff) {
+      this->place(Number, Now);
+    }
+  }
+}
+
+void EntryNode::moveWaiting(const GroupId &Group, TimePoint Now) {
+  std::vector<RequestNumber> Waiting;
+  for (const auto &[Number, Request] : this->Requests) {
+    if (Request.State == ActiveRequest::Phase::Waiting && Request.Group == Group) {
+      Waiting.push_back(Number);
+    }
+  }
+  if (DispatchPolicy *Policy = this->Groups.find(Group)) {
+    for (const RequestNumber Number : Waiting) {
+      Policy->cancel(Number, Now);
+    }
+  }
+  this->Groups.disown(Group, Now);
+  for (const RequestNumber Number : Waiting) {
+    this->place(Number, Now);
+  }
+}
+
+bool EntryNode::mayRunHere(const ActiveRequest &Request) const {
+  RequestHead Head = Request.Head;
+  // The credential was checked on arrival; only the customer's terms are checked again.
+  Head.Forwarded = ForwardMark{this->Self.Vm, Request.Routed.Caller.Name, false, false};
+  const auto Decision = this->Router.route(this->Settings.snapshot(), Head);
+  const auto *Routed = std::get_if<RoutedRequest>(&Decision);
+  return Routed && Routed->Destination.Name == Request.Routed.Destination.Name &&
+         Routed->Path.Repeatable == Request.Routed.Path.Repeatable;
 }
 
 void EntryNode::finish(RequestNumber Number, KeyState State, int Status) {
   const auto Found = this->Requests.find(Number);
   if (!Found->second.AdmittedKey.empty()) {
-    this->Ledger.finish(Found->second.Routed.Caller.Name, Found->second.AdmittedKey, State, Status);
+    this->Keys.finish(Found->second.Routed.Caller.Name, Found->second.AdmittedKey, State, Status);
   }
   this->Requests.erase(Found);
 }
@@ -349,36 +587,25 @@
   this->Effects.emplace_back(RefuseRequest{Number, std::move(Answer)});
 }
 
-void EntryNode::rebuildGroups(TimePoint Now) {
-  this->Targets = computeGroups(this->Settings.snapshot(), this->Vms);
-  for (const auto &[Id, Members] : this->Targets) {
-    if (Id.Region != this->Self.Region) {
-      continue;
-    }
-    Group &Owned = this->Groups[Id];
-    if (!Owned.Policy) {
-      Owned.Policy = std::make_unique<OwnerQueuePolicy>();
-    }
-    std::vector<DispatchTarget> Usable;
-    for (const GroupTarget &Each : Members) {
-      Usable.push_back({Each.Target, Each.Slots});
-      Owned.Destinations.insert_or_assign(Each.Target, Each.Destination);
-    }
-    Owned.Policy->setTargets(Usable, Now);
-  }
-  this->startWaiting(Now);
+Refusal EntryNode::noCapacity(const ActiveRequest &Request, std::string Reason,
+                              TimePoint Now) const {
+  Refusal Answer = makeRefusal(
+      503, Request.MayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun, std::move(Reason));
+  Answer.Entries =
+      this->Fleet.entryAddresses(Request.Routed.Regions, {Request.Routed.Destination.Name}, Now);
+  Answer.RetryAfter = DefaultRetryAfter;
+  return Answer;
 }
 
-void EntryNode::startWaiting(TimePoint Now) {
-  for (auto &[Id, Owned] : this->Groups) {
-    for (const Assignment &Next : Owned.Policy->assign(Now)) {
-      ActiveRequest &Request = this->Requests.at(Next.Request);
-      Request.Running = true;
-      this->Effects.emplace_back(StartAttempt{Next.Request, Next.Target,
-                                              Owned.Destinations.at(Next.Target), Request.Deadline,
-                                              Request.Routed.Path.Repeatable});
-    }
-  }
+void EntryNode::recordChange(std::string What, std::string From, std::string To,
+                             std::uint64_t Revision, std::string Why) {
+  AuditEntry Entry;
+  Entry.What = std::move(What);
+  Entry.From = std::move(From);
+  Entry.To = std::move(To);
+  Entry.Revision = Revision;
+  Entry.Why = std::move(Why);
+  this->Effects.emplace_back(RecordChange{std::move(Entry)});
 }
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -1,24 +1,24 @@
 #pragma once
 
-#include "coordination/DispatchPolicy.h"
 #include "coordination/Effect.h"
+#include "coordination/EntryFleet.h"
 #include "coordination/EntryIdentity.h"
 #include "coordination/GroupMap.h"
-#include "coordination/KeyLedger.h"
-#include "coordination/Messages.h"
+#include "coordination/GroupTable.h"
+#include "coordination/KeyIssuer.h"
 #include "coordination/Refusal.h"
 #include "coordination/RequestHead.h"
 #include "coordination/RequestRouter.h"
+#include "coordination/RetryBudget.h"
 #include "state/SettingsStore.h"
 #include "state/VmList.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -28,7 +28,7 @@
 class Sealer;
 class SettingsParser;
 
-/// How one attempt on a target ended, as the transport saw it.
+/// How one attempt on a target, or a forward to another entry, ended, as the transport saw it.
 struct AttemptReport {
   AttemptOutcome Outcome = AttemptOutcome::Succeeded;
   /// False only if provably no byte of the request left this process.
@@ -37,6 +37,8 @@
   bool AnswerStarted = false;
   /// HTTP status of the answer; 0 if none arrived.
   int Status = 0;
+  /// Set if another entry answered with a refusal of its own.
+  std::optional<RunOutcome> PeerOutcome;
   Duration FirstByte{0};
   Duration Total{0};
 
@@ -52,33 +54,59 @@
   auto operator<=>(const EntryAnswer &) const = default;
 };
 
-/// All decisions of one entry: admits requests, queues them, chooses targets and answers peers.
-/// Events and the current time go in, effects come out through takeEffects(). Performs no I/O and
-/// reads no clock. Times must not decrease between calls. Not thread-safe.
+/// One candidate that `anvilsaddle explain` shows.
+struct ExplainStep {
+  std::string Candidate;
+  std::string Result;
+  std::string Reason;
+
+  auto operator<=>(const ExplainStep &) const = default;
+};
+
+struct Explanation {
+  std::string Decision;
+  std::vector<ExplainStep> Steps;
+
+  auto operator<=>(const Explanation &) const = default;
+};
+
+/// All decisions of one entry: admits requests, queues them, chooses targets, retries, and takes part in
+/// the fleet. Events and the current time go in, effects come out through takeEffects(). Performs no I/O
+/// and reads no clock. Times must not decrease between calls. Not thread-safe.
 class EntryNode {
 public:
   /// Precondition: parser, sealer and random source outlive the node.
   EntryNode(EntryIdentity Self, const SettingsParser &Parser, const Sealer &Seals,
-            RandomSource &Random);
+            RandomSource &Random, TimePoint Now);
   ~EntryNode();
 
-  /// Offers a revision of published settings. `Source` names where it came from, for the audit
-  /// trail.
+  /// Offers a revision of published settings from an entry, or from the configuration service if `Peer`
+  /// is empty.
   OfferOutcome onSettings(const std::string &Path, std::uint64_t Revision, const std::string &Text,
-                          const std::string &Source, TimePoint Now);
+                          const std::optional<VmName> &Peer, TimePoint Now);
+  /// A peer has answered a FetchSettings effect, or failed to.
+  void onSettingsFetched(const VmName &Entry, bool Ok, TimePoint Now);
   /// Ignores lists that are not newer than the one in use.
   void onVmList(const VmList &List, TimePoint Now);
+  /// Precondition: the message was authenticated.
+  void onPeerMessage(const PeerMessage &Message, TimePoint Now);
 
+  /// Refusal that follows from the headers alone, before the body is read.
+  std::optional<Refusal> checkHead(const RequestHead &Head, TimePoint Now) const;
   /// Admits a request, whose number then appears in effects, or refuses it.
   std::variant<RequestNumber, Refusal> onRequest(const RequestHead &Head, TimePoint Now);
-  /// True if the answer shall go to the caller; false if it shall be dropped and the attempt ended.
+  /// True if the answer shall go to the caller; false if it shall be dropped and the attempt ended as
+  /// shed.
   bool onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter);
-  /// Ends the running attempt of a request. Unknown numbers are ignored.
+  /// Ends the running attempt or forward of a request. Unknown numbers are ignored.
   void onAttemptEnd(RequestNumber Request, const AttemptReport &Report, TimePoint Now);
   void onCallerGone(RequestNumber Request, TimePoint Now);
 
   /// Addresses and a ticket for the caller with this Authorization header.
   std::variant<EntryAnswer, Refusal> entriesFor(const std::string &Authorization, TimePoint Now);
+  /// Where a request of the customer would go and why.
+  Explanation explain(const CustomerName &Name, const std::string &Method, const std::string &UrlPath,
+                      TimePoint Now) const;
 
   void onTick(TimePoint Now);
   std::optional<TimePoint> nextWakeup(TimePoint Now) const;
@@ -88,40 +116,56 @@
   bool isStopping() const { return this->Stopping; }
   /// True once no request waits or runs.
   bool isDrained() const { return this->Requests.empty(); }
+  bool isServing() const;
 
   std::vector<Effect> takeEffects();
 
   const SettingsStore &settings() const { return this->Settings; }
   const VmList &vmList() const { return this->Vms; }
-  std::vector<std::pair<GroupId, std::vector<TargetStatus>>> targetStatus() const;
+  const EntryFleet &fleet() const { return this->Fleet; }
+  std::vector<std::pair<GroupId, std::vector<TargetStatus>>> targetStatus() const {
+    return this->Groups.status();
+  }
 
 private:
   struct ActiveRequest;
-  struct Group;
-
-  std::optional<Refusal> admitKey(const RequestHead &Head, const RoutedRequest &Routed,
-                                  TimePoint Now, bool &Admitted);
-  Refusal keyRefusal(const RequestHead &Head, const CustomerName &Customer) const;
-  std::string newTicket(const CustomerName &Customer, TimePoint Now) const;
-  std::vector<std::string> entryAddresses(const std::vector<RegionName> &Regions) const;
-  Group *bestGroup(const ServiceName &Service, const RegionName &Region);
-  void enqueue(RequestNumber Number, ActiveRequest &Request, TimePoint Now);
+
+  void advance(TimePoint Now);
+  void refreshView(TimePoint Now);
+  void refreshGroups(TimePoint Now);
+  void refreshLeases(TimePoint Now);
+  void sendAll(const std::vector<OutgoingMessage> &Messages, TimePoint Now);
+  void place(RequestNumber Number, TimePoint Now);
+  bool enqueue(RequestNumber Number, const GroupId &Group, TimePoint Now);
+  bool forward(RequestNumber Number, const VmName &Entry, bool ToOwner);
+  bool overflow(RequestNumber Number, TimePoint Now);
+  void startWaiting(TimePoint Now);
+  void startRetries(TimePoint Now);
+  void moveWaiting(const GroupId &Group, TimePoint Now);
+  bool mayRunHere(const ActiveRequest &Request) const;
+  void onAttemptFailed(RequestNumber Number, const AttemptReport &Report, TimePoint Now);
   void finish(RequestNumber Number, KeyState State, int Status);
   void refuse(RequestNumber Number, Refusal Answer);
-  void rebuildGroups(TimePoint Now);
-  void startWaiting(TimePoint Now);
+  Refusal noCapacity(const ActiveRequest &Request, std::string Reason, TimePoint Now) const;
+  void recordChange(std::string What, std::string From, std::string To, std::uint64_t Revision,
+                    std::string Why);
 
   EntryIdentity Self;
-  const Sealer &Seals;
   RandomSource &Random;
   SettingsStore Settings;
   VmList Vms;
   RequestRouter Router;
-  KeyLedger Ledger;
+  KeyIssuer Keys;
+  EntryFleet Fleet;
   GroupMap Targets;
-  std::map<GroupId, Group> Groups;
+  GroupTable Groups;
+  RetryBudget Budget;
   std::map<RequestNumber, ActiveRequest> Requests;
+  /// Requests that wait for their backoff, by the time of their next attempt.
+  std::set<std::pair<TimePoint, RequestNumber>> Retries;
   RequestNumber LastNumber = 0;
+  /// When the first lease in use ends; nothing starts after it without a look at the leases.
+  std::optional<TimePoint> LeasesEnd;
   bool Stopping = false;
   std::vector<Effect> Effects;
 };
--- a/src/libs/coordination/Refusal.h
+++ b/src/libs/coordination/Refusal.h
@@ -32,4 +32,7 @@
   auto operator<=>(const Refusal &) const = default;
 };
 
+/// A refusal without addresses, ticket or waiting time.
+Refusal makeRefusal(int Status, RunOutcome Outcome, std::string Reason);
+
 } // namespace anvilsaddle
--- a/src/libs/coordination/RequestRouter.cpp
+++ b/src/libs/coordination/RequestRouter.cpp
@@ -13,13 +13,6 @@
 
 constexpr std::string_view BearerPrefix = "Bearer ";
 
-Refusal refuse(int Status, std::string Reason) {
-  Refusal Result;
-  Result.Status = Status;
-  Result.Reason = std::move(Reason);
-  return Result;
-}
-
 } // namespace
 
 RequestRouter::RequestRouter(RegionName OwnRegion, const Sealer &Seals)
@@ -56,19 +49,19 @@
   const Customer *Caller = Head.Forwarded ? Settings.findCustomer(Head.Forwarded->Customer)
                                           : this->authenticate(Settings, Head.Authorization);
   if (!Caller) {
-    return refuse(401, "unknown caller or wrong key");
+    return makeRefusal(401, RunOutcome::NotRun, "unknown caller or wrong key");
   }
   const Route *Path = Settings.findRoute(Caller->Name, Head.Method, Head.Path);
   if (!Path) {
-    return refuse(404, "no route of this customer matches method and path");
+    return makeRefusal(404, RunOutcome::NotRun, "no route of this customer matches method and path");
   }
   const Service *Destination = Settings.findService(Path->Service);
   if (!Destination) {
-    return refuse(404, "route " + Path->Name.str() + " names an unknown service");
+    return makeRefusal(404, RunOutcome::NotRun, "route " + Path->Name.str() + " names an unknown service");
   }
   RoutedRequest Result{*Caller, *Path, *Destination, this->allowedRegions(Settings, *Caller)};
   if (Result.Regions.empty() || Result.Regions.front() != this->OwnRegion) {
-    return refuse(403, "this region is not a home region of the customer");
+    return makeRefusal(403, RunOutcome::NotRun, "this region is not a home region of the customer");
   }
   return Result;
 }
