--- a/src/libs/coordination/Messages.h
+++ b/src/libs/coordination/Messages.h
@@ -94,6 +94,9 @@
 struct LeaseRelease {
   VmName Owner;
   Incarnation OwnerIncarnation;
+  /// From the same counter as LeaseRequest::RequestId. Without it, a delayed release would end a
+  /// lease that the same owner obtained later.
+  std::uint64_t RequestId = 0;
   std::vector<LeaseClaim> Claims;
 
   auto operator<=>(const LeaseRelease &) const = default;
@@ -104,6 +107,9 @@
 struct LessorInquiry {
   VmName Lessor;
   Incarnation LessorIncarnation;
+  /// VM list of the sender. The receiver stops granting until it has a list at least as new, which
+  /// then decides.
+  std::uint64_t VmListRevision = 0;
   std::vector<TargetName> Targets;
 
   auto operator<=>(const LessorInquiry &) const = default;
@@ -121,6 +127,8 @@
 struct LessorCession {
   VmName Sender;
   Incarnation SenderIncarnation;
+  /// Copied from the inquiry. A cession to an earlier run of the receiver is void.
+  Incarnation LessorIncarnation;
   std::vector<CededTarget> Targets;
 
   auto operator<=>(const LessorCession &) const = default;
