--- a/src/libs/coordination/EntryFleet.cpp
+++ b/src/libs/coordination/EntryFleet.cpp
@@ -13,8 +13,7 @@
 /// An entry without any settings asks listed entries in turn at this interval.
 constexpr Duration BootstrapInterval = std::chrono::milliseconds(500);
 
-template <typename Elements>
-void append(std::vector<OutgoingMessage> &To, Elements &&From) {
+template <typename Elements> void append(std::vector<OutgoingMessage> &To, Elements &&From) {
   To.insert(To.end(), std::make_move_iterator(From.begin()), std::make_move_iterator(From.end()));
 }
 
@@ -33,15 +32,15 @@
     : Self(std::move(Self)), Members(this->Self, Now), Grants(this->Self, Now),
       Leases(this->Self, Now), Spread(this->Self, Now), BootstrapDue(Now) {}
 
-void EntryFleet::setView(const SettingsSnapshot &Settings, std::optional<std::uint64_t> Digest,
+void EntryFleet::setView(const SettingsSnapshot &Settings, std::optional<std::uint64_t> NewDigest,
                          const VmList &NewVms, const GroupMap &NewGroups, TimePoint Now) {
   this->Vms = NewVms;
   this->Groups = NewGroups;
-  this->HasSettings = Digest.has_value();
   const Vm *Own = this->Vms.find(this->Self.Vm);
   this->ListedDeparting = Own && Own->State == VmState::Departing;
   this->Lessors = computeLessors(Settings, this->Vms, this->Self.Region);
-  this->Spread.setDigest(Digest);
+  this->Digest = NewDigest;
+  this->Spread.setDigest(NewDigest);
   this->Members.setView(Settings, this->Vms, Now);
   this->Grants.setView(this->Lessors, this->Vms.Revision, Now);
   this->ViewChanged = true;
@@ -66,7 +65,7 @@
   this->Serving = this->Serving || this->Spread.mayServe(Now);
   OwnStatus Status;
   Status.State = this->ownState();
-  Status.SettingsDigest = this->Spread.digest().value_or(0);
+  Status.SettingsDigest = this->Digest.value_or(0);
   Status.VmListRevision = this->Vms.Revision;
   Status.Groups = std::move(OwnLoads);
   this->Members.setOwnStatus(std::move(Status));
@@ -145,8 +144,8 @@
   std::optional<VmName> Best;
   std::uint32_t BestSpare = 0;
   auto Next = this->Groups.lower_bound({Service, Region, 0});
-  for (; Next != this->Groups.end() && Next->first.Service == Service &&
-         Next->first.Region == Region;
+  for (;
+       Next != this->Groups.end() && Next->first.Service == Service && Next->first.Region == Region;
        ++Next) {
     const auto Told = this->Members.latestLoad(Next->first, Now);
     if (Told && Told->Load.SpareSlots > BestSpare) {
@@ -160,9 +159,8 @@
 bool EntryFleet::isAlive(const VmName &Entry, const Incarnation &Run) const {
   const PeerStatus *Peer = this->Members.find(Entry);
   // A peer of another region may not report here; forwarding to it finds out.
-  return Peer && (!Peer->Monitored ||
-                  (Peer->Run == Run && (Peer->State == PeerState::Alive ||
-                                        Peer->State == PeerState::Departing)));
+  return Peer && (!Peer->Monitored || (Peer->Run == Run && (Peer->State == PeerState::Alive ||
+                                                            Peer->State == PeerState::Departing)));
 }
 
 std::vector<std::string> EntryFleet::entryAddresses(const std::vector<RegionName> &Regions,
@@ -207,8 +205,7 @@
 }
 
 std::optional<VmName> EntryFleet::nextSettingsSource(TimePoint Now) {
-  return this->HasSettings ? this->Spread.nextFetch(this->Members, Now)
-                           : this->nextBootstrapSource(Now);
+  return this->Digest ? this->Spread.nextFetch(this->Members, Now) : this->nextBootstrapSource(Now);
 }
 
 std::optional<bool> EntryFleet::takeWatchChange() {
@@ -255,9 +252,9 @@
     }
   }
   this->Owned = std::move(NowOwned);
-  this->Leases.setWanted(ownedTargets(this->Self.Vm, this->Self.Region, this->Groups, this->Lessors,
-                                      this->Candidates),
-                         Now);
+  this->Leases.setWanted(
+      ownedTargets(this->Self.Vm, this->Self.Region, this->Groups, this->Lessors, this->Candidates),
+      Now);
 }
 
 std::optional<VmName> EntryFleet::nextBootstrapSource(TimePoint Now) {
--- a/src/libs/coordination/EntryFleet.h
+++ b/src/libs/coordination/EntryFleet.h
@@ -26,8 +26,8 @@
 class GroupTable;
 class SettingsSnapshot;
 
-/// This entry's part in the fleet: who is alive, who owns which group, which targets this entry may send
-/// to, and where settings come from. Performs no I/O and reads no clock. Not thread-safe.
+/// This entry's part in the fleet: who is alive, who owns which group, which targets this entry may
+/// send to, and where settings come from. Performs no I/O and reads no clock. Not thread-safe.
 class EntryFleet {
 public:
   EntryFleet(EntryIdentity Self, TimePoint Now);
@@ -66,10 +66,11 @@
   /// True if the entry is alive and still the same run.
   bool isAlive(const VmName &Entry, const Incarnation &Run) const;
 
-  /// Callers' addresses of live entries outside taken-out domains: owners of the services first, region
-  /// by region.
+  /// Callers' addresses of live entries outside taken-out domains: owners of the services first,
+  /// region by region.
   std::vector<std::string> entryAddresses(const std::vector<RegionName> &Regions,
-                                          const std::set<ServiceName> &Services, TimePoint Now) const;
+                                          const std::set<ServiceName> &Services,
+                                          TimePoint Now) const;
   /// Peer address of a listed entry.
   std::optional<Endpoint> peerEndpoint(const VmName &Entry) const;
 
@@ -92,6 +93,8 @@
   SettingsSpread Spread;
   VmList Vms;
   GroupMap Groups;
+  /// Digest of the settings in force; none without settings.
+  std::optional<std::uint64_t> Digest;
   LessorMap Lessors;
   /// Live entries among which owners were chosen last.
   std::vector<VmName> Candidates;
@@ -100,7 +103,6 @@
   std::vector<AuditEntry> Changes;
   std::size_t BootstrapCursor = 0;
   TimePoint BootstrapDue;
-  bool HasSettings = false;
   bool ViewChanged = false;
   bool OwnershipChanged = false;
   bool Watching = false;
--- a/src/libs/coordination/EntryNode.cpp
+++ b/src/libs/coordination/EntryNode.cpp
@@ -89,6 +89,20 @@
 }
 
 std::optional<Refusal> EntryNode::checkHead(const RequestHead &Head, TimePoint Now) const {
+  auto Refused = this->checkTerms(Head, Now);
+  if (!Refused || Head.IdempotencyKey.empty() || (Head.Forwarded && Head.Forwarded->KeyAdmitted)) {
+    return Refused;
+  }
+  const Customer *Caller =
+      Head.Forwarded ? this->Settings.snapshot().findCustomer(Head.Forwarded->Customer)
+                     : this->Router.authenticate(this->Settings.snapshot(), Head.Authorization);
+  if (!Caller || !this->Keys.isUnused(Caller->Name, Head.IdempotencyKey)) {
+    Refused->Outcome = RunOutcome::Unknown;
+  }
+  return Refused;
+}
+
+std::optional<Refusal> EntryNode::checkTerms(const RequestHead &Head, TimePoint Now) const {
   auto Decision = this->Router.route(this->Settings.snapshot(), Head);
   if (auto *Refused = std::get_if<Refusal>(&Decision)) {
     if (Refused->Status == 403) {
@@ -105,8 +119,7 @@
     Refusal Answer =
         makeRefusal(503, RunOutcome::NotRun,
                     this->Stopping ? "this entry is stopping" : "this entry is starting");
-    Answer.Entries =
-        this->Fleet.entryAddresses(Routed.Regions, {Routed.Destination.Name}, Now);
+    Answer.Entries = this->Fleet.entryAddresses(Routed.Regions, {Routed.Destination.Name}, Now);
     Answer.RetryAfter = DefaultRetryAfter;
     return Answer;
   }
@@ -137,8 +150,8 @@
       Request.AdmittedKey = Head.IdempotencyKey;
     }
   }
-  if (OtherIssuer &&
-      (Head.Forwarded || !this->Fleet.isAlive(OtherIssuer->Issuer, OtherIssuer->IssuerIncarnation))) {
+  if (OtherIssuer && (Head.Forwarded ||
+                      !this->Fleet.isAlive(OtherIssuer->Issuer, OtherIssuer->IssuerIncarnation))) {
     return makeRefusal(409, RunOutcome::Unknown, "the entry that issued the key is not reachable");
   }
 
@@ -174,7 +187,8 @@
   }
   if (Report.PeerOutcome && Report.AnswerStarted) {
     this->finish(Number,
-                 *Report.PeerOutcome == RunOutcome::NotRun ? KeyState::NotRun : KeyState::Unknown, 0);
+                 *Report.PeerOutcome == RunOutcome::NotRun ? KeyState::NotRun : KeyState::Unknown,
+                 0);
   } else if (Report.Outcome == AttemptOutcome::Succeeded) {
     this->finish(Number, KeyState::Ran, Report.Status);
   } else if (Report.AnswerStarted) {
@@ -188,9 +202,8 @@
 void EntryNode::onAttemptFailed(RequestNumber Number, const AttemptReport &Report, TimePoint Now) {
   ActiveRequest &Request = this->Requests.at(Number);
   const bool Forwarded = Request.State == ActiveRequest::Phase::Forwarded;
-  const bool NotRun =
-      !Report.Sent || (Report.Outcome == AttemptOutcome::Shed && !Forwarded &&
-                       Request.Routed.Destination.ShedIsNotRun);
+  const bool NotRun = !Report.Sent || (Report.Outcome == AttemptOutcome::Shed && !Forwarded &&
+                                       Request.Routed.Destination.ShedIsNotRun);
   Request.MayHaveRun |= !NotRun;
   if (Report.Outcome == AttemptOutcome::Cancelled) {
     this->finish(Number, Request.MayHaveRun ? KeyState::Unknown : KeyState::NotRun, 0);
@@ -206,8 +219,8 @@
     Question.Attempts = Request.Attempts;
     Question.TimeLeft = Request.Deadline - Now;
     const auto Delay = decideRetry(Question, this->Random.uniform());
-    if (Delay && this->Budget.tryRetry(Request.Routed.Caller.Name,
-                                       Request.Routed.Destination.Name, Now)) {
+    if (Delay &&
+        this->Budget.tryRetry(Request.Routed.Caller.Name, Request.Routed.Destination.Name, Now)) {
       Request.State = ActiveRequest::Phase::BackingOff;
       this->Retries.emplace(Now + *Delay, Number);
       return;
@@ -262,7 +275,8 @@
     }
   }
   EntryAnswer Answer;
-  Answer.Entries = this->Fleet.entryAddresses(this->Router.allowedRegions(Snapshot, *Caller), Services, Now);
+  Answer.Entries =
+      this->Fleet.entryAddresses(this->Router.allowedRegions(Snapshot, *Caller), Services, Now);
   Answer.TimeToKeep = EntryAnswerLifetime;
   if (!this->Stopping) {
     Answer.Ticket = this->Keys.newTicket(Caller->Name, Now);
@@ -286,8 +300,7 @@
   Result.Decision = "no owner of service " + Routed.Destination.Name.str() + " is known";
   bool Decided = false;
   for (const RegionName &Region : this->Settings.snapshot().platform().Regions) {
-    const bool Allowed =
-        std::ranges::find(Routed.Regions, Region) != Routed.Regions.end();
+    const bool Allowed = std::ranges::find(Routed.Regions, Region) != Routed.Regions.end();
     for (const auto &[Group, Members] : this->Targets) {
       if (Group.Service != Routed.Destination.Name || Group.Region != Region) {
         continue;
@@ -302,8 +315,8 @@
         Step.Reason = "only for overflow; owner " + Owner->str();
       } else {
         Step.Result = "chosen";
-        Step.Reason = "owner " + Owner->str() + ", " + std::to_string(Members.size()) +
-                      " usable targets";
+        Step.Reason =
+            "owner " + Owner->str() + ", " + std::to_string(Members.size()) + " usable targets";
         Result.Decision = *Owner == this->Self.Vm ? "queued here for " + toString(Group)
                                                   : "forwarded to " + Owner->str();
         Decided = true;
@@ -319,8 +332,7 @@
 
 void EntryNode::onTick(TimePoint Now) {
   this->advance(Now);
-  this->sendAll(this->Fleet.onTick(
-Now, this->Groups.loads(), this->Groups.inFlight()), Now);
+  this->sendAll(this->Fleet.onTick(Now, this->Groups.loads(), this->Groups.inFlight()), Now);
   for (AuditEntry &Change : this->Fleet.takeChanges()) {
     this->Effects.emplace_back(RecordChange{std::move(Change)});
   }
@@ -370,8 +382,8 @@
   this->Targets = computeGroups(this->Settings.snapshot(), this->Vms);
   const bool HasSettings = !this->Settings.revisions().empty();
   this->Fleet.setView(this->Settings.snapshot(),
-                      HasSettings ? std::optional(this->Settings.digest()) : std::nullopt, this->Vms,
-                      this->Targets, Now);
+                      HasSettings ? std::optional(this->Settings.digest()) : std::nullopt,
+                      this->Vms, this->Targets, Now);
   this->refreshGroups(Now);
 }
 
@@ -435,8 +447,10 @@
   if (!Owner && !Arrived && this->overflow(Number, Now)) {
     return;
   }
-  this->refuse(Number, this->noCapacity(Request, Arrived ? "this entry does not own the targets"
-                                                         : "no live entry owns the targets", Now));
+  this->refuse(Number, this->noCapacity(Request,
+                                        Arrived ? "this entry does not own the targets"
+                                                : "no live entry owns the targets",
+                                        Now));
 }
 
 bool EntryNode::enqueue(RequestNumber Number, const GroupId &Group, TimePoint Now) {
@@ -480,10 +494,10 @@
   const bool KeyAdmitted = !Request.AdmittedKey.empty() ||
                            (Request.Head.Forwarded && Request.Head.Forwarded->KeyAdmitted);
   Request.State = ActiveRequest::Phase::Forwarded;
-  this->Effects.emplace_back(StartForward{
-      Number, Entry, *Destination,
-      ForwardMark{this->Self.Vm, Request.Routed.Caller.Name, KeyAdmitted, ToOwner}, Request.Deadline,
-      Request.Routed.Path.Repeatable});
+  this->Effects.emplace_back(
+      StartForward{Number, Entry, *Destination,
+                   ForwardMark{this->Self.Vm, Request.Routed.Caller.Name, KeyAdmitted, ToOwner},
+                   Request.Deadline, Request.Routed.Path.Repeatable});
   return true;
 }
 
@@ -498,7 +512,8 @@
     if (Region == this->Self.Region) {
       continue;
     }
-    const auto Owner = this->Fleet.ownerWithSpareSlots(Request.Routed.Destination.Name, Region, Now);
+    const auto Owner =
+        this->Fleet.ownerWithSpareSlots(Request.Routed.Destination.Name, Region, Now);
     if (Owner) {
       return this->forward(Number, *Owner, true);
     }
@@ -537,8 +552,7 @@
     const RequestNumber Number = this->Retries.begin()->second;
     this->Retries.erase(this->Retries.begin());
     const auto Found = this->Requests.find(Number);
-    if (Found != this->Requests.end() &&
-        Found->second.State == ActiveRequest::Phase::BackingOff) {
+    if (Found != this->Requests.end() && Found->second.State == ActiveRequest::Phase::BackingOff) {
       this->place(Number, Now);
     }
   }
@@ -589,8 +603,8 @@
 
 Refusal EntryNode::noCapacity(const ActiveRequest &Request, std::string Reason,
                               TimePoint Now) const {
-  Refusal Answer = makeRefusal(
-      503, Request.MayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun, std::move(Reason));
+  Refusal Answer = makeRefusal(503, Request.MayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun,
+                               std::move(Reason));
   Answer.Entries =
       this->Fleet.entryAddresses(Request.Routed.Regions, {Request.Routed.Destination.Name}, Now);
   Answer.RetryAfter = DefaultRetryAfter;
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -70,9 +70,9 @@
   auto operator<=>(const Explanation &) const = default;
 };
 
-/// All decisions of one entry: admits requests, queues them, chooses targets, retries, and takes part in
-/// the fleet. Events and the current time go in, effects come out through takeEffects(). Performs no I/O
-/// and reads no clock. Times must not decrease between calls. Not thread-safe.
+/// All decisions of one entry: admits requests, queues them, chooses targets, retries, and takes
+/// part in the fleet. Events and the current time go in, effects come out through takeEffects().
+/// Performs no I/O and reads no clock. Times must not decrease between calls. Not thread-safe.
 class EntryNode {
 public:
   /// Precondition: parser, sealer and random source outlive the node.
@@ -80,8 +80,8 @@
             RandomSource &Random, TimePoint Now);
   ~EntryNode();
 
-  /// Offers a revision of published settings from an entry, or from the configuration service if `Peer`
-  /// is empty.
+  /// Offers a revision of published settings from an entry, or from the configuration service if
+  /// `Peer` is empty.
   OfferOutcome onSettings(const std::string &Path, std::uint64_t Revision, const std::string &Text,
                           const std::optional<VmName> &Peer, TimePoint Now);
   /// A peer has answered a FetchSettings effect, or failed to.
@@ -91,12 +91,13 @@
   /// Precondition: the message was authenticated.
   void onPeerMessage(const PeerMessage &Message, TimePoint Now);
 
-  /// Refusal that follows from the headers alone, before the body is read.
+  /// Refusal that follows from the headers alone, before the body is read. If the request has an
+  /// idempotency key of which an earlier request may have run, the refusal says "unknown".
   std::optional<Refusal> checkHead(const RequestHead &Head, TimePoint Now) const;
   /// Admits a request, whose number then appears in effects, or refuses it.
   std::variant<RequestNumber, Refusal> onRequest(const RequestHead &Head, TimePoint Now);
-  /// True if the answer shall go to the caller; false if it shall be dropped and the attempt ended as
-  /// shed.
+  /// True if the answer shall go to the caller; false if it shall be dropped and the attempt ended
+  /// as shed.
   bool onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter);
   /// Ends the running attempt or forward of a request. Unknown numbers are ignored.
   void onAttemptEnd(RequestNumber Request, const AttemptReport &Report, TimePoint Now);
@@ -105,8 +106,8 @@
   /// Addresses and a ticket for the caller with this Authorization header.
   std::variant<EntryAnswer, Refusal> entriesFor(const std::string &Authorization, TimePoint Now);
   /// Where a request of the customer would go and why.
-  Explanation explain(const CustomerName &Name, const std::string &Method, const std::string &UrlPath,
-                      TimePoint Now) const;
+  Explanation explain(const CustomerName &Name, const std::string &Method,
+                      const std::string &UrlPath, TimePoint Now) const;
 
   void onTick(TimePoint Now);
   std::optional<TimePoint> nextWakeup(TimePoint Now) const;
@@ -130,6 +131,7 @@
 private:
   struct ActiveRequest;
 
+  std::optional<Refusal> checkTerms(const RequestHead &Head, TimePoint Now) const;
   void advance(TimePoint Now);
   void refreshView(TimePoint Now);
   void refreshGroups(TimePoint Now);
--- a/src/libs/coordination/GroupTable.h
+++ b/src/libs/coordination/GroupTable.h
@@ -36,8 +36,8 @@
   explicit GroupTable(PolicyFactory MakePolicy) : MakePolicy(std::move(MakePolicy)) {}
 
   /// Sets the targets of a group that this entry owns; the slots are those that it may fill now.
-  void setOwned(const GroupId &Group, const std::vector<std::pair<GroupTarget, std::uint32_t>> &Usable,
-                TimePoint Now);
+  void setOwned(const GroupId &Group,
+                const std::vector<std::pair<GroupTarget, std::uint32_t>> &Usable, TimePoint Now);
   /// Stops new work on a group. Its running work still ends by onAttemptEnd().
   void disown(const GroupId &Group, TimePoint Now);
   bool owns(const GroupId &Group) const;
--- a/src/libs/coordination/KeyIssuer.cpp
+++ b/src/libs/coordination/KeyIssuer.cpp
@@ -26,8 +26,9 @@
 KeyDecision KeyIssuer::admit(const CustomerName &Customer, const std::string &Key, TimePoint Now) {
   const auto Ticket = parseKeyTicket(Key, Customer, this->Seals);
   if (!Ticket) {
-    Refusal Answer = makeRefusal(428, RunOutcome::NotRun,
-                                 "the route needs an Idempotency-Key of the form <ticket>.<suffix>");
+    Refusal Answer =
+        makeRefusal(428, RunOutcome::NotRun,
+                    "the route needs an Idempotency-Key of the form <ticket>.<suffix>");
     Answer.Ticket = this->newTicket(Customer, Now);
     return Answer;
   }
@@ -51,6 +52,19 @@
   return makeRefusal(429, RunOutcome::NotRun, "too many idempotency keys in use at this entry");
 }
 
+bool KeyIssuer::isUnused(const CustomerName &Customer, const std::string &Key) const {
+  const auto Ticket = parseKeyTicket(Key, Customer, this->Seals);
+  if (!Ticket) {
+    // A malformed key was refused whenever it was sent.
+    return true;
+  }
+  if (Ticket->Issuer != this->Self.Vm || Ticket->IssuerIncarnation != this->Self.Run) {
+    return false;
+  }
+  const auto Known = this->Ledger.find(Customer, Key);
+  return !Known || Known->State == KeyState::NotRun;
+}
+
 void KeyIssuer::finish(const CustomerName &Customer, const std::string &Key, KeyState State,
                        int Status) {
   this->Ledger.finish(Customer, Key, State, Status);
--- a/src/libs/coordination/KeyIssuer.h
+++ b/src/libs/coordination/KeyIssuer.h
@@ -30,9 +30,9 @@
 
 using KeyDecision = std::variant<KeyStarted, KeyOfOtherIssuer, Refusal>;
 
-/// Issues tickets and decides whether a request with an idempotency key may start. Correct under pauses,
-/// restarts and partitions without shared state, because each key names the one incarnation whose memory
-/// knows all its uses. Not thread-safe.
+/// Issues tickets and decides whether a request with an idempotency key may start. Correct under
+/// pauses, restarts and partitions without shared state, because each key names the one incarnation
+/// whose memory knows all its uses. Not thread-safe.
 class KeyIssuer {
 public:
   /// Precondition: Seals outlives the object.
@@ -44,6 +44,9 @@
   /// "unknown", because an earlier request with the key may have run.
   KeyDecision admit(const CustomerName &Customer, const std::string &Key, TimePoint Now);
 
+  /// True if the key was issued here and no request with it may have run.
+  bool isUnused(const CustomerName &Customer, const std::string &Key) const;
+
   /// Records how the request of an admitted key ended. Status is 0 unless it ran.
   void finish(const CustomerName &Customer, const std::string &Key, KeyState State, int Status);
 
--- a/src/libs/coordination/RequestRouter.cpp
+++ b/src/libs/coordination/RequestRouter.cpp
@@ -53,11 +53,13 @@
   }
   const Route *Path = Settings.findRoute(Caller->Name, Head.Method, Head.Path);
   if (!Path) {
-    return makeRefusal(404, RunOutcome::NotRun, "no route of this customer matches method and path");
+    return makeRefusal(404, RunOutcome::NotRun,
+                       "no route of this customer matches method and path");
   }
   const Service *Destination = Settings.findService(Path->Service);
   if (!Destination) {
-    return makeRefusal(404, RunOutcome::NotRun, "route " + Path->Name.str() + " names an unknown service");
+    return makeRefusal(404, RunOutcome::NotRun,
+                       "route " + Path->Name.str() + " names an unknown service");
   }
   RoutedRequest Result{*Caller, *Path, *Destination, this->allowedRegions(Settings, *Caller)};
   if (Result.Regions.empty() || Result.Regions.front() != this->OwnRegion) {
--- a/src/libs/coordination/SettingsSpread.cpp
+++ b/src/libs/coordination/SettingsSpread.cpp
@@ -46,6 +46,11 @@
   std::vector<VmName> Near;
   std::vector<VmName> Far;
   for (const PeerStatus &Peer : Members.peers()) {
+    // Settings that a serving peer has as well need no fetch, wherever they were learned.
+    if (this->Digest && Peer.Serving && Peer.State == PeerState::Alive &&
+        Peer.SettingsDigest == this->Digest) {
+      this->LearnedFromPeer = true;
+    }
     if (!this->wantsFetch(Peer, Now)) {
       continue;
     }
--- a/src/libs/transport/PeerSettingsClient.cpp
+++ b/src/libs/transport/PeerSettingsClient.cpp
@@ -80,12 +80,11 @@
 
 void PeerSettingsClient::get(const Endpoint &Source, const std::string &UrlPath,
                              std::function<void(const std::string &Body, bool Ok)> Done) {
-  const std::string Url =
-      "http://" + Source.Address + ":" + std::to_string(Source.Port) + UrlPath;
-  auto Next = std::make_unique<Call>(Call{shareObject(this->Cancel.get()),
-                                          GObjectPointer<SoupMessage>(
-                                              soup_message_new("GET", Url.c_str())),
-                                          this->Seals, UrlPath, std::move(Done)});
+  const std::string Url = "http://" + Source.Address + ":" + std::to_string(Source.Port) + UrlPath;
+  auto Next =
+      std::make_unique<Call>(Call{shareObject(this->Cancel.get()),
+                                  GObjectPointer<SoupMessage>(soup_message_new("GET", Url.c_str())),
+                                  this->Seals, UrlPath, std::move(Done)});
   SoupMessage *Message = Next->Message.get();
   const std::string Seal = this->Seals.seal(sealedSettingsRequest(UrlPath));
   soup_message_headers_append(soup_message_get_request_headers(Message), PeerSealHeader,
--- a/src/libs/transport/PeerSettingsClient.h
+++ b/src/libs/transport/PeerSettingsClient.h
@@ -27,8 +27,8 @@
   PeerSettingsClient(const PeerSettingsClient &) = delete;
   PeerSettingsClient &operator=(const PeerSettingsClient &) = delete;
 
-  /// Lists the settings of the entry, reads each subtree that is newer than the own, and calls `Done`
-  /// once at the end. `Done` gets false if any call failed.
+  /// Lists the settings of the entry, reads each subtree that is newer than the own, and calls
+  /// `Done` once at the end. `Done` gets false if any call failed.
   void fetch(const Endpoint &Source, OnSettings Deliver, OnDone Done);
 
 private:
--- a/src/libs/transport/PeerSettingsServer.h
+++ b/src/libs/transport/PeerSettingsServer.h
@@ -10,8 +10,8 @@
 class SettingsStore;
 
 /// Serves the accepted settings to other entries: `GET /peer/settings` lists (path, revision), `GET
-/// /peer/settings/<path>` gives one subtree. Requests and answers are sealed with the fleet key. Not
-/// thread-safe.
+/// /peer/settings/<path>` gives one subtree. Requests and answers are sealed with the fleet key.
+/// Not thread-safe.
 class PeerSettingsServer {
 public:
   /// Precondition: store and sealer outlive the object.
