--- a/src/libs/coordination/DispatchPolicy.h
+++ b/src/libs/coordination/DispatchPolicy.h
@@ -73,6 +73,8 @@
   Duration FirstByte{0};
   /// Time from sending to the end of the answer.
   Duration Total{0};
+  /// Random draw, uniform in [0, 1), that spreads the backoff after a failure.
+  double Draw = 0.5;
 
   auto operator<=>(const AttemptResult &) const = default;
 };
@@ -124,6 +126,10 @@
   /// Frees the slot of a running request. Unknown numbers are ignored.
   virtual void onAttemptEnd(RequestNumber Request, const AttemptResult &Result, TimePoint Now) = 0;
 
+  /// Tells that the answer of a running request has begun, so that a long body does not count as a
+  /// slow answer. Optional: without it, age is compared with the whole answer time.
+  virtual void onFirstByte(RequestNumber, TimePoint) {}
+
   /// Next time at which assign() or expire() may have a new result without another event.
   virtual std::optional<TimePoint> nextWakeup(TimePoint Now) const = 0;
 
