--- a/src/libs/coordination/EntryNode.cpp
+++ b/src/libs/coordination/EntryNode.cpp
@@ -182,8 +182,9 @@
   }
   ActiveRequest &Request = Found->second;
   if (Request.State == ActiveRequest::Phase::Running) {
-    this->Groups.onAttemptEnd(Request.Group, Number,
-                              {Report.Outcome, Report.FirstByte, Report.Total}, Now);
+    this->Groups.onAttemptEnd(
+        Request.Group, Number,
+        {Report.Outcome, Report.FirstByte, Report.Total, this->Random.uniform()}, Now);
   }
   if (Report.PeerOutcome && Report.AnswerStarted) {
     this->finish(Number,
@@ -210,19 +211,7 @@
     return;
   }
   if (!Forwarded) {
-    Request.FailedOn.insert(Request.RunsOn);
-    RetryQuestion Question;
-    Question.Repeatable = Request.Routed.Path.Repeatable;
-    Question.ProvablyNotRun = NotRun;
-    Question.Replayable = Request.Head.Replayable;
-    Question.Outcome = Report.Outcome;
-    Question.Attempts = Request.Attempts;
-    Question.TimeLeft = Request.Deadline - Now;
-    const auto Delay = decideRetry(Question, this->Random.uniform());
-    if (Delay &&
-        this->Budget.tryRetry(Request.Routed.Caller.Name, Request.Routed.Destination.Name, Now)) {
-      Request.State = ActiveRequest::Phase::BackingOff;
-      this->Retries.emplace(Now + *Delay, Number);
+    if (this->scheduleRetry(Number, NotRun, Now)) {
       return;
     }
   }
@@ -241,6 +230,29 @@
   }
 }
 
+bool EntryNode::scheduleRetry(RequestNumber Number, bool NotRun, TimePoint Now) {
+  ActiveRequest &Request = this->Requests.at(Number);
+  FailedAttempt Failed;
+  Failed.Target = Request.RunsOn;
+  Failed.Attempts = Request.Attempts;
+  Failed.Repeatable = Request.Routed.Path.Repeatable;
+  Failed.ProvablyNotRun = NotRun && !Request.MayHaveRun;
+  Failed.BodyKept = Request.Head.Replayable;
+  Failed.Deadline = Request.Deadline;
+  Failed.Excluded = Request.FailedOn;
+  const RetryDecision Decision = RetryPolicy::decide(Failed, this->Random.uniform(), Now, [&] {
+    return this->Budget.tryTake(Request.Routed.Caller.Name, Request.Routed.Destination.Name, Now);
+  });
+  const auto *Next = std::get_if<RetryAt>(&Decision);
+  if (!Next) {
+    return false;
+  }
+  Request.FailedOn = Next->Excluded;
+  Request.State = ActiveRequest::Phase::BackingOff;
+  this->Retries.emplace(Next->When, Number);
+  return true;
+}
+
 void EntryNode::onCallerGone(RequestNumber Number, TimePoint Now) {
   this->advance(Now);
   const auto Found = this->Requests.find(Number);
@@ -531,7 +543,7 @@
       // Settings may have changed while the request waited.
       if (!this->mayRunHere(Request)) {
         this->Groups.onAttemptEnd(Next.Group, Number,
-                                  {AttemptOutcome::Cancelled, Duration(0), Duration(0)}, Now);
+                                  {AttemptOutcome::Cancelled, Duration(0), Duration(0), 0}, Now);
         this->refuse(Number,
                      makeRefusal(403, Request.MayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun,
                                  "the customer's settings changed while the request waited"));
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -145,6 +145,7 @@
   void startRetries(TimePoint Now);
   void moveWaiting(const GroupId &Group, TimePoint Now);
   bool mayRunHere(const ActiveRequest &Request) const;
+  bool scheduleRetry(RequestNumber Number, bool NotRun, TimePoint Now);
   void onAttemptFailed(RequestNumber Number, const AttemptReport &Report, TimePoint Now);
   void finish(RequestNumber Number, KeyState State, int Status);
   void refuse(RequestNumber Number, Refusal Answer);
