Add the peer messages, their codec and their envelope

Cause: entries need authenticated datagrams for heartbeats and leases. The HMAC also covers the receiver's name, so that a captured datagram can't be replayed to another entry. Sender and incarnation are sent once, in the envelope.

Conclusion: every single-byte change and truncation of an envelope is refused. Open: a sender whose clock goes back across a restart is refused as an older incarnation.

--- /dev/null
+++ b/tests/auto/libs/protocol/tst_peerenvelope.cpp
@@ -0,0 +1,88 @@
+#include "ArbitraryMessage.h"
+#include "Property.h"
+#include "protocol/OpenSslSealer.h"
+#include "protocol/PeerEnvelope.h"
+
+#include <string>
+#include <variant>
+
+using namespace anvilsaddle;
+
+namespace {
+
+const OpenSslSealer Keys("fleet-key-of-the-tests");
+const VmName Receiver("entry-2");
+
+PeerEnvelope arbitraryEnvelope() {
+  const auto Name = *rc::gen::nonEmpty(shortText());
+  return {VmName(Name), arbitraryIncarnation(), *rc::gen::arbitrary<std::uint64_t>(),
+          *rc::gen::arbitrary<std::string>()};
+}
+
+std::variant<PeerEnvelope, PeerError> open(std::string_view Datagram) {
+  return PeerEnvelope::open(Datagram, Keys, Receiver);
+}
+
+} // namespace
+
+class PeerEnvelopeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerEnvelopeTest);
+  CPPUNIT_TEST(roundTrip);
+  CPPUNIT_TEST(everyChangeIsRefused);
+  CPPUNIT_TEST(otherKeysAndReceiversAreRefused);
+  CPPUNIT_TEST(fullPayloadFits);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Guards against lost or changed fields.
+  void roundTrip() {
+    checkProperty("any envelope is read back", [] {
+      const PeerEnvelope Envelope = arbitraryEnvelope();
+      RC_ASSERT(std::get<PeerEnvelope>(open(Envelope.seal(Keys, Receiver))) == Envelope);
+    });
+  }
+
+  /// Guards against bytes that the authentication code does not cover.
+  void everyChangeIsRefused() {
+    checkProperty("every changed byte and every truncation is refused", [] {
+      const std::string Datagram = arbitraryEnvelope().seal(Keys, Receiver);
+      const char Flip = static_cast<char>(*rc::gen::inRange(1, 256));
+      for (std::size_t Index = 0; Index < Datagram.size(); ++Index) {
+        std::string Changed = Datagram;
+        Changed[Index] = static_cast<char>(Changed[Index] ^ Flip);
+        RC_ASSERT(std::holds_alternative<PeerError>(open(Changed)));
+        RC_ASSERT(std::holds_alternative<PeerError>(open(Datagram.substr(0, Index))));
+      }
+      RC_ASSERT(std::holds_alternative<PeerError>(open(Datagram + "x")));
+    });
+  }
+
+  /// Guards against a datagram for one entry that another entry accepts.
+  void otherKeysAndReceiversAreRefused() {
+    const PeerEnvelope Envelope{VmName("entry-1"), {1, 2}, 3, "payload"};
+    const std::string Datagram = Envelope.seal(Keys, Receiver);
+    const auto reason = [&](const Sealer &Key, const char *Name) {
+      return std::get<PeerError>(PeerEnvelope::open(Datagram, Key, VmName(Name))).Reason;
+    };
+    CPPUNIT_ASSERT(reason(OpenSslSealer("another key"), "entry-2") ==
+                   PeerRejection::BadAuthentication);
+    CPPUNIT_ASSERT(reason(Keys, "entry-3") == PeerRejection::BadAuthentication);
+    CPPUNIT_ASSERT(std::get<PeerError>(open(std::string(1401, '\1'))).Reason ==
+                   PeerRejection::TooLarge);
+    CPPUNIT_ASSERT(std::get<PeerError>(open(std::string(41, '\1'))).Reason ==
+                   PeerRejection::Truncated);
+    CPPUNIT_ASSERT(std::get<PeerError>(open(std::string(99, '\2'))).Reason ==
+                   PeerRejection::UnsupportedVersion);
+  }
+
+  /// Guards against a limit for payloads that lets a datagram grow beyond its own limit.
+  void fullPayloadFits() {
+    PeerEnvelope Envelope{VmName(std::string(63, 'n')), {1, 2}, 3, {}};
+    Envelope.Payload.assign(PeerEnvelope::payloadLimit(Envelope.Sender), 'p');
+    const std::string Datagram = Envelope.seal(Keys, Receiver);
+    CPPUNIT_ASSERT_EQUAL(PeerEnvelope::MaxDatagramBytes, Datagram.size());
+    CPPUNIT_ASSERT(std::get<PeerEnvelope>(open(Datagram)) == Envelope);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerEnvelopeTest);
