Add the UDP peer socket

Cause: entries exchange heartbeats and leases over UDP. Change: PeerSocket sends and receives PeerMessages on the main loop, without blocking, and counts bytes, messages and rejections by reason (PeerTraffic). At most 64 datagrams are read per turn of the main loop.

Tests run on loopback and wait for events only. Broken on purpose, each seen to fail and restored: receive buffer without the extra byte, payload limit of 60,000 bytes, constant sequence number, uncounted bytes. Conclusion: replayed, forged, cut, too large and malformed datagrams are dropped and counted.

--- /dev/null
+++ b/src/libs/transport/PeerSocket.cpp
@@ -0,0 +1,174 @@
+#include "transport/PeerSocket.h"
+
+#include "coordination/Sealer.h"
+
+#include <array>
+#include <variant>
+
+namespace anvilsaddle {
+
+namespace {
+
+/// Datagrams read before other sources of the main loop get their turn, so that a flood of
+/// datagrams does not hold up requests.
+constexpr int MaxDatagramsPerTurn = 64;
+/// Parsed addresses that are kept; VMs are replaced, so the table is cleared when it is full.
+constexpr std::size_t MaxAddresses = 1024;
+
+std::string errorText(const char *What, GError *Error) {
+  const GErrorPointer Failure(Error);
+  return std::string(What) + ": " + (Failure ? Failure->message : "unknown error");
+}
+
+std::string describe(GSocketAddress *Address) {
+  if (!Address || !G_IS_INET_SOCKET_ADDRESS(Address)) {
+    return "unknown";
+  }
+  auto *Inet = G_INET_SOCKET_ADDRESS(Address);
+  gchar *Text = g_inet_address_to_string(g_inet_socket_address_get_address(Inet));
+  std::string Result = Text;
+  g_free(Text);
+  return Result + ":" + std::to_string(g_inet_socket_address_get_port(Inet));
+}
+
+} // namespace
+
+PeerSocket::PeerSocket(VmName Self, const Incarnation &Run, const Sealer &Keys, Listener Events)
+    : Self(std::move(Self)), Run(Run), Keys(Keys), Events(std::move(Events)) {}
+
+PeerSocket::~PeerSocket() {
+  if (this->ReadSource) {
+    g_source_destroy(this->ReadSource);
+    g_source_unref(this->ReadSource);
+  }
+}
+
+std::string PeerSocket::start(const std::string &Address, std::uint16_t Port) {
+  const GObjectPointer<GSocketAddress> Local(
+      g_inet_socket_address_new_from_string(Address.c_str(), Port));
+  if (!Local) {
+    return "peer address '" + Address + "' is not an IP number";
+  }
+  GError *Error = nullptr;
+  GObjectPointer<GSocket> Opened(g_socket_new(g_socket_address_get_family(Local.get()),
+                                              G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP,
+                                              &Error));
+  if (!Opened) {
+    return errorText("cannot open the peer socket", Error);
+  }
+  g_socket_set_blocking(Opened.get(), FALSE);
+  if (!g_socket_bind(Opened.get(), Local.get(), FALSE, &Error)) {
+    return errorText(
+        ("cannot bind the peer socket to " + Address + ":" + std::to_string(Port)).c_str(), Error);
+  }
+  const GObjectPointer<GSocketAddress> Bound(g_socket_get_local_address(Opened.get(), &Error));
+  if (!Bound) {
+    return errorText("cannot read the peer socket's address", Error);
+  }
+  this->BoundPort = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(Bound.get()));
+  this->Socket = std::move(Opened);
+  this->ReadSource = g_socket_create_source(this->Socket.get(), G_IO_IN, nullptr);
+  g_source_set_callback(this->ReadSource, G_SOURCE_FUNC(onReadable), this, nullptr);
+  g_source_attach(this->ReadSource, g_main_context_get_thread_default());
+  return {};
+}
+
+bool PeerSocket::send(const VmName &Receiver, const std::string &Address, std::uint16_t Port,
+                      const PeerMessage &Message) {
+  GSocketAddress *To = this->Socket ? this->peerAddress(Address, Port) : nullptr;
+  if (!To) {
+    ++this->Traffic.SendFailures;
+    return false;
+  }
+  bool Complete = true;
+  for (std::string &Payload : this->Codec.encode(Message, PeerEnvelope::payloadLimit(this->Self))) {
+    const std::string Datagram =
+        PeerEnvelope{this->Self, this->Run, ++this->Sequence, std::move(Payload)}.seal(this->Keys,
+                                                                                       Receiver);
+    GError *Error = nullptr;
+    const gssize Sent =
+        g_socket_send_to(this->Socket.get(), To, Datagram.data(), Datagram.size(), nullptr, &Error);
+    const GErrorPointer Failure(Error);
+    if (Sent < 0) {
+      ++this->Traffic.SendFailures;
+      Complete = false;
+      continue;
+    }
+    ++this->Traffic.DatagramsOut;
+    this->Traffic.BytesOut += Datagram.size();
+  }
+  return Complete;
+}
+
+gboolean PeerSocket::onReadable(GSocket *, GIOCondition, gpointer Data) {
+  auto &Self = *static_cast<PeerSocket *>(Data);
+  for (int Count = 0; Count < MaxDatagramsPerTurn && Self.receiveOne(); ++Count) {
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+bool PeerSocket::receiveOne() {
+  // One byte more than allowed tells a datagram that is too large from one that just fits.
+  std::array<char, PeerEnvelope::MaxDatagramBytes + 1> Buffer;
+  GSocketAddress *From = nullptr;
+  GError *Error = nullptr;
+  const gssize Size = g_socket_receive_from(this->Socket.get(), &From, Buffer.data(), Buffer.size(),
+                                            nullptr, &Error);
+  const GErrorPointer Failure(Error);
+  const GObjectPointer<GSocketAddress> Source(From);
+  if (Size < 0) {
+    return false;
+  }
+  this->accept({Buffer.data(), static_cast<std::size_t>(Size)}, Source.get());
+  return true;
+}
+
+void PeerSocket::accept(std::string_view Datagram, GSocketAddress *From) {
+  this->Traffic.BytesIn += Datagram.size();
+  const auto Opened = PeerEnvelope::open(Datagram, this->Keys, this->Self);
+  if (const auto *Error = std::get_if<PeerError>(&Opened)) {
+    this->reject(*Error, From);
+    return;
+  }
+  const auto &Envelope = std::get<PeerEnvelope>(Opened);
+  if (const auto Reason =
+          this->Replays.check(Envelope.Sender, Envelope.SenderIncarnation, Envelope.Sequence)) {
+    this->reject({*Reason, "sender " + Envelope.Sender.str() + ", sequence number " +
+                               std::to_string(Envelope.Sequence)},
+                 From);
+    return;
+  }
+  const auto Message =
+      this->Codec.decode(Envelope.Payload, Envelope.Sender, Envelope.SenderIncarnation);
+  if (const auto *Error = std::get_if<PeerError>(&Message)) {
+    this->reject(*Error, From);
+    return;
+  }
+  ++this->Traffic.MessagesIn;
+  this->Events.OnMessage(Envelope, std::get<PeerMessage>(Message));
+}
+
+void PeerSocket::reject(const PeerError &Error, GSocketAddress *From) {
+  ++this->Traffic.Rejected.at(static_cast<std::size_t>(Error.Reason));
+  if (this->Events.OnRejected) {
+    this->Events.OnRejected(Error, describe(From));
+  }
+}
+
+GSocketAddress *PeerSocket::peerAddress(const std::string &Address, std::uint16_t Port) {
+  const auto Found = this->Addresses.find({Address, Port});
+  if (Found != this->Addresses.end()) {
+    return Found->second.get();
+  }
+  GObjectPointer<GSocketAddress> Parsed(
+      g_inet_socket_address_new_from_string(Address.c_str(), Port));
+  if (!Parsed) {
+    return nullptr;
+  }
+  if (this->Addresses.size() >= MaxAddresses) {
+    this->Addresses.clear();
+  }
+  return this->Addresses.emplace(std::pair(Address, Port), std::move(Parsed)).first->second.get();
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/tests/auto/libs/transport/tst_peersocket.cpp
@@ -0,0 +1,168 @@
+#include "Property.h"
+#include "protocol/OpenSslSealer.h"
+#include "transport/PeerSocket.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace anvilsaddle;
+
+namespace {
+
+const OpenSslSealer Keys("fleet-key-of-the-tests");
+constexpr const char *Loopback = "127.0.0.1";
+
+/// A socket that keeps what it receives.
+struct Peer {
+  Peer(const char *Name, const Incarnation &Run, const Sealer &Seals = Keys)
+      : Socket(VmName(Name), Run, Seals,
+               {[this](const PeerEnvelope &Envelope, const PeerMessage &Message) {
+                  this->Envelopes.push_back(Envelope);
+                  this->Messages.push_back(Message);
+                },
+                [this](const PeerError &Error, const std::string &) {
+                  this->Rejections.push_back(Error.Reason);
+                }}) {
+    CPPUNIT_ASSERT_EQUAL(std::string(), this->Socket.start(Loopback, 0));
+  }
+
+  std::size_t received() const { return this->Messages.size() + this->Rejections.size(); }
+  /// Runs the main loop until this many datagrams arrived; CTest's timeout bounds the wait.
+  void await(std::size_t Count) const {
+    while (this->received() < Count) {
+      g_main_context_iteration(nullptr, TRUE);
+    }
+  }
+
+  std::vector<PeerEnvelope> Envelopes;
+  std::vector<PeerMessage> Messages;
+  std::vector<PeerRejection> Rejections;
+  PeerSocket Socket;
+};
+
+/// Sends bytes as they are.
+void sendRaw(const Peer &To, const std::string &Bytes) {
+  const GObjectPointer<GSocket> Raw(
+      g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, nullptr));
+  const GObjectPointer<GSocketAddress> Address(
+      g_inet_socket_address_new_from_string(Loopback, To.Socket.port()));
+  CPPUNIT_ASSERT_EQUAL(
+      static_cast<gssize>(Bytes.size()),
+      g_socket_send_to(Raw.get(), Address.get(), Bytes.data(), Bytes.size(), nullptr, nullptr));
+}
+
+} // namespace
+
+class PeerSocketTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerSocketTest);
+  CPPUNIT_TEST(messagesArrive);
+  CPPUNIT_TEST(longListsAreSplit);
+  CPPUNIT_TEST(badDatagramsAreCounted);
+  CPPUNIT_TEST(restartedSender);
+  CPPUNIT_TEST(errorsAreReported);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Guards against lost fields between two sockets and against wrong counters.
+  void messagesArrive() {
+    Peer Sender("entry-1", {5, 6});
+    Peer Receiver("entry-2", {7, 8});
+    const PeerMessage Sent =
+        Heartbeat{VmName("entry-1"), {5, 6}, {7, 8}, EntryState::Serving, 11, 12, {}};
+    CPPUNIT_ASSERT(Sender.Socket.send(VmName("entry-2"), Loopback, Receiver.Socket.port(), Sent));
+    Receiver.await(1);
+    CPPUNIT_ASSERT(Receiver.Messages.at(0) == Sent);
+    CPPUNIT_ASSERT(Receiver.Envelopes.at(0).Sender == VmName("entry-1"));
+    const PeerTraffic &Out = Sender.Socket.traffic();
+    const PeerTraffic &In = Receiver.Socket.traffic();
+    CPPUNIT_ASSERT(Out.DatagramsOut == 1 && In.MessagesIn == 1);
+    CPPUNIT_ASSERT(Out.BytesOut > 0 && Out.BytesOut == In.BytesIn);
+  }
+
+  /// Guards against datagrams that exceed the MTU.
+  void longListsAreSplit() {
+    Peer Sender("entry-1", {5, 6});
+    Peer Receiver("entry-2", {7, 8});
+    LeaseRequest Request{VmName("entry-1"), {5, 6}, 9, {}};
+    for (std::uint32_t Number = 0; Number < 200; ++Number) {
+      Request.Claims.push_back({TargetName("vm-" + std::to_string(Number) + "/service"), Number});
+    }
+    CPPUNIT_ASSERT(
+        Sender.Socket.send(VmName("entry-2"), Loopback, Receiver.Socket.port(), Request));
+    const auto Datagrams = Sender.Socket.traffic().DatagramsOut;
+    CPPUNIT_ASSERT(Datagrams > 1);
+    CPPUNIT_ASSERT(Sender.Socket.traffic().BytesOut <= Datagrams * PeerEnvelope::MaxDatagramBytes);
+    Receiver.await(Datagrams);
+    LeaseRequest Joined{VmName("entry-1"), {5, 6}, 9, {}};
+    for (const PeerMessage &Part : Receiver.Messages) {
+      const auto &Claims = std::get<LeaseRequest>(Part).Claims;
+      Joined.Claims.insert(Joined.Claims.end(), Claims.begin(), Claims.end());
+    }
+    CPPUNIT_ASSERT(Joined == Request);
+  }
+
+  /// Guards against datagrams that get past the checks, and against uncounted ones.
+  void badDatagramsAreCounted() {
+    Peer Receiver("entry-2", {7, 8});
+    PeerEnvelope Good{VmName("entry-1"), {5, 6}, 1, PeerCodec().encode(LessorInquiry{}).front()};
+    const std::string Datagram = Good.seal(Keys, VmName("entry-2"));
+    PeerEnvelope Malformed = Good;
+    Malformed.Sequence = 2;
+    Malformed.Payload = "no message";
+    struct Case {
+      std::string Bytes;
+      PeerRejection Expected;
+    };
+    const Case Table[] = {
+        {Datagram, PeerRejection::Replayed},
+        {Datagram.substr(0, 20), PeerRejection::Truncated},
+        {std::string(2000, 'x'), PeerRejection::TooLarge},
+        {std::string(100, 'x'), PeerRejection::UnsupportedVersion},
+        {Datagram + "x", PeerRejection::BadAuthentication},
+        {Good.seal(Keys, VmName("entry-3")), PeerRejection::BadAuthentication},
+        {Good.seal(OpenSslSealer("other key"), VmName("entry-2")),
+         PeerRejection::BadAuthentication},
+        {Malformed.seal(Keys, VmName("entry-2")), PeerRejection::Malformed},
+    };
+    sendRaw(Receiver, Datagram);
+    Receiver.await(1);
+    for (const Case &Each : Table) {
+      const std::uint64_t Before = Receiver.Socket.traffic().rejected(Each.Expected);
+      sendRaw(Receiver, Each.Bytes);
+      Receiver.await(Receiver.received() + 1);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(toString(Each.Expected), Before + 1,
+                                   Receiver.Socket.traffic().rejected(Each.Expected));
+      CPPUNIT_ASSERT_MESSAGE(toString(Each.Expected), Receiver.Rejections.back() == Each.Expected);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Receiver.Messages.size());
+  }
+
+  /// Guards against messages of a sender's earlier run that are accepted after its restart.
+  void restartedSender() {
+    Peer Receiver("entry-2", {7, 8});
+    Peer Earlier("entry-1", {5, 6});
+    Peer Later("entry-1", {9, 1});
+    for (Peer *Each : {&Earlier, &Later, &Earlier}) {
+      Each->Socket.send(VmName("entry-2"), Loopback, Receiver.Socket.port(), LessorInquiry{});
+      Receiver.await(Receiver.received() + 1);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Receiver.Messages.size());
+    CPPUNIT_ASSERT(Receiver.Rejections ==
+                   std::vector<PeerRejection>{PeerRejection::OlderIncarnation});
+  }
+
+  /// Guards against a daemon that starts without its peer socket, and against uncounted losses.
+  void errorsAreReported() {
+    Peer First("entry-1", {5, 6});
+    PeerSocket Second(VmName("entry-2"), {7, 8}, Keys, {});
+    CPPUNIT_ASSERT(Second.start("no address", 0).find("not an IP number") != std::string::npos);
+    CPPUNIT_ASSERT(Second.start(Loopback, First.Socket.port()).find("cannot bind") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(!Second.send(VmName("entry-1"), Loopback, First.Socket.port(), Heartbeat{}));
+    CPPUNIT_ASSERT(!First.Socket.send(VmName("entry-2"), "no address", 1, Heartbeat{}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, First.Socket.traffic().SendFailures);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerSocketTest);
