--- a/src/libs/coordination/LeaseHolder.cpp
+++ b/src/libs/coordination/LeaseHolder.cpp
@@ -66,7 +66,8 @@
       this->applyGrant(Grant, Found->second, Reply->RequestId, Now);
     }
   }
-  this->Pending.erase(Found);
+  // A long request is sent in several datagrams, each with its own reply, so that the request stays
+  // known until its leases would have ended.
 }
 
 void LeaseHolder::applyGrant(const LeaseGrant &Grant, const PendingRequest &Asked,
--- a/src/libs/protocol/PeerCodec.cpp
+++ b/src/libs/protocol/PeerCodec.cpp
@@ -124,18 +124,21 @@
     wire::LeaseRelease Result;
     Result.claims = convertRange(Message.Claims, this->Part,
                                  [](const LeaseClaim &Each) { return toWire(Each); });
+    Result.requestId = signedBits(Message.RequestId);
     this->Out.__set_leaseRelease(Result);
   }
   void operator()(const LessorInquiry &Message) {
     wire::LessorInquiry Result;
     Result.targets = convertRange(Message.Targets, this->Part,
                                   [](const TargetName &Each) { return Each.str(); });
+    Result.vmListRevision = signedBits(Message.VmListRevision);
     this->Out.__set_lessorInquiry(Result);
   }
   void operator()(const LessorCession &Message) {
     wire::LessorCession Result;
     Result.targets = convertRange(Message.Targets, this->Part,
                                   [](const CededTarget &Each) { return toWire(Each); });
+    Result.lessor = toWire(Message.LessorIncarnation);
     this->Out.__set_lessorCession(Result);
   }
 };
@@ -221,7 +224,8 @@
 
 LessorCession readCession(const wire::LessorCession &In, const VmName &Sender,
                           const Incarnation &Run) {
-  return {Sender, Run, convertAll(In.targets, [](const wire::CededTarget &Each) {
+  return {Sender, Run, fromWire(In.lessor),
+          convertAll(In.targets, [](const wire::CededTarget &Each) {
             return CededTarget{TargetName(Each.target),
                                remainingUseFromWire(Each.remainingUseMicroseconds)};
           })};
@@ -244,10 +248,11 @@
     return readReply(In.leaseReply, Sender, Run);
   }
   if (In.__isset.leaseRelease) {
-    return LeaseRelease{Sender, Run, fromWire(In.leaseRelease.claims)};
+    return LeaseRelease{Sender, Run, unsignedBits(In.leaseRelease.requestId),
+                        fromWire(In.leaseRelease.claims)};
   }
   if (In.__isset.lessorInquiry) {
-    return LessorInquiry{Sender, Run,
+    return LessorInquiry{Sender, Run, unsignedBits(In.lessorInquiry.vmListRevision),
                          convertAll(In.lessorInquiry.targets,
                                     [](const std::string &Each) { return TargetName(Each); })};
   }
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -1047,6 +1047,10 @@
 void LeaseRelease::__set_claims(const std::vector<LeaseClaim> & val) {
   this->claims = val;
 }
+
+void LeaseRelease::__set_requestId(const int64_t val) {
+  this->requestId = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaseRelease& obj)
 {
   obj.printTo(out);
@@ -1067,6 +1071,7 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_claims = false;
+  bool isset_requestId = false;
 
   while (true)
   {
@@ -1096,6 +1101,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestId);
+          isset_requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1107,6 +1120,8 @@
 
   if (!isset_claims)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_requestId)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -1127,6 +1142,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->requestId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1135,19 +1154,23 @@
 void swap(LeaseRelease &a, LeaseRelease &b) {
   using ::std::swap;
   swap(a.claims, b.claims);
+  swap(a.requestId, b.requestId);
 }
 
 LeaseRelease::LeaseRelease(const LeaseRelease& other38) {
   claims = other38.claims;
+  requestId = other38.requestId;
 }
 LeaseRelease& LeaseRelease::operator=(const LeaseRelease& other39) {
   claims = other39.claims;
+  requestId = other39.requestId;
   return *this;
 }
 void LeaseRelease::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "LeaseRelease(";
   out << "claims=" << to_string(claims);
+  out << ", " << "requestId=" << to_string(requestId);
   out << ")";
 }
 
@@ -1159,6 +1182,10 @@
 void LessorInquiry::__set_targets(const std::vector<std::string> & val) {
   this->targets = val;
 }
+
+void LessorInquiry::__set_vmListRevision(const int64_t val) {
+  this->vmListRevision = val;
+}
 std::ostream& operator<<(std::ostream& out, const LessorInquiry& obj)
 {
   obj.printTo(out);
@@ -1179,6 +1206,7 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_targets = false;
+  bool isset_vmListRevision = false;
 
   while (true)
   {
@@ -1208,6 +1236,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->vmListRevision);
+          isset_vmListRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1219,6 +1255,8 @@
 
   if (!isset_targets)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_vmListRevision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -1239,6 +1277,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("vmListRevision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->vmListRevision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1247,19 +1289,23 @@
 void swap(LessorInquiry &a, LessorInquiry &b) {
   using ::std::swap;
   swap(a.targets, b.targets);
+  swap(a.vmListRevision, b.vmListRevision);
 }
 
 LessorInquiry::LessorInquiry(const LessorInquiry& other46) {
   targets = other46.targets;
+  vmListRevision = other46.vmListRevision;
 }
 LessorInquiry& LessorInquiry::operator=(const LessorInquiry& other47) {
   targets = other47.targets;
+  vmListRevision = other47.vmListRevision;
   return *this;
 }
 void LessorInquiry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "LessorInquiry(";
   out << "targets=" << to_string(targets);
+  out << ", " << "vmListRevision=" << to_string(vmListRevision);
   out << ")";
 }
 
@@ -1386,6 +1432,10 @@
 void LessorCession::__set_targets(const std::vector<CededTarget> & val) {
   this->targets = val;
 }
+
+void LessorCession::__set_lessor(const Incarnation& val) {
+  this->lessor = val;
+}
 std::ostream& operator<<(std::ostream& out, const LessorCession& obj)
 {
   obj.printTo(out);
@@ -1406,6 +1456,7 @@
   using ::apache::thrift::protocol::TProtocolException;
 
   bool isset_targets = false;
+  bool isset_lessor = false;
 
   while (true)
   {
@@ -1435,6 +1486,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->lessor.read(iprot);
+          isset_lessor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1446,6 +1505,8 @@
 
   if (!isset_targets)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lessor)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -1466,6 +1527,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lessor", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->lessor.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1474,19 +1539,23 @@
 void swap(LessorCession &a, LessorCession &b) {
   using ::std::swap;
   swap(a.targets, b.targets);
+  swap(a.lessor, b.lessor);
 }
 
 LessorCession::LessorCession(const LessorCession& other56) {
   targets = other56.targets;
+  lessor = other56.lessor;
 }
 LessorCession& LessorCession::operator=(const LessorCession& other57) {
   targets = other57.targets;
+  lessor = other57.lessor;
   return *this;
 }
 void LessorCession::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "LessorCession(";
   out << "targets=" << to_string(targets);
+  out << ", " << "lessor=" << to_string(lessor);
   out << ")";
 }
 
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -390,18 +390,24 @@
 
   LeaseRelease(const LeaseRelease&);
   LeaseRelease& operator=(const LeaseRelease&);
-  LeaseRelease() noexcept {
+  LeaseRelease() noexcept
+               : requestId(0) {
   }
 
   virtual ~LeaseRelease() noexcept;
   std::vector<LeaseClaim>  claims;
+  int64_t requestId;
 
   void __set_claims(const std::vector<LeaseClaim> & val);
 
+  void __set_requestId(const int64_t val);
+
   bool operator == (const LeaseRelease & rhs) const
   {
     if (!(claims == rhs.claims))
       return false;
+    if (!(requestId == rhs.requestId))
+      return false;
     return true;
   }
   bool operator != (const LeaseRelease &rhs) const {
@@ -426,18 +432,24 @@
 
   LessorInquiry(const LessorInquiry&);
   LessorInquiry& operator=(const LessorInquiry&);
-  LessorInquiry() noexcept {
+  LessorInquiry() noexcept
+                : vmListRevision(0) {
   }
 
   virtual ~LessorInquiry() noexcept;
   std::vector<std::string>  targets;
+  int64_t vmListRevision;
 
   void __set_targets(const std::vector<std::string> & val);
 
+  void __set_vmListRevision(const int64_t val);
+
   bool operator == (const LessorInquiry & rhs) const
   {
     if (!(targets == rhs.targets))
       return false;
+    if (!(vmListRevision == rhs.vmListRevision))
+      return false;
     return true;
   }
   bool operator != (const LessorInquiry &rhs) const {
@@ -510,13 +522,18 @@
 
   virtual ~LessorCession() noexcept;
   std::vector<CededTarget>  targets;
+  Incarnation lessor;
 
   void __set_targets(const std::vector<CededTarget> & val);
 
+  void __set_lessor(const Incarnation& val);
+
   bool operator == (const LessorCession & rhs) const
   {
     if (!(targets == rhs.targets))
       return false;
+    if (!(lessor == rhs.lessor))
+      return false;
     return true;
   }
   bool operator != (const LessorCession &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -48,10 +48,12 @@
 
 struct LeaseRelease {
   1: required list<LeaseClaim> claims
+  2: required i64 requestId
 }
 
 struct LessorInquiry {
   1: required list<string> targets
+  2: required i64 vmListRevision
 }
 
 struct CededTarget {
@@ -61,6 +63,7 @@
 
 struct LessorCession {
   1: required list<CededTarget> targets
+  2: required Incarnation lessor
 }
 
 // Exactly one field is set.
--- a/tests/auto/libs/protocol/ArbitraryMessage.h
+++ b/tests/auto/libs/protocol/ArbitraryMessage.h
@@ -62,15 +62,19 @@
           return LeaseGrant{arbitraryTarget(), *rc::gen::arbitrary<bool>(), arbitraryCount()};
         })};
   case 3:
-    return LeaseRelease{Sender, Run, arbitraryList(MaxList, Claim)};
+    return LeaseRelease{Sender, Run, *rc::gen::arbitrary<std::uint64_t>(),
+                        arbitraryList(MaxList, Claim)};
   case 4:
-    return LessorInquiry{Sender, Run, arbitraryList(MaxList, arbitraryTarget)};
+    return LessorInquiry{Sender, Run, *rc::gen::arbitrary<std::uint64_t>(),
+                         arbitraryList(MaxList, arbitraryTarget)};
   default:
-    return LessorCession{Sender, Run, arbitraryList(MaxList, [] {
-                           return CededTarget{
-                               arbitraryTarget(),
-                               Duration(*rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 62))};
-                         })};
+    return LessorCession{
+        Sender, Run,
+        Incarnation{*rc::gen::arbitrary<std::int64_t>(), *rc::gen::arbitrary<std::uint64_t>()},
+        arbitraryList(MaxList, [] {
+          return CededTarget{arbitraryTarget(),
+                             Duration(*rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 62))};
+        })};
   }
 }
 
