Split the load tool and generate loopback fleets

Cause: the load tool sent one kind of request to fixed URLs with millisecond timers, and the demo script wrote its settings by hand, so fault tests could share neither. Change: anvilsaddle-load reads several kinds from a scenario, asks GET /v1/entries as a caller does, follows refusals on request, sends by timerfd and compares idempotency keys with the runs that the targets counted. scripts/lib/fleet.sh writes settings and starts and stops processes by id; scripts/demo.sh uses it.

--- a/src/loadtool/main.cpp
+++ b/src/loadtool/main.cpp
@@ -1,139 +1,152 @@
-#include "transport/GlibPointers.h"
+#include "loadtool/LoadRun.h"
+#include "loadtool/Scenario.h"
+#include "protocol/VmListJson.h"
 
 #include <algorithm>
 #include <cstdint>
-#include <cstdio>
-#include <map>
-#include <memory>
-#include <random>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
 #include <string>
-#include <vector>
+#include <variant>
 
 #include <CLI/CLI.hpp>
-#include <libsoup/soup.h>
 
 using namespace anvilsaddle;
 
 namespace {
 
-struct LoadOptions {
-  std::vector<std::string> Urls;
-  std::string Method = "GET";
-  std::string Credential;
-  std::string Ticket;
-  double Rate = 100;
-  std::uint32_t Count = 1000;
-  std::uint64_t Seed = 1;
+constexpr int ExitError = 2;
+constexpr int ExitViolation = 3;
+
+struct CommandLine {
+  std::string ScenarioFile;
+  std::string VmFile;
+  std::string OutputFile;
+  std::optional<std::uint32_t> Rate;
+  std::optional<std::uint32_t> Count;
+  std::optional<std::uint64_t> Seed;
+  LoadOptions Options;
 };
 
-/// Sends requests with exponential gaps, independent of the answers, and sorts outcomes by status.
-class LoadRun {
-public:
-  explicit LoadRun(const LoadOptions &Options)
-      : Options(Options), Engine(Options.Seed),
-        Session(soup_session_new_with_options("max-conns", 2000, "max-conns-per-host", 2000,
-                                              "timeout", 30, nullptr)),
-        Loop(g_main_loop_new(nullptr, FALSE)) {}
+std::string readFile(const std::string &File) {
+  std::ifstream Stream(File, std::ios::binary);
+  return std::string(std::istreambuf_iterator<char>(Stream), {});
+}
 
-  void run() {
-    this->NextDue = g_get_monotonic_time();
-    this->scheduleNext();
-    g_main_loop_run(this->Loop.get());
+void print(const Findings &Problems) {
+  for (const Finding &Each : Problems) {
+    std::cerr << toString(Each) << '\n';
   }
+}
 
-  void print() {
-    for (auto &[Status, Times] : this->Latencies) {
-      std::ranges::sort(Times);
-      const auto Quantile = [&Sorted = Times](double Fraction) {
-        const auto Index = static_cast<std::size_t>(Fraction * static_cast<double>(Sorted.size()));
-        return static_cast<double>(Sorted[std::min(Index, Sorted.size() - 1)]) / 1000;
-      };
-      std::printf("status %u count %zu p50 %.2f ms p99 %.2f ms p99.9 %.2f ms\n", Status,
-                  Times.size(), Quantile(0.5), Quantile(0.99), Quantile(0.999));
+/// Takes entries and targets from a VM list. Returns false after printing findings.
+bool addVms(CommandLine &Given) {
+  if (Given.VmFile.empty()) {
+    return true;
+  }
+  const auto Parsed = readVmList(readFile(Given.VmFile), Given.VmFile);
+  if (const auto *Problems = std::get_if<Findings>(&Parsed)) {
+    print(*Problems);
+    return false;
+  }
+  const bool NoEntries = Given.Options.Entries.empty();
+  for (const Vm &Each : std::get<VmList>(Parsed).Vms) {
+    if (Each.Role == VmRole::Target) {
+      Given.Options.Targets.push_back(Each);
+    } else if (NoEntries) {
+      Given.Options.Entries.push_back(Each.Address + ":" + std::to_string(Each.Port));
     }
   }
+  return true;
+}
 
-private:
-  struct Call {
-    LoadRun *Owner;
-    GObjectPointer<SoupMessage> Message;
-    gint64 Due;
-  };
-
-  void scheduleNext() {
-    std::exponential_distribution<double> Gap(this->Options.Rate);
-    this->NextDue += static_cast<gint64>(Gap(this->Engine) * 1e6);
-    const gint64 Wait = std::max<gint64>(0, this->NextDue - g_get_monotonic_time());
-    g_timeout_add(static_cast<guint>(Wait / 1000), onDue, this);
+void printKeys(const std::string &Title, const std::vector<std::string> &Keys) {
+  constexpr std::size_t MostShown = 5;
+  std::cout << Title << ": " << Keys.size() << '\n';
+  for (std::size_t Index = 0; Index < std::min(MostShown, Keys.size()); ++Index) {
+    std::cout << "  " << Keys[Index] << '\n';
   }
+}
 
-  static gboolean onDue(gpointer Data) {
-    auto &Self = *static_cast<LoadRun *>(Data);
-    Self.send();
-    if (Self.Sent < Self.Options.Count) {
-      Self.scheduleNext();
-    }
-    return G_SOURCE_REMOVE;
+int reportKeys(LoadRun &Run) {
+  const auto Result = Run.checkKeys();
+  if (!Result) {
+    std::cerr << "keys not checked: a target does not answer GET /standin/counts\n";
+    return ExitError;
   }
-
-  void send() {
-    const std::string &Url = this->Options.Urls[this->Sent % this->Options.Urls.size()];
-    ++this->Sent;
-    auto Next = std::make_unique<Call>();
-    Next->Owner = this;
-    Next->Due = this->NextDue;
-    Next->Message.reset(soup_message_new(this->Options.Method.c_str(), Url.c_str()));
-    SoupMessage *Message = Next->Message.get();
-    SoupMessageHeaders *Headers = soup_message_get_request_headers(Message);
-    const std::string Bearer = "Bearer " + this->Options.Credential;
-    soup_message_headers_append(Headers, "Authorization", Bearer.c_str());
-    if (!this->Options.Ticket.empty()) {
-      const std::string Key = this->Options.Ticket + "." + std::to_string(this->Sent);
-      soup_message_headers_append(Headers, "Idempotency-Key", Key.c_str());
-    }
-    soup_session_send_and_read_async(this->Session.get(), Message, G_PRIORITY_DEFAULT, nullptr,
-                                     onDone, Next.release());
+  if (Result->Keys == 0) {
+    return Result->holds() ? 0 : ExitViolation;
   }
+  std::cout << "idempotency keys: " << Result->Keys << '\n';
+  printKeys("ran more than once", Result->RanTwice);
+  printKeys("answered \"not run\" but ran", Result->RanThoughNotRun);
+  printKeys("answered by a target but not counted by one", Result->AnsweredWithoutRun);
+  return Result->holds() ? 0 : ExitViolation;
+}
 
-  static void onDone(GObject *Source, GAsyncResult *Result, gpointer Data) {
-    const std::unique_ptr<Call> Ended(static_cast<Call *>(Data));
-    GError *Error = nullptr;
-    const GBytesPointer Body(
-        soup_session_send_and_read_finish(SOUP_SESSION(Source), Result, &Error));
-    const GErrorPointer Failure(Error);
-    LoadRun &Self = *Ended->Owner;
-    const guint Status = Body ? soup_message_get_status(Ended->Message.get()) : 0;
-    Self.Latencies[Status].push_back(g_get_monotonic_time() - Ended->Due);
-    if (++Self.Done == Self.Options.Count) {
-      g_main_loop_quit(Self.Loop.get());
+int runLoad(CommandLine &Given) {
+  auto Parsed = readScenario(readFile(Given.ScenarioFile), Given.ScenarioFile);
+  if (const auto *Problems = std::get_if<Findings>(&Parsed)) {
+    print(*Problems);
+    return ExitError;
+  }
+  if (!addVms(Given)) {
+    return ExitError;
+  }
+  auto &Plan = std::get<Scenario>(Parsed);
+  Plan.Rate = Given.Rate.value_or(Plan.Rate);
+  Plan.Count = Given.Count.value_or(Plan.Count);
+  Plan.Seed = Given.Seed.value_or(Plan.Seed);
+  const LoadOptions &Options = Given.Options;
+  if (Options.Direct ? Options.Targets.empty() : Options.Entries.empty()) {
+    std::cerr << "no " << (Options.Direct ? "targets" : "entries") << " given\n";
+    return ExitError;
+  }
+  LoadRun Run(Plan, Options);
+  if (const std::string Error = Run.prepare(); !Error.empty()) {
+    std::cerr << Error << '\n';
+    return ExitError;
+  }
+  Run.run();
+  std::cout << Run.report().table(Run.elapsed());
+  if (!Given.OutputFile.empty()) {
+    std::ofstream Output(Given.OutputFile);
+    Output << Run.report().tsv(Run.elapsed());
+    if (!Output.flush()) {
+      std::cerr << "cannot write " << Given.OutputFile << '\n';
+      return ExitError;
     }
   }
-
-  const LoadOptions &Options;
-  std::mt19937_64 Engine;
-  GObjectPointer<SoupSession> Session;
-  GMainLoopPointer Loop;
-  gint64 NextDue = 0;
-  std::uint32_t Sent = 0;
-  std::uint32_t Done = 0;
-  std::map<guint, std::vector<gint64>> Latencies;
-};
+  return Options.Targets.empty() ? 0 : reportKeys(Run);
+}
 
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  CLI::App App("Load tool: open-loop requests to entries or targets");
-  LoadOptions Options;
-  App.add_option("--url", Options.Urls, "URLs, used in turn")->required();
-  App.add_option("--method", Options.Method, "HTTP method");
-  App.add_option("--credential", Options.Credential, "<team>.<customer>.<secret>");
-  App.add_option("--ticket", Options.Ticket, "Ticket for idempotency keys");
-  App.add_option("--rate", Options.Rate, "Requests a second");
-  App.add_option("--count", Options.Count, "Number of requests");
-  App.add_option("--seed", Options.Seed, "Seed of the gaps");
+  CLI::App App("Load and experiment tool: open-loop requests to entries or targets. Exit status 3 "
+               "if a key ran twice or ran though refused as \"not run\".");
+  CommandLine Given;
+  App.add_option("--scenario", Given.ScenarioFile, "Scenario in TOML")
+      ->required()
+      ->check(CLI::ExistingFile);
+  App.add_option("--entry", Given.Options.Entries, "Entries to ask first, <address>:<port>");
+  App.add_option("--vms", Given.VmFile,
+                 "VM list in JSON: entries to ask first, and targets for --direct and for the "
+                 "check of idempotency keys")
+      ->check(CLI::ExistingFile);
+  App.add_option("--rate", Given.Rate, "Requests a second, in place of the scenario's");
+  App.add_option("--count", Given.Count, "Number of requests, in place of the scenario's");
+  App.add_option("--seed", Given.Seed, "Seed of gaps and kinds, in place of the scenario's");
+  App.add_option("--ticket", Given.Options.Ticket,
+                 "Ticket for all keys; with an equal seed, a second run repeats the keys of the "
+                 "first");
+  App.add_flag("--direct", Given.Options.Direct, "Send to targets drawn at random");
+  App.add_option("--follow", Given.Options.MaxFollows,
+                 "Most repeated sends after a refusal as \"not run\", following "
+                 "Anvilsaddle-Entries and Retry-After");
+  App.add_option("--output", Given.OutputFile, "File for the report as tab-separated values");
   CLI11_PARSE(App, ArgumentCount, Arguments);
-  LoadRun Run(Options);
-  Run.run();
-  Run.print();
-  return 0;
+  return runLoad(Given);
 }
