Carry peer messages and settings between entry processes

Cause: entries of the demo did not hear of each other. Change: PeerLink (UDP messages, settings over the peer port), a watch on the configuration service that starts and stops with the node's decision, one identity for node and socket.

--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -4,6 +4,7 @@
 #include "coordination/Sealer.h"
 #include "transport/Clock.h"
 #include "transport/EventLog.h"
+#include "transport/PeerLink.h"
 #include "transport/PlatformWatch.h"
 
 #include <chrono>
@@ -57,12 +58,29 @@
 
 EntryRuntime::EntryRuntime(const DaemonSettings &Local, const Clock &Time,
                            const SettingsParser &Parser, const Sealer &Seals, RandomSource &Random)
-    : Local(Local), Time(Time), Node(makeIdentity(Local, Time, Random), Parser, Seals, Random),
+    : Local(Local), Time(Time), Identity(makeIdentity(Local, Time, Random)),
+      Node(this->Identity, Parser, Seals, Random, Time.now()),
       Audit(static_cast<std::size_t>(Local.AuditEntries)),
       Session(soup_session_new_with_options("max-conns", MaxConnections, "max-conns-per-host",
                                             MaxConnectionsPerTarget, nullptr)),
       Server(soup_server_new("server-header", "anvilsaddle ", nullptr)),
-      AdminServer(soup_server_new("server-header", "anvilsaddle ", nullptr)) {
+      AdminServer(soup_server_new("server-header", "anvilsaddle ", nullptr)),
+      PeerServer(soup_server_new("server-header", "anvilsaddle ", nullptr)) {
+  PeerLink::Listener PeerEvents;
+  PeerEvents.OnMessage = [this](const PeerMessage &Message) {
+    this->Node.onPeerMessage(Message, this->Time.now());
+    this->carryOutEffects();
+  };
+  PeerEvents.OnSettings = [this](const VmName &Entry, const std::string &Path,
+                                 std::uint64_t Revision, const std::string &Text) {
+    this->Node.onSettings(Path, Revision, Text, Entry, this->Time.now());
+  };
+  PeerEvents.OnFetched = [this](const VmName &Entry, bool Complete) {
+    this->Node.onSettingsFetched(Entry, Complete, this->Time.now());
+    this->carryOutEffects();
+  };
+  this->Peers = std::make_unique<PeerLink>(this->Identity, Seals, this->Node.settings(),
+                                           std::move(PeerEvents));
   // A proxy passes bodies and cookies on as they are.
   soup_session_remove_feature_by_type(this->Session.get(), SOUP_TYPE_CONTENT_DECODER);
 }
@@ -95,10 +113,20 @@
     return Error;
   }
 
+  this->Peers->attach(this->PeerServer.get());
+  if (std::string Error = Listen(this->PeerServer.get(), this->Local.Address, this->Local.PeerPort);
+      !Error.empty()) {
+    return Error;
+  }
+  if (std::string Error = this->Peers->start(this->Local.Address, this->Local.PeerPort);
+      !Error.empty()) {
+    return Error;
+  }
+
   PlatformWatch::Listener Events;
   Events.OnSettings = [this](const std::string &Path, std::uint64_t Revision,
                              const std::string &Text) {
-    this->Node.onSettings(Path, Revision, Text, "configuration service", this->Time.now());
+    this->Node.onSettings(Path, Revision, Text, std::nullopt, this->Time.now());
     this->carryOutEffects();
   };
   Events.OnVmList = [this](const VmList &List) {
@@ -270,6 +298,18 @@
     }
     return;
   }
+  if (const auto *Message = std::get_if<SendPeerMessage>(&Next)) {
+    this->Peers->send(*Message);
+    return;
+  }
+  if (const auto *Fetch = std::get_if<FetchSettings>(&Next)) {
+    this->Peers->fetch(*Fetch);
+    return;
+  }
+  if (const auto *Watch = std::get_if<SetWatch>(&Next)) {
+    this->Platform->watchSettings(Watch->Active);
+    return;
+  }
   if (const auto *Change = std::get_if<RecordChange>(&Next)) {
     this->record(Change->Entry);
   }
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -19,6 +19,7 @@
 class RandomSource;
 class Sealer;
 class SettingsParser;
+class PeerLink;
 class PlatformWatch;
 
 /// Drives an EntryNode: turns HTTP requests and timers into events and carries out its effects on
@@ -60,11 +61,14 @@
 
   const DaemonSettings &Local;
   const Clock &Time;
+  EntryIdentity Identity;
   EntryNode Node;
   AuditTrail Audit;
   GObjectPointer<SoupSession> Session;
   GObjectPointer<SoupServer> Server;
   GObjectPointer<SoupServer> AdminServer;
+  GObjectPointer<SoupServer> PeerServer;
+  std::unique_ptr<PeerLink> Peers;
   std::unique_ptr<PlatformWatch> Platform;
   std::map<RequestNumber, std::unique_ptr<ProxyExchange>> Exchanges;
   guint TickTimer = 0;
--- a/src/libs/transport/PlatformWatch.cpp
+++ b/src/libs/transport/PlatformWatch.cpp
@@ -30,22 +30,37 @@
       VmListService(std::move(VmListService)), Events(std::move(Events)),
       Session(soup_session_new_with_options("timeout", WatchTimeoutSeconds, nullptr)) {}
 
-PlatformWatch::~PlatformWatch() { g_cancellable_cancel(this->Cancel.get()); }
+PlatformWatch::~PlatformWatch() {
+  this->watchSettings(false);
+  g_cancellable_cancel(this->Cancel.get());
+}
+
+void PlatformWatch::start() { this->watchVms(); }
 
-void PlatformWatch::start() {
+void PlatformWatch::watchSettings(bool Active) {
+  if (Active == (this->IndexCancel != nullptr)) {
+    return;
+  }
+  if (!Active) {
+    g_cancellable_cancel(this->IndexCancel.get());
+    this->IndexCancel.reset();
+    return;
+  }
+  this->IndexCancel.reset(g_cancellable_new());
+  // Paths may have changed while another entry held the watch.
+  this->IndexRevision = 0;
   this->watchIndex();
-  this->watchVms();
 }
 
-void PlatformWatch::get(const std::string &Url,
+void PlatformWatch::get(const std::string &Url, GCancellable *Cancelled,
                         std::function<void(const std::string &Body, bool Ok)> Done) {
   auto Next = std::make_unique<Call>();
-  Next->Cancel = shareObject(this->Cancel.get());
+  Next->Cancel = shareObject(Cancelled);
   Next->Message.reset(soup_message_new("GET", Url.c_str()));
   Next->Done = std::move(Done);
   SoupMessage *Message = Next->Message.get();
   soup_session_send_and_read_async(
-      this->Session.get(), Message, G_PRIORITY_DEFAULT, this->Cancel.get(),
+      this->Session.get(), Message, G_PRIORITY_DEFAULT, Cancelled,
       [](GObject *Source, GAsyncResult *Result, gpointer Data) {
         const std::unique_ptr<Call> Ended(static_cast<Call *>(Data));
         GError *Error = nullptr;
@@ -68,9 +83,9 @@
 
 void PlatformWatch::watchIndex() {
   this->get(this->ConfigurationService + "/v1/index?after=" + std::to_string(this->IndexRevision),
-            [this](const std::string &Body, bool Ok) {
+            this->IndexCancel.get(), [this](const std::string &Body, bool Ok) {
               if (!Ok) {
-                this->later([this] { this->watchIndex(); });
+                this->later(this->IndexCancel.get(), [this] { this->watchIndex(); });
                 return;
               }
               this->onIndex(Body);
@@ -89,7 +104,7 @@
     if (Revision <= this->Read[Path]) {
       continue;
     }
-    this->get(this->ConfigurationService + "/v1/settings/" + Path,
+    this->get(this->ConfigurationService + "/v1/settings/" + Path, this->IndexCancel.get(),
               [this, Path = Path](const std::string &Answer, bool Ok) {
                 const auto Entry = nlohmann::json::parse(Answer, nullptr, false);
                 if (!Ok || !Entry.is_object() || !Entry.contains("text")) {
@@ -105,10 +120,10 @@
 
 void PlatformWatch::watchVms() {
   this->get(this->VmListService + "/v1/vms?after=" + std::to_string(this->VmRevision),
-            [this](const std::string &Body, bool Ok) {
+            this->Cancel.get(), [this](const std::string &Body, bool Ok) {
               auto List = readVmList(Body, "vm-list");
               if (!Ok || std::holds_alternative<Findings>(List)) {
-                this->later([this] { this->watchVms(); });
+                this->later(this->Cancel.get(), [this] { this->watchVms(); });
                 return;
               }
               this->VmRevision = std::get<VmList>(List).Revision;
@@ -117,13 +132,12 @@
             });
 }
 
-void PlatformWatch::later(std::function<void()> Action) {
+void PlatformWatch::later(GCancellable *Cancelled, std::function<void()> Action) {
   struct Delayed {
     GObjectPointer<GCancellable> Cancel;
     std::function<void()> Action;
   };
-  auto Next =
-      std::make_unique<Delayed>(Delayed{shareObject(this->Cancel.get()), std::move(Action)});
+  auto Next = std::make_unique<Delayed>(Delayed{shareObject(Cancelled), std::move(Action)});
   g_timeout_add(
       RetryPauseMilliseconds,
       [](gpointer Data) -> gboolean {
--- a/src/libs/transport/PlatformWatch.h
+++ b/src/libs/transport/PlatformWatch.h
@@ -29,22 +29,27 @@
   PlatformWatch(const PlatformWatch &) = delete;
   PlatformWatch &operator=(const PlatformWatch &) = delete;
 
+  /// Starts to watch the VM list.
   void start();
+  /// Starts or stops the watch on the configuration service.
+  void watchSettings(bool Active);
 
 private:
   struct Call;
 
-  void get(const std::string &Url, std::function<void(const std::string &Body, bool Ok)> Done);
+  void get(const std::string &Url, GCancellable *Cancelled,
+           std::function<void(const std::string &Body, bool Ok)> Done);
   void watchIndex();
   void watchVms();
   void onIndex(const std::string &Body);
-  void later(std::function<void()> Action);
+  void later(GCancellable *Cancelled, std::function<void()> Action);
 
   std::string ConfigurationService;
   std::string VmListService;
   Listener Events;
   GObjectPointer<SoupSession> Session;
   GObjectPointer<GCancellable> Cancel{g_cancellable_new()};
+  GObjectPointer<GCancellable> IndexCancel;
   std::uint64_t IndexRevision = 0;
   std::uint64_t VmRevision = 0;
   std::map<std::string, std::uint64_t> Read;
--- a/tests/auto/libs/protocol/ArbitraryMessage.h
+++ b/tests/auto/libs/protocol/ArbitraryMessage.h
@@ -70,7 +70,7 @@
   default:
     return LessorCession{
         Sender, Run,
-        Incarnation{*rc::gen::arbitrary<std::int64_t>(), *rc::gen::arbitrary<std::uint64_t>()},
+        arbitraryIncarnation(),
         arbitraryList(MaxList, [] {
           return CededTarget{arbitraryTarget(),
                              Duration(*rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 62))};
