Number lease requests apart between incarnations

Cause: a LeaseReply names only the request number, and every incarnation counted from zero.

Change: numbers start from the start time of the incarnation.

--- a/src/libs/coordination/LeaseHolder.cpp
+++ b/src/libs/coordination/LeaseHolder.cpp
@@ -16,6 +16,12 @@
 /// counts.
 constexpr Duration ReleaseTimeout = std::chrono::seconds(60);
 
+/// A reply carries only the number of the request, so numbers must differ between incarnations: a
+/// late reply to an earlier run must not pass for a lease of this one.
+std::uint64_t firstRequestId(const Incarnation &Run) {
+  return static_cast<std::uint64_t>(Run.StartedUnixMilliseconds) << 20U;
+}
+
 std::uint32_t countOf(const InFlightCounts &InFlight, const TargetName &Target) {
   const auto Found = InFlight.find(Target);
   return Found == InFlight.end() ? 0 : Found->second;
@@ -24,7 +30,7 @@
 } // namespace
 
 LeaseHolder::LeaseHolder(EntryIdentity Self, TimePoint Now)
-    : Self(std::move(Self)), LastTick(Now) {}
+    : Self(std::move(Self)), LastTick(Now), LastRequestId(firstRequestId(this->Self.Run)) {}
 
 void LeaseHolder::setWanted(const std::map<TargetName, VmName> &LessorOf, TimePoint Now) {
   for (auto Each = this->Targets.begin(); Each != this->Targets.end();) {
--- a/tests/auto/libs/coordination/LeaseWorld.cpp
+++ b/tests/auto/libs/coordination/LeaseWorld.cpp
@@ -267,7 +267,9 @@
     std::map<TargetName, std::uint32_t> Own;
     for (const Work &Item : Each.Running) {
       // Work of an earlier run of the process is not known to the current one.
-      ++(Item.Starter == Each.Run && Each.Leases ? Own : Used)[Item.Target];
+      const bool Current = Item.Starter == Each.Run && Each.Leases;
+      ++(Current ? Own : Used)[Item.Target];
+      Detail += " " + Each.Name.str() + (Current ? " runs " : " ran ") + Item.Target.str();
     }
     if (Each.Leases) {
       for (const LeasedTarget &Leased : Each.Leases->usable(this->localTime(Each))) {
