--- a/tests/auto/libs/coordination/LeaseWorld.cpp
+++ b/tests/auto/libs/coordination/LeaseWorld.cpp
@@ -97,6 +97,7 @@
   }
   Each.Run = {this->Now.count(), this->Random()};
   Each.PausedUntil = Duration{0};
+  Each.Departing = false;
   const EntryIdentity Self{Each.Name, Region, FailureDomainName("d0"), Each.Run};
   const TimePoint Local = this->localTime(Each);
   Each.Members = std::make_unique<Membership>(Self, Local);
@@ -105,6 +106,11 @@
   Each.ViewedList.reset();
 }
 
+void LeaseWorld::depart(std::size_t Entry) {
+  this->Processes[Entry].Departing = true;
+  this->Processes[Entry].ViewedList.reset();
+}
+
 void LeaseWorld::toggleListed(std::size_t Entry) {
   const auto Count = std::count(this->Listed.begin(), this->Listed.end(), true);
   if (this->Listed[Entry] && Count == 1) {
@@ -140,7 +146,7 @@
     Process &Each = this->Processes[Index];
     Each.PausedUntil = Duration{0};
     Each.List = this->Lists.size() - 1;
-    if (!Each.Members) {
+    if (!Each.Members || Each.Departing) {
       this->restart(Index);
     }
   }
@@ -238,7 +244,8 @@
   if (Each.ViewedList != Each.List) {
     Each.ViewedList = Each.List;
     Each.Members->setView(this->Settings, List, Local);
-    Each.Members->setOwnStatus({EntryState::Serving, 1, List.Revision, {}});
+    const EntryState State = Each.Departing ? EntryState::Departing : EntryState::Serving;
+    Each.Members->setOwnStatus({State, 1, List.Revision, {}});
     Each.Grants->setView(Lessors, List.Revision, Local);
   }
   Each.Leases->setWanted(ownedTargets(Each.Name, Region, computeGroups(this->Settings, List),
--- a/tests/auto/libs/coordination/LeaseWorld.h
+++ b/tests/auto/libs/coordination/LeaseWorld.h
@@ -28,6 +28,8 @@
   /// Ends the process; requests that it started go on running on their targets.
   void kill(std::size_t Entry);
   void restart(std::size_t Entry);
+  /// The entry announces that it stops; its targets go to other owners by release.
+  void depart(std::size_t Entry);
   /// Entries with different bits cannot reach each other.
   void partition(unsigned Sides) { this->Sides = Sides; }
   /// Adds the entry to the newest VM list, or ends its process and removes it.
@@ -56,6 +58,7 @@
     std::optional<std::size_t> ViewedList;
     Incarnation Run;
     Duration PausedUntil{0};
+    bool Departing = false;
     std::unique_ptr<Membership> Members;
     std::unique_ptr<Lessor> Grants;
     std::unique_ptr<LeaseHolder> Leases;
--- a/tests/auto/libs/coordination/tst_leaseproperty.cpp
+++ b/tests/auto/libs/coordination/tst_leaseproperty.cpp
@@ -32,6 +32,8 @@
     return World.toggleListed(Entry);
   case 6:
     return World.toggleTarget(Value % 5);
+  case 7:
+    return World.depart(Entry);
   default:
     return World.advanceList(Entry);
   }
