--- a/src/libs/coordination/Lessor.cpp
+++ b/src/libs/coordination/Lessor.cpp
@@ -3,10 +3,18 @@
 #include "coordination/LeaseTerms.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace anvilsaddle {
 
+namespace {
+
+/// Hundreds of entry VMs are replaced a day; their names must not pile up.
+constexpr std::size_t MaxIncarnations = 1000;
+
+} // namespace
+
 Lessor::Lessor(EntryIdentity Self, TimePoint Now)
     : Self(std::move(Self)), Started(Now), LastTick(Now) {}
 
@@ -49,6 +57,7 @@
     }
   }
   this->Targets = std::move(Next);
+  this->pruneIncarnations();
 }
 
 std::vector<OutgoingMessage> Lessor::onMessage(const PeerMessage &Message, TimePoint Now) {
@@ -246,6 +255,17 @@
   }
 }
 
+void Lessor::pruneIncarnations() {
+  if (this->Incarnations.size() <= MaxIncarnations) {
+    return;
+  }
+  std::set<VmName> Listed;
+  for (const auto &[Target, State] : this->Targets) {
+    Listed.insert(State.Ranked.begin(), State.Ranked.end());
+  }
+  std::erase_if(this->Incarnations, [&](const auto &Each) { return !Listed.contains(Each.first); });
+}
+
 bool Lessor::acceptIncarnation(const VmName &Vm, const Incarnation &Run) {
   Incarnation &Newest = this->Incarnations[Vm];
   if (Run < Newest) {
--- a/src/libs/coordination/Lessor.h
+++ b/src/libs/coordination/Lessor.h
@@ -21,6 +21,10 @@
 /// ceded the target. An entry cedes only once the entry ranked after itself has ceded to it, so a
 /// cession covers all entries of a lower rank whose lists may lag further behind.
 ///
+/// Preconditions on VM lists: an entry leaves the list only once its process has ended, and its
+/// name returns only under a list at least as new as its return. A process that starts has a list
+/// at least as new as the last one of an earlier process with its name.
+///
 /// Performs no I/O and reads no clock. Times must not decrease between calls. Not thread-safe.
 class Lessor {
 public:
@@ -80,6 +84,7 @@
                TimePoint Now);
   void onInquiry(const LessorInquiry &Inquiry, TimePoint Now, std::vector<OutgoingMessage> &Out);
   void onCession(const LessorCession &Cession, TimePoint Now);
+  void pruneIncarnations();
   bool acceptIncarnation(const VmName &Vm, const Incarnation &Run);
   std::optional<VmName> nextRanked(const TargetState &State) const;
   bool isFirst(const TargetState &State) const;
--- a/src/libs/coordination/Membership.cpp
+++ b/src/libs/coordination/Membership.cpp
@@ -49,6 +49,7 @@
 void Membership::setView(const SettingsSnapshot &Settings, const VmList &Vms, TimePoint Now) {
   std::map<RegionName, std::vector<VmName>> Entries;
   std::map<VmName, std::pair<const Vm *, const FailureDomain *>> Listed;
+  this->OwnListedLive = false;
   for (const Vm &Machine : Vms.Vms) {
     const FailureDomain *Domain = Settings.findDomain(Machine.Domain);
     if (Machine.Role != VmRole::Entry || !Domain) {
@@ -57,6 +58,7 @@
     Entries[Domain->Region].push_back(Machine.Name);
     if (Machine.Name == this->Self.Vm) {
       this->OwnTakenOut = Domain->TakenOut;
+      this->OwnListedLive = Machine.State == VmState::Live;
     } else {
       Listed.emplace(Machine.Name, std::pair(&Machine, Domain));
     }
@@ -143,8 +145,7 @@
   std::vector<OutgoingMessage> Out;
   for (auto &[Name, Each] : this->Peers) {
     if (Paused) {
-      // Silence during the own pause says nothing about the peer. It counts as heard from only
-      // once it is heard again.
+      // Silence during the own pause says nothing about the peer.
       Each.ListedSince = Now;
     }
     this->updateState(Each, Now);
@@ -193,7 +194,9 @@
       Result.push_back(Name);
     }
   }
-  if (Region == this->Self.Region && this->Own.State == EntryState::Serving) {
+  // Peers judge this entry by the list too; without this check two entries would claim a group.
+  if (Region == this->Self.Region && this->Own.State == EntryState::Serving &&
+      this->OwnListedLive) {
     Result.insert(std::lower_bound(Result.begin(), Result.end(), this->Self.Vm), this->Self.Vm);
   }
   return Result;
--- a/src/libs/coordination/Membership.h
+++ b/src/libs/coordination/Membership.h
@@ -96,7 +96,8 @@
   std::vector<PeerStatus> peers() const;
   const PeerStatus *find(const VmName &Vm) const;
 
-  /// Serving entries of a region that are alive, with this one if it serves, ordered by name.
+  /// Serving entries of a region that are alive, with this one if it serves and is listed as live,
+  /// ordered by name.
   std::vector<VmName> liveEntries(const RegionName &Region) const;
   /// Live entries outside of taken-out failure domains, among which group owners are chosen.
   std::vector<VmName> ownerCandidates(const RegionName &Region) const;
@@ -127,6 +128,7 @@
   EntryIdentity Self;
   OwnStatus Own;
   bool OwnTakenOut = false;
+  bool OwnListedLive = false;
   TimePoint LastTick;
   std::map<VmName, Peer> Peers;
   std::map<GroupId, ToldLoad> Loads;
