Index settings lookups and replace only the changed part

Cause: findService, findDomain, findCustomer and findRoute searched linearly, each accepted subtree copied all settings and the parser searched all customers for each route. The parser looks customers up in a set.

--- a/src/libs/protocol/TomlSettingsParser.cpp
+++ b/src/libs/protocol/TomlSettingsParser.cpp
@@ -24,6 +24,8 @@
 /// Reports a name that an earlier element of the same kind has.
 class UniqueNames {
 public:
+  bool contains(const std::string &Name) const { return this->Seen.contains(Name); }
+
   void check(TomlTable &Table, std::string_view Key, const std::string &Name) {
     if (!Name.empty() && !this->Seen.insert(Name).second) {
       Table.addFinding(Key, "'" + Name + "' is defined twice");
@@ -102,11 +104,11 @@
   return Result;
 }
 
-Route readRoute(TomlTable &Each, const TeamSettings &Team) {
+Route readRoute(TomlTable &Each, const TeamName &Team, const UniqueNames &Customers) {
   Route Result;
   Result.Name = RouteName(Each.requiredName("name"));
-  Result.Customer = CustomerName(Team.Name.str() + "." + Each.requiredName("customer"));
-  if (std::ranges::find(Team.Customers, Result.Customer, &Customer::Name) == Team.Customers.end()) {
+  Result.Customer = CustomerName(Team.str() + "." + Each.requiredName("customer"));
+  if (!Customers.contains(Result.Customer.str())) {
     Each.addFinding("customer", "unknown customer '" + Result.Customer.str() + "'");
   }
   Result.PathPrefix = Each.requiredString("path_prefix");
@@ -137,7 +139,7 @@
   }
   UniqueNames Routes;
   for (TomlTable &Each : Root.tables("route")) {
-    Result.Routes.push_back(readRoute(Each, Result));
+    Result.Routes.push_back(readRoute(Each, Result.Name, Customers));
     Routes.check(Each, "name", Result.Routes.back().Name.str());
   }
   Root.reportUnknownKeys();
--- a/src/libs/state/SettingsSnapshot.cpp
+++ b/src/libs/state/SettingsSnapshot.cpp
@@ -1,6 +1,7 @@
 #include "state/SettingsSnapshot.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace anvilsaddle {
@@ -17,47 +18,85 @@
 } // namespace
 
 SettingsSnapshot::SettingsSnapshot(PlatformSettings Platform,
-                                   std::map<TeamName, TeamSettings> Teams)
-    : Platform(std::move(Platform)), Teams(std::move(Teams)) {}
+                                   std::map<TeamName, TeamSettings> Teams) {
+  this->setPlatform(std::move(Platform));
+  for (auto &[Name, Team] : Teams) {
+    this->setTeam(std::move(Team));
+  }
+}
 
 const Service *SettingsSnapshot::findService(const ServiceName &Name) const {
-  const auto Found = std::ranges::find(this->Platform.Services, Name, &Service::Name);
-  return Found == this->Platform.Services.end() ? nullptr : &*Found;
+  const auto Found = this->Services.find(Name);
+  return Found == this->Services.end() ? nullptr : &this->Platform.Services[Found->second];
 }
 
 const FailureDomain *SettingsSnapshot::findDomain(const FailureDomainName &Name) const {
-  const auto Found = std::ranges::find(this->Platform.FailureDomains, Name, &FailureDomain::Name);
-  return Found == this->Platform.FailureDomains.end() ? nullptr : &*Found;
+  const auto Found = this->Domains.find(Name);
+  return Found == this->Domains.end() ? nullptr : &this->Platform.FailureDomains[Found->second];
 }
 
 const Customer *SettingsSnapshot::findCustomer(const CustomerName &Name) const {
-  const auto Team = this->Teams.find(teamOf(Name));
-  if (Team == this->Teams.end()) {
+  const auto Team = this->TeamIndexes.find(teamOf(Name));
+  if (Team == this->TeamIndexes.end()) {
     return nullptr;
   }
-  const auto Found = std::ranges::find(Team->second.Customers, Name, &Customer::Name);
-  return Found == Team->second.Customers.end() ? nullptr : &*Found;
+  const auto Found = Team->second.find(Name);
+  if (Found == Team->second.end() || Found->second.Position == NoPosition) {
+    return nullptr;
+  }
+  return &this->Teams.at(Team->first).Customers[Found->second.Position];
 }
 
 const Route *SettingsSnapshot::findRoute(const CustomerName &Name, std::string_view Method,
                                          std::string_view UrlPath) const {
-  const auto Team = this->Teams.find(teamOf(Name));
-  if (Team == this->Teams.end()) {
+  const auto Team = this->TeamIndexes.find(teamOf(Name));
+  if (Team == this->TeamIndexes.end()) {
     return nullptr;
   }
-  const Route *Best = nullptr;
-  for (const Route &Candidate : Team->second.Routes) {
-    if (Candidate.Customer != Name || !matchesPrefix(UrlPath, Candidate.PathPrefix)) {
-      continue;
-    }
-    if (std::ranges::find(Candidate.Methods, Method) == Candidate.Methods.end()) {
-      continue;
-    }
-    if (!Best || Candidate.PathPrefix.size() > Best->PathPrefix.size()) {
-      Best = &Candidate;
+  const auto Found = Team->second.find(Name);
+  if (Found == Team->second.end()) {
+    return nullptr;
+  }
+  const std::vector<Route> &Routes = this->Teams.at(Team->first).Routes;
+  for (const std::size_t Position : Found->second.Routes) {
+    const Route &Candidate = Routes[Position];
+    if (matchesPrefix(UrlPath, Candidate.PathPrefix) &&
+        std::ranges::find(Candidate.Methods, Method) != Candidate.Methods.end()) {
+      return &Candidate;
     }
   }
-  return Best;
+  return nullptr;
+}
+
+void SettingsSnapshot::setPlatform(PlatformSettings NewPlatform) {
+  this->Platform = std::move(NewPlatform);
+  this->Services.clear();
+  for (std::size_t Position = 0; Position < this->Platform.Services.size(); ++Position) {
+    this->Services.emplace(this->Platform.Services[Position].Name, Position);
+  }
+  this->Domains.clear();
+  for (std::size_t Position = 0; Position < this->Platform.FailureDomains.size(); ++Position) {
+    this->Domains.emplace(this->Platform.FailureDomains[Position].Name, Position);
+  }
+}
+
+void SettingsSnapshot::setTeam(TeamSettings NewTeam) {
+  const TeamName Name = NewTeam.Name;
+  TeamIndex &Index = this->TeamIndexes[Name];
+  Index.clear();
+  for (std::size_t Position = 0; Position < NewTeam.Customers.size(); ++Position) {
+    Index.try_emplace(NewTeam.Customers[Position].Name, CustomerIndex{Position, {}});
+  }
+  for (std::size_t Position = 0; Position < NewTeam.Routes.size(); ++Position) {
+    Index[NewTeam.Routes[Position].Customer].Routes.push_back(Position);
+  }
+  for (auto &[Customer, Known] : Index) {
+    // Stable, so that the first of several routes with equal prefixes wins.
+    std::ranges::stable_sort(Known.Routes, std::greater(), [&NewTeam](std::size_t Position) {
+      return NewTeam.Routes[Position].PathPrefix.size();
+    });
+  }
+  this->Teams.insert_or_assign(Name, std::move(NewTeam));
 }
 
 TeamName teamOf(const CustomerName &Name) {
--- a/src/libs/state/SettingsStore.cpp
+++ b/src/libs/state/SettingsStore.cpp
@@ -33,11 +33,9 @@
     return Result;
   }
   if (auto *NewPlatform = std::get_if<PlatformSettings>(&Parsed)) {
-    this->Platform = std::move(*NewPlatform);
+    this->Snapshot.setPlatform(std::move(*NewPlatform));
   } else {
-    auto &Team = std::get<TeamSettings>(Parsed);
-    const TeamName Name = Team.Name;
-    this->Teams.insert_or_assign(Name, std::move(Team));
+    this->Snapshot.setTeam(std::move(std::get<TeamSettings>(Parsed)));
   }
   Stored.Revision = Revision;
   Stored.ContentHash = XXH3_64bits(Text.data(), Text.size());
@@ -46,7 +44,6 @@
     Stored.RefusedRevision = 0;
     Stored.Problems.clear();
   }
-  this->Snapshot = SettingsSnapshot(this->Platform, this->Teams);
   this->updateDigest();
   Result.Outcome = OfferOutcome::Accepted;
   return Result;
--- a/src/libs/state/SettingsStore.h
+++ b/src/libs/state/SettingsStore.h
@@ -68,8 +68,6 @@
 
   const SettingsParser &Parser;
   std::map<std::string, Subtree> Subtrees;
-  PlatformSettings Platform;
-  std::map<TeamName, TeamSettings> Teams;
   SettingsSnapshot Snapshot;
   std::uint64_t Digest = 0;
 };
