--- a/src/libs/coordination/EntryNode.cpp
+++ b/src/libs/coordination/EntryNode.cpp
@@ -32,6 +32,8 @@
   TargetName RunsOn;
   std::uint32_t Attempts = 0;
   std::set<TargetName> FailedOn;
+  /// Settings under which the terms were checked last.
+  std::uint64_t TermsDigest = 0;
   /// True once an attempt may have run; later refusals then say "unknown".
   bool MayHaveRun = false;
 };
@@ -89,51 +91,52 @@
 }
 
 std::optional<Refusal> EntryNode::checkHead(const RequestHead &Head, TimePoint Now) const {
-  auto Refused = this->checkTerms(Head, Now);
-  if (!Refused || Head.IdempotencyKey.empty() || (Head.Forwarded && Head.Forwarded->KeyAdmitted)) {
-    return Refused;
-  }
-  const Customer *Caller =
-      Head.Forwarded ? this->Settings.snapshot().findCustomer(Head.Forwarded->Customer)
-                     : this->Router.authenticate(this->Settings.snapshot(), Head.Authorization);
-  if (!Caller || !this->Keys.isUnused(Caller->Name, Head.IdempotencyKey)) {
-    Refused->Outcome = RunOutcome::Unknown;
-  }
-  return Refused;
+  auto Terms = this->resolveTerms(Head, Now);
+  auto *Refused = std::get_if<Refusal>(&Terms);
+  return Refused ? std::optional(std::move(*Refused)) : std::nullopt;
 }
 
-std::optional<Refusal> EntryNode::checkTerms(const RequestHead &Head, TimePoint Now) const {
+std::variant<RoutedRequest, Refusal> EntryNode::resolveTerms(const RequestHead &Head,
+                                                             TimePoint Now) const {
   auto Decision = this->Router.route(this->Settings.snapshot(), Head);
-  if (auto *Refused = std::get_if<Refusal>(&Decision)) {
-    if (Refused->Status == 403) {
-      const Customer *Caller =
-          Head.Forwarded ? this->Settings.snapshot().findCustomer(Head.Forwarded->Customer)
-                         : this->Router.authenticate(this->Settings.snapshot(), Head.Authorization);
-      Refused->Entries = this->Fleet.entryAddresses(
-          this->Router.allowedRegions(this->Settings.snapshot(), *Caller), {}, Now);
+  if (const auto *Routed = std::get_if<RoutedRequest>(&Decision)) {
+    if (!this->Stopping && this->isServing()) {
+      return Decision;
     }
-    return std::move(*Refused);
-  }
-  const auto &Routed = std::get<RoutedRequest>(Decision);
-  if (this->Stopping || !this->isServing()) {
     Refusal Answer =
         makeRefusal(503, RunOutcome::NotRun,
                     this->Stopping ? "this entry is stopping" : "this entry is starting");
-    Answer.Entries = this->Fleet.entryAddresses(Routed.Regions, {Routed.Destination.Name}, Now);
+    Answer.Entries = this->Fleet.entryAddresses(Routed->Regions, {Routed->Destination.Name}, Now);
     Answer.RetryAfter = DefaultRetryAfter;
-    return Answer;
+    Decision = std::move(Answer);
+  }
+  auto &Refused = std::get<Refusal>(Decision);
+  const SettingsSnapshot &Snapshot = this->Settings.snapshot();
+  const Customer *Caller = Head.Forwarded ? Snapshot.findCustomer(Head.Forwarded->Customer)
+                                          : this->Router.authenticate(Snapshot, Head.Authorization);
+  if (Caller && Refused.Status == 403) {
+    Refused.Entries =
+        this->Fleet.entryAddresses(this->Router.allowedRegions(Snapshot, *Caller), {}, Now);
   }
-  return std::nullopt;
+  // An earlier request with the same key may have run, here or through another entry.
+  const bool KeyMatters =
+      !Head.IdempotencyKey.empty() && !(Head.Forwarded && Head.Forwarded->KeyAdmitted);
+  if (KeyMatters && (!Caller || !this->Keys.isUnused(Caller->Name, Head.IdempotencyKey))) {
+    Refused.Outcome = RunOutcome::Unknown;
+  }
+  return Decision;
 }
 
 std::variant<RequestNumber, Refusal> EntryNode::onRequest(const RequestHead &Head, TimePoint Now) {
   this->advance(Now);
-  if (auto Refused = this->checkHead(Head, Now)) {
+  auto Terms = this->resolveTerms(Head, Now);
+  if (auto *Refused = std::get_if<Refusal>(&Terms)) {
     return std::move(*Refused);
   }
   ActiveRequest Request;
   Request.Head = Head;
-  Request.Routed = std::get<RoutedRequest>(this->Router.route(this->Settings.snapshot(), Head));
+  Request.Routed = std::move(std::get<RoutedRequest>(Terms));
+  Request.TermsDigest = this->Settings.digest();
   const Route &Path = Request.Routed.Path;
   Request.Deadline = Now + std::min({Path.Deadline, Request.Routed.Destination.MaxDeadline,
                                      Head.Patience.value_or(Path.Deadline)});
@@ -158,7 +161,13 @@
   const RequestNumber Number = ++this->LastNumber;
   this->Requests.emplace(Number, std::move(Request));
   if (OtherIssuer) {
-    this->forward(Number, OtherIssuer->Issuer, false);
+    // Only the issuer knows whether an earlier request with the key ran, so that nothing but its
+    // answer allows "not run" or another attempt.
+    this->Requests.at(Number).MayHaveRun = true;
+    if (!this->forward(Number, OtherIssuer->Issuer, false)) {
+      this->refuse(Number, makeRefusal(409, RunOutcome::Unknown,
+                                       "the entry that issued the key is not reachable"));
+    }
   } else {
     this->Budget.onFirstAttempt(this->Requests.at(Number).Routed.Caller.Name,
                                 this->Requests.at(Number).Routed.Destination.Name, Now);
@@ -210,10 +219,10 @@
     this->finish(Number, Request.MayHaveRun ? KeyState::Unknown : KeyState::NotRun, 0);
     return;
   }
-  if (!Forwarded) {
-    if (this->scheduleRetry(Number, NotRun, Now)) {
-      return;
-    }
+  // A forward that may have arrived is not repeated: the other entry may have run it.
+  const bool MayRetry = !Forwarded || !Report.Sent;
+  if (MayRetry && this->scheduleRetry(Number, NotRun, Now)) {
+    return;
   }
   const RunOutcome Outcome = Request.MayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun;
   switch (Report.Outcome) {
@@ -506,6 +515,8 @@
   const bool KeyAdmitted = !Request.AdmittedKey.empty() ||
                            (Request.Head.Forwarded && Request.Head.Forwarded->KeyAdmitted);
   Request.State = ActiveRequest::Phase::Forwarded;
+  Request.RunsOn = TargetName();
+  ++Request.Attempts;
   this->Effects.emplace_back(
       StartForward{Number, Entry, *Destination,
                    ForwardMark{this->Self.Vm, Request.Routed.Caller.Name, KeyAdmitted, ToOwner},
@@ -589,6 +600,9 @@
 }
 
 bool EntryNode::mayRunHere(const ActiveRequest &Request) const {
+  if (Request.TermsDigest == this->Settings.digest()) {
+    return true;
+  }
   RequestHead Head = Request.Head;
   // The credential was checked on arrival; only the customer's terms are checked again.
   Head.Forwarded = ForwardMark{this->Self.Vm, Request.Routed.Caller.Name, false, false};
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -131,7 +131,7 @@
 private:
   struct ActiveRequest;
 
-  std::optional<Refusal> checkTerms(const RequestHead &Head, TimePoint Now) const;
+  std::variant<RoutedRequest, Refusal> resolveTerms(const RequestHead &Head, TimePoint Now) const;
   void advance(TimePoint Now);
   void refreshView(TimePoint Now);
   void refreshGroups(TimePoint Now);
--- a/tests/auto/libs/coordination/tst_entrynode.cpp
+++ b/tests/auto/libs/coordination/tst_entrynode.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST_SUITE(EntryNodeTest);
   CPPUNIT_TEST(servesAtEveryEntry);
   CPPUNIT_TEST(keyRunsOnce);
+  CPPUNIT_TEST(keyOfUnreachableIssuer);
   CPPUNIT_TEST(takenOutDomainGetsNoWork);
   CPPUNIT_TEST(departingTargetGetsNoWork);
   CPPUNIT_TEST(settingsReachEveryEntry);
@@ -72,6 +73,29 @@
     }
   }
 
+  /// Guards against an entry that runs a key of an issuer that it can't reach, or says "not run"
+  /// for it.
+  void keyOfUnreachableIssuer() {
+    struct Case {
+      const char *Name;
+      Duration AfterCut;
+    };
+    // Shortly after the cut the issuer still counts as alive, and the forward fails.
+    const Case Table[] = {{"at once", 1ms}, {"suspect", 2s}, {"gone", 10s}};
+    for (const Case &Each : Table) {
+      FleetFixture Fleet(3, 4, 8);
+      Fleet.advance(SettleTime);
+      const std::string Key = Fleet.ticket(0) + ".a";
+      Fleet.setCut(0, true);
+      Fleet.advance(Each.AfterCut);
+      const std::size_t Request = Fleet.send(1, "/write", Key);
+      Fleet.advance(1s);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Fleet.answers()[Request].has_value());
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Fleet.answers()[Request]->Outcome == RunOutcome::Unknown);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, 0, Fleet.runsOfKey(Key));
+    }
+  }
+
   /// Guards against new work on a domain 3 s after operators took it out, and against a service
   /// that stops with it.
   void takenOutDomainGetsNoWork() {
