Add TargetCall, CallerBody and RequestServer to the transport layer

Cause: the client library resends requests by itself, bodies were read whole without limits, and a caller that left was noticed late.

Change: TargetCall stops resends and reports whether bytes were sent. CallerBody streams long bodies with back-pressure. RequestServer refuses ambiguous framing and bounds waits. ForwardHeaders seals requests between entries.

Not tested yet beyond a build; tests follow.

--- a/src/libs/coordination/EntryNode.cpp
+++ b/src/libs/coordination/EntryNode.cpp
@@ -84,6 +84,19 @@
   this->rebuildGroups(Now);
 }
 
+std::optional<Refusal> EntryNode::checkHead(const RequestHead &Head) const {
+  auto Decision = this->Router.route(this->Settings.snapshot(), Head);
+  if (auto *Refused = std::get_if<Refusal>(&Decision)) {
+    return std::move(*Refused);
+  }
+  if (this->Stopping) {
+    Refusal Answer = makeRefusal(503, RunOutcome::NotRun, "this entry is stopping");
+    Answer.Entries = this->entryAddresses(std::get<RoutedRequest>(Decision).Regions);
+    return Answer;
+  }
+  return std::nullopt;
+}
+
 std::variant<RequestNumber, Refusal> EntryNode::onRequest(const RequestHead &Head, TimePoint Now) {
   auto Decision = this->Router.route(this->Settings.snapshot(), Head);
   if (auto *Refused = std::get_if<Refusal>(&Decision)) {
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -39,6 +39,9 @@
   int Status = 0;
   Duration FirstByte{0};
   Duration Total{0};
+  /// Set if another entry refused the request that was passed on to it; the refusal has gone to the
+  /// caller.
+  std::optional<RunOutcome> PeerOutcome;
 
   auto operator<=>(const AttemptReport &) const = default;
 };
@@ -69,6 +72,8 @@
   /// Ignores lists that are not newer than the one in use.
   void onVmList(const VmList &List, TimePoint Now);
 
+  /// Refuses what the headers alone show to be impossible, before the body is read.
+  std::optional<Refusal> checkHead(const RequestHead &Head) const;
   /// Admits a request, whose number then appears in effects, or refuses it.
   std::variant<RequestNumber, Refusal> onRequest(const RequestHead &Head, TimePoint Now);
   /// True if the answer shall go to the caller; false if it shall be dropped and the attempt ended.
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/RandomSource.h"
 #include "coordination/Sealer.h"
+#include "transport/AnswerHeaders.h"
 #include "transport/Clock.h"
 #include "transport/EventLog.h"
 #include "transport/PlatformWatch.h"
@@ -20,28 +21,6 @@
 using nlohmann::json;
 
 constexpr guint TickMilliseconds = 5;
-constexpr guint MaxConnectionsPerTarget = 260;
-constexpr int MaxConnections = 20'000;
-
-const char *header(SoupServerMessage *Message, const char *Name) {
-  const char *Value =
-      soup_message_headers_get_one(soup_server_message_get_request_headers(Message), Name);
-  return Value ? Value : "";
-}
-
-RequestHead readHead(SoupServerMessage *Message, const char *Path) {
-  RequestHead Head;
-  Head.Method = soup_server_message_get_method(Message);
-  Head.Path = Path;
-  Head.Authorization = header(Message, "Authorization");
-  Head.IdempotencyKey = header(Message, "Idempotency-Key");
-  const gint64 Patience = g_ascii_strtoll(header(Message, "Deadline-Ms"), nullptr, 10);
-  if (Patience > 0) {
-    Head.Patience = std::chrono::milliseconds(Patience);
-  }
-  return Head;
-}
-
 void answerJson(SoupServerMessage *Message, const json &Body) {
   const std::string Text = Body.dump() + "\n";
   soup_server_message_set_status(Message, SOUP_STATUS_OK, nullptr);
@@ -49,6 +28,12 @@
                                    Text.size());
 }
 
+RequestServerLimits serverLimits(const DaemonSettings &Local) {
+  RequestServerLimits Limits;
+  Limits.MaxBodyBytes = Local.MaxBodyBytes;
+  return Limits;
+}
+
 EntryIdentity makeIdentity(const DaemonSettings &Local, const Clock &Time, RandomSource &Random) {
   return {Local.Vm, Local.Region, Local.Domain, {Time.unixMilliseconds(), Random.bits()}};
 }
@@ -58,42 +43,34 @@
 EntryRuntime::EntryRuntime(const DaemonSettings &Local, const Clock &Time,
                            const SettingsParser &Parser, const Sealer &Seals, RandomSource &Random)
     : Local(Local), Time(Time), Node(makeIdentity(Local, Time, Random), Parser, Seals, Random),
-      Audit(static_cast<std::size_t>(Local.AuditEntries)),
-      Session(soup_session_new_with_options("max-conns", MaxConnections, "max-conns-per-host",
-                                            MaxConnectionsPerTarget, nullptr)),
-      Server(soup_server_new("server-header", "anvilsaddle ", nullptr)),
-      AdminServer(soup_server_new("server-header", "anvilsaddle ", nullptr)) {
-  // A proxy passes bodies and cookies on as they are.
-  soup_session_remove_feature_by_type(this->Session.get(), SOUP_TYPE_CONTENT_DECODER);
-}
+      Audit(static_cast<std::size_t>(Local.AuditEntries)), Session(newTargetSession()),
+      Forwarding(Seals), AdminServer(soup_server_new("server-header", "anvilsaddle ", nullptr)),
+      CallerServer(serverLimits(Local), nullptr, Time, static_cast<RequestHandler &>(*this)),
+      PeerServer(serverLimits(Local), &this->Forwarding, Time,
+                 static_cast<RequestHandler &>(*this)) {}
 
 EntryRuntime::~EntryRuntime() { g_clear_handle_id(&this->TickTimer, g_source_remove); }
 
 std::string EntryRuntime::start() {
-  soup_server_add_early_handler(this->Server.get(), nullptr, onRequestHead, this, nullptr);
-  soup_server_add_handler(this->Server.get(), nullptr, onRequest, this, nullptr);
-  soup_server_add_handler(this->Server.get(), "/v1/entries", onEntriesRequest, this, nullptr);
+  this->CallerServer.addHandler("/v1/entries", onEntriesRequest, this);
   soup_server_add_handler(this->AdminServer.get(), nullptr, onAdminRequest, this, nullptr);
-
-  const auto Listen = [](SoupServer *Target, const std::string &Address,
-                         std::uint16_t Port) -> std::string {
-    const GObjectPointer<GSocketAddress> Socket(
-        g_inet_socket_address_new_from_string(Address.c_str(), Port));
-    GError *Error = nullptr;
-    if (soup_server_listen(Target, Socket.get(), static_cast<SoupServerListenOptions>(0), &Error)) {
-      return {};
-    }
-    const GErrorPointer Failure(Error);
-    return "cannot listen on " + Address + ":" + std::to_string(Port) + ": " + Failure->message;
-  };
-  if (std::string Error = Listen(this->Server.get(), this->Local.Address, this->Local.Port);
+  if (std::string Error = this->CallerServer.listen(this->Local.Address, this->Local.Port);
       !Error.empty()) {
     return Error;
   }
-  if (std::string Error = Listen(this->AdminServer.get(), "127.0.0.1", this->Local.AdminPort);
+  if (std::string Error = this->PeerServer.listen(this->Local.Address, this->Local.PeerPort);
       !Error.empty()) {
     return Error;
   }
+  const GObjectPointer<GSocketAddress> Socket(
+      g_inet_socket_address_new_from_string("127.0.0.1", this->Local.AdminPort));
+  GError *Error = nullptr;
+  if (!soup_server_listen(this->AdminServer.get(), Socket.get(),
+                          static_cast<SoupServerListenOptions>(0), &Error)) {
+    const GErrorPointer Failure(Error);
+    return "cannot listen on admin port " + std::to_string(this->Local.AdminPort) + ": " +
+           Failure->message;
+  }
 
   PlatformWatch::Listener Events;
   Events.OnSettings = [this](const std::string &Path, std::uint64_t Revision,
@@ -117,43 +94,40 @@
     return;
   }
   this->OnDrained = std::move(Drained);
+  this->CallerServer.closeConnections();
+  this->PeerServer.closeConnections();
   this->Node.beginStop(this->Time.now());
 }
 
-void EntryRuntime::onRequestHead(SoupServer *, SoupServerMessage *Message, const char *,
-                                 GHashTable *, gpointer Data) {
-  auto &Self = *static_cast<EntryRuntime *>(Data);
-  const goffset Length =
-      soup_message_headers_get_content_length(soup_server_message_get_request_headers(Message));
-  if (Length > Self.Local.MaxBodyBytes) {
-    Refusal Answer;
-    Answer.Status = 413;
-    Answer.Reason = "the request body is too large";
-    writeRefusal(Message, Answer);
-  }
+std::optional<Refusal> EntryRuntime::checkHead(const RequestHead &Head) {
+  return this->Node.checkHead(Head);
 }
 
-void EntryRuntime::onRequest(SoupServer *, SoupServerMessage *Message, const char *Path,
-                             GHashTable *, gpointer Data) {
-  auto &Self = *static_cast<EntryRuntime *>(Data);
-  auto Admission = Self.Node.onRequest(readHead(Message, Path), Self.Time.now());
-  if (const auto *Refused = std::get_if<Refusal>(&Admission)) {
-    writeRefusal(Message, *Refused);
-    return;
+std::optional<Refusal> EntryRuntime::onRequest(SoupServerMessage *Message, RequestHead Head,
+                                               bool BodyFollows) {
+  auto Admission = this->Node.onRequest(Head, this->Time.now());
+  if (auto *Refused = std::get_if<Refusal>(&Admission)) {
+    return std::move(*Refused);
   }
   const RequestNumber Number = std::get<RequestNumber>(Admission);
-  soup_server_message_pause(Message);
-  auto Exchange = std::make_unique<ProxyExchange>(Message, Self.Session.get(), Self.Time,
-                                                  static_cast<ExchangeListener &>(Self));
+  auto Exchange = std::make_unique<ProxyExchange>(
+      Message, std::move(Head), this->Local.MaxBodyBytes, this->Session.get(), this->Forwarding,
+      this->Time, static_cast<ExchangeListener &>(*this));
   Exchange->setNumber(Number);
-  Self.Exchanges.emplace(Number, std::move(Exchange));
-  Self.carryOutEffects();
+  if (BodyFollows) {
+    Exchange->streamBody();
+  }
+  this->Exchanges.emplace(Number, std::move(Exchange));
+  this->carryOutEffects();
+  return std::nullopt;
 }
 
 void EntryRuntime::onEntriesRequest(SoupServer *, SoupServerMessage *Message, const char *,
                                     GHashTable *, gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
-  const auto Result = Self.Node.entriesFor(header(Message, "Authorization"), Self.Time.now());
+  const auto Result = Self.Node.entriesFor(
+      std::string(headerValue(soup_server_message_get_request_headers(Message), "Authorization")),
+      Self.Time.now());
   if (const auto *Refused = std::get_if<Refusal>(&Result)) {
     writeRefusal(Message, *Refused);
     return;
@@ -250,17 +224,29 @@
 
 void EntryRuntime::onExchangeDone(RequestNumber Request) { this->Exchanges.erase(Request); }
 
+ProxyExchange *EntryRuntime::exchangeForAttempt(RequestNumber Request) {
+  const auto Found = this->Exchanges.find(Request);
+  if (Found != this->Exchanges.end()) {
+    return Found->second.get();
+  }
+  AttemptReport Report;
+  Report.Outcome = AttemptOutcome::Cancelled;
+  Report.Sent = false;
+  this->Node.onAttemptEnd(Request, Report, this->Time.now());
+  return nullptr;
+}
+
 void EntryRuntime::carryOut(const Effect &Next) {
   if (const auto *Attempt = std::get_if<StartAttempt>(&Next)) {
-    const auto Found = this->Exchanges.find(Attempt->Request);
-    if (Found == this->Exchanges.end()) {
-      AttemptReport Report;
-      Report.Outcome = AttemptOutcome::Cancelled;
-      Report.Sent = false;
-      this->Node.onAttemptEnd(Attempt->Request, Report, this->Time.now());
-      return;
+    if (ProxyExchange *Exchange = this->exchangeForAttempt(Attempt->Request)) {
+      Exchange->startAttempt(*Attempt);
+    }
+    return;
+  }
+  if (const auto *Forward = std::get_if<StartForward>(&Next)) {
+    if (ProxyExchange *Exchange = this->exchangeForAttempt(Forward->Request)) {
+      Exchange->startForward(*Forward);
     }
-    Found->second->startAttempt(*Attempt);
     return;
   }
   if (const auto *Refused = std::get_if<RefuseRequest>(&Next)) {
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -2,13 +2,16 @@
 
 #include "coordination/EntryNode.h"
 #include "protocol/DaemonSettings.h"
+#include "protocol/ForwardHeaders.h"
 #include "state/AuditTrail.h"
 #include "transport/GlibPointers.h"
 #include "transport/ProxyExchange.h"
+#include "transport/RequestServer.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <libsoup/soup.h>
@@ -23,7 +26,7 @@
 
 /// Drives an EntryNode: turns HTTP requests and timers into events and carries out its effects on
 /// the thread-default GLib main context. Not thread-safe.
-class EntryRuntime final : private ExchangeListener {
+class EntryRuntime final : private ExchangeListener, private RequestHandler {
 public:
   /// Precondition: all references outlive the runtime.
   EntryRuntime(const DaemonSettings &Local, const Clock &Time, const SettingsParser &Parser,
@@ -39,21 +42,22 @@
   void stop(std::function<void()> OnDrained);
 
 private:
-  static void onRequestHead(SoupServer *Server, SoupServerMessage *Message, const char *Path,
-                            GHashTable *Query, gpointer Data);
-  static void onRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
-                        GHashTable *Query, gpointer Data);
   static void onEntriesRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
                                GHashTable *Query, gpointer Data);
   static void onAdminRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
                              GHashTable *Query, gpointer Data);
   static gboolean onTick(gpointer Data);
 
+  std::optional<Refusal> checkHead(const RequestHead &Head) override;
+  std::optional<Refusal> onRequest(SoupServerMessage *Message, RequestHead Head,
+                                   bool BodyFollows) override;
   bool onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter) override;
   void onAttemptEnd(RequestNumber Request, const AttemptReport &Report) override;
   void onCallerGone(RequestNumber Request) override;
   void onExchangeDone(RequestNumber Request) override;
 
+  /// Null if the request is over; its attempt then ends as cancelled.
+  ProxyExchange *exchangeForAttempt(RequestNumber Request);
   void carryOut(const Effect &Next);
   void carryOutEffects();
   void record(AuditEntry Entry);
@@ -63,8 +67,10 @@
   EntryNode Node;
   AuditTrail Audit;
   GObjectPointer<SoupSession> Session;
-  GObjectPointer<SoupServer> Server;
+  ForwardHeaders Forwarding;
   GObjectPointer<SoupServer> AdminServer;
+  RequestServer CallerServer;
+  RequestServer PeerServer;
   std::unique_ptr<PlatformWatch> Platform;
   std::map<RequestNumber, std::unique_ptr<ProxyExchange>> Exchanges;
   guint TickTimer = 0;
--- a/src/libs/transport/GlibPointers.h
+++ b/src/libs/transport/GlibPointers.h
@@ -17,6 +17,10 @@
   return GObjectPointer<T>(static_cast<T *>(g_object_ref(Object)));
 }
 
+struct GFree {
+  void operator()(gpointer Memory) const { g_free(Memory); }
+};
+
 struct GErrorFree {
   void operator()(GError *Error) const { g_error_free(Error); }
 };
--- a/src/libs/transport/ProxyExchange.h
+++ b/src/libs/transport/ProxyExchange.h
@@ -3,16 +3,21 @@
 #include "coordination/Effect.h"
 #include "coordination/EntryNode.h"
 #include "coordination/Refusal.h"
+#include "transport/CallerBody.h"
+#include "transport/CallerWatch.h"
 #include "transport/GlibPointers.h"
+#include "transport/TargetCall.h"
 
-#include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include <libsoup/soup.h>
 
 namespace anvilsaddle {
 
 class Clock;
+class ForwardHeaders;
 
 /// What an exchange reports of its request.
 class ExchangeListener {
@@ -22,53 +27,81 @@
   /// True if the answer shall go to the caller.
   virtual bool onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter) = 0;
   virtual void onAttemptEnd(RequestNumber Request, const AttemptReport &Report) = 0;
+  /// The caller left, or its request turned out to be invalid, while no attempt was running.
   virtual void onCallerGone(RequestNumber Request) = 0;
   /// The exchange is over and may be destroyed.
   virtual void onExchangeDone(RequestNumber Request) = 0;
 };
 
-/// One request of a caller: sends it to targets as told and streams the answer back. Not
-/// thread-safe.
-class ProxyExchange {
+/// One request of a caller: sends it to targets or another entry as told and streams the answer
+/// back. Not thread-safe.
+class ProxyExchange final : private TargetCallListener {
 public:
-  /// Precondition: session, clock and listener outlive the exchange; the request body is complete.
-  ProxyExchange(SoupServerMessage *Caller, SoupSession *Session, const Clock &Time,
+  /// `Body` is null if the library has read the whole body; it is passed on while it arrives
+  /// otherwise. Precondition: session, clock, forward headers and listener outlive the exchange.
+  ProxyExchange(SoupServerMessage *Caller, RequestHead Head, std::int64_t MaxBodyBytes,
+                SoupSession *Session, const ForwardHeaders &Forwarding, const Clock &Time,
                 ExchangeListener &Listener);
-  ~ProxyExchange();
+  ~ProxyExchange() override;
   ProxyExchange(const ProxyExchange &) = delete;
   ProxyExchange &operator=(const ProxyExchange &) = delete;
 
+  /// Passes the body on while it arrives. Precondition: the body has not arrived yet.
+  void streamBody();
   void setNumber(RequestNumber Request) { this->Number = Request; }
   /// Precondition: no attempt is running and no answer has started.
   void startAttempt(const StartAttempt &Attempt);
-  /// Precondition: no answer has started.
+  /// Precondition: as startAttempt().
+  void startForward(const StartForward &Forward);
+  /// Precondition: no attempt is running and no answer has started.
   void refuse(const Refusal &Answer);
 
 private:
-  struct Attempt;
-
-  static void onSent(GObject *Source, GAsyncResult *Result, gpointer Data);
-  static void onRead(GObject *Source, GAsyncResult *Result, gpointer Data);
   static void onChunkWritten(SoupServerMessage *Message, gpointer Data);
   static void onCallerFinished(SoupServerMessage *Message, gpointer Data);
+  static void onBodyRead(SoupServerMessage *Message, gpointer Data);
   static gboolean onDeadline(gpointer Data);
 
-  void readMore();
-  void relayHead();
+  void onCallHead() override;
+  void onCallBytes(GBytes *Bytes) override;
+  void onCallFailed(const std::string &Reason) override;
+
+  GObjectPointer<SoupMessage> newMessage(const Endpoint &Destination, TimePoint Deadline);
+  void startCall(GObjectPointer<SoupMessage> Message, TimePoint Deadline, bool Forward);
+  bool setBody(SoupMessage *Message);
+  bool keepsAnswer() const;
+  void setAnswerHead();
+  void setAnswerEncoding();
   void endAttempt(AttemptOutcome Outcome);
-  void abortAnswer();
+  void watchCaller();
+  void onBodyTooLarge();
+  void endExchange();
 
   GObjectPointer<SoupServerMessage> Caller;
+  RequestHead Head;
+  std::int64_t MaxBodyBytes;
   SoupSession *Session;
+  const ForwardHeaders &Forwarding;
   const Clock &Time;
   ExchangeListener &Listener;
   RequestNumber Number = 0;
-  std::shared_ptr<Attempt> Current;
-  bool CallerGone = false;
+  std::unique_ptr<CallerBody> Body;
+  std::unique_ptr<CallerWatch> Watch;
+
+  std::unique_ptr<TargetCall> Call;
+  guint DeadlineTimer = 0;
+  TimePoint Started;
+  Duration FirstByte{0};
+  bool DeadlinePassed = false;
+  bool Forwarded = false;
+  bool ResetOnFailure = false;
+  std::optional<RunOutcome> PeerOutcome;
+  /// A short answer, kept until it is complete.
+  std::string Kept;
+
+  bool AnswerStarted = false;
   bool Answered = false;
+  bool Done = false;
 };
 
-/// Writes a refusal as the answer to a caller.
-void writeRefusal(SoupServerMessage *Caller, const Refusal &Answer);
-
 } // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/RequestServer.cpp
@@ -0,0 +1,259 @@
+#include "transport/RequestServer.h"
+
+#include "protocol/ForwardHeaders.h"
+#include "transport/AnswerHeaders.h"
+#include "transport/Clock.h"
+#include "transport/EarlyAnswer.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace anvilsaddle {
+
+namespace {
+
+/// Longer bodies are not kept for a retry.
+constexpr goffset MaxKeptBody = 65536;
+
+Refusal makeRefusal(int Status, std::string Reason) {
+  Refusal Result;
+  Result.Status = Status;
+  Result.Reason = std::move(Reason);
+  return Result;
+}
+
+bool isDigits(std::string_view Text) {
+  return !Text.empty() &&
+         std::ranges::all_of(Text, [](char Each) { return g_ascii_isdigit(Each); });
+}
+
+/// Two readings of the length of a body let one request pass for two (request smuggling).
+std::optional<Refusal> checkFraming(SoupServerMessage *Message) {
+  SoupMessageHeaders *Headers = soup_server_message_get_request_headers(Message);
+  const char *Length = soup_message_headers_get_list(Headers, "Content-Length");
+  const char *Encoding = soup_message_headers_get_list(Headers, "Transfer-Encoding");
+  if (Length && Encoding) {
+    return makeRefusal(400, "both Content-Length and Transfer-Encoding are present");
+  }
+  constexpr std::size_t MaxLengthDigits = 18;
+  if (Length && (!isDigits(Length) || std::string_view(Length).size() > MaxLengthDigits)) {
+    return makeRefusal(400, "the Content-Length is not one number");
+  }
+  if (Encoding && g_ascii_strcasecmp(Encoding, "chunked") != 0) {
+    return makeRefusal(501, "the only Transfer-Encoding accepted is chunked");
+  }
+  if (Encoding && soup_server_message_get_http_version(Message) == SOUP_HTTP_1_0) {
+    return makeRefusal(400, "HTTP/1.0 has no Transfer-Encoding");
+  }
+  return std::nullopt;
+}
+
+/// A target may resolve dot segments, and would then serve a path of another route.
+bool hasDotSegment(std::string_view Path) {
+  while (!Path.empty()) {
+    const std::size_t End = Path.find('/');
+    const std::string_view Segment = Path.substr(0, End);
+    if (Segment == "." || Segment == "..") {
+      return true;
+    }
+    Path = End == std::string_view::npos ? std::string_view() : Path.substr(End + 1);
+  }
+  return false;
+}
+
+bool hasBody(SoupServerMessage *Message) {
+  SoupMessageHeaders *Headers = soup_server_message_get_request_headers(Message);
+  return soup_message_headers_get_encoding(Headers) == SOUP_ENCODING_CHUNKED ||
+         soup_message_headers_get_content_length(Headers) > 0;
+}
+
+} // namespace
+
+RequestServer::RequestServer(RequestServerLimits Limits, const ForwardHeaders *Peers,
+                             const Clock &Time, RequestHandler &Handler)
+    : Limits(Limits), Peers(Peers), Time(Time), Handler(Handler),
+      Server(soup_server_new("server-header", "anvilsaddle ", nullptr)) {
+  g_signal_connect(this->Server.get(), "request-started", G_CALLBACK(onStarted), this);
+  soup_server_add_early_handler(this->Server.get(), nullptr, onHeaders, this, nullptr);
+  soup_server_add_handler(this->Server.get(), nullptr, onBody, this, nullptr);
+  this->SweepTimer = g_timeout_add(
+      static_cast<guint>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(Limits.Sweep).count()),
+      onSweep, this);
+}
+
+RequestServer::~RequestServer() {
+  g_clear_handle_id(&this->SweepTimer, g_source_remove);
+  g_signal_handlers_disconnect_by_data(this->Server.get(), this);
+  for (const auto &[Message, Each] : this->Requests) {
+    g_signal_handlers_disconnect_by_data(Message, this);
+  }
+  soup_server_disconnect(this->Server.get());
+}
+
+std::string RequestServer::listen(const std::string &Address, std::uint16_t Port) {
+  const GObjectPointer<GSocketAddress> Socket(
+      g_inet_socket_address_new_from_string(Address.c_str(), Port));
+  GError *Error = nullptr;
+  if (soup_server_listen(this->Server.get(), Socket.get(), static_cast<SoupServerListenOptions>(0),
+                         &Error)) {
+    return {};
+  }
+  const GErrorPointer Failure(Error);
+  return "cannot listen on " + Address + ":" + std::to_string(Port) + ": " + Failure->message;
+}
+
+void RequestServer::closeConnections() {
+  this->Closing = true;
+  for (const auto &[Message, Each] : this->Requests) {
+    soup_message_headers_replace(soup_server_message_get_response_headers(Message), "Connection",
+                                 "close");
+  }
+}
+
+void RequestServer::onStarted(SoupServer *, SoupServerMessage *Message, gpointer Data) {
+  auto &Self = *static_cast<RequestServer *>(Data);
+  Self.Requests[Message].Expiry = Self.Time.now() + Self.Limits.HeadWait;
+  g_signal_connect(Message, "finished", G_CALLBACK(onFinished), &Self);
+}
+
+void RequestServer::onFinished(SoupServerMessage *Message, gpointer Data) {
+  auto &Self = *static_cast<RequestServer *>(Data);
+  g_signal_handlers_disconnect_by_data(Message, Data);
+  Self.Requests.erase(Message);
+}
+
+std::optional<Refusal> RequestServer::readHead(SoupServerMessage *Message,
+                                               RequestHead &Head) const {
+  SoupMessageHeaders *Headers = soup_server_message_get_request_headers(Message);
+  GUri *Uri = soup_server_message_get_uri(Message);
+  Head.Method = soup_server_message_get_method(Message);
+  const std::unique_ptr<char, GFree> Path(g_uri_unescape_string(g_uri_get_path(Uri), nullptr));
+  if (!Path || Head.Method == "CONNECT" || *Path.get() != '/' || hasDotSegment(Path.get())) {
+    return makeRefusal(400, "the request target is not a plain path");
+  }
+  Head.Path = Path.get();
+  Head.Authorization = headerValue(Headers, "Authorization");
+  Head.IdempotencyKey = headerValue(Headers, "Idempotency-Key");
+  const std::string Patience(headerValue(Headers, "Deadline-Ms"));
+  // Longer patience than a day is bounded by the route anyway and must not overflow.
+  constexpr gint64 MaxPatience = 86'400'000;
+  const gint64 Milliseconds = g_ascii_strtoll(Patience.c_str(), nullptr, 10);
+  if (Milliseconds > 0) {
+    Head.Patience = std::chrono::milliseconds(std::min(Milliseconds, MaxPatience));
+  }
+  if (auto Refused = checkFraming(Message)) {
+    return Refused;
+  }
+  Head.Replayable = soup_message_headers_get_encoding(Headers) != SOUP_ENCODING_CHUNKED &&
+                    soup_message_headers_get_content_length(Headers) <= MaxKeptBody;
+  if (this->Peers) {
+    Head.Forwarded = this->Peers->parse(headerValue(Headers, ForwardHeaders::MarkName),
+                                        headerValue(Headers, ForwardHeaders::SealName), Head);
+    if (!Head.Forwarded) {
+      return makeRefusal(401, "the request does not come from an entry of this fleet");
+    }
+  }
+  if (soup_message_headers_get_content_length(Headers) > this->Limits.MaxBodyBytes) {
+    return makeRefusal(413, "the request body is too large");
+  }
+  return std::nullopt;
+}
+
+void RequestServer::refuse(SoupServerMessage *Message, const Refusal &Answer) const {
+  if (hasBody(Message)) {
+    answerEarly(Message, Answer);
+    return;
+  }
+  writeRefusal(Message, Answer);
+}
+
+RequestServer::Active &RequestServer::beginRequest(SoupServerMessage *Message) {
+  Active &Request = this->Requests[Message];
+  Request.Expiry = this->Time.now() + this->Limits.BodyWait;
+  if (this->Closing) {
+    soup_message_headers_replace(soup_server_message_get_response_headers(Message), "Connection",
+                                 "close");
+  }
+  return Request;
+}
+
+void RequestServer::addHandler(const char *Path, SoupServerCallback Callback, gpointer Data) {
+  soup_server_add_early_handler(this->Server.get(), Path, onOwnHeaders, this, nullptr);
+  soup_server_add_handler(this->Server.get(), Path, Callback, Data, nullptr);
+}
+
+void RequestServer::onOwnHeaders(SoupServer *, SoupServerMessage *Message, const char *,
+                                 GHashTable *, gpointer Data) {
+  auto &Self = *static_cast<RequestServer *>(Data);
+  Self.beginRequest(Message);
+  std::optional<Refusal> Refused = checkFraming(Message);
+  if (!Refused && hasBody(Message)) {
+    Refused = makeRefusal(413, "this path takes no request body");
+  }
+  if (Refused) {
+    Self.refuse(Message, *Refused);
+  }
+}
+
+void RequestServer::onHeaders(SoupServer *, SoupServerMessage *Message, const char *, GHashTable *,
+                              gpointer Data) {
+  auto &Self = *static_cast<RequestServer *>(Data);
+  Active &Request = Self.beginRequest(Message);
+  RequestHead Head;
+  std::optional<Refusal> Refused = Self.readHead(Message, Head);
+  if (!Refused) {
+    Refused = Self.Handler.checkHead(Head);
+  }
+  if (!Refused && !Head.Replayable) {
+    Request.Streamed = true;
+    // The deadline of the request bounds the wait for the rest of the body.
+    Request.Expiry.reset();
+    Refused = Self.Handler.onRequest(Message, std::move(Head), true);
+  } else {
+    Request.Head = std::move(Head);
+  }
+  if (Refused) {
+    Request.Refused = true;
+    Self.refuse(Message, *Refused);
+  }
+}
+
+void RequestServer::onBody(SoupServer *, SoupServerMessage *Message, const char *, GHashTable *,
+                           gpointer Data) {
+  auto &Self = *static_cast<RequestServer *>(Data);
+  Active &Request = Self.Requests[Message];
+  Request.Expiry.reset();
+  if (Request.Refused) {
+    return;
+  }
+  // The answer comes later.
+  soup_server_message_pause(Message);
+  if (Request.Streamed) {
+    return;
+  }
+  if (const auto Refused = Self.Handler.onRequest(Message, std::move(*Request.Head), false)) {
+    writeRefusal(Message, *Refused);
+    soup_server_message_unpause(Message);
+  }
+}
+
+gboolean RequestServer::onSweep(gpointer Data) {
+  auto &Self = *static_cast<RequestServer *>(Data);
+  const TimePoint Now = Self.Time.now();
+  std::vector<GObjectPointer<SoupServerMessage>> Expired;
+  for (const auto &[Message, Each] : Self.Requests) {
+    if (Each.Expiry && *Each.Expiry <= Now) {
+      Expired.push_back(shareObject(Message));
+    }
+  }
+  for (const auto &Message : Expired) {
+    closeWithoutAnswer(Message.get(), false);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+} // namespace anvilsaddle
