Send to targets through an own HTTP/1.1 call on GSocket and Boost.Beast

Change: TargetCall writes the request to an idle or new socket itself and parses the answer with the parser of Boost.Beast. There is no code path that sends a request twice. Idle connections are reused for every method and checked for closure or stray bytes before use.

--- /dev/null
+++ b/src/libs/transport/AnswerParser.cpp
@@ -0,0 +1,134 @@
+#include "transport/AnswerParser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace anvilsaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+constexpr std::uint32_t MaxHeadBytes = 65536;
+constexpr std::size_t MaxBodyPart = 65536;
+constexpr int FirstFinalStatus = 200;
+constexpr int SwitchingProtocols = 101;
+} // namespace
+
+struct AnswerParser::Parser {
+  http::response_parser<http::buffer_body> Beast;
+};
+
+std::string_view AnswerHead::field(std::string_view Name) const {
+  for (const auto &[Field, Value] : this->Fields) {
+    if (boost::beast::iequals(boost::beast::string_view(Field.data(), Field.size()),
+                              boost::beast::string_view(Name.data(), Name.size()))) {
+      return Value;
+    }
+  }
+  return {};
+}
+
+AnswerParser::AnswerParser(bool AnswersHead) : AnswersHead(AnswersHead) { this->startAnswer(); }
+
+AnswerParser::~AnswerParser() = default;
+
+void AnswerParser::startAnswer() {
+  this->Inner = std::make_unique<Parser>();
+  this->Inner->Beast.header_limit(MaxHeadBytes);
+  this->Inner->Beast.body_limit(boost::none);
+  this->Inner->Beast.skip(this->AnswersHead);
+}
+
+void AnswerParser::add(std::string_view Bytes) { this->Buffer += Bytes; }
+
+void AnswerParser::addEnd() { this->Ended = true; }
+
+std::size_t AnswerParser::parse() {
+  boost::beast::error_code Problem;
+  const std::size_t Count = this->Inner->Beast.put(
+      boost::asio::const_buffer(this->Buffer.data(), this->Buffer.size()), Problem);
+  this->Buffer.erase(0, Count);
+  const bool Starved = Problem == http::error::need_more || (!Problem && this->Buffer.empty());
+  if (this->Ended && Starved && !this->Inner->Beast.is_done()) {
+    if (!this->Inner->Beast.is_header_done()) {
+      this->Error = "the connection closed before the answer's headers";
+      return Count;
+    }
+    Problem = {};
+    this->Inner->Beast.put_eof(Problem);
+  }
+  if (Problem && Problem != http::error::need_more && Problem != http::error::need_buffer) {
+    this->Error = Problem.message();
+  }
+  return Count;
+}
+
+bool AnswerParser::parseHead() {
+  while (!this->HeadDone && this->Error.empty()) {
+    this->parse();
+    if (!this->Inner->Beast.is_header_done()) {
+      return false;
+    }
+    const auto &Message = this->Inner->Beast.get();
+    const int Status = static_cast<int>(Message.result_int());
+    if (Status == SwitchingProtocols) {
+      this->Error = "the target switched protocols unasked";
+      return false;
+    }
+    if (Status < FirstFinalStatus) {
+      this->startAnswer();
+      continue;
+    }
+    this->HeadDone = true;
+    this->Head.Status = Status;
+    this->Head.Reason.assign(Message.reason().data(), Message.reason().size());
+    for (const auto &Field : Message) {
+      this->Head.Fields.emplace_back(
+          std::string(Field.name_string().data(), Field.name_string().size()),
+          std::string(Field.value().data(), Field.value().size()));
+    }
+    if (const auto Length = this->Inner->Beast.content_length()) {
+      this->Head.Length = *Length;
+    }
+    const bool HasCoding = !this->Head.field("Transfer-Encoding").empty();
+    if (HasCoding && !this->Inner->Beast.chunked()) {
+      this->Error = "unknown transfer coding";
+      return false;
+    }
+    if (this->Inner->Beast.is_done() || this->AnswersHead) {
+      this->Head.Framing = BodyFraming::None;
+    } else if (this->Inner->Beast.chunked()) {
+      this->Head.Framing = BodyFraming::Chunked;
+    } else {
+      this->Head.Framing = this->Head.Length ? BodyFraming::Length : BodyFraming::UntilClose;
+    }
+  }
+  return this->HeadDone && this->Error.empty();
+}
+
+void AnswerParser::parseBody(std::string &Result) {
+  auto &Body = this->Inner->Beast.get().body();
+  const std::size_t Before = Result.size();
+  Result.resize(Before + MaxBodyPart);
+  Body.data = Result.data() + Before;
+  Body.size = MaxBodyPart;
+  Body.more = true;
+  // One call of put() stops after each structural element.
+  while (!this->isComplete() && this->Error.empty() && Body.size > 0) {
+    const std::size_t Count = this->parse();
+    if (Count == 0) {
+      break;
+    }
+  }
+  Result.resize(Before + MaxBodyPart - Body.size);
+}
+
+bool AnswerParser::isComplete() const { return this->HeadDone && this->Inner->Beast.is_done(); }
+
+bool AnswerParser::isReusable() const {
+  return this->isComplete() && this->Error.empty() && !this->Ended && this->Buffer.empty() &&
+         !this->Inner->Beast.need_eof() && this->Inner->Beast.keep_alive();
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/AnswerParser.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace anvilsaddle {
+
+/// How the end of a body is marked.
+enum class BodyFraming { None, Length, Chunked, UntilClose };
+
+/// Status line and headers of an answer. Value type.
+struct AnswerHead {
+  int Status = 0;
+  std::string Reason;
+  std::vector<std::pair<std::string, std::string>> Fields;
+  BodyFraming Framing = BodyFraming::None;
+  /// The announced length, for an answer to HEAD as well.
+  std::optional<std::uint64_t> Length;
+
+  /// First value of a header; empty if it is missing.
+  std::string_view field(std::string_view Name) const;
+
+  auto operator<=>(const AnswerHead &) const = default;
+};
+
+/// Parses one HTTP/1 answer from bytes. Accepts only answers whose framing is unambiguous, and
+/// calls an answer complete only if its end mark arrived. Skips interim (1xx) answers. Not
+/// thread-safe.
+class AnswerParser {
+public:
+  explicit AnswerParser(bool AnswersHead);
+  ~AnswerParser();
+  AnswerParser(const AnswerParser &) = delete;
+  AnswerParser &operator=(const AnswerParser &) = delete;
+
+  /// Adds bytes from the connection.
+  void add(std::string_view Bytes);
+  /// The connection ended.
+  void addEnd();
+  /// Parses the head. True once it is complete; false if more bytes are needed or on an error.
+  bool parseHead();
+  const AnswerHead &head() const { return this->Head; }
+  /// Parses up to 64 KB of body and appends them to `Result`. Precondition: parseHead() returned
+  /// true.
+  void parseBody(std::string &Result);
+
+  /// True once the whole answer was parsed.
+  bool isComplete() const;
+  /// Text of an error after which nothing more is parsed; empty without an error.
+  const std::string &error() const { return this->Error; }
+  /// True if the connection may carry another request: complete, kept alive and without further
+  /// bytes.
+  bool isReusable() const;
+
+private:
+  struct Parser;
+
+  void startAnswer();
+  /// Returns the number of bytes parsed.
+  std::size_t parse();
+
+  bool AnswersHead;
+  std::unique_ptr<Parser> Inner;
+  std::string Buffer;
+  bool Ended = false;
+  bool HeadDone = false;
+  AnswerHead Head;
+  std::string Error;
+};
+
+} // namespace anvilsaddle
--- a/src/libs/transport/CallerBody.h
+++ b/src/libs/transport/CallerBody.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "transport/BodySource.h"
 #include "transport/GlibPointers.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <string>
 
 #include <libsoup/soup.h>
 
@@ -12,44 +13,35 @@
 
 /// Body of a caller's request that is passed on while it arrives. Stops reading from the caller
 /// while 64 KB wait to be sent. Not thread-safe.
-class CallerBody {
+class CallerBody final : public BodySource {
 public:
   /// Reads the body of `Caller` from now on; `OnTooLarge` is called once when it exceeds
-  /// `MaxBytes`. Precondition: the headers have arrived, the body not yet.
+  /// `MaxBytes` and may destroy this object. Precondition: the headers have arrived, the body not
+  /// yet.
   CallerBody(SoupServerMessage *Caller, std::int64_t MaxBytes, std::function<void()> OnTooLarge);
-  ~CallerBody();
+  ~CallerBody() override;
   CallerBody(const CallerBody &) = delete;
   CallerBody &operator=(const CallerBody &) = delete;
 
-  /// A stream of the body. An older stream ends with an error. Precondition: isWhole().
-  GObjectPointer<GInputStream> openStream();
-  /// True while no part was taken by a stream.
+  std::string takeBody() override;
+  bool isBodyComplete() const override { return this->Complete; }
+  void setBodyCallback(std::function<void()> OnMore) override { this->OnMore = std::move(OnMore); }
+  /// True while no part was taken, so that the whole body can still be sent.
   bool isWhole() const { return !this->Taken; }
-  /// True once the caller has sent the end of the body.
-  bool isComplete() const { return this->Complete; }
 
 private:
-  friend struct CallerBodyStream;
-  friend struct CallerBodyAccess;
-
   static void onChunk(SoupServerMessage *Caller, GBytes *Bytes, gpointer Data);
   static void onBodyEnd(SoupServerMessage *Caller, gpointer Data);
 
-  bool isReadable() const;
-  gssize take(void *Buffer, gsize Size);
-  void answerReader();
-
   GObjectPointer<SoupServerMessage> Caller;
   std::int64_t MaxBytes;
   std::function<void()> OnTooLarge;
-  std::deque<GBytesPointer> Waiting;
+  std::function<void()> OnMore;
+  std::string Waiting;
   std::int64_t Received = 0;
-  gsize WaitingBytes = 0;
-  gsize FirstOffset = 0;
   bool Paused = false;
   bool Taken = false;
   bool Complete = false;
-  GInputStream *Stream = nullptr;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/transport/EarlyAnswer.cpp
+++ b/src/libs/transport/EarlyAnswer.cpp
@@ -1,7 +1,7 @@
 #include "transport/EarlyAnswer.h"
 
-#include "transport/AnswerHeaders.h"
 #include "transport/GlibPointers.h"
+#include "transport/ProxyHeaders.h"
 
 #include <array>
 #include <cstdint>
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -2,10 +2,10 @@
 
 #include "coordination/RandomSource.h"
 #include "coordination/Sealer.h"
-#include "transport/AnswerHeaders.h"
 #include "transport/Clock.h"
 #include "transport/EventLog.h"
 #include "transport/PlatformWatch.h"
+#include "transport/ProxyHeaders.h"
 
 #include <chrono>
 #include <string_view>
@@ -43,8 +43,8 @@
 EntryRuntime::EntryRuntime(const DaemonSettings &Local, const Clock &Time,
                            const SettingsParser &Parser, const Sealer &Seals, RandomSource &Random)
     : Local(Local), Time(Time), Node(makeIdentity(Local, Time, Random), Parser, Seals, Random),
-      Audit(static_cast<std::size_t>(Local.AuditEntries)), Session(newTargetSession()),
-      Forwarding(Seals), AdminServer(soup_server_new("server-header", "anvilsaddle ", nullptr)),
+      Audit(static_cast<std::size_t>(Local.AuditEntries)), Connections(Time), Forwarding(Seals),
+      AdminServer(soup_server_new("server-header", "anvilsaddle ", nullptr)),
       CallerServer(serverLimits(Local), nullptr, Time, static_cast<RequestHandler &>(*this)),
       PeerServer(serverLimits(Local), &this->Forwarding, Time,
                  static_cast<RequestHandler &>(*this)) {}
@@ -111,9 +111,9 @@
   }
   const RequestNumber Number = std::get<RequestNumber>(Admission);
   auto Exchange = std::make_unique<ProxyExchange>(
-      Message, std::move(Head), this->Local.MaxBodyBytes, this->Session.get(), this->Forwarding,
-      this->Time, static_cast<ExchangeListener &>(*this));
-  Exchange->setNumber(Number);
+      Number, this->Local.Vm.str() + "-" + std::to_string(Number), Message, std::move(Head),
+      this->Local.MaxBodyBytes, this->Connections, this->Forwarding, this->Time,
+      static_cast<ExchangeListener &>(*this));
   if (BodyFollows) {
     Exchange->streamBody();
   }
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -7,6 +7,7 @@
 #include "transport/GlibPointers.h"
 #include "transport/ProxyExchange.h"
 #include "transport/RequestServer.h"
+#include "transport/TargetConnections.h"
 
 #include <functional>
 #include <map>
@@ -66,7 +67,7 @@
   const Clock &Time;
   EntryNode Node;
   AuditTrail Audit;
-  GObjectPointer<SoupSession> Session;
+  TargetConnections Connections;
   ForwardHeaders Forwarding;
   GObjectPointer<SoupServer> AdminServer;
   RequestServer CallerServer;
--- a/src/libs/transport/ProxyExchange.cpp
+++ b/src/libs/transport/ProxyExchange.cpp
@@ -1,9 +1,9 @@
 #include "transport/ProxyExchange.h"
 
 #include "protocol/ForwardHeaders.h"
-#include "transport/AnswerHeaders.h"
 #include "transport/Clock.h"
 #include "transport/EarlyAnswer.h"
+#include "transport/ProxyHeaders.h"
 
 #include <algorithm>
 #include <chrono>
@@ -15,14 +15,16 @@
 namespace {
 /// Answers up to this length are passed on once they are complete: a target that fails within one
 /// then leads to a clear refusal instead of a closed connection, and fewer writes are needed.
-constexpr goffset MaxKeptAnswer = 65536;
+constexpr std::uint64_t MaxKeptAnswer = 65536;
 } // namespace
 
-ProxyExchange::ProxyExchange(SoupServerMessage *Caller, RequestHead Head, std::int64_t MaxBodyBytes,
-                             SoupSession *Session, const ForwardHeaders &Forwarding,
+ProxyExchange::ProxyExchange(RequestNumber Number, std::string RequestId, SoupServerMessage *Caller,
+                             RequestHead Head, std::int64_t MaxBodyBytes,
+                             TargetConnections &Connections, const ForwardHeaders &Forwarding,
                              const Clock &Time, ExchangeListener &Listener)
     : Caller(shareObject(Caller)), Head(std::move(Head)), MaxBodyBytes(MaxBodyBytes),
-      Session(Session), Forwarding(Forwarding), Time(Time), Listener(Listener) {
+      Connections(Connections), Forwarding(Forwarding), Time(Time), Listener(Listener),
+      Number(Number), RequestId(std::move(RequestId)) {
   g_signal_connect(Caller, "wrote-chunk", G_CALLBACK(onChunkWritten), this);
   g_signal_connect(Caller, "finished", G_CALLBACK(onCallerFinished), this);
 }
@@ -39,107 +41,85 @@
 }
 
 void ProxyExchange::startAttempt(const StartAttempt &Attempt) {
-  GObjectPointer<SoupMessage> Message = this->newMessage(Attempt.Destination, Attempt.Deadline);
-  this->startCall(std::move(Message), Attempt.Deadline, false);
+  this->Forwarded = false;
+  this->startCall(Attempt.Destination, Attempt.Deadline, {});
 }
 
 void ProxyExchange::startForward(const StartForward &Forward) {
-  GObjectPointer<SoupMessage> Message = this->newMessage(Forward.Destination, Forward.Deadline);
-  SoupMessageHeaders *Headers = soup_message_get_request_headers(Message.get());
-  soup_message_headers_replace(Headers, ForwardHeaders::MarkName,
-                               ForwardHeaders::formatMark(Forward.Mark).c_str());
-  soup_message_headers_replace(Headers, ForwardHeaders::SealName,
-                               this->Forwarding.formatSeal(Forward.Mark, this->Head).c_str());
-  this->startCall(std::move(Message), Forward.Deadline, true);
+  this->Forwarded = true;
+  this->startCall(
+      Forward.Destination, Forward.Deadline,
+      {{ForwardHeaders::MarkName, ForwardHeaders::formatMark(Forward.Mark)},
+       {ForwardHeaders::SealName, this->Forwarding.formatSeal(Forward.Mark, this->Head)}});
 }
 
-GObjectPointer<SoupMessage> ProxyExchange::newMessage(const Endpoint &Destination,
-                                                      TimePoint Deadline) {
-  GUri *Original = soup_server_message_get_uri(this->Caller.get());
-  GUri *Uri =
-      g_uri_build(G_URI_FLAGS_ENCODED, "http", nullptr, Destination.Address.c_str(),
-                  Destination.Port, g_uri_get_path(Original), g_uri_get_query(Original), nullptr);
-  GObjectPointer<SoupMessage> Message(
-      soup_message_new_from_uri(soup_server_message_get_method(this->Caller.get()), Uri));
-  g_uri_unref(Uri);
-  SoupMessageHeaders *Headers = soup_message_get_request_headers(Message.get());
-  copyEndToEndHeaders(soup_server_message_get_request_headers(this->Caller.get()), Headers, false);
-  soup_message_headers_remove(Headers, "Authorization");
-  const auto Left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Deadline - this->Time.now());
-  soup_message_headers_replace(
-      Headers, "Deadline-Ms",
-      std::to_string(std::max(Left, std::chrono::milliseconds(1)).count()).c_str());
-  soup_message_headers_replace(Headers, "Request-Id", std::to_string(this->Number).c_str());
-  return Message;
-}
-
-bool ProxyExchange::setBody(SoupMessage *Message) {
-  SoupMessageHeaders *From = soup_server_message_get_request_headers(this->Caller.get());
-  if (this->Body) {
-    if (!this->Body->isWhole()) {
-      return false;
-    }
-    const bool HasLength = soup_message_headers_get_encoding(From) == SOUP_ENCODING_CONTENT_LENGTH;
-    const GObjectPointer<GInputStream> Stream = this->Body->openStream();
-    soup_message_set_request_body(Message, nullptr, Stream.get(),
-                                  HasLength ? soup_message_headers_get_content_length(From) : -1);
-    return true;
-  }
-  SoupMessageBody *Whole = soup_server_message_get_request_body(this->Caller.get());
-  if (Whole->length > 0) {
-    const GBytesPointer Bytes(soup_message_body_flatten(Whole));
-    soup_message_set_request_body_from_bytes(Message, nullptr, Bytes.get());
-  } else if (soup_message_headers_get_one(From, "Content-Length")) {
-    soup_message_headers_set_content_length(soup_message_get_request_headers(Message), 0);
-  }
-  return true;
-}
-
-void ProxyExchange::startCall(GObjectPointer<SoupMessage> Message, TimePoint Deadline,
-                              bool Forward) {
-  const bool HasBody = this->setBody(Message.get());
+void ProxyExchange::startCall(const Endpoint &Destination, TimePoint Deadline,
+                              std::vector<HeaderField> Added) {
   this->Started = this->Time.now();
   this->FirstByte = Duration::zero();
   this->DeadlinePassed = false;
-  this->Forwarded = Forward;
   this->PeerOutcome.reset();
   this->Kept.clear();
-  this->Call = std::make_unique<TargetCall>(this->Session, std::move(Message),
+  this->Answer = AnswerHead();
+  const auto Left = std::max<std::int64_t>(
+      1, std::chrono::ceil<std::chrono::milliseconds>(Deadline - this->Started).count());
+  Added.emplace_back("Deadline-Ms", std::to_string(Left));
+  Added.emplace_back("Request-Id", this->RequestId);
+  TargetRequest Next;
+  Next.Destination = Destination;
+  Next.IsHead = this->Head.Method == "HEAD";
+  Next.Head = formatRequestHead(this->Caller.get(), Added);
+  this->setBody(Next);
+  this->Call = std::make_unique<TargetCall>(this->Connections, std::move(Next),
                                             static_cast<TargetCallListener &>(*this));
-  const auto Left = std::chrono::ceil<std::chrono::milliseconds>(Deadline - this->Started).count();
-  this->DeadlineTimer =
-      g_timeout_add(static_cast<guint>(std::max<std::int64_t>(1, Left)), onDeadline, this);
+  this->DeadlineTimer = g_timeout_add(static_cast<guint>(Left), onDeadline, this);
   this->watchCaller();
   this->Call->send();
-  if (!HasBody) {
-    // The stream was used up by an earlier attempt. Cancelled before it is sent.
-    this->Call->cancel();
+}
+
+void ProxyExchange::setBody(TargetRequest &Next) const {
+  SoupMessageHeaders *From = soup_server_message_get_request_headers(this->Caller.get());
+  if (this->Body) {
+    Next.Rest = this->Body.get();
+    Next.Chunked = soup_message_headers_get_encoding(From) == SOUP_ENCODING_CHUNKED;
+    Next.Head +=
+        Next.Chunked
+            ? "Transfer-Encoding: chunked\r\n\r\n"
+            : "Content-Length: " + std::to_string(soup_message_headers_get_content_length(From)) +
+                  "\r\n\r\n";
+    return;
+  }
+  SoupMessageBody *Whole = soup_server_message_get_request_body(this->Caller.get());
+  if (Whole->length > 0 || soup_message_headers_get_one(From, "Content-Length")) {
+    const GBytesPointer Bytes(soup_message_body_flatten(Whole));
+    gsize Size = 0;
+    const auto *Data = static_cast<const char *>(g_bytes_get_data(Bytes.get(), &Size));
+    Next.Body.assign(Data ? Data : "", Size);
+    Next.Head += "Content-Length: " + std::to_string(Size) + "\r\n";
   }
+  Next.Head += "\r\n";
 }
 
-void ProxyExchange::refuse(const Refusal &Answer) {
+void ProxyExchange::refuse(const Refusal &Refused) {
   if (this->Done) {
     return;
   }
   this->Answered = true;
-  if (this->Body && !this->Body->isComplete()) {
-    answerEarly(this->Caller.get(), Answer);
+  if (this->Body && !this->Body->isBodyComplete()) {
+    answerEarly(this->Caller.get(), Refused);
     return;
   }
-  writeRefusal(this->Caller.get(), Answer);
+  writeRefusal(this->Caller.get(), Refused);
   soup_server_message_unpause(this->Caller.get());
 }
 
-void ProxyExchange::onCallHead() {
-  SoupMessage *Message = this->Call->message();
-  SoupMessageHeaders *Headers = soup_message_get_response_headers(Message);
+void ProxyExchange::onCallHead(const AnswerHead &Received) {
+  this->Answer = Received;
   this->FirstByte = this->Time.now() - this->Started;
   if (this->Forwarded) {
-    this->PeerOutcome = refusalOutcome(Headers);
-  } else if (!this->Listener.onAnswerHead(
-                 this->Number, static_cast<int>(soup_message_get_status(Message)),
-                 soup_message_headers_get_one(Headers, "Retry-After") != nullptr)) {
+    this->PeerOutcome = refusalOutcome(Received);
+  } else if (!this->Listener.onAnswerHead(this->Number, Received.Status,
+                                          !Received.field("Retry-After").empty())) {
     this->endAttempt(AttemptOutcome::Shed);
     return;
   }
@@ -153,74 +133,74 @@
 }
 
 bool ProxyExchange::keepsAnswer() const {
-  SoupMessageHeaders *Headers = soup_message_get_response_headers(this->Call->message());
-  const guint Status = soup_message_get_status(this->Call->message());
-  const bool NoBody = Status == SOUP_STATUS_NO_CONTENT || Status == SOUP_STATUS_NOT_MODIFIED ||
-                      this->Head.Method == "HEAD";
-  return NoBody || (soup_message_headers_get_encoding(Headers) == SOUP_ENCODING_CONTENT_LENGTH &&
-                    soup_message_headers_get_content_length(Headers) <= MaxKeptAnswer);
+  return this->Answer.Framing == BodyFraming::None ||
+         (this->Answer.Framing == BodyFraming::Length && *this->Answer.Length <= MaxKeptAnswer);
 }
 
 void ProxyExchange::setAnswerHead() {
-  SoupMessage *Message = this->Call->message();
-  soup_server_message_set_status(this->Caller.get(), soup_message_get_status(Message),
-                                 soup_message_get_reason_phrase(Message));
-  copyEndToEndHeaders(soup_message_get_response_headers(Message),
-                      soup_server_message_get_response_headers(this->Caller.get()),
-                      this->Forwarded);
+  soup_server_message_set_status(this->Caller.get(), static_cast<guint>(this->Answer.Status),
+                                 this->Answer.Reason.c_str());
+  copyAnswerHeaders(this->Answer, soup_server_message_get_response_headers(this->Caller.get()),
+                    this->Forwarded);
 }
 
 void ProxyExchange::setAnswerEncoding() {
-  SoupMessageHeaders *From = soup_message_get_response_headers(this->Call->message());
   SoupMessageHeaders *To = soup_server_message_get_response_headers(this->Caller.get());
   soup_message_body_set_accumulate(soup_server_message_get_response_body(this->Caller.get()),
                                    FALSE);
-  if (soup_message_headers_get_encoding(From) == SOUP_ENCODING_CONTENT_LENGTH) {
-    soup_message_headers_set_content_length(To, soup_message_headers_get_content_length(From));
+  if (this->Answer.Framing == BodyFraming::Length) {
+    soup_message_headers_set_content_length(To, static_cast<goffset>(*this->Answer.Length));
     return;
   }
   // An answer that ends with the connection must not be given an end mark that the target did not
   // send.
-  this->ResetOnFailure = soup_message_headers_get_encoding(From) != SOUP_ENCODING_CHUNKED ||
+  this->ResetOnFailure = this->Answer.Framing == BodyFraming::UntilClose ||
                          soup_server_message_get_http_version(this->Caller.get()) == SOUP_HTTP_1_0;
   soup_message_headers_set_encoding(To, this->ResetOnFailure ? SOUP_ENCODING_EOF
                                                              : SOUP_ENCODING_CHUNKED);
 }
 
-void ProxyExchange::onCallBytes(GBytes *Bytes) {
-  SoupMessageBody *Answer = soup_server_message_get_response_body(this->Caller.get());
-  gsize Size = 0;
-  const auto *Data = static_cast<const char *>(g_bytes_get_data(Bytes, &Size));
-  if (this->AnswerStarted && Size > 0) {
+void ProxyExchange::onCallBytes(std::string Bytes, bool IsEnd) {
+  if (!this->AnswerStarted) {
+    this->Kept += Bytes;
+    if (!IsEnd) {
+      this->Call->readMore();
+      return;
+    }
+    this->finishKeptAnswer();
+    this->endAttempt(AttemptOutcome::Succeeded);
+    return;
+  }
+  SoupMessageBody *To = soup_server_message_get_response_body(this->Caller.get());
+  if (!Bytes.empty()) {
     // The next read waits for wrote-chunk, so that a slow caller slows the target instead of
     // filling memory.
-    soup_message_body_append_bytes(Answer, Bytes);
-    soup_server_message_unpause(this->Caller.get());
-    return;
+    soup_message_body_append(To, SOUP_MEMORY_COPY, Bytes.data(), Bytes.size());
   }
-  if (Size > 0) {
-    this->Kept.append(Data, Size);
-    this->Call->readMore();
-    return;
+  if (IsEnd) {
+    soup_message_body_complete(To);
   }
-  if (!this->AnswerStarted) {
-    this->Answered = true;
-    this->setAnswerHead();
-    SoupMessageHeaders *From = soup_message_get_response_headers(this->Call->message());
-    SoupMessageHeaders *To = soup_server_message_get_response_headers(this->Caller.get());
-    if (!this->Kept.empty()) {
-      soup_message_body_append(Answer, SOUP_MEMORY_COPY, this->Kept.data(), this->Kept.size());
-    }
-    // The length of an answer to HEAD is that of the body it stands for.
-    const char *Length = soup_message_headers_get_one(From, "Content-Length");
-    const guint Status = soup_message_get_status(this->Call->message());
-    if (Length && Status != SOUP_STATUS_NO_CONTENT) {
-      soup_message_headers_replace(To, "Content-Length", Length);
-    }
+  soup_server_message_unpause(this->Caller.get());
+  if (IsEnd) {
+    this->endAttempt(AttemptOutcome::Succeeded);
+  }
+}
+
+void ProxyExchange::finishKeptAnswer() {
+  this->Answered = true;
+  this->setAnswerHead();
+  SoupMessageBody *To = soup_server_message_get_response_body(this->Caller.get());
+  if (!this->Kept.empty()) {
+    soup_message_body_append(To, SOUP_MEMORY_COPY, this->Kept.data(), this->Kept.size());
+  }
+  soup_message_body_complete(To);
+  // The length in an answer to HEAD is that of the body it stands for.
+  if (this->Answer.Length && this->Answer.Status != SOUP_STATUS_NO_CONTENT) {
+    soup_message_headers_set_content_length(
+        soup_server_message_get_response_headers(this->Caller.get()),
+        static_cast<goffset>(*this->Answer.Length));
   }
-  soup_message_body_complete(Answer);
   soup_server_message_unpause(this->Caller.get());
-  this->endAttempt(AttemptOutcome::Succeeded);
 }
 
 void ProxyExchange::onCallFailed(const std::string &) {
@@ -252,7 +232,7 @@
 
 void ProxyExchange::watchCaller() {
   // While the library reads the body it notices by itself that the caller left.
-  if (this->Watch || (this->Body && !this->Body->isComplete())) {
+  if (this->Watch || (this->Body && !this->Body->isBodyComplete())) {
     return;
   }
   this->Watch =
@@ -282,15 +262,15 @@
 }
 
 void ProxyExchange::onBodyTooLarge() {
-  Refusal Answer;
-  Answer.Status = SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
-  Answer.Reason = "the request body is too large";
-  const GObjectPointer<SoupServerMessage> Held = shareObject(this->Caller.get());
+  Refusal Refused;
+  Refused.Status = SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
+  Refused.Reason = "the request body is too large";
   if (this->Call && this->Call->isSent()) {
-    Answer.Outcome = RunOutcome::Unknown;
+    Refused.Outcome = RunOutcome::Unknown;
   }
+  const GObjectPointer<SoupServerMessage> Held = shareObject(this->Caller.get());
   this->endExchange();
-  answerEarly(Held.get(), Answer);
+  answerEarly(Held.get(), Refused);
 }
 
 gboolean ProxyExchange::onDeadline(gpointer Data) {
@@ -308,7 +288,7 @@
   Report.Outcome = Outcome;
   Report.Sent = Ended->isSent();
   Report.AnswerStarted = this->AnswerStarted;
-  Report.Status = static_cast<int>(soup_message_get_status(Ended->message()));
+  Report.Status = Ended->status();
   Report.FirstByte = this->FirstByte;
   Report.Total = this->Time.now() - this->Started;
   Report.PeerOutcome = this->PeerOutcome;
--- a/src/libs/transport/ProxyExchange.h
+++ b/src/libs/transport/ProxyExchange.h
@@ -6,11 +6,13 @@
 #include "transport/CallerBody.h"
 #include "transport/CallerWatch.h"
 #include "transport/GlibPointers.h"
+#include "transport/ProxyHeaders.h"
 #include "transport/TargetCall.h"
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <libsoup/soup.h>
 
@@ -18,6 +20,7 @@
 
 class Clock;
 class ForwardHeaders;
+class TargetConnections;
 
 /// What an exchange reports of its request.
 class ExchangeListener {
@@ -37,18 +40,17 @@
 /// back. Not thread-safe.
 class ProxyExchange final : private TargetCallListener {
 public:
-  /// `Body` is null if the library has read the whole body; it is passed on while it arrives
-  /// otherwise. Precondition: session, clock, forward headers and listener outlive the exchange.
-  ProxyExchange(SoupServerMessage *Caller, RequestHead Head, std::int64_t MaxBodyBytes,
-                SoupSession *Session, const ForwardHeaders &Forwarding, const Clock &Time,
-                ExchangeListener &Listener);
+  /// `RequestId` goes to the target. The whole body has been read, unless streamBody() follows.
+  /// Precondition: connections, clock, forward headers and listener outlive the exchange.
+  ProxyExchange(RequestNumber Number, std::string RequestId, SoupServerMessage *Caller,
+                RequestHead Head, std::int64_t MaxBodyBytes, TargetConnections &Connections,
+                const ForwardHeaders &Forwarding, const Clock &Time, ExchangeListener &Listener);
   ~ProxyExchange() override;
   ProxyExchange(const ProxyExchange &) = delete;
   ProxyExchange &operator=(const ProxyExchange &) = delete;
 
   /// Passes the body on while it arrives. Precondition: the body has not arrived yet.
   void streamBody();
-  void setNumber(RequestNumber Request) { this->Number = Request; }
   /// Precondition: no attempt is running and no answer has started.
   void startAttempt(const StartAttempt &Attempt);
   /// Precondition: as startAttempt().
@@ -62,16 +64,16 @@
   static void onBodyRead(SoupServerMessage *Message, gpointer Data);
   static gboolean onDeadline(gpointer Data);
 
-  void onCallHead() override;
-  void onCallBytes(GBytes *Bytes) override;
+  void onCallHead(const AnswerHead &Head) override;
+  void onCallBytes(std::string Bytes, bool IsEnd) override;
   void onCallFailed(const std::string &Reason) override;
 
-  GObjectPointer<SoupMessage> newMessage(const Endpoint &Destination, TimePoint Deadline);
-  void startCall(GObjectPointer<SoupMessage> Message, TimePoint Deadline, bool Forward);
-  bool setBody(SoupMessage *Message);
+  void startCall(const Endpoint &Destination, TimePoint Deadline, std::vector<HeaderField> Added);
+  void setBody(TargetRequest &Next) const;
   bool keepsAnswer() const;
   void setAnswerHead();
   void setAnswerEncoding();
+  void finishKeptAnswer();
   void endAttempt(AttemptOutcome Outcome);
   void watchCaller();
   void onBodyTooLarge();
@@ -80,11 +82,12 @@
   GObjectPointer<SoupServerMessage> Caller;
   RequestHead Head;
   std::int64_t MaxBodyBytes;
-  SoupSession *Session;
+  TargetConnections &Connections;
   const ForwardHeaders &Forwarding;
   const Clock &Time;
   ExchangeListener &Listener;
-  RequestNumber Number = 0;
+  RequestNumber Number;
+  std::string RequestId;
   std::unique_ptr<CallerBody> Body;
   std::unique_ptr<CallerWatch> Watch;
 
@@ -94,6 +97,7 @@
   Duration FirstByte{0};
   bool DeadlinePassed = false;
   bool Forwarded = false;
+  AnswerHead Answer;
   bool ResetOnFailure = false;
   std::optional<RunOutcome> PeerOutcome;
   /// A short answer, kept until it is complete.
--- a/src/libs/transport/AnswerHeaders.cpp
+++ b/src/libs/transport/ProxyHeaders.cpp
@@ -1,4 +1,4 @@
-#include "transport/AnswerHeaders.h"
+#include "transport/ProxyHeaders.h"
 
 #include <algorithm>
 #include <array>
@@ -31,9 +31,29 @@
          g_ascii_strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
 }
 
-bool isHopHeader(std::string_view Name) {
-  return std::ranges::any_of(HopHeaders,
-                             [Name](std::string_view Hop) { return equalsName(Name, Hop); });
+/// `Connection` is the value of the Connection header, which names further headers of the
+/// connection; may be null.
+bool isHopHeader(std::string_view Name, const char *Connection) {
+  if (std::ranges::any_of(HopHeaders,
+                          [Name](std::string_view Hop) { return equalsName(Name, Hop); })) {
+    return true;
+  }
+  return Connection && *Connection && soup_header_contains(Connection, std::string(Name).c_str());
+}
+
+bool isOwnHeader(std::string_view Name) {
+  return equalsName(Name.substr(0, OwnPrefix.size()), OwnPrefix);
+}
+
+void appendField(std::string &Text, std::string_view Name, std::string_view Value) {
+  // The library joins folded lines; a line end that is left would start another header.
+  if (Value.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos) {
+    return;
+  }
+  Text += Name;
+  Text += ": ";
+  Text += Value;
+  Text += "\r\n";
 }
 
 } // namespace
@@ -43,16 +63,41 @@
   return Value ? Value : std::string_view();
 }
 
-void copyEndToEndHeaders(SoupMessageHeaders *From, SoupMessageHeaders *To, bool KeepOwn) {
+std::string formatRequestHead(SoupServerMessage *Caller, const std::vector<HeaderField> &Added) {
+  GUri *Uri = soup_server_message_get_uri(Caller);
+  std::string Result = soup_server_message_get_method(Caller);
+  Result += ' ';
+  Result += g_uri_get_path(Uri);
+  if (const char *Query = g_uri_get_query(Uri)) {
+    Result += '?';
+    Result += Query;
+  }
+  Result += " HTTP/1.1\r\n";
+  SoupMessageHeaders *From = soup_server_message_get_request_headers(Caller);
+  const char *Connection = soup_message_headers_get_list(From, "Connection");
   SoupMessageHeadersIter Next;
   soup_message_headers_iter_init(&Next, From);
   const char *Name = nullptr;
   const char *Value = nullptr;
   while (soup_message_headers_iter_next(&Next, &Name, &Value)) {
-    const bool Own = equalsName(std::string_view(Name).substr(0, OwnPrefix.size()), OwnPrefix);
-    if (!isHopHeader(Name) && (KeepOwn || !Own) &&
-        !soup_message_headers_header_contains(From, "Connection", Name)) {
-      soup_message_headers_append(To, Name, Value);
+    const bool Replaced = std::ranges::any_of(
+        Added, [Name](const HeaderField &Each) { return equalsName(Name, Each.first); });
+    if (!Replaced && !equalsName(Name, "Authorization") && !isOwnHeader(Name) &&
+        !isHopHeader(Name, Connection)) {
+      appendField(Result, Name, Value);
+    }
+  }
+  for (const auto &[AddedName, AddedValue] : Added) {
+    appendField(Result, AddedName, AddedValue);
+  }
+  return Result;
+}
+
+void copyAnswerHeaders(const AnswerHead &From, SoupMessageHeaders *To, bool KeepOwn) {
+  const std::string Connection(From.field("Connection"));
+  for (const auto &[Name, Value] : From.Fields) {
+    if (!isHopHeader(Name, Connection.c_str()) && (KeepOwn || !isOwnHeader(Name))) {
+      soup_message_headers_append(To, Name.c_str(), Value.c_str());
     }
   }
 }
@@ -85,8 +130,8 @@
                                    Text.size());
 }
 
-std::optional<RunOutcome> refusalOutcome(SoupMessageHeaders *Headers) {
-  const std::string_view Value = headerValue(Headers, OutcomeName);
+std::optional<RunOutcome> refusalOutcome(const AnswerHead &Answer) {
+  const std::string_view Value = Answer.field(OutcomeName);
   if (Value.empty()) {
     return std::nullopt;
   }
--- a/src/libs/transport/RequestServer.cpp
+++ b/src/libs/transport/RequestServer.cpp
@@ -1,9 +1,9 @@
 #include "transport/RequestServer.h"
 
 #include "protocol/ForwardHeaders.h"
-#include "transport/AnswerHeaders.h"
 #include "transport/Clock.h"
 #include "transport/EarlyAnswer.h"
+#include "transport/ProxyHeaders.h"
 
 #include <algorithm>
 #include <chrono>
@@ -64,6 +64,13 @@
   return false;
 }
 
+/// The target goes into a request line as it is.
+bool isPrintable(const char *Text) {
+  return !Text || std::ranges::all_of(std::string_view(Text), [](char Each) {
+    return g_ascii_isgraph(Each) || static_cast<unsigned char>(Each) >= 0x80;
+  });
+}
+
 bool hasBody(SoupServerMessage *Message) {
   SoupMessageHeaders *Headers = soup_server_message_get_request_headers(Message);
   return soup_message_headers_get_encoding(Headers) == SOUP_ENCODING_CHUNKED ||
@@ -132,7 +139,8 @@
   GUri *Uri = soup_server_message_get_uri(Message);
   Head.Method = soup_server_message_get_method(Message);
   const std::unique_ptr<char, GFree> Path(g_uri_unescape_string(g_uri_get_path(Uri), nullptr));
-  if (!Path || Head.Method == "CONNECT" || *Path.get() != '/' || hasDotSegment(Path.get())) {
+  if (!Path || !isPrintable(g_uri_get_path(Uri)) || !isPrintable(g_uri_get_query(Uri)) ||
+      Head.Method == "CONNECT" || *Path.get() != '/' || hasDotSegment(Path.get())) {
     return makeRefusal(400, "the request target is not a plain path");
   }
   Head.Path = Path.get();
