Guard the HTTP server against ambiguous requests and slow senders

Cause: libsoup 3.2.3 drops a message without its finished signal when the connection ends early, decodes and normalises the path of a request, and reads a whole body before it sends a refusal.

Percent encoding of a slash in a path is not kept.

--- a/src/libs/transport/EarlyAnswer.cpp
+++ b/src/libs/transport/EarlyAnswer.cpp
@@ -43,8 +43,9 @@
 /// Sends the answer on the connection, then discards input until the caller closes. Owns itself.
 class ClosingConnection {
 public:
-  explicit ClosingConnection(GObjectPointer<GIOStream> Stream, std::string Text)
-      : Stream(std::move(Stream)), Text(std::move(Text)) {
+  ClosingConnection(GObjectPointer<GIOStream> Stream, GObjectPointer<GSocket> Socket,
+                    std::string Text)
+      : Stream(std::move(Stream)), Socket(std::move(Socket)), Text(std::move(Text)) {
     this->Timer = g_timeout_add_seconds(LingerSeconds, onTimeout, this);
     g_output_stream_write_all_async(g_io_stream_get_output_stream(this->Stream.get()),
                                     this->Text.data(), this->Text.size(), G_PRIORITY_DEFAULT,
@@ -63,10 +64,7 @@
       delete Self;
       return;
     }
-    if (G_IS_SOCKET_CONNECTION(Self->Stream.get())) {
-      g_socket_shutdown(g_socket_connection_get_socket(G_SOCKET_CONNECTION(Self->Stream.get())),
-                        FALSE, TRUE, nullptr);
-    }
+    g_socket_shutdown(Self->Socket.get(), FALSE, TRUE, nullptr);
     Self->discard();
   }
 
@@ -95,6 +93,7 @@
   }
 
   GObjectPointer<GIOStream> Stream;
+  GObjectPointer<GSocket> Socket;
   GObjectPointer<GCancellable> Cancel{g_cancellable_new()};
   std::string Text;
   std::array<char, 65536> Buffer{};
@@ -113,9 +112,10 @@
     SoupServerMessage *Caller = Self->Caller.get();
     g_signal_handlers_disconnect_by_data(Caller, Self.get());
     std::string Text = formatAnswer(Caller);
+    GObjectPointer<GSocket> Socket = shareObject(soup_server_message_get_socket(Caller));
     GObjectPointer<GIOStream> Stream(soup_server_message_steal_connection(Caller));
     if (Stream) {
-      new ClosingConnection(std::move(Stream), std::move(Text));
+      new ClosingConnection(std::move(Stream), std::move(Socket), std::move(Text));
     }
     return G_SOURCE_REMOVE;
   }
--- a/src/libs/transport/ProxyExchange.cpp
+++ b/src/libs/transport/ProxyExchange.cpp
@@ -27,6 +27,7 @@
       Number(Number), RequestId(std::move(RequestId)) {
   g_signal_connect(Caller, "wrote-chunk", G_CALLBACK(onChunkWritten), this);
   g_signal_connect(Caller, "finished", G_CALLBACK(onCallerFinished), this);
+  g_signal_connect(Caller, "disconnected", G_CALLBACK(onCallerFinished), this);
 }
 
 ProxyExchange::~ProxyExchange() {
--- a/src/libs/transport/ProxyHeaders.cpp
+++ b/src/libs/transport/ProxyHeaders.cpp
@@ -1,8 +1,11 @@
 #include "transport/ProxyHeaders.h"
 
+#include "transport/GlibPointers.h"
+
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <memory>
 
 #include <nlohmann/json.hpp>
 
@@ -67,7 +70,10 @@
   GUri *Uri = soup_server_message_get_uri(Caller);
   std::string Result = soup_server_message_get_method(Caller);
   Result += ' ';
-  Result += g_uri_get_path(Uri);
+  // The library has decoded the path. What is sent is what was routed.
+  const std::unique_ptr<char, GFree> Path(
+      g_uri_escape_string(g_uri_get_path(Uri), "/!$&'()*+,;=:@", FALSE));
+  Result += Path.get();
   if (const char *Query = g_uri_get_query(Uri)) {
     Result += '?';
     Result += Query;
--- a/src/libs/transport/RequestServer.cpp
+++ b/src/libs/transport/RequestServer.cpp
@@ -64,17 +64,19 @@
   return false;
 }
 
-/// The target goes into a request line as it is.
+/// The query goes into a request line as it is.
 bool isPrintable(const char *Text) {
   return !Text || std::ranges::all_of(std::string_view(Text), [](char Each) {
     return g_ascii_isgraph(Each) || static_cast<unsigned char>(Each) >= 0x80;
   });
 }
 
+/// True if a body follows the headers, or something that may be taken for one.
 bool hasBody(SoupServerMessage *Message) {
   SoupMessageHeaders *Headers = soup_server_message_get_request_headers(Message);
-  return soup_message_headers_get_encoding(Headers) == SOUP_ENCODING_CHUNKED ||
-         soup_message_headers_get_content_length(Headers) > 0;
+  const char *Length = soup_message_headers_get_list(Headers, "Content-Length");
+  return soup_message_headers_get_list(Headers, "Transfer-Encoding") ||
+         (Length && std::string_view(Length) != "0");
 }
 
 } // namespace
@@ -97,6 +99,7 @@
   g_signal_handlers_disconnect_by_data(this->Server.get(), this);
   for (const auto &[Message, Each] : this->Requests) {
     g_signal_handlers_disconnect_by_data(Message, this);
+    g_object_weak_unref(G_OBJECT(Message), onDestroyed, this);
   }
   soup_server_disconnect(this->Server.get());
 }
@@ -125,25 +128,34 @@
   auto &Self = *static_cast<RequestServer *>(Data);
   Self.Requests[Message].Expiry = Self.Time.now() + Self.Limits.HeadWait;
   g_signal_connect(Message, "finished", G_CALLBACK(onFinished), &Self);
+  // The library drops a message without "finished" if its connection ends before a request.
+  g_object_weak_ref(G_OBJECT(Message), onDestroyed, &Self);
 }
 
 void RequestServer::onFinished(SoupServerMessage *Message, gpointer Data) {
   auto &Self = *static_cast<RequestServer *>(Data);
   g_signal_handlers_disconnect_by_data(Message, Data);
+  g_object_weak_unref(G_OBJECT(Message), onDestroyed, Data);
   Self.Requests.erase(Message);
 }
 
+void RequestServer::onDestroyed(gpointer Data, GObject *Message) {
+  auto &Self = *static_cast<RequestServer *>(Data);
+  // Only the address is used; the object is gone.
+  Self.Requests.erase(reinterpret_cast<SoupServerMessage *>(Message));
+}
+
 std::optional<Refusal> RequestServer::readHead(SoupServerMessage *Message,
                                                RequestHead &Head) const {
   SoupMessageHeaders *Headers = soup_server_message_get_request_headers(Message);
   GUri *Uri = soup_server_message_get_uri(Message);
   Head.Method = soup_server_message_get_method(Message);
-  const std::unique_ptr<char, GFree> Path(g_uri_unescape_string(g_uri_get_path(Uri), nullptr));
-  if (!Path || !isPrintable(g_uri_get_path(Uri)) || !isPrintable(g_uri_get_query(Uri)) ||
-      Head.Method == "CONNECT" || *Path.get() != '/' || hasDotSegment(Path.get())) {
+  // The library has decoded the path; the query is as the caller sent it.
+  Head.Path = g_uri_get_path(Uri);
+  if (!Head.Path.starts_with('/') || hasDotSegment(Head.Path) ||
+      !isPrintable(g_uri_get_query(Uri)) || Head.Method == "CONNECT") {
     return makeRefusal(400, "the request target is not a plain path");
   }
-  Head.Path = Path.get();
   Head.Authorization = headerValue(Headers, "Authorization");
   Head.IdempotencyKey = headerValue(Headers, "Idempotency-Key");
   const std::string Patience(headerValue(Headers, "Deadline-Ms"));
--- a/src/libs/transport/RequestServer.h
+++ b/src/libs/transport/RequestServer.h
@@ -75,6 +75,7 @@
 
   static void onStarted(SoupServer *Server, SoupServerMessage *Message, gpointer Data);
   static void onFinished(SoupServerMessage *Message, gpointer Data);
+  static void onDestroyed(gpointer Data, GObject *Message);
   static void onHeaders(SoupServer *Server, SoupServerMessage *Message, const char *Path,
                         GHashTable *Query, gpointer Data);
   static void onOwnHeaders(SoupServer *Server, SoupServerMessage *Message, const char *Path,
