Stream bodies with back-pressure and cancel for callers that left

Cause: the library reads no socket of a paused message, so a caller that left kept its slot; it writes the last chunk of a truncated answer when a connection is taken from it; it takes the end of the connection between two chunks of an upload for the end of the body.

Change: CallerWatch peeks at the socket; a truncated answer closes the socket before the library can end it; CallerBody refuses truncated uploads.

--- a/src/libs/transport/CallerBody.h
+++ b/src/libs/transport/CallerBody.h
@@ -15,10 +15,13 @@
 /// while 64 KB wait to be sent. Not thread-safe.
 class CallerBody final : public BodySource {
 public:
-  /// Reads the body of `Caller` from now on; `OnTooLarge` is called once when it exceeds
-  /// `MaxBytes` and may destroy this object. Precondition: the headers have arrived, the body not
-  /// yet.
-  CallerBody(SoupServerMessage *Caller, std::int64_t MaxBytes, std::function<void()> OnTooLarge);
+  enum class Problem { TooLarge, Truncated };
+
+  /// Reads the body of `Caller` from now on; `OnProblem` is called at most once, when the body
+  /// exceeds `MaxBytes` or the connection ends within it, and may destroy this object.
+  /// Precondition: the headers have arrived, the body not yet.
+  CallerBody(SoupServerMessage *Caller, std::int64_t MaxBytes,
+             std::function<void(Problem)> OnProblem);
   ~CallerBody() override;
   CallerBody(const CallerBody &) = delete;
   CallerBody &operator=(const CallerBody &) = delete;
@@ -31,11 +34,12 @@
 
 private:
   static void onChunk(SoupServerMessage *Caller, GBytes *Bytes, gpointer Data);
+  void report(Problem What);
   static void onBodyEnd(SoupServerMessage *Caller, gpointer Data);
 
   GObjectPointer<SoupServerMessage> Caller;
   std::int64_t MaxBytes;
-  std::function<void()> OnTooLarge;
+  std::function<void(Problem)> OnProblem;
   std::function<void()> OnMore;
   std::string Waiting;
   std::int64_t Received = 0;
--- a/src/libs/transport/CallerWatch.cpp
+++ b/src/libs/transport/CallerWatch.cpp
@@ -1,11 +1,18 @@
 #include "transport/CallerWatch.h"
 
+#include <cerrno>
 #include <utility>
 
 #include <sys/socket.h>
 
 namespace anvilsaddle {
 
+bool isAtEnd(GSocket *Socket) {
+  char Byte = 0;
+  const ssize_t Count = recv(g_socket_get_fd(Socket), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 CallerWatch::CallerWatch(GSocket *Socket, std::function<void()> OnGone)
     : OnGone(std::move(OnGone)), Source(g_socket_create_source(Socket, G_IO_IN, nullptr)) {
   g_source_set_callback(this->Source, G_SOURCE_FUNC(onReadable), this, nullptr);
@@ -19,15 +26,10 @@
 
 gboolean CallerWatch::onReadable(GSocket *Socket, GIOCondition, gpointer Data) {
   auto &Self = *static_cast<CallerWatch *>(Data);
-  char Byte = 0;
-  const ssize_t Count = recv(g_socket_get_fd(Socket), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // A pipelined request hides the end of the stream; the next write then finds the closed socket.
-  if (Count > 0) {
+  if (!isAtEnd(Socket)) {
     return G_SOURCE_REMOVE;
   }
-  if (Count < 0 && (errno == EAGAIN || errno == EINTR)) {
-    return G_SOURCE_CONTINUE;
-  }
   std::exchange(Self.OnGone, nullptr)();
   return G_SOURCE_REMOVE;
 }
--- a/src/libs/transport/CallerWatch.h
+++ b/src/libs/transport/CallerWatch.h
@@ -8,6 +8,9 @@
 
 namespace anvilsaddle {
 
+/// True if the other side has closed its sending side and nothing more waits to be read.
+bool isAtEnd(GSocket *Socket);
+
 /// Notices that a caller closed its connection while the HTTP library does not read from it. A
 /// caller that closes only its sending side counts as gone as well. Not thread-safe.
 class CallerWatch {
--- a/src/libs/transport/EarlyAnswer.cpp
+++ b/src/libs/transport/EarlyAnswer.cpp
@@ -138,15 +138,20 @@
 }
 
 void closeWithoutAnswer(SoupServerMessage *Caller, bool Reset) {
-  if (Reset) {
-    const linger Now = {1, 0};
-    setsockopt(g_socket_get_fd(soup_server_message_get_socket(Caller)), SOL_SOCKET, SO_LINGER, &Now,
-               sizeof(Now));
+  GSocket *Socket = soup_server_message_get_socket(Caller);
+  if (Socket) {
+    if (Reset) {
+      const linger Now = {1, 0};
+      setsockopt(g_socket_get_fd(Socket), SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+    }
+    // The library looks these up once, and warns if it cannot.
+    soup_server_message_get_local_address(Caller);
+    soup_server_message_get_remote_address(Caller);
+    // Closed first, because the library writes the last chunk of a chunked answer when it gives the
+    // connection away.
+    g_socket_close(Socket, nullptr);
   }
   const GObjectPointer<GIOStream> Connection(soup_server_message_steal_connection(Caller));
-  if (Connection) {
-    g_io_stream_close(Connection.get(), nullptr, nullptr);
-  }
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -112,11 +112,8 @@
   const RequestNumber Number = std::get<RequestNumber>(Admission);
   auto Exchange = std::make_unique<ProxyExchange>(
       Number, this->Local.Vm.str() + "-" + std::to_string(Number), Message, std::move(Head),
-      this->Local.MaxBodyBytes, this->Connections, this->Forwarding, this->Time,
+      BodyFollows, this->Local.MaxBodyBytes, this->Connections, this->Forwarding, this->Time,
       static_cast<ExchangeListener &>(*this));
-  if (BodyFollows) {
-    Exchange->streamBody();
-  }
   this->Exchanges.emplace(Number, std::move(Exchange));
   this->carryOutEffects();
   return std::nullopt;
--- a/src/libs/transport/ProxyExchange.cpp
+++ b/src/libs/transport/ProxyExchange.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 ProxyExchange::ProxyExchange(RequestNumber Number, std::string RequestId, SoupServerMessage *Caller,
-                             RequestHead Head, std::int64_t MaxBodyBytes,
+                             RequestHead Head, bool BodyFollows, std::int64_t MaxBodyBytes,
                              TargetConnections &Connections, const ForwardHeaders &Forwarding,
                              const Clock &Time, ExchangeListener &Listener)
     : Caller(shareObject(Caller)), Head(std::move(Head)), MaxBodyBytes(MaxBodyBytes),
@@ -28,6 +28,10 @@
   g_signal_connect(Caller, "wrote-chunk", G_CALLBACK(onChunkWritten), this);
   g_signal_connect(Caller, "finished", G_CALLBACK(onCallerFinished), this);
   g_signal_connect(Caller, "disconnected", G_CALLBACK(onCallerFinished), this);
+  if (BodyFollows) {
+    this->streamBody();
+  }
+  this->watchCaller();
 }
 
 ProxyExchange::~ProxyExchange() {
@@ -36,8 +40,9 @@
 }
 
 void ProxyExchange::streamBody() {
-  this->Body = std::make_unique<CallerBody>(this->Caller.get(), this->MaxBodyBytes,
-                                            [this] { this->onBodyTooLarge(); });
+  this->Body =
+      std::make_unique<CallerBody>(this->Caller.get(), this->MaxBodyBytes,
+                                   [this](CallerBody::Problem What) { this->onBodyProblem(What); });
   g_signal_connect(this->Caller.get(), "got-body", G_CALLBACK(onBodyRead), this);
 }
 
@@ -74,7 +79,6 @@
   this->Call = std::make_unique<TargetCall>(this->Connections, std::move(Next),
                                             static_cast<TargetCallListener &>(*this));
   this->DeadlineTimer = g_timeout_add(static_cast<guint>(Left), onDeadline, this);
-  this->watchCaller();
   this->Call->send();
 }
 
@@ -262,10 +266,11 @@
   this->Listener.onExchangeDone(this->Number);
 }
 
-void ProxyExchange::onBodyTooLarge() {
+void ProxyExchange::onBodyProblem(CallerBody::Problem What) {
+  const bool TooLarge = What == CallerBody::Problem::TooLarge;
   Refusal Refused;
-  Refused.Status = SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
-  Refused.Reason = "the request body is too large";
+  Refused.Status = TooLarge ? SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE : SOUP_STATUS_BAD_REQUEST;
+  Refused.Reason = TooLarge ? "the request body is too large" : "the request body is not complete";
   if (this->Call && this->Call->isSent()) {
     Refused.Outcome = RunOutcome::Unknown;
   }
--- a/src/libs/transport/ProxyExchange.h
+++ b/src/libs/transport/ProxyExchange.h
@@ -40,17 +40,17 @@
 /// back. Not thread-safe.
 class ProxyExchange final : private TargetCallListener {
 public:
-  /// `RequestId` goes to the target. The whole body has been read, unless streamBody() follows.
+  /// `RequestId` goes to the target. With `BodyFollows` the body has not arrived
+  /// yet and is passed on while it arrives; otherwise the whole body has been read.
   /// Precondition: connections, clock, forward headers and listener outlive the exchange.
   ProxyExchange(RequestNumber Number, std::string RequestId, SoupServerMessage *Caller,
-                RequestHead Head, std::int64_t MaxBodyBytes, TargetConnections &Connections,
-                const ForwardHeaders &Forwarding, const Clock &Time, ExchangeListener &Listener);
+                RequestHead Head, bool BodyFollows, std::int64_t MaxBodyBytes,
+                TargetConnections &Connections, const ForwardHeaders &Forwarding, const Clock &Time,
+                ExchangeListener &Listener);
   ~ProxyExchange() override;
   ProxyExchange(const ProxyExchange &) = delete;
   ProxyExchange &operator=(const ProxyExchange &) = delete;
 
-  /// Passes the body on while it arrives. Precondition: the body has not arrived yet.
-  void streamBody();
   /// Precondition: no attempt is running and no answer has started.
   void startAttempt(const StartAttempt &Attempt);
   /// Precondition: as startAttempt().
@@ -75,8 +75,9 @@
   void setAnswerEncoding();
   void finishKeptAnswer();
   void endAttempt(AttemptOutcome Outcome);
+  void streamBody();
   void watchCaller();
-  void onBodyTooLarge();
+  void onBodyProblem(CallerBody::Problem What);
   void endExchange();
 
   GObjectPointer<SoupServerMessage> Caller;
--- a/src/libs/transport/RequestServer.cpp
+++ b/src/libs/transport/RequestServer.cpp
@@ -230,6 +230,13 @@
   }
   if (!Refused && !Head.Replayable) {
     Request.Streamed = true;
+    if (soup_message_headers_get_encoding(soup_server_message_get_request_headers(Message)) ==
+        SOUP_ENCODING_CHUNKED) {
+      // The library takes a malformed chunk size for the end of the body; what follows must not be
+      // taken for a request.
+      soup_message_headers_replace(soup_server_message_get_response_headers(Message), "Connection",
+                                   "close");
+    }
     // The deadline of the request bounds the wait for the rest of the body.
     Request.Expiry.reset();
     Refused = Self.Handler.onRequest(Message, std::move(Head), true);
--- a/tests/auto/libs/transport/Loopback.h
+++ b/tests/auto/libs/transport/Loopback.h
@@ -8,9 +8,11 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <gio/gio.h>
+#include <sys/socket.h>
 
 namespace anvilsaddle {
 
@@ -77,7 +79,23 @@
     const gssize Count = g_socket_send(Socket, Text.data(), Text.size(), nullptr, nullptr);
     return Count > 0 ? static_cast<std::size_t>(Count) : 0;
   }
-  void close() { g_io_stream_close(G_IO_STREAM(this->Connection.get()), nullptr, nullptr); }
+  /// Stops reading, so that the other side meets full buffers.
+  void hold() { this->Holding = true; }
+  void release() {
+    this->Holding = false;
+    if (std::exchange(this->Waiting, false)) {
+      this->read();
+    }
+  }
+  /// Closes with a reset.
+  void reset() {
+    const linger Now = {1, 0};
+    setsockopt(g_socket_get_fd(g_socket_connection_get_socket(this->Connection.get())), SOL_SOCKET,
+               SO_LINGER, &Now, sizeof(Now));
+    this->close();
+  }
+  /// Works while a read is pending, unlike closing the stream.
+  void close() { g_socket_close(g_socket_connection_get_socket(this->Connection.get()), nullptr); }
 
   std::string Received;
   /// True once the other side closed, in order or by reset.
@@ -117,12 +135,18 @@
     if (Self.OnData) {
       Self.OnData();
     }
-    if (*Alive && !g_io_stream_is_closed(G_IO_STREAM(Self.Connection.get()))) {
+    if (*Alive && Self.Holding) {
+      Self.Waiting = true;
+      return;
+    }
+    if (*Alive && !g_socket_is_closed(g_socket_connection_get_socket(Self.Connection.get()))) {
       Self.read();
     }
   }
 
   GObjectPointer<GSocketConnection> Connection;
+  bool Holding = false;
+  bool Waiting = false;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/tests/auto/libs/transport/ProxyBench.h
+++ b/tests/auto/libs/transport/ProxyBench.h
@@ -28,10 +28,12 @@
 /// and a failed attempt is refused with 502.
 class ProxyBench final : public RequestHandler, public ExchangeListener {
 public:
-  explicit ProxyBench(std::uint16_t TargetPort, bool PeersOnly = false)
-      : TargetPort(TargetPort), Connections(this->Time), Forwarding(this->Seals) {
+  explicit ProxyBench(std::uint16_t TargetPort, bool PeersOnly = false,
+                      std::int64_t MaxBodyBytes = 1 << 20)
+      : TargetPort(TargetPort), MaxBodyBytes(MaxBodyBytes), Connections(this->Time),
+        Forwarding(this->Seals) {
     RequestServerLimits Limits;
-    Limits.MaxBodyBytes = 1 << 20;
+    Limits.MaxBodyBytes = MaxBodyBytes;
     Limits.Sweep = std::chrono::milliseconds(1);
     this->Server = std::make_unique<RequestServer>(Limits, PeersOnly ? &this->Forwarding : nullptr,
                                                    this->Time, *this);
@@ -51,12 +53,9 @@
                                    bool BodyFollows) override {
     const RequestNumber Number = ++this->Last;
     this->Heads.push_back(Head);
-    auto Next = std::make_unique<ProxyExchange>(Number, "bench-" + std::to_string(Number), Message,
-                                                Head, 1 << 20, this->Connections, this->Forwarding,
-                                                this->Time, *this);
-    if (BodyFollows) {
-      Next->streamBody();
-    }
+    auto Next = std::make_unique<ProxyExchange>(
+        Number, "bench-" + std::to_string(Number), Message, Head, BodyFollows, this->MaxBodyBytes,
+        this->Connections, this->Forwarding, this->Time, *this);
     ProxyExchange *Added = this->Exchanges.emplace(Number, std::move(Next)).first->second.get();
     if (this->Hold) {
       return std::nullopt;
@@ -100,6 +99,7 @@
 
   ManualClock Time;
   std::uint16_t TargetPort;
+  std::int64_t MaxBodyBytes;
   std::uint16_t Port = 0;
   bool Hold = false;
   Duration Patience = std::chrono::minutes(1);
