--- a/src/standins/target/main.cpp
+++ b/src/standins/target/main.cpp
@@ -12,8 +12,11 @@
   StandinTargetOptions Options;
   App.add_option("--address", Options.Address, "IP number to listen on");
   App.add_option("--port", Options.Port, "Port to listen on")->required();
-  App.add_option("--slots", Options.Slots, "Requests that run at once");
-  App.add_option("--service-ms", Options.ServiceMilliseconds, "Mean service time, milliseconds");
+  App.add_option("--slots", Options.Behaviour.Slots, "Requests that run at once");
+  App.add_option("--service-ms", Options.Behaviour.ServiceMilliseconds,
+                 "Mean service time, milliseconds");
+  App.add_option("--cold-answers", Options.Behaviour.ColdAnswers,
+                 "Answers at a concurrency of 1 that end the cold start");
   App.add_option("--seed", Options.Seed, "Seed of the service times");
   CLI11_PARSE(App, ArgumentCount, Arguments);
 
