--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -2,13 +2,17 @@
 
 #include "coordination/EntryNode.h"
 #include "protocol/DaemonSettings.h"
+#include "protocol/ForwardHeaders.h"
 #include "state/AuditTrail.h"
 #include "transport/GlibPointers.h"
 #include "transport/ProxyExchange.h"
+#include "transport/RequestServer.h"
+#include "transport/TargetConnections.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <libsoup/soup.h>
@@ -24,7 +28,7 @@
 
 /// Drives an EntryNode: turns HTTP requests and timers into events and carries out its effects on
 /// the thread-default GLib main context. Not thread-safe.
-class EntryRuntime final : private ExchangeListener {
+class EntryRuntime final : private ExchangeListener, private RequestHandler {
 public:
   /// Precondition: all references outlive the runtime.
   EntryRuntime(const DaemonSettings &Local, const Clock &Time, const SettingsParser &Parser,
@@ -40,21 +44,22 @@
   void stop(std::function<void()> OnDrained);
 
 private:
-  static void onRequestHead(SoupServer *Server, SoupServerMessage *Message, const char *Path,
-                            GHashTable *Query, gpointer Data);
-  static void onRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
-                        GHashTable *Query, gpointer Data);
   static void onEntriesRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
                                GHashTable *Query, gpointer Data);
   static void onAdminRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
                              GHashTable *Query, gpointer Data);
   static gboolean onTick(gpointer Data);
 
+  std::optional<Refusal> checkHead(const RequestHead &Head) override;
+  std::optional<Refusal> onRequest(SoupServerMessage *Message, RequestHead Head,
+                                   bool BodyFollows) override;
   bool onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter) override;
   void onAttemptEnd(RequestNumber Request, const AttemptReport &Report) override;
   void onCallerGone(RequestNumber Request) override;
   void onExchangeDone(RequestNumber Request) override;
 
+  /// Null if the request is over; its attempt then ends as cancelled.
+  ProxyExchange *exchangeForAttempt(RequestNumber Request);
   void carryOut(const Effect &Next);
   void carryOutEffects();
   void record(AuditEntry Entry);
@@ -64,10 +69,11 @@
   EntryIdentity Identity;
   EntryNode Node;
   AuditTrail Audit;
-  GObjectPointer<SoupSession> Session;
-  GObjectPointer<SoupServer> Server;
+  TargetConnections Connections;
+  ForwardHeaders Forwarding;
   GObjectPointer<SoupServer> AdminServer;
-  GObjectPointer<SoupServer> PeerServer;
+  RequestServer CallerServer;
+  RequestServer PeerServer;
   std::unique_ptr<PeerLink> Peers;
   std::unique_ptr<PlatformWatch> Platform;
   std::map<RequestNumber, std::unique_ptr<ProxyExchange>> Exchanges;
--- a/src/libs/transport/PeerLink.h
+++ b/src/libs/transport/PeerLink.h
@@ -11,10 +11,9 @@
 #include <set>
 #include <string>
 
-#include <libsoup/soup.h>
-
 namespace anvilsaddle {
 
+class RequestServer;
 class Sealer;
 class SettingsStore;
 
@@ -37,7 +36,7 @@
   /// Opens the UDP port. Returns an error text, empty on success.
   std::string start(const std::string &Address, std::uint16_t Port);
   /// Serves settings to other entries. Precondition: the link outlives the server.
-  void attach(SoupServer *Server) { this->SettingsServer.attach(Server); }
+  void attach(RequestServer &Server) { this->SettingsServer.attach(Server); }
 
   void send(const SendPeerMessage &Outgoing);
   void fetch(const FetchSettings &Wanted);
--- a/src/libs/transport/PeerSettingsServer.cpp
+++ b/src/libs/transport/PeerSettingsServer.cpp
@@ -2,13 +2,14 @@
 
 #include "coordination/Sealer.h"
 #include "state/SettingsStore.h"
+#include "transport/RequestServer.h"
 
 #include <nlohmann/json.hpp>
 
 namespace anvilsaddle {
 
-void PeerSettingsServer::attach(SoupServer *Server) {
-  soup_server_add_handler(Server, PeerSettingsPath, onRequest, this, nullptr);
+void PeerSettingsServer::attach(RequestServer &Server) {
+  Server.addHandler(PeerSettingsPath, onRequest, this);
 }
 
 void PeerSettingsServer::onRequest(SoupServer *, SoupServerMessage *Message, const char *Path,
--- a/src/libs/transport/PeerSettingsServer.h
+++ b/src/libs/transport/PeerSettingsServer.h
@@ -6,6 +6,7 @@
 
 namespace anvilsaddle {
 
+class RequestServer;
 class Sealer;
 class SettingsStore;
 
@@ -19,7 +20,7 @@
       : Settings(Settings), Seals(Seals) {}
 
   /// Adds the handlers. Precondition: this object outlives the server.
-  void attach(SoupServer *Server);
+  void attach(RequestServer &Server);
 
 private:
   static void onRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
