--- a/tests/auto/libs/coordination/tst_leases.cpp
+++ b/tests/auto/libs/coordination/tst_leases.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(grants);
   CPPUNIT_TEST(views);
   CPPUNIT_TEST(cession);
+  CPPUNIT_TEST(cessionIsWithheld);
   CPPUNIT_TEST(lessorPause);
   CPPUNIT_TEST(olderListOfStartingLessor);
   CPPUNIT_TEST(holder);
@@ -120,6 +121,11 @@
           {4100, ask("x", 1, 3), "granted/0"},
           {4200, give("x", 1, 2, 0), "none"},
           {4300, ask("y", 1, 1), "refused"}}},
+        {"a request that was overtaken by a later one does not make an older release valid",
+         {{4000, ask("x", 1, 3), "granted/0"},
+          {4100, ask("x", 1, 1), "refused"},
+          {4200, give("x", 1, 2, 0), "none"},
+          {4300, ask("y", 1, 1), "refused"}}},
         {"a request that was overtaken by its release is refused",
          {{4000, ask("x", 1, 1), "granted/0"},
           {4100, give("x", 1, 3, 1), "none"},
@@ -196,6 +202,40 @@
     CPPUNIT_ASSERT_EQUAL(std::string("granted/0"), answer(New, ask("x", 1, 7), at(92993)));
   }
 
+  /// Guards against a cession by an entry that does not know whether another one still grants.
+  void cessionIsWithheld() {
+    const VmName C("c");
+    const LessorInquiry FromC{C, {1, 0}, 2, {T}};
+    Lessor Unsure(identity(A), at(0));
+    Unsure.setView(ranked({A, B}), 1, at(0));
+    Unsure.onTick(at(0));
+    CPPUNIT_ASSERT_MESSAGE("B has not ceded to A", Unsure.onMessage(FromC, at(100)).empty());
+    Unsure.onMessage(LessorCession{B, {1, 0}, {1, 0}, {{T, Duration{0}}}}, at(200));
+    CPPUNIT_ASSERT(Unsure.onMessage(FromC, at(300)).size() == 1);
+
+    Lessor Newer(identity(A), at(0));
+    Newer.setView(ranked({A}), 3, at(0));
+    CPPUNIT_ASSERT_MESSAGE("C has the older list", Newer.onMessage(FromC, at(100)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("granted/0"), answer(Newer, ask("x", 1, 1), at(4000)));
+
+    Lessor Relisted(identity(A), at(0));
+    Relisted.setView(ranked({A}), 1, at(0));
+    const LessorInquiry Later{C, {1, 0}, 4, {T}};
+    CPPUNIT_ASSERT(Relisted.onMessage(Later, at(100)).size() == 1);
+    Relisted.setView({}, 2, at(200));
+    Relisted.setView(ranked({A}), 3, at(300));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the target was unlisted for a while", std::string("refused"),
+                                 answer(Relisted, ask("x", 1, 1), at(9000)));
+
+    Lessor Waiting(identity(A), at(0));
+    Waiting.setView(ranked({A, B}), 1, at(0));
+    Waiting.setView(ranked({A}), 2, at(9000));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("B may have granted until it left the list",
+                                 std::string("refused"),
+                                 answer(Waiting, ask("x", 1, 1), at(12149)));
+    CPPUNIT_ASSERT_EQUAL(std::string("granted/0"), answer(Waiting, ask("x", 1, 2), at(12150)));
+  }
+
   /// Guards against a lessor that trusts its records after a pause of the process.
   void lessorPause() {
     Lessor Grants(identity(A), at(0));
@@ -255,10 +295,23 @@
     Restarted.onMessage(Reply(First, 0), at(910));
     CPPUNIT_ASSERT_MESSAGE("a reply to an earlier run", Restarted.usable(at(910)).empty());
 
-    const auto Fifth = Leases.onTick(at(1100), {});
-    Leases.onTick(at(2101), {});
-    Leases.onMessage(Reply(Fifth, 0), at(2101));
-    CPPUNIT_ASSERT_MESSAGE("a reply from before a pause", Leases.usable(at(1101)).empty());
+    Leases.setWanted({}, at(950));
+    Leases.onTick(at(950), {});
+    Leases.setWanted(Wanted, at(960));
+    const auto Unwanted = Leases.onTick(at(960), {});
+    Leases.setWanted({}, at(970));
+    for (int Now = 970; Now <= 1570; Now += 300) {
+      Leases.onTick(at(Now), {});
+    }
+    Leases.onMessage(Reply(Unwanted, 0), at(1580));
+    CPPUNIT_ASSERT_MESSAGE(
+        "a grant of an unwanted target is released",
+        std::holds_alternative<LeaseRelease>(Leases.onTick(at(1580), {}).at(0).Message));
+    Leases.setWanted(Wanted, at(1600));
+    const auto Fifth = Leases.onTick(at(1600), {});
+    Leases.onTick(at(2601), {});
+    Leases.onMessage(Reply(Fifth, 0), at(2601));
+    CPPUNIT_ASSERT_MESSAGE("a reply from before a pause", Leases.usable(at(1601)).empty());
   }
 
   /// Guards against slots that stay reserved because one report was lost.
