Estimate the bulk wait from its measured start rate

Cause: at 120% load, bulk was admitted by the backlog over the whole rate, although interactive requests that arrive later precede it; it then expired. The ideal policy also scanned the whole queue at each event of a full system. Change: FairQueue counts bulk starts in windows of 250 ms; the ideal policy stops when no target is free.

--- a/benchmarks/decisionbench/IdealPolicy.cpp
+++ b/benchmarks/decisionbench/IdealPolicy.cpp
@@ -24,8 +24,13 @@
 
 std::vector<Assignment> IdealPolicy::assign(TimePoint Now) {
   std::vector<Assignment> Result;
-  while (const auto Request = this->Queue.popFirst(
-             [&](const QueuedRequest &Each) { return this->pick(Each, Now) != nullptr; })) {
+  // Without this, a full system would scan the whole queue at each event.
+  while (this->pick(QueuedRequest{}, Now)) {
+    const auto Request = this->Queue.popFirst(
+        [&](const QueuedRequest &Each) { return this->pick(Each, Now) != nullptr; }, Now);
+    if (!Request) {
+      break;
+    }
     const TargetName &Target = this->pick(*Request, Now)->name();
     ++this->Busy[Target];
     this->Running.insert_or_assign(Request->Number, Run{Target, Request->Customer});
--- a/src/libs/coordination/FairQueue.cpp
+++ b/src/libs/coordination/FairQueue.cpp
@@ -7,6 +7,8 @@
 namespace {
 /// Share of the starts that bulk gets while interactive requests wait too.
 constexpr double BulkShare = 0.1;
+/// Window over which the starts of a class are counted.
+constexpr double RateWindowSeconds = 0.25;
 
 void decrement(std::map<CustomerName, std::uint32_t> &Counts, const CustomerName &Customer) {
   const auto Found = Counts.find(Customer);
@@ -41,6 +43,9 @@
   Level &Owner = this->level(Request.Class);
   Flow &Queue = Owner.Flows[Request.Customer];
   Queue.Weight = std::max(Request.Weight, 1U);
+  if (Owner.Size == 0) {
+    Owner.CountedFrom = Now;
+  }
   if (Queue.Waiting.empty()) {
     Queue.Start = std::max(Owner.VirtualTime, Queue.Finish);
     Owner.Order.emplace(Queue.Start, Request.Customer);
@@ -55,7 +60,7 @@
 }
 
 std::optional<QueuedRequest>
-FairQueue::popFirst(const std::function<bool(const QueuedRequest &)> &Eligible) {
+FairQueue::popFirst(const std::function<bool(const QueuedRequest &)> &Eligible, TimePoint Now) {
   const bool BothWait = this->Levels[0].Size > 0 && this->Levels[1].Size > 0;
   const bool BulkFirst = BothWait && this->BulkCredit >= 1;
   const auto First = BulkFirst ? RequestClass::Bulk : RequestClass::Interactive;
@@ -73,9 +78,25 @@
     this->BulkCredit = std::min(1.0, this->BulkCredit + BulkShare);
   }
   ++this->Running[Result->Customer];
+  countStart(this->level(Result->Class), Now);
   return Result;
 }
 
+void FairQueue::countStart(Level &Owner, TimePoint Now) {
+  if (Owner.Size == 0) {
+    return;
+  }
+  ++Owner.Starts;
+  const double Seconds = std::chrono::duration<double>(Now - Owner.CountedFrom).count();
+  if (Seconds < RateWindowSeconds) {
+    return;
+  }
+  const double Rate = Owner.Starts / Seconds;
+  Owner.StartRate = Owner.StartRate > 0 ? (Owner.StartRate + Rate) / 2 : Rate;
+  Owner.Starts = 0;
+  Owner.CountedFrom = Now;
+}
+
 std::optional<QueuedRequest>
 FairQueue::popFrom(RequestClass Class, const std::function<bool(const QueuedRequest &)> &Eligible) {
   Level &Owner = this->level(Class);
@@ -153,17 +174,23 @@
   const bool Bulk = Request.Class == RequestClass::Bulk;
   const Level &Own = this->level(Request.Class);
   const Level &Other = this->level(Bulk ? RequestClass::Interactive : RequestClass::Bulk);
-  // The class waits for its own backlog at its share of the rate, or, if that is less, for all.
   const double ClassRate = Other.Size == 0 ? Rate : Rate * (Bulk ? BulkShare : 1 - BulkShare);
   const auto All = static_cast<double>(Own.Size + Other.Size);
-  double Wait = std::min(static_cast<double>(Own.Size) / ClassRate, All / Rate);
+  // Interactive requests that arrive later still precede bulk, so its measured rate counts, not the
+  // backlog alone.
+  const bool Measured = Bulk && Own.StartRate > 0;
+  const double OwnRate = Measured ? std::max(Own.StartRate, Rate * BulkShare) : ClassRate;
+  double Wait = static_cast<double>(Own.Size) / OwnRate;
+  if (!Measured) {
+    Wait = std::min(Wait, All / Rate);
+  }
   // A customer below its share waits for its own backlog only.
   const auto Found = Own.Flows.find(Request.Customer);
   const bool Backlogged = Found != Own.Flows.end() && !Found->second.Waiting.empty();
   const double Weight = std::max(Request.Weight, 1U);
   const double WeightSum = Own.WeightSum + (Backlogged ? 0 : Weight);
   const double OwnBacklog = Backlogged ? static_cast<double>(Found->second.Waiting.size()) : 0;
-  Wait = std::min(Wait, (OwnBacklog + 1) * WeightSum / (Weight * ClassRate));
+  Wait = std::min(Wait, (OwnBacklog + 1) * WeightSum / (Weight * OwnRate));
   return Duration(static_cast<std::int64_t>(Wait * 1e6));
 }
 
--- a/src/libs/coordination/FairQueue.h
+++ b/src/libs/coordination/FairQueue.h
@@ -34,7 +34,8 @@
   EnqueueOutcome push(const QueuedRequest &Request, const ServiceEstimate &Service, TimePoint Now);
   /// Takes the first request, in fair order, that is eligible. It counts as running until
   /// onEnd().
-  std::optional<QueuedRequest> popFirst(const std::function<bool(const QueuedRequest &)> &Eligible);
+  std::optional<QueuedRequest> popFirst(const std::function<bool(const QueuedRequest &)> &Eligible,
+                                        TimePoint Now);
   bool cancel(RequestNumber Request);
   /// Removes the requests whose deadline has come.
   std::vector<RequestNumber> expire(TimePoint Now);
@@ -62,6 +63,10 @@
     double VirtualTime = 0;
     double WeightSum = 0;
     std::size_t Size = 0;
+    /// Starts per second while requests of this class wait; zero until measured.
+    double StartRate = 0;
+    std::uint32_t Starts = 0;
+    TimePoint CountedFrom{};
   };
   struct Place {
     CustomerName Customer;
@@ -75,6 +80,7 @@
   }
   std::optional<QueuedRequest> popFrom(RequestClass Class,
                                        const std::function<bool(const QueuedRequest &)> &Eligible);
+  static void countStart(Level &Owner, TimePoint Now);
   void removeWaiting(Level &Owner, const CustomerName &Customer,
                      std::deque<QueuedRequest>::iterator Position, bool Started);
   std::deque<QueuedRequest>::iterator find(Flow &Owner, RequestNumber Request);
--- a/src/libs/coordination/OwnerQueuePolicy.cpp
+++ b/src/libs/coordination/OwnerQueuePolicy.cpp
@@ -41,9 +41,11 @@
     if (Free.empty()) {
       break;
     }
-    const auto Request = this->Queue.popFirst([&](const QueuedRequest &Each) {
-      return Each.Deadline > Now && this->pickTarget(Free, Each, Now) != nullptr;
-    });
+    const auto Request = this->Queue.popFirst(
+        [&](const QueuedRequest &Each) {
+          return Each.Deadline > Now && this->pickTarget(Free, Each, Now) != nullptr;
+        },
+        Now);
     if (!Request) {
       break;
     }
