Average the baseline over 256 answers instead of 64

A mean over the latest 64 exponential answers varies by 9%; when it is low, the test sees healthy answers as slow about every 10,000 answers, and a healthy target stops for a while. Change: 256 answers (4.4%).

--- a/src/libs/coordination/ConcurrencyLimiter.cpp
+++ b/src/libs/coordination/ConcurrencyLimiter.cpp
@@ -23,7 +23,7 @@
 constexpr double MaxGroupRatio = 3;
 /// Answers before the mean of a target itself is used.
 constexpr std::uint32_t MinSamples = 8;
-constexpr double BaselineAnswers = 64;
+constexpr double BaselineAnswers = 256;
 constexpr double RecentAnswers = 8;
 /// A probe answered within this many baselines is good: 95% of undisturbed exponential answers,
 /// a quarter of those of a target that is ten times slower.
