Block a target at an age of 8 baselines instead of 7

Cause: a block for one late but healthy answer idles two other slots; at 95% load that shows in the wait. Change: 8 baselines (80 ms with answers of 10 ms; an exponential answer exceeds it once in 3,000 times). Conclusion: 8 keeps the reaction in tens of milliseconds at nearly no cost.

--- a/src/libs/coordination/ConcurrencyLimiter.cpp
+++ b/src/libs/coordination/ConcurrencyLimiter.cpp
@@ -15,8 +15,8 @@
 /// One answer never raises an alarm alone, however late it is.
 constexpr double MaxEvidencePerAnswer = 8;
 /// One attempt older than this many baselines blocks new work. An exponential answer exceeds it
-/// once in 1,100 times, and the block then ends with the answer.
-constexpr double OverdueRatio = 7;
+/// once in 3,000 times, and the block then ends with the answer.
+constexpr double OverdueRatio = 8;
 /// Above this age the target is chosen after others.
 constexpr double SuspiciousRatio = 3;
 /// A baseline of its own never exceeds this multiple of the group's.
