Extend the command-line tool by daemon commands and cross checks

Cause: operators need to see settings problems before a rollout, and the state and reasons of a running daemon. The tool is a library, so that the tests run it in process against a fake daemon on loopback.

Broken on purpose, each seen to fail and restored: check always exits 0, error statuses taken as answers, connection failures ignored, control characters passed to the terminal, unescaped query, deadline not compared, place of the element instead of the key, credential with line breaks. Conclusion: all six commands have tested answers, errors and exit codes. Open: explain needs GET /admin/explain in the daemon.

--- /dev/null
+++ b/src/anvilsaddle/CheckCommand.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Command.h"
+
+#include <string>
+#include <vector>
+
+namespace anvilsaddle {
+
+/// `anvilsaddle check`: checks settings offline.
+class CheckCommand final : public Command {
+public:
+  void addTo(CLI::App &App) override;
+  boost::leaf::result<ExitCode> run(std::ostream &Out) override;
+
+private:
+  std::vector<std::string> Paths;
+  bool Daemon = false;
+  bool Strict = false;
+  bool Json = false;
+};
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/anvilsaddle/HttpClient.cpp
@@ -0,0 +1,80 @@
+#include "HttpClient.h"
+
+#include "transport/GlibPointers.h"
+
+#include <libsoup/soup.h>
+
+namespace anvilsaddle {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+struct Call {
+  GObjectPointer<GCancellable> Cancel{g_cancellable_new()};
+  GBytesPointer Body;
+  GErrorPointer Failure;
+  bool TimedOut = false;
+  bool Done = false;
+};
+
+void onAnswer(GObject *Source, GAsyncResult *Result, gpointer Data) {
+  auto &Current = *static_cast<Call *>(Data);
+  GError *Error = nullptr;
+  Current.Body.reset(soup_session_send_and_read_finish(SOUP_SESSION(Source), Result, &Error));
+  Current.Failure.reset(Error);
+  Current.Done = true;
+}
+
+gboolean onTimeout(gpointer Data) {
+  auto &Current = *static_cast<Call *>(Data);
+  Current.TimedOut = true;
+  g_cancellable_cancel(Current.Cancel.get());
+  return G_SOURCE_REMOVE;
+}
+
+leaf::error_id unreachable(const std::string &Message) {
+  return leaf::new_error(ToolError{ExitCode::Unreachable, Message});
+}
+
+} // namespace
+
+leaf::result<HttpAnswer> httpGet(const std::string &Url,
+                                 const std::map<std::string, std::string> &Headers,
+                                 std::chrono::milliseconds Timeout) {
+  const GObjectPointer<SoupMessage> Message(soup_message_new("GET", Url.c_str()));
+  if (!Message) {
+    return leaf::new_error(ToolError{ExitCode::Usage, "'" + Url + "' is not a valid URL"});
+  }
+  for (const auto &[Name, Value] : Headers) {
+    soup_message_headers_replace(soup_message_get_request_headers(Message.get()), Name.c_str(),
+                                 Value.c_str());
+  }
+  const GObjectPointer<SoupSession> Session(
+      soup_session_new_with_options("proxy-resolver", nullptr, nullptr));
+  Call Current;
+  GMainContext *Context = g_main_context_get_thread_default();
+  GSource *Timer = g_timeout_source_new(static_cast<guint>(Timeout.count()));
+  g_source_set_callback(Timer, onTimeout, &Current, nullptr);
+  g_source_attach(Timer, Context);
+  soup_session_send_and_read_async(Session.get(), Message.get(), G_PRIORITY_DEFAULT,
+                                   Current.Cancel.get(), onAnswer, &Current);
+  while (!Current.Done) {
+    g_main_context_iteration(Context, TRUE);
+  }
+  g_source_destroy(Timer);
+  g_source_unref(Timer);
+  if (Current.TimedOut) {
+    return unreachable("no answer from " + Url + " within " + std::to_string(Timeout.count()) +
+                       " ms");
+  }
+  if (Current.Failure) {
+    return unreachable("cannot reach " + Url + ": " + Current.Failure->message);
+  }
+  gsize Size = 0;
+  const auto *Text = static_cast<const char *>(g_bytes_get_data(Current.Body.get(), &Size));
+  return HttpAnswer{static_cast<int>(soup_message_get_status(Message.get())),
+                    std::string(Text ? Text : "", Size)};
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/anvilsaddle/TargetsCommand.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Command.h"
+#include "DaemonOptions.h"
+
+namespace anvilsaddle {
+
+/// `anvilsaddle targets`: targets that one daemon holds leases on, and their limits.
+class TargetsCommand final : public Command {
+public:
+  void addTo(CLI::App &App) override;
+  boost::leaf::result<ExitCode> run(std::ostream &Out) override;
+
+private:
+  DaemonOptions Daemon;
+};
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/anvilsaddle/Tool.cpp
@@ -0,0 +1,91 @@
+#include "Tool.h"
+
+#include "AuditCommand.h"
+#include "CheckCommand.h"
+#include "EntriesCommand.h"
+#include "ExplainCommand.h"
+#include "StatusCommand.h"
+#include "TargetsCommand.h"
+
+#include <exception>
+#include <memory>
+#include <ostream>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+
+namespace anvilsaddle {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr const char *Footer =
+    "Exit codes: 0 fine, 1 findings in the settings, 2 wrong usage, 3 daemon unreachable or its "
+    "answer unusable, 4 daemon refused.\n"
+    "Examples:\n"
+    "  anvilsaddle check settings/\n"
+    "  anvilsaddle status --address 127.0.0.1:8300\n"
+    "  anvilsaddle explain GET /status/1 --customer press.line --address 127.0.0.1:8300";
+
+std::vector<std::unique_ptr<Command>> makeCommands() {
+  std::vector<std::unique_ptr<Command>> Result;
+  Result.push_back(std::make_unique<CheckCommand>());
+  Result.push_back(std::make_unique<StatusCommand>());
+  Result.push_back(std::make_unique<TargetsCommand>());
+  Result.push_back(std::make_unique<AuditCommand>());
+  Result.push_back(std::make_unique<ExplainCommand>());
+  Result.push_back(std::make_unique<EntriesCommand>());
+  return Result;
+}
+
+int report(std::ostream &ErrorOut, const ToolError &Error) {
+  ErrorOut << "anvilsaddle: " << Error.Message << '\n';
+  return static_cast<int>(Error.Exit);
+}
+
+int runChosen(const std::vector<std::unique_ptr<Command>> &Commands, std::ostream &Out,
+              std::ostream &ErrorOut) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        for (const auto &Each : Commands) {
+          if (Each->isChosen()) {
+            BOOST_LEAF_AUTO(Exit, Each->run(Out));
+            return static_cast<int>(Exit);
+          }
+        }
+        return leaf::new_error(ToolError{ExitCode::Usage, "no command"});
+      },
+      [&](const ToolError &Error) { return report(ErrorOut, Error); },
+      [&] {
+        return report(ErrorOut, {ExitCode::Unreachable, "the command failed"});
+      });
+}
+
+} // namespace
+
+int runTool(int ArgumentCount, const char *const *Arguments, std::ostream &Out,
+            std::ostream &ErrorOut) {
+  CLI::App App("Checks settings and inspects the daemons of anvilsaddle.", "anvilsaddle");
+  App.set_version_flag("--version", ANVILSADDLE_VERSION);
+  App.require_subcommand(1);
+  App.footer(Footer);
+  const auto Commands = makeCommands();
+  for (const auto &Each : Commands) {
+    Each->addTo(App);
+  }
+  try {
+    App.parse(ArgumentCount, Arguments);
+  } catch (const CLI::ParseError &Error) {
+    return App.exit(Error, Out, ErrorOut) == 0 ? static_cast<int>(ExitCode::Fine)
+                                               : static_cast<int>(ExitCode::Usage);
+  }
+  try {
+    return runChosen(Commands, Out, ErrorOut);
+  } catch (const std::exception &Error) {
+    // For example a JSON answer whose fields have unexpected types.
+    return report(ErrorOut, {ExitCode::Unreachable, Error.what()});
+  }
+}
+
+} // namespace anvilsaddle
