Refuse malformed settings and VM lists at their place

Cause: edge cases of published settings, local settings and VM lists were untested. A key of 400,000 parts overflowed the stack of the TOML library, which parses and frees dotted keys by recursion, so that one team's subtree could end every daemon. Ports above 65535 in a VM list wrapped. Change: keys have at most 8 parts and texts at most 1 MiB (both checked before parsing), at most 200 findings of one text. New findings: team path with a bad name, region names, hash and method form at the element, elements that occur twice, route hidden by another one of the same customer, prefix and method, '?' or '#' in a prefix, empty strings, equal ports, service URL with a path or user. VM list: port range, IP number, VM name without '/' and up to 63 bytes. Customers of routes are looked up in a set.

--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -2,7 +2,7 @@
 
 #include "protocol/TomlTable.h"
 
-#include <algorithm>
+#include <utility>
 
 #include <gio/gio.h>
 
@@ -26,7 +26,9 @@
   }
   GUri *Uri = g_uri_parse(Result.c_str(), G_URI_FLAGS_NONE, nullptr);
   const bool Valid = Uri && std::string_view(g_uri_get_scheme(Uri)) == "http" &&
-                     g_uri_get_port(Uri) > 0 && g_hostname_is_ip_address(g_uri_get_host(Uri));
+                     g_uri_get_port(Uri) > 0 && g_hostname_is_ip_address(g_uri_get_host(Uri)) &&
+                     std::string_view(g_uri_get_path(Uri)).empty() && !g_uri_get_query(Uri) &&
+                     !g_uri_get_fragment(Uri) && !g_uri_get_userinfo(Uri);
   if (Uri) {
     g_uri_unref(Uri);
   }
@@ -36,6 +38,16 @@
   return Result;
 }
 
+/// Peers and callers both use TCP, so that each interface needs its own port.
+void checkPorts(TomlTable &Listen, const DaemonSettings &Local) {
+  if (Local.PeerPort == Local.Port) {
+    Listen.addFinding("peer_port", "'peer_port' must differ from 'port'");
+  }
+  if (Local.AdminPort == Local.Port || Local.AdminPort == Local.PeerPort) {
+    Listen.addFinding("admin_port", "'admin_port' must differ from 'port' and 'peer_port'");
+  }
+}
+
 } // namespace
 
 std::variant<DaemonSettings, Findings> readDaemonSettings(std::string_view Text,
@@ -59,6 +71,9 @@
   Result.Port = readPort(Listen, "port");
   Result.PeerPort = readPort(Listen, "peer_port");
   Result.AdminPort = readPort(Listen, "admin_port");
+  if (Problems.empty()) {
+    checkPorts(Listen, Result);
+  }
   Listen.reportUnknownKeys();
 
   TomlTable Platform = Root.table("platform");
@@ -84,8 +99,7 @@
   if (Problems.empty()) {
     return Result;
   }
-  std::ranges::stable_sort(Problems);
-  return Problems;
+  return sortedFindings(std::move(Problems));
 }
 
 } // namespace anvilsaddle
--- a/src/libs/protocol/TomlSettingsParser.cpp
+++ b/src/libs/protocol/TomlSettingsParser.cpp
@@ -3,9 +3,10 @@
 #include "protocol/TomlTable.h"
 
 #include <algorithm>
-#include <cctype>
+#include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace anvilsaddle {
@@ -34,12 +35,44 @@
   std::set<std::string> Seen;
 };
 
-bool isSha256Hex(const std::string &Text) {
-  return Text.size() == Sha256HexLength && std::ranges::all_of(Text, [](unsigned char Character) {
-           return std::isdigit(Character) || (Character >= 'a' && Character <= 'f');
-         });
+std::string checkSha256Hex(const std::string &Text) {
+  const bool Valid = Text.size() == Sha256HexLength && std::ranges::all_of(Text, [](char Digit) {
+                       return (Digit >= '0' && Digit <= '9') || (Digit >= 'a' && Digit <= 'f');
+                     });
+  return Valid ? "" : "must be SHA-256 values in lower-case hexadecimal";
 }
 
+std::string checkRegionName(const std::string &Text) {
+  return isSettingsName(Text) ? "" : "must be 1 to 63 lower-case letters, digits or hyphens";
+}
+
+std::string checkMethod(const std::string &Text) {
+  const bool Valid = !Text.empty() && std::ranges::all_of(Text, [](char Letter) {
+    return Letter >= 'A' && Letter <= 'Z';
+  });
+  return Valid ? "" : "must be methods in upper-case letters";
+}
+
+/// Reports a route that another one of the same customer hides.
+class UniqueRoutes {
+public:
+  void check(TomlTable &Table, const Route &Added) {
+    for (const std::string &Method : Added.Methods) {
+      const auto [Place, Fresh] =
+          this->Seen.try_emplace({Added.Customer, Added.PathPrefix, Method}, Added.Name);
+      if (!Fresh) {
+        Table.addFinding("path_prefix", "route '" + Place->second.str() + "' has the prefix '" +
+                                            Added.PathPrefix + "' and method " + Method +
+                                            " already");
+        return;
+      }
+    }
+  }
+
+private:
+  std::map<std::tuple<CustomerName, std::string, std::string>, RouteName> Seen;
+};
+
 PlatformSettings readPlatform(TomlTable Root) {
   PlatformSettings Result;
   UniqueNames Regions;
@@ -87,12 +120,8 @@
 Customer readCustomer(TomlTable &Each, const TeamName &Team) {
   Customer Result;
   Result.Name = CustomerName(Team.str() + "." + Each.requiredName("name"));
-  Result.KeyHashes = Each.stringsOr("key_sha256", {});
-  if (!std::ranges::all_of(Result.KeyHashes, isSha256Hex)) {
-    Each.addFinding("key_sha256",
-                    "'key_sha256' must hold SHA-256 values in lower-case hexadecimal");
-  }
-  for (std::string &Region : Each.stringsOr("home_regions", {})) {
+  Result.KeyHashes = Each.stringsOr("key_sha256", {}, checkSha256Hex);
+  for (std::string &Region : Each.stringsOr("home_regions", {}, checkRegionName)) {
     Result.HomeRegions.emplace_back(std::move(Region));
   }
   Result.Weight = static_cast<std::uint32_t>(Each.integerOr("weight", Result.Weight, 1, 1000));
@@ -102,18 +131,23 @@
   return Result;
 }
 
-Route readRoute(TomlTable &Each, const TeamSettings &Team) {
+Route readRoute(TomlTable &Each, const TeamName &Team, const std::set<CustomerName> &Customers) {
   Route Result;
   Result.Name = RouteName(Each.requiredName("name"));
-  Result.Customer = CustomerName(Team.Name.str() + "." + Each.requiredName("customer"));
-  if (std::ranges::find(Team.Customers, Result.Customer, &Customer::Name) == Team.Customers.end()) {
+  const std::string Owner = Each.requiredName("customer");
+  Result.Customer = CustomerName(Team.str() + "." + Owner);
+  if (!Owner.empty() && !Customers.contains(Result.Customer)) {
     Each.addFinding("customer", "unknown customer '" + Result.Customer.str() + "'");
   }
   Result.PathPrefix = Each.requiredString("path_prefix");
   if (!Result.PathPrefix.starts_with('/')) {
     Each.addFinding("path_prefix", "'path_prefix' must start with '/'");
   }
-  Result.Methods = Each.stringsOr("methods", {"GET"});
+  // The decoded path of a request without its query is matched.
+  if (Result.PathPrefix.find_first_of("?#") != std::string::npos) {
+    Each.addFinding("path_prefix", "'path_prefix' must not contain '?' or '#'");
+  }
+  Result.Methods = Each.stringsOr("methods", {"GET"}, checkMethod);
   if (Result.Methods.empty()) {
     Each.addFinding("methods", "'methods' must not be empty");
   }
@@ -135,10 +169,16 @@
     Result.Customers.push_back(readCustomer(Each, Result.Name));
     Customers.check(Each, "name", Result.Customers.back().Name.str());
   }
+  std::set<CustomerName> Known;
+  for (const Customer &Each : Result.Customers) {
+    Known.insert(Each.Name);
+  }
   UniqueNames Routes;
+  UniqueRoutes Matches;
   for (TomlTable &Each : Root.tables("route")) {
-    Result.Routes.push_back(readRoute(Each, Result));
+    Result.Routes.push_back(readRoute(Each, Result.Name, Known));
     Routes.check(Each, "name", Result.Routes.back().Name.str());
+    Matches.check(Each, Result.Routes.back());
   }
   Root.reportUnknownKeys();
   return Result;
@@ -154,6 +194,13 @@
     Problems.push_back({PathText, 0, 0, "the path must be 'platform' or 'teams/<team>'"});
     return Problems;
   }
+  const std::string_view Team =
+      Path == PlatformPath ? std::string_view() : Path.substr(TeamPrefix.size());
+  if (Path != PlatformPath && !isSettingsName(Team)) {
+    Problems.push_back(
+        {PathText, 0, 0, "the team must be 1 to 63 lower-case letters, digits or hyphens"});
+    return Problems;
+  }
   const auto Root = parseToml(Text, PathText, Problems);
   if (!Root) {
     return Problems;
@@ -162,14 +209,12 @@
   if (Path == PlatformPath) {
     Parsed = readPlatform({*Root, PathText, Problems});
   } else {
-    Parsed = readTeam({*Root, PathText, Problems},
-                      TeamName(std::string(Path.substr(TeamPrefix.size()))));
+    Parsed = readTeam({*Root, PathText, Problems}, TeamName(std::string(Team)));
   }
   if (Problems.empty()) {
     return Parsed;
   }
-  std::ranges::stable_sort(Problems);
-  return Problems;
+  return sortedFindings(std::move(Problems));
 }
 
 } // namespace anvilsaddle
--- a/src/libs/protocol/TomlTable.cpp
+++ b/src/libs/protocol/TomlTable.cpp
@@ -1,7 +1,8 @@
 #include "protocol/TomlTable.h"
 
+#include "protocol/TomlKeyDepth.h"
+
 #include <algorithm>
-#include <cctype>
 #include <chrono>
 #include <utility>
 
@@ -12,23 +13,40 @@
 constexpr std::size_t MaxNameLength = 63;
 const toml::table EmptyTable;
 
-bool isName(std::string_view Text) {
+std::string quoted(std::string_view Key) { return "'" + std::string(Key) + "'"; }
+
+} // namespace
+
+bool isSettingsName(std::string_view Text) {
   return !Text.empty() && Text.size() <= MaxNameLength &&
-         std::ranges::all_of(Text, [](unsigned char Character) {
-           return std::islower(Character) || std::isdigit(Character) || Character == '-';
+         std::ranges::all_of(Text, [](char Character) {
+           return (Character >= 'a' && Character <= 'z') ||
+                  (Character >= '0' && Character <= '9') || Character == '-';
          });
 }
 
-std::string quoted(std::string_view Key) { return "'" + std::string(Key) + "'"; }
-
-} // namespace
+Findings sortedFindings(Findings Problems) {
+  std::ranges::stable_sort(Problems);
+  if (Problems.size() > MaxFindings) {
+    const std::size_t More = Problems.size() - MaxFindings;
+    const std::string Path = Problems.front().Path;
+    Problems.resize(MaxFindings);
+    Problems.push_back({Path, 0, 0, "and " + std::to_string(More) + " more findings"});
+  }
+  return Problems;
+}
 
 std::string TomlTable::requiredString(std::string_view Key) {
   if (!this->find(Key)) {
     this->addFinding(Key, "missing key " + quoted(Key));
     return {};
   }
-  return this->stringOr(Key, {});
+  const std::size_t Before = this->Problems.size();
+  std::string Result = this->stringOr(Key, {});
+  if (Result.empty() && this->Problems.size() == Before) {
+    this->addFinding(Key, quoted(Key) + " must not be empty");
+  }
+  return Result;
 }
 
 std::string TomlTable::stringOr(std::string_view Key, std::string Default) {
@@ -46,7 +64,7 @@
 std::string TomlTable::requiredName(std::string_view Key) {
   const std::size_t Before = this->Problems.size();
   std::string Result = this->requiredString(Key);
-  if (this->Problems.size() == Before && !isName(Result)) {
+  if (this->Problems.size() == Before && !isSettingsName(Result)) {
     this->addFinding(Key, quoted(Key) + " must be 1 to 63 lower-case letters, digits or hyphens");
   }
   return Result;
@@ -89,8 +107,9 @@
   return Default;
 }
 
-std::vector<std::string> TomlTable::stringsOr(std::string_view Key,
-                                              std::vector<std::string> Default) {
+std::vector<std::string>
+TomlTable::stringsOr(std::string_view Key, std::vector<std::string> Default,
+                     const std::function<std::string(const std::string &)> &Check) {
   const toml::node *Value = this->find(Key);
   if (!Value) {
     return Default;
@@ -101,14 +120,21 @@
     return Default;
   }
   std::vector<std::string> Result;
+  std::set<std::string> Seen;
+  const std::size_t Before = this->Problems.size();
   for (const toml::node &Element : *Elements) {
-    if (const auto *Text = Element.as_string()) {
-      Result.push_back(Text->get());
-    } else {
-      this->addFindingAt(Element, "elements of " + quoted(Key) + " must be strings");
+    const auto *Text = Element.as_string();
+    std::string Problem = Text ? Check(Text->get()) : "must be strings";
+    if (Text && Problem.empty() && !Seen.insert(Text->get()).second) {
+      Problem = "must differ";
+    }
+    if (!Problem.empty()) {
+      this->addFindingAt(Element, "elements of " + quoted(Key) + " " + Problem);
+      continue;
     }
+    Result.push_back(Text->get());
   }
-  return Result;
+  return this->Problems.size() == Before ? Result : Default;
 }
 
 std::string TomlTable::choiceOr(std::string_view Key, const std::string &Default,
@@ -204,6 +230,17 @@
 
 std::optional<toml::table> parseToml(std::string_view Text, const std::string &Path,
                                      Findings &Problems) {
+  if (Text.size() > MaxTomlBytes) {
+    Problems.push_back({Path, 0, 0,
+                        "the text has " + std::to_string(Text.size()) + " bytes, at most " +
+                            std::to_string(MaxTomlBytes) + " are allowed"});
+    return std::nullopt;
+  }
+  if (const auto Place = findDeepTomlKey(Text)) {
+    Problems.push_back({Path, Place->Line, Place->Column,
+                        "a key has more than " + std::to_string(MaxTomlKeyParts) + " parts"});
+    return std::nullopt;
+  }
   try {
     return toml::parse(Text);
   } catch (const toml::parse_error &Error) {
--- a/src/libs/protocol/TomlTable.h
+++ b/src/libs/protocol/TomlTable.h
@@ -3,7 +3,9 @@
 #include "state/Finding.h"
 #include "state/Time.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -14,6 +16,9 @@
 
 namespace anvilsaddle {
 
+/// 1 to 63 lower-case letters, digits or hyphens.
+bool isSettingsName(std::string_view Text);
+
 /// Checked access to one TOML table. Every wrong type, value out of range, missing or unknown key
 /// becomes a finding with its place. A getter that adds a finding returns its default. Not
 /// thread-safe.
@@ -23,6 +28,7 @@
   TomlTable(const toml::table &Table, const std::string &Path, Findings &Problems)
       : Table(Table), Path(Path), Problems(Problems) {}
 
+  /// A string that is not empty.
   std::string requiredString(std::string_view Key);
   std::string stringOr(std::string_view Key, std::string Default);
   /// A required name of lower-case letters, digits and hyphens, at most 63 characters.
@@ -34,7 +40,10 @@
   Duration millisecondsOr(std::string_view Key, Duration Default, Duration Minimum,
                           Duration Maximum);
   bool booleanOr(std::string_view Key, bool Default);
-  std::vector<std::string> stringsOr(std::string_view Key, std::vector<std::string> Default);
+  /// `Check` gives the problem of one element, or an empty text; the finding is at the element. An
+  /// element that occurs twice is a finding, too.
+  std::vector<std::string> stringsOr(std::string_view Key, std::vector<std::string> Default,
+                                     const std::function<std::string(const std::string &)> &Check);
   /// One of the allowed values.
   std::string choiceOr(std::string_view Key, const std::string &Default,
                        const std::vector<std::string> &Allowed);
@@ -60,6 +69,14 @@
   std::set<std::string, std::less<>> Known;
 };
 
+/// Sorts by place and keeps the first MaxFindings, so that a text of unknown keys does not fill the
+/// status of every daemon.
+Findings sortedFindings(Findings Problems);
+inline constexpr std::size_t MaxFindings = 200;
+
+/// The configuration service holds no longer values.
+inline constexpr std::size_t MaxTomlBytes = std::size_t{1} << 20;
+
 /// Parses TOML text; a syntax error becomes a finding and nothing is returned.
 std::optional<toml::table> parseToml(std::string_view Text, const std::string &Path,
                                      Findings &Problems);
--- a/src/libs/protocol/VmListJson.cpp
+++ b/src/libs/protocol/VmListJson.cpp
@@ -1,9 +1,15 @@
 #include "protocol/VmListJson.h"
 
+#include <algorithm>
+#include <cctype>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
+#include <limits>
 #include <set>
+#include <stdexcept>
 
+#include <gio/gio.h>
 #include <nlohmann/json.hpp>
 
 namespace anvilsaddle {
@@ -12,20 +18,47 @@
 
 using nlohmann::json;
 
+constexpr std::size_t MaxNameBytes = 63;
+
+/// A name that can be part of a target name, a log line and a peer envelope.
+bool isVmName(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxNameBytes &&
+         std::ranges::all_of(
+             Text, [](unsigned char Byte) { return std::isgraph(Byte) != 0 && Byte != '/'; });
+}
+
+/// Without the check, the JSON library wraps numbers that are too large for a port.
+std::uint16_t readPort(const json &Entry, const char *Key, std::uint64_t Minimum) {
+  const json Value = Entry.value(Key, json());
+  if (!Value.is_number_unsigned() || Value.get<std::uint64_t>() < Minimum ||
+      Value.get<std::uint64_t>() > std::numeric_limits<std::uint16_t>::max()) {
+    throw std::invalid_argument(std::string("'") + Key + "' must be " + std::to_string(Minimum) +
+                                " to 65535");
+  }
+  return Value.get<std::uint16_t>();
+}
+
 /// Reads one VM; a problem becomes a finding that names the VM's index.
 Vm readVm(const json &Entry, std::size_t Index, const std::string &Path, Findings &Problems) {
   Vm Result;
   try {
     Result.Name = VmName(Entry.at("name").get<std::string>());
+    if (!isVmName(Result.Name.str())) {
+      throw std::invalid_argument("'name' must be 1 to 63 printable characters without '/'");
+    }
     Result.Address = Entry.at("address").get<std::string>();
-    Result.Port = Entry.at("port").get<std::uint16_t>();
-    Result.PeerPort = Entry.value("peer_port", std::uint16_t{0});
+    if (Result.Address.find('\0') != std::string::npos ||
+        !g_hostname_is_ip_address(Result.Address.c_str())) {
+      throw std::invalid_argument("'address' must be an IP number");
+    }
+    Result.Port = readPort(Entry, "port", 1);
+    Result.PeerPort = Entry.contains("peer_port") ? readPort(Entry, "peer_port", 0) : 0;
     Result.Domain = FailureDomainName(Entry.at("failure_domain").get<std::string>());
     Result.Role = Entry.at("role").get<std::string>() == "entry" ? VmRole::Entry : VmRole::Target;
     Result.Service = ServiceName(Entry.value("service", std::string()));
     Result.State =
         Entry.value("state", std::string("live")) == "live" ? VmState::Live : VmState::Departing;
-  } catch (const json::exception &Error) {
+  } catch (const std::exception &Error) {
     Problems.push_back({Path, 0, 0, "vms[" + std::to_string(Index) + "]: " + Error.what()});
   }
   return Result;
