Check the head of a request without a body only once

Cause: the head of each request was authenticated twice, and each part of an answer cleared 64 KB. Change: checkHead() is called only if a body follows; the part buffer is as long as what waits. tst_requestserver and tst_proxyexchange pass.

--- a/src/libs/transport/AnswerParser.cpp
+++ b/src/libs/transport/AnswerParser.cpp
@@ -1,5 +1,7 @@
 #include "transport/AnswerParser.h"
 
+#include <algorithm>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -110,9 +112,12 @@
 void AnswerParser::parseBody(std::string &Result) {
   auto &Body = this->Inner->Beast.get().body();
   const std::size_t Before = Result.size();
-  Result.resize(Before + MaxBodyPart);
+  // A part is no longer than its encoded form. One byte more, because no space would mean a full
+  // buffer to the parser.
+  const std::size_t Space = std::min(MaxBodyPart, this->Buffer.size() + 1);
+  Result.resize(Before + Space);
   Body.data = Result.data() + Before;
-  Body.size = MaxBodyPart;
+  Body.size = Space;
   Body.more = true;
   // One call of put() stops after each structural element.
   while (!this->isComplete() && this->Error.empty() && Body.size > 0) {
@@ -121,7 +126,7 @@
       break;
     }
   }
-  Result.resize(Before + MaxBodyPart - Body.size);
+  Result.resize(Before + Space - Body.size);
 }
 
 bool AnswerParser::isComplete() const { return this->HeadDone && this->Inner->Beast.is_done(); }
--- a/src/libs/transport/RequestServer.cpp
+++ b/src/libs/transport/RequestServer.cpp
@@ -225,7 +225,8 @@
   Active &Request = Self.beginRequest(Message);
   RequestHead Head;
   std::optional<Refusal> Refused = Self.readHead(Message, Head);
-  if (!Refused) {
+  // Without a body, onRequest() follows at once and checks the same.
+  if (!Refused && hasBody(Message)) {
     Refused = Self.Handler.checkHead(Head);
   }
   if (!Refused && !Head.Replayable) {
