--- a/src/libs/coordination/EntryNode.cpp
+++ b/src/libs/coordination/EntryNode.cpp
@@ -27,6 +27,7 @@
   /// Set if this incarnation admitted the idempotency key and must record its outcome.
   std::string AdmittedKey;
   GroupId Group;
+  TimePoint Arrival;
   TimePoint Deadline;
   Phase State = Phase::Waiting;
   TargetName RunsOn;
@@ -135,6 +136,7 @@
   }
   ActiveRequest Request;
   Request.Head = Head;
+  Request.Arrival = Now;
   Request.Routed = std::move(std::get<RoutedRequest>(Terms));
   Request.TermsDigest = this->Settings.digest();
   const Route &Path = Request.Routed.Path;
@@ -390,6 +392,16 @@
 
 bool EntryNode::isServing() const { return this->Fleet.isServing(); }
 
+std::optional<RequestSummary> EntryNode::summary(RequestNumber Number) const {
+  const auto Found = this->Requests.find(Number);
+  if (Found == this->Requests.end()) {
+    return std::nullopt;
+  }
+  const ActiveRequest &Request = Found->second;
+  return RequestSummary{Request.Routed.Destination.Name, Request.Routed.Path.Class, Request.Arrival,
+                        Request.Attempts};
+}
+
 std::vector<Effect> EntryNode::takeEffects() { return std::exchange(this->Effects, {}); }
 
 void EntryNode::advance(TimePoint Now) {
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -13,6 +13,7 @@
 #include "state/SettingsStore.h"
 #include "state/VmList.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -54,6 +55,16 @@
   auto operator<=>(const EntryAnswer &) const = default;
 };
 
+/// What metrics need to know of a request.
+struct RequestSummary {
+  ServiceName Service;
+  RequestClass Class = RequestClass::Interactive;
+  TimePoint Arrival;
+  std::uint32_t Attempts = 0;
+
+  auto operator<=>(const RequestSummary &) const = default;
+};
+
 /// One candidate that `anvilsaddle explain` shows.
 struct ExplainStep {
   std::string Candidate;
@@ -121,6 +132,11 @@
 
   std::vector<Effect> takeEffects();
 
+  /// Nothing if the request is over.
+  std::optional<RequestSummary> summary(RequestNumber Request) const;
+  const EntryIdentity &identity() const { return this->Self; }
+  /// Requests that wait or run.
+  std::size_t requestCount() const { return this->Requests.size(); }
   const SettingsStore &settings() const { return this->Settings; }
   const VmList &vmList() const { return this->Vms; }
   const EntryFleet &fleet() const { return this->Fleet; }
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -46,7 +46,7 @@
     : Local(Local), Time(Time), Identity(makeIdentity(Local, Time, Random)),
       Node(this->Identity, Parser, Seals, Random, Time.now()),
       Audit(static_cast<std::size_t>(Local.AuditEntries)), Connections(Time), Forwarding(Seals),
-      AdminServer(soup_server_new("server-header", "anvilsaddle ", nullptr)),
+      Admin(this->Node, this->Audit, this->Counters, Time),
       CallerServer(serverLimits(Local), nullptr, Time, static_cast<RequestHandler &>(*this)),
       PeerServer(serverLimits(Local), &this->Forwarding, Time,
                  static_cast<RequestHandler &>(*this)) {
@@ -72,7 +72,6 @@
 std::string EntryRuntime::start() {
   this->Peers->attach(this->PeerServer);
   this->CallerServer.addHandler("/v1/entries", onEntriesRequest, this);
-  soup_server_add_handler(this->AdminServer.get(), nullptr, onAdminRequest, this, nullptr);
   if (std::string Error = this->CallerServer.listen(this->Local.Address, this->Local.Port);
       !Error.empty()) {
     return Error;
@@ -85,14 +84,8 @@
       !Error.empty()) {
     return Error;
   }
-  const GObjectPointer<GSocketAddress> Socket(
-      g_inet_socket_address_new_from_string("127.0.0.1", this->Local.AdminPort));
-  GError *Error = nullptr;
-  if (!soup_server_listen(this->AdminServer.get(), Socket.get(),
-                          static_cast<SoupServerListenOptions>(0), &Error)) {
-    const GErrorPointer Failure(Error);
-    return "cannot listen on admin port " + std::to_string(this->Local.AdminPort) + ": " +
-           Failure->message;
+  if (std::string Error = this->Admin.listen(this->Local.AdminPort); !Error.empty()) {
+    return Error;
   }
 
   PlatformWatch::Listener Events;
@@ -130,6 +123,7 @@
                                                bool BodyFollows) {
   auto Admission = this->Node.onRequest(Head, this->Time.now());
   if (auto *Refused = std::get_if<Refusal>(&Admission)) {
+    this->Counters.onRefused(*Refused);
     return std::move(*Refused);
   }
   const RequestNumber Number = std::get<RequestNumber>(Admission);
@@ -160,68 +154,11 @@
               {"ticket", Answer.Ticket}});
 }
 
-void EntryRuntime::onAdminRequest(SoupServer *, SoupServerMessage *Message, const char *Path,
-                                  GHashTable *Query, gpointer Data) {
-  auto &Self = *static_cast<EntryRuntime *>(Data);
-  const std::string_view Wanted(Path);
-  if (Wanted == "/admin/status") {
-    json Revisions = json::object();
-    for (const PathRevision &Entry : Self.Node.settings().revisions()) {
-      Revisions[Entry.Path] = Entry.Revision;
-    }
-    json Problems = json::array();
-    for (const Finding &Each : Self.Node.settings().pendingFindings()) {
-      Problems.push_back(toString(Each));
-    }
-    answerJson(Message, {{"vm", Self.Local.Vm.str()},
-                         {"region", Self.Local.Region.str()},
-                         {"failure_domain", Self.Local.Domain.str()},
-                         {"stopping", Self.Node.isStopping()},
-                         {"requests", Self.Exchanges.size()},
-                         {"vm_list_revision", Self.Node.vmList().Revision},
-                         {"settings", Revisions},
-                         {"findings", Problems}});
-    return;
-  }
-  if (Wanted == "/admin/targets") {
-    json Result = json::array();
-    for (const auto &[Group, Targets] : Self.Node.targetStatus()) {
-      for (const TargetStatus &Each : Targets) {
-        Result.push_back({{"group", toString(Group)},
-                          {"target", Each.Target.str()},
-                          {"slots", Each.Slots},
-                          {"limit", Each.Limit},
-                          {"in_flight", Each.InFlight},
-                          {"baseline_us", Each.Baseline.count()}});
-      }
-    }
-    answerJson(Message, Result);
-    return;
-  }
-  if (Wanted == "/admin/audit") {
-    const auto *After =
-        Query ? static_cast<const char *>(g_hash_table_lookup(Query, "after")) : nullptr;
-    json Result = json::array();
-    for (const AuditEntry &Each :
-         Self.Audit.entriesAfter(After ? g_ascii_strtoull(After, nullptr, 10) : 0)) {
-      Result.push_back({{"sequence", Each.Sequence},
-                        {"time_ms", Each.UnixMilliseconds},
-                        {"what", Each.What},
-                        {"from", Each.From},
-                        {"to", Each.To},
-                        {"revision", Each.Revision},
-                        {"why", Each.Why}});
-    }
-    answerJson(Message, Result);
-    return;
-  }
-  soup_server_message_set_status(Message, SOUP_STATUS_NOT_FOUND, nullptr);
-}
-
 gboolean EntryRuntime::onTick(gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
   Self.Node.onTick(Self.Time.now());
   Self.carryOutEffects();
+  Self.Counters.setPeerTraffic(Self.Peers->traffic());
   if (Self.OnDrained && Self.Node.isDrained()) {
     std::exchange(Self.OnDrained, nullptr)();
   }
@@ -233,7 +170,13 @@
 }
 
 void EntryRuntime::onAttemptEnd(RequestNumber Request, const AttemptReport &Report) {
-  this->Node.onAttemptEnd(Request, Report, this->Time.now());
+  const TimePoint Now = this->Time.now();
+  const auto Summary = this->Node.summary(Request);
+  if (Summary && Report.Outcome == AttemptOutcome::Succeeded && !Report.PeerOutcome) {
+    this->Counters.onAnswered(Summary->Service, Summary->Class, Report.Status,
+                              Now - Summary->Arrival, Now);
+  }
+  this->Node.onAttemptEnd(Request, Report, Now);
   this->carryOutEffects();
 }
 
@@ -258,6 +201,10 @@
 
 void EntryRuntime::carryOut(const Effect &Next) {
   if (const auto *Attempt = std::get_if<StartAttempt>(&Next)) {
+    const auto Summary = this->Node.summary(Attempt->Request);
+    if (Summary && Summary->Attempts > 1) {
+      this->Counters.onRetry(Summary->Service);
+    }
     if (ProxyExchange *Exchange = this->exchangeForAttempt(Attempt->Request)) {
       Exchange->startAttempt(*Attempt);
     }
@@ -270,6 +217,7 @@
     return;
   }
   if (const auto *Refused = std::get_if<RefuseRequest>(&Next)) {
+    this->Counters.onRefused(Refused->Answer);
     const auto Found = this->Exchanges.find(Refused->Request);
     if (Found != this->Exchanges.end()) {
       Found->second->refuse(Refused->Answer);
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -3,7 +3,9 @@
 #include "coordination/EntryNode.h"
 #include "protocol/DaemonSettings.h"
 #include "protocol/ForwardHeaders.h"
+#include "protocol/Metrics.h"
 #include "state/AuditTrail.h"
+#include "transport/AdminServer.h"
 #include "transport/GlibPointers.h"
 #include "transport/ProxyExchange.h"
 #include "transport/RequestServer.h"
@@ -46,8 +48,6 @@
 private:
   static void onEntriesRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
                                GHashTable *Query, gpointer Data);
-  static void onAdminRequest(SoupServer *Server, SoupServerMessage *Message, const char *Path,
-                             GHashTable *Query, gpointer Data);
   static gboolean onTick(gpointer Data);
 
   std::optional<Refusal> checkHead(const RequestHead &Head) override;
@@ -71,7 +71,8 @@
   AuditTrail Audit;
   TargetConnections Connections;
   ForwardHeaders Forwarding;
-  GObjectPointer<SoupServer> AdminServer;
+  Metrics Counters;
+  AdminServer Admin;
   RequestServer CallerServer;
   RequestServer PeerServer;
   std::unique_ptr<PeerLink> Peers;
--- a/src/libs/transport/RequestServer.cpp
+++ b/src/libs/transport/RequestServer.cpp
@@ -17,13 +17,9 @@
 
 /// Longer bodies are not kept for a retry.
 constexpr goffset MaxKeptBody = 65536;
-
-Refusal makeRefusal(int Status, std::string Reason) {
-  Refusal Result;
-  Result.Status = Status;
-  Result.Reason = std::move(Reason);
-  return Result;
-}
+/// GLib's default of 10 overflows when many callers connect at once; each then waits 1 s to try
+/// again.
+constexpr gint ListenBacklog = 1024;
 
 bool isDigits(std::string_view Text) {
   return !Text.empty() &&
@@ -36,17 +32,18 @@
   const char *Length = soup_message_headers_get_list(Headers, "Content-Length");
   const char *Encoding = soup_message_headers_get_list(Headers, "Transfer-Encoding");
   if (Length && Encoding) {
-    return makeRefusal(400, "both Content-Length and Transfer-Encoding are present");
+    return makeRefusal(400, RunOutcome::NotRun,
+                       "both Content-Length and Transfer-Encoding are present");
   }
   constexpr std::size_t MaxLengthDigits = 18;
   if (Length && (!isDigits(Length) || std::string_view(Length).size() > MaxLengthDigits)) {
-    return makeRefusal(400, "the Content-Length is not one number");
+    return makeRefusal(400, RunOutcome::NotRun, "the Content-Length is not one number");
   }
   if (Encoding && g_ascii_strcasecmp(Encoding, "chunked") != 0) {
-    return makeRefusal(501, "the only Transfer-Encoding accepted is chunked");
+    return makeRefusal(501, RunOutcome::NotRun, "the only Transfer-Encoding accepted is chunked");
   }
   if (Encoding && soup_server_message_get_http_version(Message) == SOUP_HTTP_1_0) {
-    return makeRefusal(400, "HTTP/1.0 has no Transfer-Encoding");
+    return makeRefusal(400, RunOutcome::NotRun, "HTTP/1.0 has no Transfer-Encoding");
   }
   return std::nullopt;
 }
@@ -105,12 +102,20 @@
 }
 
 std::string RequestServer::listen(const std::string &Address, std::uint16_t Port) {
-  const GObjectPointer<GSocketAddress> Socket(
+  const GObjectPointer<GSocketAddress> Local(
       g_inet_socket_address_new_from_string(Address.c_str(), Port));
   GError *Error = nullptr;
-  if (soup_server_listen(this->Server.get(), Socket.get(), static_cast<SoupServerListenOptions>(0),
-                         &Error)) {
-    return {};
+  const GObjectPointer<GSocket> Socket(g_socket_new(g_socket_address_get_family(Local.get()),
+                                                    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
+                                                    &Error));
+  if (Socket) {
+    g_socket_set_listen_backlog(Socket.get(), ListenBacklog);
+    if (g_socket_bind(Socket.get(), Local.get(), TRUE, &Error) &&
+        g_socket_listen(Socket.get(), &Error) &&
+        soup_server_listen_socket(this->Server.get(), Socket.get(),
+                                  static_cast<SoupServerListenOptions>(0), &Error)) {
+      return {};
+    }
   }
   const GErrorPointer Failure(Error);
   return "cannot listen on " + Address + ":" + std::to_string(Port) + ": " + Failure->message;
@@ -154,7 +159,7 @@
   Head.Path = g_uri_get_path(Uri);
   if (!Head.Path.starts_with('/') || hasDotSegment(Head.Path) ||
       !isPrintable(g_uri_get_query(Uri)) || Head.Method == "CONNECT") {
-    return makeRefusal(400, "the request target is not a plain path");
+    return makeRefusal(400, RunOutcome::NotRun, "the request target is not a plain path");
   }
   Head.Authorization = headerValue(Headers, "Authorization");
   Head.IdempotencyKey = headerValue(Headers, "Idempotency-Key");
@@ -174,11 +179,12 @@
     Head.Forwarded = this->Peers->parse(headerValue(Headers, ForwardHeaders::MarkName),
                                         headerValue(Headers, ForwardHeaders::SealName), Head);
     if (!Head.Forwarded) {
-      return makeRefusal(401, "the request does not come from an entry of this fleet");
+      return makeRefusal(401, RunOutcome::NotRun,
+                         "the request does not come from an entry of this fleet");
     }
   }
   if (soup_message_headers_get_content_length(Headers) > this->Limits.MaxBodyBytes) {
-    return makeRefusal(413, "the request body is too large");
+    return makeRefusal(413, RunOutcome::NotRun, "the request body is too large");
   }
   return std::nullopt;
 }
@@ -212,7 +218,7 @@
   Self.beginRequest(Message);
   std::optional<Refusal> Refused = checkFraming(Message);
   if (!Refused && hasBody(Message)) {
-    Refused = makeRefusal(413, "this path takes no request body");
+    Refused = makeRefusal(413, RunOutcome::NotRun, "this path takes no request body");
   }
   if (Refused) {
     Self.refuse(Message, *Refused);
