--- a/src/libs/coordination/LeaseHolder.cpp
+++ b/src/libs/coordination/LeaseHolder.cpp
@@ -54,7 +54,8 @@
       Entry.Lessor = Lessor;
       Entry.RequestDue = Now;
     }
-    std::erase_if(this->Releases, [&](const auto &Each) { return Each.first.first == Target; });
+    std::erase_if(this->Releases,
+                  [&Name = Target](const auto &Each) { return Each.first.first == Name; });
   }
 }
 
@@ -182,8 +183,8 @@
     Batch->second.Claims.push_back({Target, countOf(InFlight, Target)});
     Entry.RequestDue = Now + LeaseRenewal;
     Entry.AskedLessors[Entry.Lessor] = Now;
-    std::erase_if(Entry.AskedLessors, [&](const auto &Each) {
-      return Each.first != Entry.Lessor && Each.second + ReleaseTimeout < Now;
+    std::erase_if(Entry.AskedLessors, [Now, &Lessor = Entry.Lessor](const auto &Each) {
+      return Each.first != Lessor && Each.second + ReleaseTimeout < Now;
     });
   }
   for (auto &[Lessor, Request] : Batches) {
--- a/src/libs/coordination/Lessor.cpp
+++ b/src/libs/coordination/Lessor.cpp
@@ -103,6 +103,7 @@
     Inquiry.Targets.push_back(Target);
   }
   std::vector<OutgoingMessage> Out;
+  Out.reserve(Inquiries.size());
   for (auto &[Receiver, Inquiry] : Inquiries) {
     Out.push_back({Receiver, std::move(Inquiry)});
   }
@@ -138,7 +139,7 @@
 
 LeaseGrant Lessor::decide(TargetState &State, const LeaseRequest &Request, const LeaseClaim &Claim,
                           TimePoint Now) {
-  const LeaseGrant Refused{Claim.Target, false, 0};
+  LeaseGrant Refused{Claim.Target, false, 0};
   if (!this->mayGrant(State, Now)) {
     return Refused;
   }
--- a/tests/auto/libs/coordination/LeaseWorld.cpp
+++ b/tests/auto/libs/coordination/LeaseWorld.cpp
@@ -53,6 +53,7 @@
       TargetListed(TargetCount, true), Processes(EntryCount) {
   for (std::size_t Index = 0; Index < EntryCount; ++Index) {
     this->Processes[Index].Name = makeVm("e", Index, VmRole::Entry).Name;
+    this->Listed[Index] = Index < 2 || this->chance(70);
   }
   this->publish();
   for (std::size_t Index = 0; Index < EntryCount; ++Index) {
@@ -125,6 +126,9 @@
     Each.Name = VmName(Each.Name.str() + "'");
   }
   this->publish();
+  if (this->chance(50)) {
+    this->Processes[Entry].List = this->Lists.size() - 1;
+  }
   this->restart(Entry);
 }
 
--- a/tests/auto/libs/coordination/tst_leaseproperty.cpp
+++ b/tests/auto/libs/coordination/tst_leaseproperty.cpp
@@ -73,7 +73,7 @@
       RC_ASSERT(World.run(std::chrono::seconds(Seed % 2 ? 8 : 0)) == "");
       for (const Fault &Each : Faults) {
         apply(World, Each, EntryCount);
-        RC_ASSERT(World.run(std::chrono::milliseconds(50 * (std::get<2>(Each) % 40))) == "");
+        RC_ASSERT(World.run(std::chrono::milliseconds(50 * (std::get<2>(Each) % 80))) == "");
       }
       World.stopFaults();
       RC_ASSERT(World.run(progressBound()) == "");
