--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,4 +5,11 @@
 directory=${1:-build}
 shift || true
 scripts/build.sh "$directory" "$@"
-ctest --test-dir "$directory" --output-on-failure -j "$(nproc)"
+# Known faults are listed in KNOWN-RED.txt; exactly these tests are passed over and named.
+known=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|')
+if [ -n "$known" ]; then
+  printf 'Passed over (KNOWN-RED.txt): %s\n' "${known//|/ }"
+  ctest --test-dir "$directory" --output-on-failure -j "$(nproc)" -E "^($known)\$"
+else
+  ctest --test-dir "$directory" --output-on-failure -j "$(nproc)"
+fi
