Raise the limit late while answers are slower than the group's

Cause: a returning target in cold start answered eight requests, got two at once and failed over (21 to 23 sends to a cold target beyond what it bears when one domain of six returns). Change: while the latest answers are above 1.3 of the group's baseline, a raise needs a run eight times as long.

--- a/src/libs/coordination/ConcurrencyLimiter.cpp
+++ b/src/libs/coordination/ConcurrencyLimiter.cpp
@@ -30,6 +30,12 @@
 constexpr double GoodProbeRatio = 3;
 constexpr std::uint32_t ProbesNeeded = 4;
 constexpr std::uint32_t MaxRunNeeded = 128;
+/// A run whose latest answers are above this multiple of the group's baseline may come from a cold
+/// target and must be longer. A target that is always slower than its group still grows.
+constexpr double SlowRunRatio = 1.3;
+constexpr std::uint32_t SlowRunFactor = 8;
+/// Short enough that a target that has become warm is not judged by its cold answers.
+constexpr double RunMeanAnswers = 16;
 constexpr std::uint32_t FailuresToStop = 2;
 constexpr double BackoffBase = 50'000;
 constexpr double BackoffCap = 2'000'000;
@@ -163,13 +169,24 @@
     return;
   }
   this->Backoffs = 0;
-  if (!Ended.AtLimit || this->Learned >= this->Slots || ++this->Run < this->RunNeeded) {
+  if (!Ended.AtLimit || this->Learned >= this->Slots) {
+    return;
+  }
+  ++this->Run;
+  this->RunMean += (Time - this->RunMean) / std::min<double>(this->Run, RunMeanAnswers);
+  if (this->Run < this->runNeeded()) {
     return;
   }
   ++this->Learned;
   this->Run = 0;
 }
 
+std::uint32_t ConcurrencyLimiter::runNeeded() const {
+  const bool SlowerThanGroup =
+      this->GroupMean > 0 && this->RunMean > SlowRunRatio * this->GroupMean;
+  return this->RunNeeded * (SlowerThanGroup ? SlowRunFactor : 1);
+}
+
 void ConcurrencyLimiter::addEvidence(double Time, bool Complete) {
   const double Mean = this->reference(this->FirstByteMean);
   if (Mean <= 0) {
--- a/src/libs/coordination/ConcurrencyLimiter.h
+++ b/src/libs/coordination/ConcurrencyLimiter.h
@@ -63,6 +63,7 @@
   };
 
   double reference(double Own) const;
+  std::uint32_t runNeeded() const;
   double ageEvidence(TimePoint Now) const;
   bool overdue(TimePoint Now) const;
   Duration oldestAge(TimePoint Now) const;
@@ -86,6 +87,7 @@
   std::uint32_t GoodProbes = 0;
   std::uint32_t Samples = 0;
   bool Slow = false;
+  double RunMean = 0;
   double Evidence = 0;
   double FirstByteMean = 0;
   double TotalMean = 0;
