--- a/src/libs/coordination/ConcurrencyLimiter.cpp
+++ b/src/libs/coordination/ConcurrencyLimiter.cpp
@@ -82,7 +82,7 @@
 
 bool ConcurrencyLimiter::overdue(TimePoint Now) const {
   const double Mean = this->reference(this->TotalMean);
-  return Mean > 0 && (micros(this->oldestAge(Now)) > OverdueRatio * Mean ||
+  return Mean > 0 && (micros(this->oldestAge(Now)) >= OverdueRatio * Mean ||
                       this->Evidence + this->ageEvidence(Now) > AlarmEvidence);
 }
 
--- a/src/libs/coordination/OwnerQueuePolicy.cpp
+++ b/src/libs/coordination/OwnerQueuePolicy.cpp
@@ -203,9 +203,10 @@
   if (Means.empty()) {
     return Duration(0);
   }
-  const auto Middle = Means.begin() + static_cast<std::ptrdiff_t>(Means.size() / 2);
-  std::nth_element(Means.begin(), Middle, Means.end());
-  return *Middle;
+  // The lower quartile stays right while half of the targets are cold or slow together.
+  const auto Quartile = Means.begin() + static_cast<std::ptrdiff_t>((Means.size() - 1) / 4);
+  std::nth_element(Means.begin(), Quartile, Means.end());
+  return *Quartile;
 }
 
 void OwnerQueuePolicy::refreshGroup() {
