End an exchange before its connection closes

Cause: closing the connection of a truncated answer ended and destroyed the exchange, which was then used again. AddressSanitizer found it in tst_proxyexchange (answers). Change: the exchange ends first. Result: tst_proxyexchange, tst_targetcall and tst_standintarget pass under address and undefined sanitizers; tst_requestserver passes its 7 tests there but LeakSanitizer reports 9 bytes in 3 allocations from g_malloc without further frames, not traced yet.

Broken on purpose, in a scratch copy, each with the test that then failed: idle check (idleCloseIsNoticed, strayBytesReachNobody), Sent (neverResent), end of stream (incompleteAnswers), stray bytes (strayBytesReachNobody), socket close before giving away (answers, deadline), end within chunks (chunkedUploads), upload limit (uploadWaitsForTarget), caller watch (callerLeaves), own headers (forwarding), conflicting framing (malformedRequests), waits (slowSenders), sealed path (peersMustSeal), Connection: close while stopping (drainClosesConnections).

--- a/src/libs/transport/ProxyExchange.cpp
+++ b/src/libs/transport/ProxyExchange.cpp
@@ -209,17 +209,17 @@
 }
 
 void ProxyExchange::onCallFailed(const std::string &) {
-  if (this->AnswerStarted) {
-    // A truncated answer must not look whole: the connection closes before the announced end.
-    const GObjectPointer<SoupServerMessage> Held = shareObject(this->Caller.get());
-    this->endAttempt(this->DeadlinePassed ? AttemptOutcome::DeadlineExceeded
-                                          : AttemptOutcome::Failed);
-    closeWithoutAnswer(Held.get(), this->ResetOnFailure);
-    this->endExchange();
-    return;
-  }
+  const bool Started = this->AnswerStarted;
+  const bool Reset = this->ResetOnFailure;
+  const GObjectPointer<SoupServerMessage> Held = shareObject(this->Caller.get());
   this->endAttempt(this->DeadlinePassed ? AttemptOutcome::DeadlineExceeded
                                         : AttemptOutcome::Failed);
+  if (Started) {
+    // A truncated answer must not look whole: the connection closes before the announced end. The
+    // exchange ends first, because closing would end and destroy it.
+    this->endExchange();
+    closeWithoutAnswer(Held.get(), Reset);
+  }
 }
 
 void ProxyExchange::onChunkWritten(SoupServerMessage *Message, gpointer Data) {
