--- a/src/libs/transport/TargetCall.cpp
+++ b/src/libs/transport/TargetCall.cpp
@@ -87,15 +87,17 @@
 gboolean TargetCall::onFailureLater(gpointer Data) {
   auto &Self = *static_cast<TargetCall *>(Data);
   Self.FailureTimer = 0;
-  Self.fail(std::move(Self.FailureReason));
+  Self.fail(Self.FailureReason);
   return G_SOURCE_REMOVE;
 }
 
-void TargetCall::fail(std::string Reason) {
+void TargetCall::fail(const std::string &Reason) {
+  // The listener may destroy this call and with it the text.
+  const std::string Held = Reason;
   this->Now = State::Ended;
   this->watch(NoCondition);
   this->Socket.reset();
-  this->Listener.onCallFailed(Reason);
+  this->Listener.onCallFailed(Held);
 }
 
 void TargetCall::watch(GIOCondition Condition) {
@@ -144,7 +146,8 @@
 }
 
 void TargetCall::fillOutput() {
-  if (this->BodyEnded || this->WriteFailed || this->Written < this->Output.size()) {
+  if (!this->Request.Rest || this->BodyEnded || this->WriteFailed ||
+      this->Written < this->Output.size()) {
     return;
   }
   const std::string Part = this->Request.Rest->takeBody();
--- a/src/libs/transport/TargetCall.h
+++ b/src/libs/transport/TargetCall.h
@@ -71,7 +71,7 @@
 
   std::string connect();
   void failLater(std::string Reason);
-  void fail(std::string Reason);
+  void fail(const std::string &Reason);
   void watch(GIOCondition Condition);
   void fillOutput();
   void write();
--- a/src/standins/target/StandinTarget.cpp
+++ b/src/standins/target/StandinTarget.cpp
@@ -135,10 +135,10 @@
                             {"failed", this->Counts.Failed},
                             {"cancelled", this->Counts.Cancelled},
                             {"measurements", this->Counts.Measurements},
-                            {"running", this->Running.size()},
+                            {"in_flight", this->Running.size()},
                             {"most_running", this->Counts.MostRunning},
                             {"keys", this->Counts.RunsByKey},
-                            {"requests", this->Counts.RunsByRequest},
+                            {"by_request", this->Counts.RunsByRequest},
                             {"most_runs_of_a_key", Most}}
                  .dump());
 }
