Fix lint findings of the protocol library, the tool and their tests

Cause: clang-tidy reported names, copies and the generated header. Change: the generated header is included as a system header, which exempts it from lint; lambdas in upper camel case; no copy on return.

--- a/src/anvilsaddle/AuditCommand.cpp
+++ b/src/anvilsaddle/AuditCommand.cpp
@@ -22,7 +22,7 @@
   }
   gchar *Text = g_date_time_format(Time, "%Y-%m-%dT%H:%M:%S");
   const std::string Fraction = std::to_string(1000 + Milliseconds % 1000).substr(1);
-  const std::string Result = std::string(Text) + "." + Fraction + "Z";
+  std::string Result = std::string(Text) + "." + Fraction + "Z";
   g_free(Text);
   g_date_time_unref(Time);
   return Result;
--- a/src/anvilsaddle/ExplainCommand.cpp
+++ b/src/anvilsaddle/ExplainCommand.cpp
@@ -14,7 +14,7 @@
 
 std::string queryValue(const std::string &Text) {
   gchar *Escaped = g_uri_escape_string(Text.c_str(), nullptr, FALSE);
-  const std::string Result = Escaped;
+  std::string Result = Escaped;
   g_free(Escaped);
   return Result;
 }
--- a/src/anvilsaddle/SettingsChecker.cpp
+++ b/src/anvilsaddle/SettingsChecker.cpp
@@ -146,7 +146,7 @@
 void SettingsChecker::checkReferences(const Team &Checked, const PlatformSettings &Platform) {
   // Parsed once more for the places; the text is known to be valid.
   const toml::table Root = toml::parse(Checked.Text);
-  const auto warn = [&](const char *Array, std::size_t Index, const char *Key,
+  const auto Warn = [&](const char *Array, std::size_t Index, const char *Key,
                         std::string Message) {
     const toml::source_position Place = placeOf(Root, Array, Index, Key);
     this->Warnings.push_back({Checked.File, Place.line, Place.column, std::move(Message)});
@@ -154,7 +154,7 @@
   for (std::size_t Index = 0; Index < Checked.Settings.Customers.size(); ++Index) {
     for (const RegionName &Region : Checked.Settings.Customers[Index].HomeRegions) {
       if (std::ranges::find(Platform.Regions, Region) == Platform.Regions.end()) {
-        warn("customer", Index, "home_regions", "unknown region '" + Region.str() + "'");
+        Warn("customer", Index, "home_regions", "unknown region '" + Region.str() + "'");
       }
     }
   }
@@ -162,9 +162,9 @@
     const Route &Each = Checked.Settings.Routes[Index];
     const auto Found = std::ranges::find(Platform.Services, Each.Service, &Service::Name);
     if (Found == Platform.Services.end()) {
-      warn("route", Index, "service", "unknown service '" + Each.Service.str() + "'");
+      Warn("route", Index, "service", "unknown service '" + Each.Service.str() + "'");
     } else if (Each.Deadline > Found->MaxDeadline) {
-      warn("route", Index, "deadline_ms",
+      Warn("route", Index, "deadline_ms",
            "the deadline exceeds the longest deadline of service '" + Each.Service.str() + "'");
     }
   }
--- a/src/libs/protocol/PeerCodec.cpp
+++ b/src/libs/protocol/PeerCodec.cpp
@@ -1,13 +1,12 @@
 #include "protocol/PeerCodec.h"
 
-#include "protocol/gen-cpp/peer_types.h"
-
 #include <cstdint>
 #include <limits>
 #include <memory>
 #include <stdexcept>
 #include <utility>
 
+#include <peer_types.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
--- a/src/libs/protocol/TomlTable.cpp
+++ b/src/libs/protocol/TomlTable.cpp
@@ -124,13 +124,16 @@
   const std::size_t Before = this->Problems.size();
   for (const toml::node &Element : *Elements) {
     const auto *Text = Element.as_string();
-    std::string Problem = Text ? Check(Text->get()) : "must be strings";
-    if (Text && Problem.empty() && !Seen.insert(Text->get()).second) {
+    if (!Text) {
+      this->addFindingAt(Element, "elements of " + quoted(Key) + " must be strings");
+      continue;
+    }
+    std::string Problem = Check(Text->get());
+    if (Problem.empty() && !Seen.insert(Text->get()).second) {
       Problem = "must differ";
     }
     if (!Problem.empty()) {
       this->addFindingAt(Element, "elements of " + quoted(Key) + " " + Problem);
-      continue;
     }
     Result.push_back(Text->get());
   }
--- a/tests/auto/anvilsaddle/tst_tool.cpp
+++ b/tests/auto/anvilsaddle/tst_tool.cpp
@@ -78,6 +78,7 @@
 Run run(std::vector<std::string> Arguments) {
   Arguments.insert(Arguments.begin(), "anvilsaddle");
   std::vector<const char *> Pointers;
+  Pointers.reserve(Arguments.size());
   for (const std::string &Each : Arguments) {
     Pointers.push_back(Each.c_str());
   }
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -46,12 +46,12 @@
       }
       std::sort(Latencies.begin(), Latencies.end());
       const auto Values = Quantiles.values(Start);
-      const auto exact = [&](double Probability) {
+      const auto Exact = [&](double Probability) {
         const auto Rank = std::ceil(Probability * static_cast<double>(Latencies.size()) - 1e-9);
         return static_cast<double>(Latencies[static_cast<std::size_t>(Rank) - 1]) / 1e6;
       };
-      RC_ASSERT(std::abs(Values.P99 - exact(0.99)) < 1e-9);
-      RC_ASSERT(std::abs(Values.P999 - exact(0.999)) < 1e-9);
+      RC_ASSERT(std::abs(Values.P99 - Exact(0.99)) < 1e-9);
+      RC_ASSERT(std::abs(Values.P999 - Exact(0.999)) < 1e-9);
       RC_ASSERT(Quantiles.count() == Latencies.size());
     });
   }
@@ -129,7 +129,7 @@
   /// Guards against memory that grows with each name ever seen.
   void seriesAreBounded() {
     Metrics Counts;
-    const auto fill = [&Counts](int Names) {
+    const auto Fill = [&Counts](int Names) {
       for (int Number = 0; Number < Names; ++Number) {
         const std::string Name = "s" + std::to_string(Number);
         Counts.onAnswered(ServiceName(Name), RequestClass::Bulk, Number, 1ms, Start);
@@ -140,9 +140,9 @@
       }
       return lineCount(Counts.render(Start));
     };
-    const std::size_t Full = fill(2000);
+    const std::size_t Full = Fill(2000);
     CPPUNIT_ASSERT(Full < 10'000);
-    CPPUNIT_ASSERT_EQUAL(Full, fill(4000));
+    CPPUNIT_ASSERT_EQUAL(Full, Fill(4000));
     assertHolds(Counts.render(Start), R"(anvilsaddle_retries_total{service="other"} 4800)");
     assertHolds(
         Counts.render(Start),
--- a/tests/auto/libs/protocol/tst_peercodec.cpp
+++ b/tests/auto/libs/protocol/tst_peercodec.cpp
@@ -1,13 +1,13 @@
 #include "ArbitraryMessage.h"
 #include "Property.h"
 #include "protocol/PeerCodec.h"
-#include "protocol/gen-cpp/peer_types.h"
 
 #include <memory>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include <peer_types.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
--- a/tests/auto/libs/protocol/tst_peerenvelope.cpp
+++ b/tests/auto/libs/protocol/tst_peerenvelope.cpp
@@ -61,12 +61,12 @@
   void otherKeysAndReceiversAreRefused() {
     const PeerEnvelope Envelope{VmName("entry-1"), {1, 2}, 3, "payload"};
     const std::string Datagram = Envelope.seal(Keys, Receiver);
-    const auto reason = [&](const Sealer &Key, const char *Name) {
+    const auto Reason = [&](const Sealer &Key, const char *Name) {
       return std::get<PeerError>(PeerEnvelope::open(Datagram, Key, VmName(Name))).Reason;
     };
-    CPPUNIT_ASSERT(reason(OpenSslSealer("another key"), "entry-2") ==
+    CPPUNIT_ASSERT(Reason(OpenSslSealer("another key"), "entry-2") ==
                    PeerRejection::BadAuthentication);
-    CPPUNIT_ASSERT(reason(Keys, "entry-3") == PeerRejection::BadAuthentication);
+    CPPUNIT_ASSERT(Reason(Keys, "entry-3") == PeerRejection::BadAuthentication);
     CPPUNIT_ASSERT(std::get<PeerError>(open(std::string(1401, '\1'))).Reason ==
                    PeerRejection::TooLarge);
     CPPUNIT_ASSERT(std::get<PeerError>(open(std::string(41, '\1'))).Reason ==
--- a/tests/auto/libs/protocol/tst_tomlsettingsparser.cpp
+++ b/tests/auto/libs/protocol/tst_tomlsettingsparser.cpp
@@ -63,7 +63,7 @@
         "[[route]]\nname = \"q\"\ncustomer = \"c\"\nservice = \"s\"\npath_prefix = \"/x\"\n";
     const std::string Service = "[[service]]\nname = \"s\"\n";
     const std::string Names = "1 to 63 lower-case letters, digits or hyphens";
-    const auto hash = [](std::size_t Size, char Digit) {
+    const auto Hash = [](std::size_t Size, char Digit) {
       return "\"" + std::string(Size, Digit) + "\"";
     };
     struct Case {
@@ -97,14 +97,14 @@
          "platform:3:19: 'max_deadline_ms' must be 1 to 600000"},
         {"platform", Service + "shed_is_not_run = 1\n",
          "platform:3:19: 'shed_is_not_run' must be true or false"},
-        {"platform", "[[region]]\nname = " + hash(63, 'a'), ""},
-        {"platform", "[[region]]\nname = " + hash(64, 'a'),
+        {"platform", "[[region]]\nname = " + Hash(63, 'a'), ""},
+        {"platform", "[[region]]\nname = " + Hash(64, 'a'),
          "platform:2:8: 'name' must be " + Names},
         {"platform", "[[region]]\nname = \"\"\n", "platform:2:8: 'name' must not be empty"},
         {"platform", "a = " + std::string(100'000, '['), "platform:1:261: "},
-        {"teams/t", Customer + "key_sha256 = [" + hash(64, 'a') + ",\n" + hash(64, 'A') + "]\n",
+        {"teams/t", Customer + "key_sha256 = [" + Hash(64, 'a') + ",\n" + Hash(64, 'A') + "]\n",
          "teams/t:4:1: elements of 'key_sha256' must be SHA-256 values in lower-case hexadecimal"},
-        {"teams/t", Customer + "key_sha256 = [" + hash(63, 'a') + "]\n",
+        {"teams/t", Customer + "key_sha256 = [" + Hash(63, 'a') + "]\n",
          "teams/t:3:15: elements of 'key_sha256'"},
         {"teams/t", Customer + "home_regions = [\"n\", \"N\"]\n",
          "teams/t:3:22: elements of 'home_regions' must be " + Names},
@@ -144,8 +144,9 @@
     std::string Text = "[[customer]]\nname = \"c\"\n";
     for (int Number = 0; Text.size() < MaxTomlBytes - 200; ++Number) {
       const std::string Name = std::to_string(Number);
-      Text += "[[route]]\nname = \"r" + Name +
-              "\"\ncustomer = \"c\"\nservice = \"s\"\npath_prefix = \"/" + Name + "\"\n";
+      Text.append("[[route]]\nname = \"r").append(Name);
+      Text.append("\"\ncustomer = \"c\"\nservice = \"s\"\npath_prefix = \"/");
+      Text.append(Name).append("\"\n");
     }
     Text.append(MaxTomlBytes - Text.size(), '\n');
     CPPUNIT_ASSERT(
@@ -166,15 +167,15 @@
   /// Guards against a crash of every entry by one key of many parts, and against values with dots
   /// that are taken for such keys.
   void keyDepth() {
-    const auto key = [](std::size_t Count) {
+    const auto Key = [](std::size_t Count) {
       std::string Result = "a";
       for (std::size_t Number = 1; Number < Count; ++Number) {
         Result += " . \"b.c\"";
       }
       return Result;
     };
-    const std::string Longest = key(MaxTomlKeyParts);
-    const std::string TooLong = key(MaxTomlKeyParts + 1);
+    const std::string Longest = Key(MaxTomlKeyParts);
+    const std::string TooLong = Key(MaxTomlKeyParts + 1);
     const std::string Dots = "1.2.3.4.5.6.7.8.9.10";
     std::string Repeated;
     for (int Number = 0; Number < 400'000; ++Number) {
