Keep each idempotency key once in the ledger

Cause: the expiry order held a second copy of customer and key. At 432 bytes a key, the capacity of 200,000 keys needs 86 MB, more than the 64 MB that an entry may use. Change: the expiry order holds iterators of the records. Broken on purpose: without the removal of the record, tst_keyledger fails (capacityIsBounded).

--- a/src/libs/coordination/KeyLedger.cpp
+++ b/src/libs/coordination/KeyLedger.cpp
@@ -17,8 +17,8 @@
   if (this->Records.size() >= this->Capacity) {
     return KeyAdmission::LedgerFull;
   }
-  this->Records.emplace(Id, KeyRecord{KeyState::Started, 0, Expiry});
-  this->ByExpiry.emplace(Expiry, Id);
+  const auto Added = this->Records.emplace(Id, KeyRecord{KeyState::Started, 0, Expiry}).first;
+  this->ByExpiry.emplace(Expiry, Added);
   return KeyAdmission::Admitted;
 }
 
--- a/src/libs/coordination/KeyLedger.h
+++ b/src/libs/coordination/KeyLedger.h
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -58,7 +57,8 @@
 
   std::size_t Capacity;
   std::map<LedgerKey, KeyRecord> Records;
-  std::set<std::pair<TimePoint, LedgerKey>> ByExpiry;
+  /// Iterators instead of copies of the keys, which would double the memory of a key.
+  std::multimap<TimePoint, std::map<LedgerKey, KeyRecord>::iterator> ByExpiry;
 };
 
 } // namespace anvilsaddle
