--- a/benchmarks/bench_entrynode.cpp
+++ b/benchmarks/bench_entrynode.cpp
@@ -82,6 +82,10 @@
     this->Node->takeEffects();
   }
 
+  void answerEntries() {
+    benchmark::DoNotOptimize(this->Node->entriesFor(this->Heads.front().Authorization, this->Now));
+  }
+
   void changeTeam(std::uint64_t Revision) {
     this->Node->onSettings("teams/team-0", Revision, teamText(this->Size, 0), "benchmark",
                            this->Now);
@@ -135,6 +139,17 @@
   }
 }
 
+/// Answer to GET /v1/entries with 20 entries and a ticket.
+void addressAnswer(benchmark::State &State) {
+  FleetSize Size = sizeOf(State);
+  Size.Entries = 20;
+  Size.Regions = 4;
+  SingleEntry Entry(Size);
+  for (auto _ : State) {
+    Entry.answerEntries();
+  }
+}
+
 void settingsChange(benchmark::State &State) {
   SingleEntry Entry(sizeOf(State));
   std::uint64_t Revision = 1;
@@ -163,6 +178,7 @@
 
 BENCHMARK(request)->Apply(allSizes);
 BENCHMARK(tick)->Apply(allSizes);
+BENCHMARK(addressAnswer)->Apply(allSizes)->Args({6900, 290});
 BENCHMARK(settingsChange)->Apply(allSizes);
 BENCHMARK(vmListChange)->Apply(allSizes);
 
