--- a/benchmarks/bench_entrynode.cpp
+++ b/benchmarks/bench_entrynode.cpp
@@ -124,7 +124,7 @@
   }
   std::uint32_t Number = 0;
   std::uint64_t Attempts = 0;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Attempts += Entry.runRequest(Number++);
   }
   State.SetItemsProcessed(State.iterations());
@@ -134,7 +134,7 @@
 
 void tick(benchmark::State &State) {
   SingleEntry Entry(sizeOf(State));
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Entry.tick();
   }
 }
@@ -145,7 +145,7 @@
   Size.Entries = 20;
   Size.Regions = 4;
   SingleEntry Entry(Size);
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Entry.answerEntries();
   }
 }
@@ -153,7 +153,7 @@
 void settingsChange(benchmark::State &State) {
   SingleEntry Entry(sizeOf(State));
   std::uint64_t Revision = 1;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Entry.changeTeam(++Revision);
   }
 }
@@ -162,7 +162,7 @@
   const FleetSize Size = sizeOf(State);
   SingleEntry Entry(Size);
   VmList List = makeVmList(Size);
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     Entry.changeVmList(List);
   }
 }
--- a/benchmarks/bench_groups.cpp
+++ b/benchmarks/bench_groups.cpp
@@ -26,7 +26,7 @@
   Size.Targets = static_cast<std::uint32_t>(State.range(0));
   offerAll(Store, Size);
   const VmList Vms = makeVmList(Size);
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     benchmark::DoNotOptimize(computeGroups(Store.snapshot(), Vms));
   }
 }
@@ -38,7 +38,7 @@
   for (std::int64_t Index = 0; Index < State.range(0); ++Index) {
     Candidates.push_back("entry-" + std::to_string(Index));
   }
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     std::uint64_t Best = 0;
     for (const std::string &Candidate : Candidates) {
       Best = std::max(Best, rendezvousScore("target-17/service-3", Candidate));
--- a/benchmarks/bench_keyledger.cpp
+++ b/benchmarks/bench_keyledger.cpp
@@ -29,7 +29,7 @@
   for (std::int64_t Index = 0; Index < Size; ++Index) {
     RunOne();
   }
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     if (!RunOne()) {
       State.SkipWithError("not admitted");
     }
--- a/benchmarks/bench_memory.cpp
+++ b/benchmarks/bench_memory.cpp
@@ -22,7 +22,7 @@
 /// Builds a state in each iteration and reports its memory, divided by the number of elements.
 void measure(benchmark::State &State, std::int64_t Elements,
              const std::function<std::function<void()>()> &Build) {
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     const std::int64_t BytesBefore = liveBytes();
     const std::int64_t AllocationsBefore = liveAllocations();
     const std::function<void()> Keep = Build();
--- a/benchmarks/bench_settings.cpp
+++ b/benchmarks/bench_settings.cpp
@@ -32,7 +32,7 @@
   SettingsStore Store(Parser);
   const std::string Text = textOfSize(static_cast<std::size_t>(State.range(0)) * 1024);
   std::uint64_t Revision = 0;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     if (Store.offer("teams/team-0", ++Revision, Text).Outcome != OfferOutcome::Accepted) {
       State.SkipWithError("refused");
     }
@@ -51,7 +51,7 @@
   offerAll(Store, Size);
   const std::string Text = teamText(Size, 0);
   std::uint64_t Revision = 1;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     benchmark::DoNotOptimize(Store.offer("teams/team-0", ++Revision, Text));
   }
 }
@@ -73,7 +73,7 @@
   offerAll(Store, Size);
   const RequestRouter Router(RegionName("region-0"), Seals);
   std::uint32_t Customer = 0;
-  for (auto _ : State) {
+  while (State.KeepRunning()) {
     RequestHead Head;
     Head.Method = "GET";
     Head.Path = "/route-1/item";
--- a/src/libs/state/SettingsSnapshot.cpp
+++ b/src/libs/state/SettingsSnapshot.cpp
@@ -18,10 +18,10 @@
 } // namespace
 
 SettingsSnapshot::SettingsSnapshot(PlatformSettings Platform,
-                                   std::map<TeamName, TeamSettings> Teams) {
+                                   const std::map<TeamName, TeamSettings> &Teams) {
   this->setPlatform(std::move(Platform));
-  for (auto &[Name, Team] : Teams) {
-    this->setTeam(std::move(Team));
+  for (const auto &[Name, Team] : Teams) {
+    this->setTeam(Team);
   }
 }
 
--- a/src/libs/state/SettingsSnapshot.h
+++ b/src/libs/state/SettingsSnapshot.h
@@ -17,7 +17,7 @@
 class SettingsSnapshot {
 public:
   SettingsSnapshot() = default;
-  SettingsSnapshot(PlatformSettings Platform, std::map<TeamName, TeamSettings> Teams);
+  SettingsSnapshot(PlatformSettings Platform, const std::map<TeamName, TeamSettings> &Teams);
 
   const PlatformSettings &platform() const { return this->Platform; }
   const std::map<TeamName, TeamSettings> &teams() const { return this->Teams; }
