--- a/benchmarks/decisionbench/Scenario.h
+++ b/benchmarks/decisionbench/Scenario.h
@@ -16,6 +16,10 @@
   double Load = 0.5;
   Fault Kind = Fault::None;
   std::uint32_t Domains = 2;
+  /// Fraction of the requests that are bulk.
+  double BulkPart = 0.2;
+  /// All requests are of one customer, so that one class is served first come, first served.
+  bool OneCustomer = false;
 };
 
 struct PolicyChoice {
--- a/benchmarks/decisionbench/Simulation.cpp
+++ b/benchmarks/decisionbench/Simulation.cpp
@@ -13,7 +13,6 @@
 namespace {
 constexpr Duration InteractiveDeadline{500'000};
 constexpr Duration BulkDeadline{2'000'000};
-constexpr double BulkPart = 0.2;
 /// Time until the sender learns of a refusal or a failed connection.
 constexpr Duration FailureNoticeTime{1'000};
 /// Excluded from the figures, so that all policies start in a steady state.
@@ -142,11 +141,11 @@
   }
   Request Next;
   Next.Arrival = this->Now;
-  Next.Class =
-      this->ArrivalRandom.uniform() < BulkPart ? RequestClass::Bulk : RequestClass::Interactive;
+  Next.Class = this->ArrivalRandom.uniform() < this->Case.BulkPart ? RequestClass::Bulk
+                                                                   : RequestClass::Interactive;
   Next.Deadline =
       this->Now + (Next.Class == RequestClass::Bulk ? BulkDeadline : InteractiveDeadline);
-  const double Share = this->ArrivalRandom.uniform();
+  const double Share = this->ArrivalRandom.uniform() * (this->Case.OneCustomer ? 0 : 1);
   while (Customers.at(Next.Customer).CumulativeShare < Share) {
     ++Next.Customer;
   }
--- a/benchmarks/decisionbench/main.cpp
+++ b/benchmarks/decisionbench/main.cpp
@@ -15,6 +15,8 @@
   std::string Only;
   std::uint64_t Seed = 1;
   double Seconds = 30;
+  double BulkPart = 0.2;
+  bool OneCustomer = false;
   unsigned Threads = 3;
   bool PerClass = false;
 };
@@ -26,7 +28,9 @@
     std::vector<ReportRow> Rows;
   };
   std::vector<Job> Jobs;
-  for (const Scenario &Case : allScenarios()) {
+  for (Scenario Case : allScenarios()) {
+    Case.BulkPart = Chosen.BulkPart;
+    Case.OneCustomer = Chosen.OneCustomer;
     for (const PolicyChoice &Choice : allPolicies()) {
       if (Case.Name.find(Chosen.Only) != std::string::npos) {
         Jobs.push_back({Case, Choice, {}});
@@ -60,6 +64,9 @@
   Application.add_option("--seed", Chosen.Seed, "Seed of arrivals, service times and draws");
   Application.add_option("--seconds", Chosen.Seconds, "Simulated time of each run")
       ->check(CLI::Range(6.0, 3600.0));
+  Application.add_option("--bulk", Chosen.BulkPart, "Fraction of the requests that are bulk")
+      ->check(CLI::Range(0.0, 1.0));
+  Application.add_flag("--one-customer", Chosen.OneCustomer, "All requests of one customer");
   Application.add_option("--only", Chosen.Only, "Run only scenarios whose name contains this");
   Application.add_option("--threads", Chosen.Threads, "Runs at once")->check(CLI::Range(1, 16));
   Application.add_flag("--per-class", Chosen.PerClass, "Print a line per class too");
--- a/src/libs/coordination/FairQueue.cpp
+++ b/src/libs/coordination/FairQueue.cpp
@@ -114,7 +114,7 @@
 }
 
 void FairQueue::removeWaiting(Level &Owner, const CustomerName &Customer,
-                              std::deque<QueuedRequest>::iterator Position, bool Started) {
+                              const std::deque<QueuedRequest>::iterator &Position, bool Started) {
   Flow &Queue = Owner.Flows.at(Customer);
   this->Deadlines.erase({Position->Deadline, Position->Number});
   this->Places.erase(Position->Number);
--- a/src/libs/coordination/FairQueue.h
+++ b/src/libs/coordination/FairQueue.h
@@ -82,7 +82,7 @@
                                        const std::function<bool(const QueuedRequest &)> &Eligible);
   static void countStart(Level &Owner, TimePoint Now);
   void removeWaiting(Level &Owner, const CustomerName &Customer,
-                     std::deque<QueuedRequest>::iterator Position, bool Started);
+                     const std::deque<QueuedRequest>::iterator &Position, bool Started);
   std::deque<QueuedRequest>::iterator find(Flow &Owner, RequestNumber Request);
 
   Limits Bounds;
