Test late growth and the bulk wait estimate

Cause: a break on purpose of the late growth (factor 1) passed all tests. Change: tests for it and for the measured bulk rate; both fail when their decision is broken on purpose, and pass when it is restored.

--- a/tests/auto/libs/coordination/tst_concurrencylimiter.cpp
+++ b/tests/auto/libs/coordination/tst_concurrencylimiter.cpp
@@ -44,6 +44,7 @@
 class ConcurrencyLimiterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ConcurrencyLimiterTest);
   CPPUNIT_TEST(growth);
+  CPPUNIT_TEST(growthOfSlowStart);
   CPPUNIT_TEST(cuts);
   CPPUNIT_TEST(repeatedFailures);
   CPPUNIT_TEST(overdueWork);
@@ -69,6 +70,17 @@
     CPPUNIT_ASSERT_EQUAL(2U, Subject.Limiter.limit(Subject.Now));
   }
 
+  /// Guards against a cold target that is raised although its answers are slower than its group's,
+  /// and against a target that is always slower and never grows.
+  void growthOfSlowStart() {
+    Driver Subject;
+    Subject.Limiter.setGroupBaseline(Normal);
+    Subject.rounds(40, 2 * Normal);
+    CPPUNIT_ASSERT_EQUAL(1U, Subject.Limiter.limit(Subject.Now));
+    Subject.rounds(100, 2 * Normal);
+    CPPUNIT_ASSERT_EQUAL(3U, Subject.Limiter.limit(Subject.Now));
+  }
+
   /// Guards against a target in trouble that keeps its limit, and against a cut without cause.
   void cuts() {
     struct Case {
--- a/tests/auto/libs/coordination/tst_fairqueue.cpp
+++ b/tests/auto/libs/coordination/tst_fairqueue.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(cancelledWorkCostsNoShare);
   CPPUNIT_TEST(classes);
   CPPUNIT_TEST(admission);
+  CPPUNIT_TEST(bulkEstimate);
   CPPUNIT_TEST(deadlines);
   CPPUNIT_TEST(ineligibleHead);
   CPPUNIT_TEST_SUITE_END();
@@ -128,6 +129,19 @@
     }
   }
 
+  /// Guards against bulk that is admitted by the rate that interactive requests use up.
+  void bulkEstimate() {
+    FairQueue Queue;
+    for (RequestNumber Number = 0; Number < 100; ++Number) {
+      Queue.push(request(Number, "t.a", 1, RequestClass::Bulk), {}, Start);
+    }
+    for (int Step = 1; Step <= 50; ++Step) {
+      Queue.popFirst(any, Start + Step * std::chrono::milliseconds(10));
+    }
+    const Duration Wait = Queue.expectedWait(request(200, "t.a", 1, RequestClass::Bulk), 1'000);
+    CPPUNIT_ASSERT(Wait > std::chrono::milliseconds(400));
+  }
+
   /// Guards against requests that start, or stay, after their deadline.
   void deadlines() {
     FairQueue Queue;
