--- a/tests/auto/libs/coordination/tst_fairqueue.cpp
+++ b/tests/auto/libs/coordination/tst_fairqueue.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(cancelledWorkCostsNoShare);
   CPPUNIT_TEST(classes);
   CPPUNIT_TEST(admission);
+  CPPUNIT_TEST(runningCounts);
   CPPUNIT_TEST(bulkEstimate);
   CPPUNIT_TEST(deadlines);
   CPPUNIT_TEST(ineligibleHead);
@@ -129,6 +130,19 @@
     }
   }
 
+  /// Guards against a customer that exceeds its most requests because running ones don't count.
+  void runningCounts() {
+    FairQueue Queue;
+    QueuedRequest Next = request(1, "t.a");
+    Next.MaxInFlight = 1;
+    Queue.push(Next, {}, Start);
+    Queue.popFirst(any, Start);
+    Next.Number = 2;
+    CPPUNIT_ASSERT(Queue.push(Next, {}, Start) == EnqueueOutcome::CustomerLimit);
+    Queue.onEnd(Next.Customer);
+    CPPUNIT_ASSERT(Queue.push(Next, {}, Start) == EnqueueOutcome::Queued);
+  }
+
   /// Guards against bulk that is admitted by the rate that interactive requests use up.
   void bulkEstimate() {
     FairQueue Queue;
--- a/tests/auto/libs/coordination/tst_ownerqueuepolicy.cpp
+++ b/tests/auto/libs/coordination/tst_ownerqueuepolicy.cpp
@@ -237,6 +237,9 @@
     serve(Policy, Now, Next, 60);
     Policy.enqueue(plain(Next++), Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Policy.assign(Now).size());
+    Policy.setTargets(One, Now);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("a target that stays keeps its limit", 3U,
+                                 Policy.status().front().Limit);
     Policy.setTargets({}, Now);
     CPPUNIT_ASSERT(Policy.assign(Now).empty());
     Policy.setTargets(One, Now);
