--- a/src/libs/coordination/EntryNode.cpp
+++ b/src/libs/coordination/EntryNode.cpp
@@ -184,11 +184,18 @@
   return Number;
 }
 
-bool EntryNode::onAnswerHead(RequestNumber Number, int Status, bool HasRetryAfter) {
+bool EntryNode::onAnswerHead(RequestNumber Number, int Status, bool HasRetryAfter, TimePoint Now) {
   const auto Found = this->Requests.find(Number);
-  const bool ToTarget =
-      Found != this->Requests.end() && Found->second.State == ActiveRequest::Phase::Running;
-  return !ToTarget || Status != 503 || !HasRetryAfter;
+  if (Found == this->Requests.end() || Found->second.State != ActiveRequest::Phase::Running) {
+    return true;
+  }
+  if (Status == 503 && HasRetryAfter) {
+    return false;
+  }
+  if (DispatchPolicy *Policy = this->Groups.find(Found->second.Group)) {
+    Policy->onFirstByte(Number, Now);
+  }
+  return true;
 }
 
 void EntryNode::onAttemptEnd(RequestNumber Number, const AttemptReport &Report, TimePoint Now) {
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -109,7 +109,7 @@
   std::variant<RequestNumber, Refusal> onRequest(const RequestHead &Head, TimePoint Now);
   /// True if the answer shall go to the caller; false if it shall be dropped and the attempt ended
   /// as shed.
-  bool onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter);
+  bool onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter, TimePoint Now);
   /// Ends the running attempt or forward of a request. Unknown numbers are ignored.
   void onAttemptEnd(RequestNumber Request, const AttemptReport &Report, TimePoint Now);
   void onCallerGone(RequestNumber Request, TimePoint Now);
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -166,7 +166,7 @@
 }
 
 bool EntryRuntime::onAnswerHead(RequestNumber Request, int Status, bool HasRetryAfter) {
-  return this->Node.onAnswerHead(Request, Status, HasRetryAfter);
+  return this->Node.onAnswerHead(Request, Status, HasRetryAfter, this->Time.now());
 }
 
 void EntryRuntime::onAttemptEnd(RequestNumber Request, const AttemptReport &Report) {
