--- a/tests/auto/libs/protocol/ArbitraryMessage.h
+++ b/tests/auto/libs/protocol/ArbitraryMessage.h
@@ -68,13 +68,11 @@
     return LessorInquiry{Sender, Run, *rc::gen::arbitrary<std::uint64_t>(),
                          arbitraryList(MaxList, arbitraryTarget)};
   default:
-    return LessorCession{
-        Sender, Run,
-        arbitraryIncarnation(),
-        arbitraryList(MaxList, [] {
-          return CededTarget{arbitraryTarget(),
-                             Duration(*rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 62))};
-        })};
+    return LessorCession{Sender, Run, arbitraryIncarnation(), arbitraryList(MaxList, [] {
+                           return CededTarget{
+                               arbitraryTarget(),
+                               Duration(*rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 62))};
+                         })};
   }
 }
 
