--- a/src/anvilsaddle/StatusCommand.cpp
+++ b/src/anvilsaddle/StatusCommand.cpp
@@ -22,7 +22,7 @@
   TextTable Fields({"FIELD", "VALUE"});
   TextTable Settings({"SETTINGS", "REVISION"});
   for (const auto &[Key, Value] : Status.items()) {
-    if (Key != "settings" && Key != "findings") {
+    if (Key != "settings" && Key != "findings" && Key != "peers") {
       Fields.add({Key, fieldText(Status, Key)});
     }
   }
@@ -33,6 +33,16 @@
   Fields.write(Out);
   Out << '\n';
   Settings.write(Out);
+  TextTable Peers({"ENTRY", "REGION", "FAILURE DOMAIN", "STATE"});
+  const auto Known = Status.value("peers", nlohmann::json::array());
+  for (const auto &Each : Known) {
+    Peers.add({fieldText(Each, "vm"), fieldText(Each, "region"), fieldText(Each, "failure_domain"),
+               fieldText(Each, "state")});
+  }
+  if (!Known.empty()) {
+    Out << '\n';
+    Peers.write(Out);
+  }
   TextTable Findings({"FINDINGS OF REFUSED SETTINGS"});
   const auto Problems = Status.value("findings", nlohmann::json::array());
   for (const auto &Each : Problems) {
--- a/src/libs/coordination/EntryNode.cpp
+++ b/src/libs/coordination/EntryNode.cpp
@@ -326,44 +326,12 @@
   Head.Method = Method;
   Head.Path = UrlPath;
   Head.Forwarded = ForwardMark{this->Self.Vm, Name, false, false};
-  Explanation Result;
   const auto Decision = this->Router.route(this->Settings.snapshot(), Head);
   if (const auto *Refused = std::get_if<Refusal>(&Decision)) {
-    Result.Decision = "refused with " + std::to_string(Refused->Status) + ": " + Refused->Reason;
-    return Result;
-  }
-  const auto &Routed = std::get<RoutedRequest>(Decision);
-  Result.Decision = "no owner of service " + Routed.Destination.Name.str() + " is known";
-  bool Decided = false;
-  for (const RegionName &Region : this->Settings.snapshot().platform().Regions) {
-    const bool Allowed = std::ranges::find(Routed.Regions, Region) != Routed.Regions.end();
-    for (const auto &[Group, Members] : this->Targets) {
-      if (Group.Service != Routed.Destination.Name || Group.Region != Region) {
-        continue;
-      }
-      const auto Owner = this->Fleet.ownerOf(Group, Now);
-      ExplainStep Step{toString(Group), "ruled out", ""};
-      if (!Allowed) {
-        Step.Reason = "the region is not a home region of the customer";
-      } else if (!Owner) {
-        Step.Reason = "no live entry can own the group";
-      } else if (Region != this->Self.Region) {
-        Step.Reason = "only for overflow; owner " + Owner->str();
-      } else {
-        Step.Result = "chosen";
-        Step.Reason =
-            "owner " + Owner->str() + ", " + std::to_string(Members.size()) + " usable targets";
-        Result.Decision = *Owner == this->Self.Vm ? "queued here for " + toString(Group)
-                                                  : "forwarded to " + Owner->str();
-        Decided = true;
-      }
-      Result.Steps.push_back(std::move(Step));
-    }
-  }
-  if (!Decided && Result.Steps.empty()) {
-    Result.Decision = "refused with 503: no target of the service is listed";
+    return {"refused with " + std::to_string(Refused->Status) + ": " + Refused->Reason, {}};
   }
-  return Result;
+  return explainRoute(std::get<RoutedRequest>(Decision), this->Settings.snapshot(), this->Targets,
+                      this->Fleet, this->Self, Now);
 }
 
 void EntryNode::onTick(TimePoint Now) {
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -3,6 +3,7 @@
 #include "coordination/Effect.h"
 #include "coordination/EntryFleet.h"
 #include "coordination/EntryIdentity.h"
+#include "coordination/Explanation.h"
 #include "coordination/GroupMap.h"
 #include "coordination/GroupTable.h"
 #include "coordination/KeyIssuer.h"
@@ -65,22 +66,6 @@
   auto operator<=>(const RequestSummary &) const = default;
 };
 
-/// One candidate that `anvilsaddle explain` shows.
-struct ExplainStep {
-  std::string Candidate;
-  std::string Result;
-  std::string Reason;
-
-  auto operator<=>(const ExplainStep &) const = default;
-};
-
-struct Explanation {
-  std::string Decision;
-  std::vector<ExplainStep> Steps;
-
-  auto operator<=>(const Explanation &) const = default;
-};
-
 /// All decisions of one entry: admits requests, queues them, chooses targets, retries, and takes
 /// part in the fleet. Events and the current time go in, effects come out through takeEffects().
 /// Performs no I/O and reads no clock. Times must not decrease between calls. Not thread-safe.
--- a/src/libs/transport/PeerSettingsClient.cpp
+++ b/src/libs/transport/PeerSettingsClient.cpp
@@ -3,6 +3,7 @@
 #include "coordination/Sealer.h"
 #include "state/SettingsStore.h"
 #include "transport/PeerSettingsServer.h"
+#include "transport/TextGet.h"
 
 #include <cstddef>
 #include <memory>
@@ -18,14 +19,6 @@
 constexpr guint TimeoutSeconds = 2;
 } // namespace
 
-struct PeerSettingsClient::Call {
-  GObjectPointer<GCancellable> Cancel;
-  GObjectPointer<SoupMessage> Message;
-  const Sealer &Seals;
-  std::string UrlPath;
-  std::function<void(const std::string &Body, bool Ok)> Done;
-};
-
 /// Subtrees that one fetch still waits for.
 struct PeerSettingsClient::Round {
   OnSettings Deliver;
@@ -81,41 +74,21 @@
 void PeerSettingsClient::get(const Endpoint &Source, const std::string &UrlPath,
                              std::function<void(const std::string &Body, bool Ok)> Done) {
   const std::string Url = "http://" + Source.Address + ":" + std::to_string(Source.Port) + UrlPath;
-  auto Next =
-      std::make_unique<Call>(Call{shareObject(this->Cancel.get()),
-                                  GObjectPointer<SoupMessage>(soup_message_new("GET", Url.c_str())),
-                                  this->Seals, UrlPath, std::move(Done)});
-  SoupMessage *Message = Next->Message.get();
+  GObjectPointer<SoupMessage> Message(soup_message_new("GET", Url.c_str()));
   const std::string Seal = this->Seals.seal(sealedSettingsRequest(UrlPath));
-  soup_message_headers_append(soup_message_get_request_headers(Message), PeerSealHeader,
+  soup_message_headers_append(soup_message_get_request_headers(Message.get()), PeerSealHeader,
                               Seal.c_str());
-  soup_session_send_and_read_async(
-      this->Session.get(), Message, G_PRIORITY_DEFAULT, this->Cancel.get(),
-      [](GObject *Session, GAsyncResult *Result, gpointer Data) {
-        const std::unique_ptr<Call> Ended(static_cast<Call *>(Data));
-        GError *Error = nullptr;
-        const GBytesPointer Bytes(
-            soup_session_send_and_read_finish(SOUP_SESSION(Session), Result, &Error));
-        const GErrorPointer Failure(Error);
-        if (g_cancellable_is_cancelled(Ended->Cancel.get())) {
-          return;
-        }
-        if (!Bytes || soup_message_get_status(Ended->Message.get()) != SOUP_STATUS_OK) {
-          Ended->Done({}, false);
-          return;
-        }
-        gsize Size = 0;
-        const auto *Text = static_cast<const char *>(g_bytes_get_data(Bytes.get(), &Size));
-        const std::string Body(Text, Size);
-        const char *AnswerSeal = soup_message_headers_get_one(
-            soup_message_get_response_headers(Ended->Message.get()), PeerSealHeader);
-        const bool Sealed =
-            AnswerSeal &&
-            Ended->Seals.equals(AnswerSeal,
-                                Ended->Seals.seal(sealedSettingsAnswer(Ended->UrlPath, Body)));
-        Ended->Done(Body, Sealed);
-      },
-      Next.release());
+  getText(this->Session.get(), std::move(Message), this->Cancel.get(),
+          [this, UrlPath, Done = std::move(Done)](SoupMessage *Answered, const std::string &Body,
+                                                  bool Ok) {
+            const char *AnswerSeal = soup_message_headers_get_one(
+                soup_message_get_response_headers(Answered), PeerSealHeader);
+            const bool Sealed =
+                Ok && AnswerSeal &&
+                this->Seals.equals(AnswerSeal,
+                                   this->Seals.seal(sealedSettingsAnswer(UrlPath, Body)));
+            Done(Body, Sealed);
+          });
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/PeerSettingsClient.h
+++ b/src/libs/transport/PeerSettingsClient.h
@@ -33,7 +33,6 @@
 
 private:
   struct Round;
-  struct Call;
 
   void get(const Endpoint &Source, const std::string &UrlPath,
            std::function<void(const std::string &Body, bool Ok)> Done);
--- a/src/libs/transport/PlatformWatch.cpp
+++ b/src/libs/transport/PlatformWatch.cpp
@@ -1,6 +1,7 @@
 #include "transport/PlatformWatch.h"
 
 #include "protocol/VmListJson.h"
+#include "transport/TextGet.h"
 
 #include <memory>
 #include <utility>
@@ -18,12 +19,6 @@
 
 } // namespace
 
-struct PlatformWatch::Call {
-  GObjectPointer<GCancellable> Cancel;
-  GObjectPointer<SoupMessage> Message;
-  std::function<void(const std::string &Body, bool Ok)> Done;
-};
-
 PlatformWatch::PlatformWatch(std::string ConfigurationService, std::string VmListService,
                              Listener Events)
     : ConfigurationService(std::move(ConfigurationService)),
@@ -54,31 +49,10 @@
 
 void PlatformWatch::get(const std::string &Url, GCancellable *Cancelled,
                         std::function<void(const std::string &Body, bool Ok)> Done) {
-  auto Next = std::make_unique<Call>();
-  Next->Cancel = shareObject(Cancelled);
-  Next->Message.reset(soup_message_new("GET", Url.c_str()));
-  Next->Done = std::move(Done);
-  SoupMessage *Message = Next->Message.get();
-  soup_session_send_and_read_async(
-      this->Session.get(), Message, G_PRIORITY_DEFAULT, Cancelled,
-      [](GObject *Source, GAsyncResult *Result, gpointer Data) {
-        const std::unique_ptr<Call> Ended(static_cast<Call *>(Data));
-        GError *Error = nullptr;
-        const GBytesPointer Bytes(
-            soup_session_send_and_read_finish(SOUP_SESSION(Source), Result, &Error));
-        const GErrorPointer Failure(Error);
-        if (g_cancellable_is_cancelled(Ended->Cancel.get())) {
-          return;
-        }
-        if (!Bytes || soup_message_get_status(Ended->Message.get()) != SOUP_STATUS_OK) {
-          Ended->Done({}, false);
-          return;
-        }
-        gsize Size = 0;
-        const auto *Text = static_cast<const char *>(g_bytes_get_data(Bytes.get(), &Size));
-        Ended->Done(std::string(Text, Size), true);
-      },
-      Next.release());
+  getText(this->Session.get(), GObjectPointer<SoupMessage>(soup_message_new("GET", Url.c_str())),
+          Cancelled, [Done = std::move(Done)](SoupMessage *, const std::string &Body, bool Ok) {
+            Done(Body, Ok);
+          });
 }
 
 void PlatformWatch::watchIndex() {
--- a/src/libs/transport/PlatformWatch.h
+++ b/src/libs/transport/PlatformWatch.h
@@ -35,8 +35,6 @@
   void watchSettings(bool Active);
 
 private:
-  struct Call;
-
   void get(const std::string &Url, GCancellable *Cancelled,
            std::function<void(const std::string &Body, bool Ok)> Done);
   void watchIndex();
