--- a/src/libs/coordination/EntryFleet.h
+++ b/src/libs/coordination/EntryFleet.h
@@ -46,6 +46,8 @@
                                       const InFlightCounts &InFlight);
 
   void beginStop() { this->Stopping = true; }
+  /// True once a stopping entry owns nothing and its lessors were told so.
+  bool hasHandedOver() const { return this->Owned.empty() && this->Leases.hasReleasedAll(); }
   bool isServing() const { return this->Serving; }
 
   /// True if the set of owned groups, or of usable targets, may differ from the last call.
--- a/src/libs/coordination/EntryNode.h
+++ b/src/libs/coordination/EntryNode.h
@@ -111,8 +111,10 @@
   /// Starts a graceful shutdown: new requests are refused, running ones finish.
   void beginStop(TimePoint Now);
   bool isStopping() const { return this->Stopping; }
-  /// True once no request waits or runs.
-  bool isDrained() const { return this->Requests.empty(); }
+  /// True once no request waits or runs and, if the entry is stopping, its groups are handed over.
+  bool isDrained() const {
+    return this->Requests.empty() && (!this->Stopping || this->Fleet.hasHandedOver());
+  }
   bool isServing() const;
 
   std::vector<Effect> takeEffects();
--- a/src/libs/coordination/LeaseHolder.h
+++ b/src/libs/coordination/LeaseHolder.h
@@ -47,6 +47,9 @@
 
   std::optional<TimePoint> nextWakeup() const;
 
+  /// True if no target is wanted and no release is left to send.
+  bool hasReleasedAll() const { return this->Targets.empty() && this->Releases.empty(); }
+
   /// Targets on which work may start now, ordered by name.
   std::vector<LeasedTarget> usable(TimePoint Now) const;
 
--- a/tests/auto/libs/coordination/tst_entrynode.cpp
+++ b/tests/auto/libs/coordination/tst_entrynode.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(servesAtEveryEntry);
   CPPUNIT_TEST(keyRunsOnce);
   CPPUNIT_TEST(keyOfUnreachableIssuer);
+  CPPUNIT_TEST(plannedStopHandsOver);
   CPPUNIT_TEST(takenOutDomainGetsNoWork);
   CPPUNIT_TEST(departingTargetGetsNoWork);
   CPPUNIT_TEST(settingsReachEveryEntry);
@@ -96,6 +97,28 @@
     }
   }
 
+  /// Guards against an owner that exits before its lessors know, so that its targets wait out a
+  /// lease.
+  void plannedStopHandsOver() {
+    FleetFixture Fleet(4, 6, 9);
+    Fleet.advance(SettleTime);
+    std::size_t Owner = 0;
+    while (Fleet.node(Owner)->targetStatus().empty()) {
+      ++Owner;
+    }
+    Fleet.node(Owner)->beginStop(Fleet.now());
+    // Releases are repeated each 300 ms until lessors must have them.
+    for (int Step = 0; Step < 400 && !Fleet.node(Owner)->isDrained(); ++Step) {
+      Fleet.advance(5ms);
+    }
+    CPPUNIT_ASSERT(Fleet.node(Owner)->isDrained());
+    Fleet.kill(Owner);
+    const std::size_t Request = Fleet.send((Owner + 1) % 4, "/read");
+    Fleet.advance(FleetFixture::MaxDeadline);
+    CPPUNIT_ASSERT(Fleet.answers()[Request].has_value());
+    CPPUNIT_ASSERT_EQUAL(200, Fleet.answers()[Request]->Status);
+  }
+
   /// Guards against new work on a domain 3 s after operators took it out, and against a service
   /// that stops with it.
   void takenOutDomainGetsNoWork() {
