--- a/scripts/fault-test.sh
+++ b/scripts/fault-test.sh
@@ -12,6 +12,7 @@
 source scripts/lib/fleet.sh
 fleet_trap_exit
 
+FAULT_RATE=${FAULT_RATE:-300}
 failed=0
 
 # The entry that owns the only group, as the operators' interface of any entry tells.
@@ -27,8 +28,8 @@
 
 write_scenario() {
   cat > "$FLEET_DIRECTORY/mixed.toml" <<TOML
-rate = 300
-count = 2400
+rate = $FAULT_RATE
+count = $((FAULT_RATE * 8))
 [[kind]]
 name = "read"
 path = "/status/1"
