--- a/src/anvilsaddle/AuditCommand.cpp
+++ b/src/anvilsaddle/AuditCommand.cpp
@@ -15,7 +15,7 @@
 
 /// UTC with milliseconds, for example `2026-12-04T11:00:00.250Z`.
 std::string timeText(const nlohmann::json &Entry) {
-  const std::int64_t Milliseconds = Entry.is_object() ? Entry.value("time_ms", std::int64_t{0}) : 0;
+  const std::int64_t Milliseconds = Entry.is_object() ? Entry.value("unix_ms", std::int64_t{0}) : 0;
   GDateTime *Time = g_date_time_new_from_unix_utc(Milliseconds / 1000);
   if (!Time) {
     return "?";
@@ -34,7 +34,7 @@
 
 void AuditCommand::addTo(CLI::App &App) {
   this->Declared = App.add_subcommand("audit", "Show what changed in a daemon, when and why");
-  this->Daemon.addTo(*this->Declared, "admin");
+  this->Daemon.addTo(*this->Declared, "operators");
   this->Declared->add_flag("-f,--follow", this->Follow,
                            "Keep asking for new changes until interrupted or the daemon is gone");
   this->Declared->add_option("--after", this->After, "Only changes after this sequence number")
@@ -49,7 +49,7 @@
 
 leaf::result<ExitCode> AuditCommand::run(std::ostream &Out) {
   for (;;) {
-    BOOST_LEAF_AUTO(Entries, this->Daemon.ask("/admin/audit?after=" + std::to_string(this->After)));
+    BOOST_LEAF_AUTO(Entries, this->Daemon.ask("/audit?after=" + std::to_string(this->After)));
     if (!Entries.is_array()) {
       return leaf::new_error(
           ToolError{ExitCode::Unreachable, "the daemon's audit answer is not a list"});
--- a/src/anvilsaddle/CheckCommand.cpp
+++ b/src/anvilsaddle/CheckCommand.cpp
@@ -1,9 +1,11 @@
 #include "CheckCommand.h"
 
-#include "SettingsChecker.h"
+#include "protocol/DaemonSettings.h"
 
-#include <algorithm>
+#include <fstream>
+#include <iterator>
 #include <ostream>
+#include <variant>
 
 #include <nlohmann/json.hpp>
 
@@ -13,13 +15,23 @@
 
 namespace {
 
-nlohmann::json toJson(const Findings &Problems, const char *Severity) {
+Findings checkFile(const std::string &Path) {
+  std::ifstream Stream(Path, std::ios::binary);
+  if (!Stream) {
+    return {{Path, 0, 0, "cannot read the file"}};
+  }
+  const std::string Text(std::istreambuf_iterator<char>(Stream), {});
+  const auto Parsed = readDaemonSettings(Text, Path);
+  const auto *Problems = std::get_if<Findings>(&Parsed);
+  return Problems ? *Problems : Findings();
+}
+
+nlohmann::json toJson(const Findings &Problems) {
   nlohmann::json Result = nlohmann::json::array();
   for (const Finding &Each : Problems) {
     Result.push_back({{"path", Each.Path},
                       {"line", Each.Line},
                       {"column", Each.Column},
-                      {"severity", Severity},
                       {"message", Each.Message}});
   }
   return Result;
@@ -29,44 +41,27 @@
 
 void CheckCommand::addTo(CLI::App &App) {
   this->Declared = App.add_subcommand(
-      "check",
-      "Check settings offline and show all findings together. A directory holds platform.toml, "
-      "teams/<team>.toml and optionally vms.json; references between its files are checked too.");
-  this->Declared->add_option("path", this->Paths, "Files or directories")
+      "check", "Check local settings of daemons offline and show all findings together");
+  this->Declared->add_option("path", this->Paths, "Files")
       ->required()
-      ->check(CLI::ExistingPath);
-  this->Declared->add_flag("--daemon", this->Daemon,
-                           "The files are local settings of daemons, not published settings");
-  this->Declared->add_flag("--strict", this->Strict, "Exit with 1 if there are only warnings");
+      ->check(CLI::ExistingFile);
   this->Declared->add_flag("--json", this->Json, "Write JSON instead of lines");
 }
 
 leaf::result<ExitCode> CheckCommand::run(std::ostream &Out) {
-  SettingsChecker Checker;
+  Findings All;
   for (const std::string &Path : this->Paths) {
-    if (this->Daemon) {
-      Checker.checkDaemonSettings(Path);
-    } else {
-      Checker.checkPublished(Path);
-    }
+    const Findings Found = checkFile(Path);
+    All.insert(All.end(), Found.begin(), Found.end());
   }
   if (this->Json) {
-    nlohmann::json All = toJson(Checker.problems(), "error");
-    for (auto &Each : toJson(Checker.warnings(), "warning")) {
-      All.push_back(std::move(Each));
-    }
-    Out << All.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
+    Out << toJson(All).dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
   } else {
-    for (const Finding &Each : Checker.problems()) {
-      Out << toString(Each) << '\n';
-    }
-    for (Finding Each : Checker.warnings()) {
-      Each.Message = "warning: " + Each.Message;
+    for (const Finding &Each : All) {
       Out << toString(Each) << '\n';
     }
   }
-  const bool Bad = !Checker.problems().empty() || (this->Strict && !Checker.warnings().empty());
-  return Bad ? ExitCode::Findings : ExitCode::Fine;
+  return All.empty() ? ExitCode::Fine : ExitCode::Findings;
 }
 
 } // namespace anvilsaddle
--- a/src/anvilsaddle/CheckCommand.h
+++ b/src/anvilsaddle/CheckCommand.h
@@ -7,7 +7,7 @@
 
 namespace anvilsaddle {
 
-/// `anvilsaddle check`: checks settings offline.
+/// `anvilsaddle check`: checks local settings of daemons offline.
 class CheckCommand final : public Command {
 public:
   void addTo(CLI::App &App) override;
@@ -15,8 +15,6 @@
 
 private:
   std::vector<std::string> Paths;
-  bool Daemon = false;
-  bool Strict = false;
   bool Json = false;
 };
 
--- a/src/anvilsaddle/ExplainCommand.cpp
+++ b/src/anvilsaddle/ExplainCommand.cpp
@@ -23,41 +23,28 @@
 
 void ExplainCommand::addTo(CLI::App &App) {
   this->Declared = App.add_subcommand(
-      "explain", "Show where a daemon would send a request, each candidate and why it was ruled "
-                 "out; nothing is sent to a target");
-  this->Daemon.addTo(*this->Declared, "admin");
-  this->Declared->add_option("method", this->Method, "HTTP method, for example GET")->required();
+      "explain", "Show the route of a request and what it allows; nothing is sent to a target");
+  this->Daemon.addTo(*this->Declared, "operators");
+  this->Declared->add_option("host", this->Host, "Host of the request")->required();
   this->Declared->add_option("path", this->Path, "Request path, starting with '/'")
       ->required()
       ->check([](const std::string &Text) {
         return Text.starts_with('/') ? std::string() : "the path must start with '/'";
       });
-  this->Declared->add_option("-c,--customer", this->Customer, "Full name of the customer")
-      ->required()
-      ->type_name("TEAM.CUSTOMER")
-      ->check([](const std::string &Text) {
-        const auto Dot = Text.find('.');
-        const bool Valid = Dot != std::string::npos && Dot > 0 && Dot + 1 < Text.size();
-        return Valid ? std::string() : "'" + Text + "' is not <team>.<customer>";
-      });
 }
 
 leaf::result<ExitCode> ExplainCommand::run(std::ostream &Out) {
-  BOOST_LEAF_AUTO(Answer, this->Daemon.ask("/admin/explain?method=" + queryValue(this->Method) +
-                                           "&path=" + queryValue(this->Path) +
-                                           "&customer=" + queryValue(this->Customer)));
+  BOOST_LEAF_AUTO(Answer, this->Daemon.ask("/explain?host=" + queryValue(this->Host) +
+                                           "&path=" + queryValue(this->Path)));
   if (this->Daemon.Json) {
     Out << Answer.dump(2) << '\n';
     return ExitCode::Fine;
   }
-  TextTable Steps({"CANDIDATE", "RESULT", "REASON"});
-  for (const auto &Each : Answer.value("steps", nlohmann::json::array())) {
-    Steps.add({fieldText(Each, "candidate"), fieldText(Each, "result"), fieldText(Each, "reason")});
+  TextTable Fields({"FIELD", "VALUE"});
+  for (const auto &[Key, Value] : Answer.items()) {
+    Fields.add({Key, Value.is_string() ? Value.get<std::string>() : Value.dump()});
   }
-  TextTable Decision({"DECISION", fieldText(Answer, "decision")});
-  Decision.write(Out);
-  Out << '\n';
-  Steps.write(Out);
+  Fields.write(Out);
   return ExitCode::Fine;
 }
 
--- a/src/anvilsaddle/ExplainCommand.h
+++ b/src/anvilsaddle/ExplainCommand.h
@@ -7,7 +7,7 @@
 
 namespace anvilsaddle {
 
-/// `anvilsaddle explain`: where a daemon would send a request, and why not elsewhere.
+/// `anvilsaddle explain`: the route of a request and what it allows.
 class ExplainCommand final : public Command {
 public:
   void addTo(CLI::App &App) override;
@@ -15,9 +15,8 @@
 
 private:
   DaemonOptions Daemon;
-  std::string Method;
+  std::string Host;
   std::string Path;
-  std::string Customer;
 };
 
 } // namespace anvilsaddle
--- a/src/anvilsaddle/TargetsCommand.cpp
+++ b/src/anvilsaddle/TargetsCommand.cpp
@@ -10,21 +10,23 @@
 
 void TargetsCommand::addTo(CLI::App &App) {
   this->Declared =
-      App.add_subcommand("targets", "Show the targets that a daemon sends to and their limits");
-  this->Daemon.addTo(*this->Declared, "admin");
+      App.add_subcommand("targets", "Show the targets that a daemon knows and their load");
+  this->Daemon.addTo(*this->Declared, "operators");
 }
 
 leaf::result<ExitCode> TargetsCommand::run(std::ostream &Out) {
-  BOOST_LEAF_AUTO(Targets, this->Daemon.ask("/admin/targets"));
+  BOOST_LEAF_AUTO(Targets, this->Daemon.ask("/targets"));
   if (this->Daemon.Json) {
     Out << Targets.dump(2) << '\n';
     return ExitCode::Fine;
   }
-  TextTable Table({"TARGET", "GROUP", "SLOTS", "LIMIT", "IN FLIGHT", "BASELINE (us)"});
+  TextTable Table({"TARGET", "SERVICE", "FAILURE DOMAIN", "STATE", "RUNNING", "WAITING", "SLOTS",
+                   "SLOWDOWN", "AGE (s)"});
   for (const auto &Each : Targets) {
-    Table.add({fieldText(Each, "target"), fieldText(Each, "group"), fieldText(Each, "slots"),
-               fieldText(Each, "limit"), fieldText(Each, "in_flight"),
-               fieldText(Each, "baseline_us")});
+    Table.add({fieldText(Each, "target"), fieldText(Each, "service"),
+               fieldText(Each, "failure_domain"), fieldText(Each, "state"),
+               fieldText(Each, "running"), fieldText(Each, "waiting"), fieldText(Each, "slots"),
+               fieldText(Each, "slowdown"), fieldText(Each, "report_age_s")});
   }
   Table.write(Out);
   return ExitCode::Fine;
--- a/src/anvilsaddle/Tool.cpp
+++ b/src/anvilsaddle/Tool.cpp
@@ -2,7 +2,6 @@
 
 #include "AuditCommand.h"
 #include "CheckCommand.h"
-#include "EntriesCommand.h"
 #include "ExplainCommand.h"
 #include "StatusCommand.h"
 #include "TargetsCommand.h"
@@ -24,9 +23,9 @@
     "Exit codes: 0 fine, 1 findings in the settings, 2 wrong usage, 3 daemon unreachable or its "
     "answer unusable, 4 daemon refused.\n"
     "Examples:\n"
-    "  anvilsaddle check settings/\n"
-    "  anvilsaddle status --address 127.0.0.1:8300\n"
-    "  anvilsaddle explain GET /status/1 --customer press.line --address 127.0.0.1:8300";
+    "  anvilsaddle check entry.toml\n"
+    "  anvilsaddle status --address 127.0.0.1:9464\n"
+    "  anvilsaddle explain shop.example /status/1 --address 127.0.0.1:9464";
 
 std::vector<std::unique_ptr<Command>> makeCommands() {
   std::vector<std::unique_ptr<Command>> Result;
@@ -35,7 +34,6 @@
   Result.push_back(std::make_unique<TargetsCommand>());
   Result.push_back(std::make_unique<AuditCommand>());
   Result.push_back(std::make_unique<ExplainCommand>());
-  Result.push_back(std::make_unique<EntriesCommand>());
   return Result;
 }
 
--- /dev/null
+++ b/src/anvilsaddled/Daemon.cpp
@@ -0,0 +1,95 @@
+#include "Daemon.h"
+
+#include "transport/EventLog.h"
+
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include <glib-unix.h>
+
+namespace anvilsaddle {
+
+namespace {
+
+constexpr int ExitStart = 3;
+/// The settings file may change without a signal.
+constexpr guint SettingsCheckSeconds = 2;
+
+} // namespace
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream Stream(Path, std::ios::binary);
+  if (!Stream) {
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(Stream), {});
+}
+
+Daemon::Daemon(DaemonSettings Given, std::string Path, std::string Text)
+    : Settings(std::move(Given)), Path(std::move(Path)), Text(std::move(Text)),
+      Store(this->Settings.Store, this->Time, this->Random),
+      Runtime(this->Settings,
+              {this->Store, this->Protocol, this->Protocol, this->Time, this->Random}),
+      Loop(g_main_loop_new(nullptr, FALSE)) {}
+
+int Daemon::run() {
+  if (const std::string Error = this->Runtime.start(); !Error.empty()) {
+    logEvent(LogLevel::Error, "start_failed", {{"reason", Error}});
+    return ExitStart;
+  }
+  g_unix_signal_add(SIGTERM, onStopSignal, this);
+  g_unix_signal_add(SIGINT, onStopSignal, this);
+  g_unix_signal_add(SIGHUP, onReloadSignal, this);
+  g_timeout_add_seconds(SettingsCheckSeconds, onSettingsCheck, this);
+  logEvent(LogLevel::Info, "started",
+           {{"vm", this->Settings.Vm.str()},
+            {"address", toString(this->Settings.Callers)},
+            {"version", ANVILSADDLE_VERSION}});
+  flushLog();
+  g_main_loop_run(this->Loop.get());
+  logEvent(LogLevel::Info, "stopped");
+  flushLog();
+  return 0;
+}
+
+gboolean Daemon::onStopSignal(gpointer Data) {
+  auto &Self = *static_cast<Daemon *>(Data);
+  if (!std::exchange(Self.Stopping, true)) {
+    Self.Runtime.stop([&Self] { g_main_loop_quit(Self.Loop.get()); });
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean Daemon::onReloadSignal(gpointer Data) {
+  static_cast<Daemon *>(Data)->reload();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean Daemon::onSettingsCheck(gpointer Data) {
+  static_cast<Daemon *>(Data)->reload();
+  return G_SOURCE_CONTINUE;
+}
+
+void Daemon::reload() {
+  const auto Newer = readFile(this->Path);
+  if (!Newer || *Newer == this->Text) {
+    return;
+  }
+  this->Text = *Newer;
+  const auto Parsed = readDaemonSettings(*Newer, this->Path);
+  if (const auto *Problems = std::get_if<Findings>(&Parsed)) {
+    for (const Finding &Each : *Problems) {
+      logEvent(LogLevel::Error, "settings_refused", {{"finding", toString(Each)}});
+    }
+    return;
+  }
+  this->Settings = std::get<DaemonSettings>(Parsed);
+  this->Runtime.reload(this->Settings);
+  logEvent(LogLevel::Info, "settings_reloaded",
+           {{"seeds", std::to_string(this->Settings.Seeds.size())}});
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/coordination/DispatchQueue.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "coordination/DispatchTypes.h"
+
+#include <compare>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace anvilsaddle {
+
+/// Requests of one service that wait at this entry for a target with room. The more urgent come
+/// first; among equals those that can still meet their objective, then those whose time for it ends
+/// first. Not thread-safe; times must not decrease.
+class DispatchQueue {
+public:
+  /// Precondition: the request does not wait. `Work` is the usual time at a target.
+  void push(RequestNumber Request, const RequestTerms &Terms, Duration Work, TimePoint Now);
+  /// False if the request does not wait.
+  bool remove(RequestNumber Request);
+  /// First request; nothing if the queue is empty. Requests that can no longer meet their objective
+  /// move back first.
+  std::optional<RequestNumber> first(TimePoint Now);
+  bool empty() const { return this->Places.empty(); }
+  std::size_t size() const { return this->Places.size(); }
+
+  /// Records that a request of the service was sent to a target.
+  void onStart(TimePoint Now);
+  /// Expected wait of a request that arrives now; nothing while no starts are known.
+  std::optional<Duration> expectedWait(const RequestTerms &Terms, Duration Work, TimePoint Now);
+
+private:
+  struct Place {
+    std::uint32_t Priority = 0;
+    bool TooLate = false;
+    /// Latest start that meets the objective.
+    TimePoint LatestStart{};
+    RequestNumber Request = 0;
+
+    auto operator<=>(const Place &) const = default;
+  };
+
+  static Place makePlace(RequestNumber Request, const RequestTerms &Terms, Duration Work,
+                         TimePoint Now);
+
+  std::set<Place> Order;
+  std::map<RequestNumber, Place> Places;
+  std::deque<TimePoint> Starts;
+};
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/coordination/DispatchTypes.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "coordination/LoadReport.h"
+#include "state/Endpoint.h"
+#include "state/Identifiers.h"
+#include "state/Time.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace anvilsaddle {
+
+/// Number of a request at this entry; never used twice.
+using RequestNumber = std::uint64_t;
+/// Position of an attempt among those of its request, from 0 on.
+using AttemptNumber = std::uint32_t;
+
+/// What decides about a request. Value type.
+struct RequestTerms {
+  RouteName Route;
+  /// One of the route's services, chosen once for the request.
+  ServiceName Service;
+  bool Idempotent = false;
+  std::uint32_t Priority = 0;
+  std::uint32_t MaxTargets = 1;
+  /// Regions that may serve it; empty means all.
+  std::set<RegionName> HomeRegions;
+  TimePoint Received{};
+  /// The answer is worth most before Received + Objective.
+  Duration Objective{0};
+  /// The request gets its final answer by then.
+  TimePoint Deadline{};
+
+  auto operator<=>(const RequestTerms &) const = default;
+};
+
+enum class AttemptOutcome {
+  /// The whole answer of the target with a status below 500.
+  Answered,
+  /// The whole answer of the target with a status of 500 or above; the work ran.
+  TargetError,
+  /// The target says that it did not run the request.
+  NotRun,
+  /// The request was not sent, because no connection came about.
+  NotSent,
+  /// The request was sent and may have run; there is no usable answer.
+  Broken,
+};
+
+const char *toString(AttemptOutcome Outcome);
+
+/// End of an attempt. Value type.
+struct AttemptEnd {
+  AttemptOutcome Outcome = AttemptOutcome::Broken;
+  /// Load that came with the answer.
+  std::optional<LoadReport> Load;
+  std::size_t AnswerBytes = 0;
+
+  auto operator<=>(const AttemptEnd &) const = default;
+};
+
+/// Ask a target for its load.
+struct ProbeTarget {
+  TargetName Target;
+  Endpoint Address;
+  std::string HealthPath;
+
+  auto operator<=>(const ProbeTarget &) const = default;
+};
+
+/// Why a target was chosen, for the log.
+struct PlacementNote {
+  LoadReport Load;
+  Duration LoadAge{0};
+  Duration ExpectedCost{0};
+  std::size_t Candidates = 0;
+  bool IsHedge = false;
+
+  auto operator<=>(const PlacementNote &) const = default;
+};
+
+/// Send a request to a target.
+struct SendAttempt {
+  RequestNumber Request = 0;
+  AttemptNumber Attempt = 0;
+  TargetName Target;
+  Endpoint Address;
+  TimePoint Deadline{};
+  bool Idempotent = false;
+  PlacementNote Note;
+
+  auto operator<=>(const SendAttempt &) const = default;
+};
+
+/// Stop an attempt whose answer is no longer needed.
+struct CancelAttempt {
+  RequestNumber Request = 0;
+  AttemptNumber Attempt = 0;
+
+  auto operator<=>(const CancelAttempt &) const = default;
+};
+
+/// Pass the answer of an attempt on to the caller. The request is forgotten.
+struct DeliverAnswer {
+  RequestNumber Request = 0;
+  AttemptNumber Attempt = 0;
+
+  auto operator<=>(const DeliverAnswer &) const = default;
+};
+
+enum class RefusalKind {
+  /// The request did not run and will not run.
+  NotRun,
+  /// The time is over; a target may have run the request.
+  TimedOut,
+  /// A target failed; the request may have run.
+  TargetFailed,
+};
+
+const char *toString(RefusalKind Kind);
+
+/// Answer the request without a target's answer. The request is forgotten.
+struct RefuseRequest {
+  RequestNumber Request = 0;
+  RefusalKind Kind = RefusalKind::NotRun;
+  /// From a fixed set of texts, for logs and metrics.
+  std::string Reason;
+  /// When the caller may come back; zero if that has no meaning.
+  Duration RetryAfter{0};
+
+  auto operator<=>(const RefuseRequest &) const = default;
+};
+
+using Effect =
+    std::variant<ProbeTarget, SendAttempt, CancelAttempt, DeliverAnswer, RefuseRequest>;
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/coordination/Dispatcher.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "coordination/ColdStartGate.h"
+#include "coordination/DispatchQueue.h"
+#include "coordination/DispatchTypes.h"
+#include "coordination/Placement.h"
+#include "coordination/RepeatBudget.h"
+#include "coordination/TargetTable.h"
+#include "coordination/WorkEstimate.h"
+#include "state/Topology.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace anvilsaddle {
+
+class RandomSource;
+
+/// Bounds that hold for all entries of a fleet together. Value type.
+struct DispatchTerms {
+  RepeatBudgetTerms Repeats;
+  ColdStartTerms ColdStart;
+
+  auto operator<=>(const DispatchTerms &) const = default;
+};
+
+/// Decides where each request of this entry goes, when it is repeated, and when it is refused.
+///
+/// A request looks for a target by probing a few just before it is sent: first in the own failure
+/// domain, then in the region, then among targets that are cold or call themselves unwell, then in
+/// other regions. It takes the first that is good, or else the best. If none has room, it waits at
+/// this entry. Requests that may run more than once are sent again when a target failed, or when
+/// the answer takes longer than usual; all others only if the first target did not run them.
+///
+/// Performs no I/O, reads no clock: events come in as calls, decisions go out as effects. Times
+/// must not decrease. Not thread-safe.
+class Dispatcher {
+public:
+  /// Precondition: the random source outlives the dispatcher. `Self` is this entry's name among the
+  /// live entries.
+  Dispatcher(Topology Places, DispatchTerms Terms, std::string Self, RandomSource &Random);
+
+  TargetTable &targets() { return this->Targets; }
+  const TargetTable &targets() const { return this->Targets; }
+  void setServices(std::map<ServiceName, Service> Known) { this->Services = std::move(Known); }
+  /// Names of the live entries of this region with this one, and the number of entries in all.
+  void setEntries(std::vector<std::string> Region, std::size_t Total);
+
+  /// Precondition: the number is new.
+  void onRequest(RequestNumber Number, RequestTerms Terms, TimePoint Now);
+  /// The caller left; its attempts are cancelled and the request is forgotten.
+  void onCallerGone(RequestNumber Number, TimePoint Now);
+  void onProbe(const TargetName &Name, const ProbeReport &Report, TimePoint Now);
+  void onProbeFailed(const TargetName &Name, ProbeFailure Reason, TimePoint Now);
+  /// Unknown requests and attempts are ignored.
+  void onAttemptEnd(RequestNumber Number, AttemptNumber Attempt, const AttemptEnd &End,
+                    TimePoint Now);
+  /// The answer of an attempt begins to go to the caller before it is complete. Cancels the others;
+  /// the request is forgotten.
+  void onAnswerCommitted(RequestNumber Number, AttemptNumber Attempt, TimePoint Now);
+  void onTick(TimePoint Now);
+  /// Time of the next onTick() that has something to do.
+  std::optional<TimePoint> nextWakeup() const;
+
+  /// Decisions since the last call, in their order.
+  std::vector<Effect> takeEffects() { return std::exchange(this->Effects, {}); }
+
+  std::size_t requestCount() const { return this->Requests.size(); }
+  std::size_t queueLength() const;
+
+private:
+  /// Sets of targets that a search adds one after the other.
+  enum class Stage { Domain, Region, Reserve, Remote, End };
+
+  struct Search {
+    Stage Next = Stage::Domain;
+    bool IsHedge = false;
+    TimePoint Started{};
+    TimePoint StageEnds{};
+    std::vector<TargetName> Candidates;
+  };
+
+  struct Attempt {
+    TargetName Target;
+    TimePoint Sent{};
+    double Slowdown = 1;
+    bool Running = true;
+  };
+
+  struct Request {
+    RequestTerms Terms;
+    std::vector<Attempt> Attempts;
+    std::optional<Search> Looking;
+    bool Queued = false;
+    /// A target got the request and did not deny that it ran.
+    bool MayHaveRun = false;
+    /// Attempt that ended with a complete answer of status 500 or above.
+    std::optional<AttemptNumber> ErrorAnswer;
+    std::optional<TimePoint> HedgeAt;
+    /// Entry in Timers.
+    TimePoint Timer{};
+  };
+
+  struct ServiceState {
+    DispatchQueue Queue;
+    /// Searches of requests that were taken from the queue.
+    std::uint32_t Searches = 0;
+    TimePoint NextSearch{};
+  };
+
+  using RequestMap = std::map<RequestNumber, Request>;
+
+  WorkEstimate::Expected expected(const Request &Current) const;
+  void startSearch(RequestNumber Number, bool IsHedge, TimePoint Now);
+  void endSearch(Request &Current);
+  /// Adds the targets of the next stage that has any; false if there is none.
+  bool addStage(Request &Current, TimePoint Now);
+  std::vector<TargetName> stageTargets(const Request &Current, Stage Which, TimePoint Now);
+  bool belongsTo(const TargetView &View, const Request &Current, Stage Which, TimePoint Now) const;
+  bool wantsRemote(const Request &Current, TimePoint Now) const;
+  void probe(TargetView &View, TimePoint Now);
+  std::vector<PlacementCandidate> answered(const Request &Current, TimePoint Now) const;
+  bool isPending(const TargetName &Name, const Search &Looking) const;
+  void evaluate(RequestNumber Number, TimePoint Now);
+  bool tryAccept(RequestNumber Number, const PlacementChoice &Choice, std::size_t Candidates,
+                 TimePoint Now);
+  void onSearchFailed(RequestNumber Number, TimePoint Now);
+  void send(RequestNumber Number, TargetView &View, PlacementNote Note, TimePoint Now);
+  void planHedge(Request &Current, const PlacementNote &Note, TimePoint Now) const;
+  void onHedgeDue(RequestNumber Number, TimePoint Now);
+
+  void enqueue(RequestNumber Number, TimePoint Now);
+  void runQueue(const ServiceName &Service, TimePoint Now);
+  bool canRepeat(const Request &Current, TimePoint Now);
+  bool hasRunning(const Request &Current) const;
+  void onFailedAttempt(RequestNumber Number, TimePoint Now);
+  void finishWithoutTarget(RequestNumber Number, const std::string &Reason, TimePoint Now);
+  void deliver(RequestNumber Number, AttemptNumber Attempt, TimePoint Now);
+  void refuse(RequestNumber Number, RefusalKind Kind, std::string Reason, Duration RetryAfter,
+              TimePoint Now);
+  void forget(RequestNumber Number, std::optional<AttemptNumber> Kept, TimePoint Now);
+  Duration retryAfter(const Request &Current, TimePoint Now);
+  void updateTimer(RequestNumber Number, Request &Current);
+  void onRequestTimer(RequestNumber Number, TimePoint Now);
+  void wakeSearches(const TargetName &Name, TimePoint Now);
+
+  Topology Places;
+  TargetTable Targets;
+  RepeatBudget Repeats;
+  ColdStartGate ColdStart;
+  WorkEstimate Estimates;
+  RandomSource &Random;
+  std::map<ServiceName, Service> Services;
+  std::map<ServiceName, ServiceState> States;
+  RequestMap Requests;
+  std::set<std::pair<TimePoint, RequestNumber>> Timers;
+  /// Probes under way and the time they were sent.
+  std::map<TargetName, TimePoint> Probes;
+  std::vector<Effect> Effects;
+};
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/coordination/Placement.cpp
@@ -0,0 +1,86 @@
+#include "coordination/Placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvilsaddle::placement {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Part of a slowdown that lasts, on average, over the time of a request: the figure changes many
+/// times a second.
+constexpr double SlowdownLasting = 0.6;
+/// Growth of the time of work between an idle target and a full one.
+constexpr double FullnessCost = 0.15;
+/// Times the answer is expected to take longer for each recent failure.
+constexpr double FailureCost = 1.5;
+/// Round trips of a request to another failure domain and to another region.
+constexpr Duration RegionRoundTrip = 2ms;
+constexpr Duration RemoteRoundTrip = 60ms;
+/// Price of bytes that leave the failure domain or the region, as time: links between regions are
+/// paid by volume, and a large answer that crosses them costs more than it is worth.
+constexpr double RegionMicrosecondsPerByte = 1.0;
+constexpr double RemoteMicrosecondsPerByte = 10.0;
+/// Costs within this part of each other are a tie.
+constexpr double TiePart = 0.03;
+/// A cost up to this many times the usual work is good.
+constexpr double GoodFactor = 1.3;
+
+Duration distanceCost(Distance Place, double Bytes) {
+  switch (Place) {
+  case Distance::SameDomain:
+    return 0us;
+  case Distance::SameRegion:
+    return RegionRoundTrip + Duration(std::llround(Bytes * RegionMicrosecondsPerByte));
+  case Distance::OtherRegion:
+    return RemoteRoundTrip + Duration(std::llround(Bytes * RemoteMicrosecondsPerByte));
+  }
+  return RemoteRoundTrip;
+}
+
+} // namespace
+
+PlacementChoice rate(const PlacementCandidate &Candidate, const WorkEstimate::Expected &Request) {
+  const LoadReport &Load = Candidate.Load;
+  const std::uint32_t Slots = std::max<std::uint32_t>(1, Load.Slots);
+  const std::uint32_t Busy = Load.Running + Load.Waiting + Candidate.SentSince;
+  const std::uint32_t Ahead = Busy + 1 > Slots ? Busy + 1 - Slots : 0;
+  const double Slowdown = 1 + (std::max(0.5, Load.Slowdown) - 1) * SlowdownLasting;
+  const double Fullness = std::min(1.0, static_cast<double>(Busy) / Slots);
+  const double Rounds = 1 + FullnessCost * Fullness + static_cast<double>(Ahead) / Slots;
+  const double Failing = 1 + FailureCost * Candidate.Failures;
+  const auto Answer =
+      std::chrono::duration_cast<Duration>(Request.Work * (Slowdown * Rounds * Failing));
+  return {Candidate.Index, Answer + distanceCost(Candidate.Place, Request.AnswerBytes), Ahead};
+}
+
+std::optional<PlacementChoice> choose(const std::vector<PlacementCandidate> &Candidates,
+                                      const WorkEstimate::Expected &Request, double Draw) {
+  std::vector<PlacementChoice> Rated;
+  Rated.reserve(Candidates.size());
+  for (const PlacementCandidate &Each : Candidates) {
+    Rated.push_back(rate(Each, Request));
+  }
+  if (Rated.empty()) {
+    return std::nullopt;
+  }
+  const auto Best = std::min_element(
+      Rated.begin(), Rated.end(),
+      [](const PlacementChoice &Left, const PlacementChoice &Right) { return Left.Cost < Right.Cost; });
+  const auto Limit = std::chrono::duration_cast<Duration>(Best->Cost * (1 + TiePart));
+  std::vector<PlacementChoice> Ties;
+  for (const PlacementChoice &Each : Rated) {
+    if (Each.Cost <= Limit) {
+      Ties.push_back(Each);
+    }
+  }
+  return Ties[static_cast<std::size_t>(Draw * static_cast<double>(Ties.size()))];
+}
+
+bool isGood(const PlacementChoice &Choice, const WorkEstimate::Expected &Request) {
+  return Choice.Ahead == 0 && Choice.Cost <= Request.Work * GoodFactor + RegionRoundTrip;
+}
+
+} // namespace anvilsaddle::placement
--- /dev/null
+++ b/src/libs/coordination/RouteTable.cpp
@@ -0,0 +1,58 @@
+#include "coordination/RouteTable.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace anvilsaddle {
+
+namespace {
+
+std::string normalizedHost(std::string_view Host) {
+  std::string Result(Host.substr(0, Host.find(':')));
+  std::transform(Result.begin(), Result.end(), Result.begin(),
+                 [](unsigned char Letter) { return static_cast<char>(std::tolower(Letter)); });
+  return Result;
+}
+
+} // namespace
+
+RouteTable::RouteTable(const Configuration &Settings) {
+  for (const Route &Each : Settings.Routes) {
+    this->Hosts[normalizedHost(Each.Host)][Each.PathPrefix] = &Each;
+  }
+}
+
+const Route *RouteTable::find(std::string_view Host, std::string_view Path) const {
+  const auto Routes = this->Hosts.find(normalizedHost(Host));
+  if (Routes == this->Hosts.end()) {
+    return nullptr;
+  }
+  std::string_view Prefix = Path.substr(0, Path.find('?'));
+  // Each step shortens the prefix to the slash before, so the first match is the longest.
+  while (true) {
+    const std::size_t Slash = Prefix.rfind('/');
+    if (Slash == std::string_view::npos) {
+      return nullptr;
+    }
+    Prefix = Prefix.substr(0, Slash + 1);
+    const auto Found = Routes->second.find(Prefix);
+    if (Found != Routes->second.end()) {
+      return Found->second;
+    }
+    Prefix.remove_suffix(1);
+  }
+}
+
+std::vector<const Route *> RouteTable::routesOf(std::string_view Host) const {
+  std::vector<const Route *> Result;
+  const auto Routes = this->Hosts.find(normalizedHost(Host));
+  if (Routes == this->Hosts.end()) {
+    return Result;
+  }
+  for (const auto &[Prefix, Each] : Routes->second) {
+    Result.push_back(Each);
+  }
+  return Result;
+}
+
+} // namespace anvilsaddle
--- a/src/libs/coordination/Sealer.h
+++ b/src/libs/coordination/Sealer.h
@@ -5,13 +5,11 @@
 
 namespace anvilsaddle {
 
-/// Cryptographic functions that decisions need. Thread-safe.
+/// Authenticates messages between entries. Thread-safe.
 class Sealer {
 public:
   virtual ~Sealer() = default;
 
-  /// SHA-256 in lower-case hexadecimal.
-  virtual std::string sha256Hex(std::string_view Text) const = 0;
   /// HMAC-SHA-256 under the fleet key, in lower-case hexadecimal.
   virtual std::string seal(std::string_view Text) const = 0;
   /// Compares in time that depends on the lengths only.
--- a/src/libs/protocol/AnswerParser.cpp
+++ b/src/libs/protocol/AnswerParser.cpp
@@ -1,4 +1,4 @@
-#include "transport/AnswerParser.h"
+#include "protocol/AnswerParser.h"
 
 #include <algorithm>
 
@@ -21,16 +21,6 @@
   http::response_parser<http::buffer_body> Beast;
 };
 
-std::string_view AnswerHead::field(std::string_view Name) const {
-  for (const auto &[Field, Value] : this->Fields) {
-    if (boost::beast::iequals(boost::beast::string_view(Field.data(), Field.size()),
-                              boost::beast::string_view(Name.data(), Name.size()))) {
-      return Value;
-    }
-  }
-  return {};
-}
-
 AnswerParser::AnswerParser(bool AnswersHead) : AnswersHead(AnswersHead) { this->startAnswer(); }
 
 AnswerParser::~AnswerParser() = default;
@@ -136,4 +126,11 @@
          !this->Inner->Beast.need_eof() && this->Inner->Beast.keep_alive();
 }
 
+std::unique_ptr<AnswerParser> AnswerParser::takeNext() {
+  auto Result = std::make_unique<AnswerParser>(this->AnswersHead);
+  Result->Buffer = std::move(this->Buffer);
+  Result->Ended = this->Ended;
+  return Result;
+}
+
 } // namespace anvilsaddle
--- a/src/libs/protocol/AnswerParser.h
+++ b/src/libs/protocol/AnswerParser.h
@@ -1,35 +1,14 @@
 #pragma once
 
-#include <compare>
+#include "protocol/HttpMessage.h"
+
 #include <cstddef>
-#include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
 namespace anvilsaddle {
 
-/// How the end of a body is marked.
-enum class BodyFraming { None, Length, Chunked, UntilClose };
-
-/// Status line and headers of an answer. Value type.
-struct AnswerHead {
-  int Status = 0;
-  std::string Reason;
-  std::vector<std::pair<std::string, std::string>> Fields;
-  BodyFraming Framing = BodyFraming::None;
-  /// The announced length, for an answer to HEAD as well.
-  std::optional<std::uint64_t> Length;
-
-  /// First value of a header; empty if it is missing.
-  std::string_view field(std::string_view Name) const;
-
-  auto operator<=>(const AnswerHead &) const = default;
-};
-
 /// Parses one HTTP/1 answer from bytes. Accepts only answers whose framing is unambiguous, and
 /// calls an answer complete only if its end mark arrived. Skips interim (1xx) answers. Not
 /// thread-safe.
@@ -58,6 +37,9 @@
   /// True if the connection may carry another request: complete, kept alive and without further
   /// bytes.
   bool isReusable() const;
+  /// A parser for the answer that follows on the connection, with the bytes that are left.
+  /// Precondition: isComplete().
+  std::unique_ptr<AnswerParser> takeNext();
 
 private:
   struct Parser;
--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -4,8 +4,6 @@
 
 #include <utility>
 
-#include <gio/gio.h>
-
 namespace anvilsaddle {
 
 namespace {
@@ -13,39 +11,72 @@
 using namespace std::chrono_literals;
 
 constexpr std::int64_t MaxPort = 65535;
+constexpr std::size_t LeastKeyBytes = 16;
 
-std::uint16_t readPort(TomlTable &Table, std::string_view Key) {
-  return static_cast<std::uint16_t>(Table.requiredInteger(Key, 1, MaxPort));
+Endpoint readEndpoint(TomlTable &Table, std::string_view Key) {
+  const std::string Text = Table.requiredString(Key);
+  if (Text.empty()) {
+    return {};
+  }
+  const std::optional<Endpoint> Result = parseEndpoint(Text);
+  if (!Result) {
+    Table.addFinding(Key, "'" + std::string(Key) + "' must be <IPv4 number>:<port>");
+  }
+  return Result.value_or(Endpoint{});
 }
 
-/// Reads `http://<ip>:<port>`. Names are not allowed, because the daemon does no name lookups.
-std::string readServiceUrl(TomlTable &Table, std::string_view Key) {
-  std::string Result = Table.requiredString(Key);
-  if (Result.empty()) {
-    return Result;
+void readListen(TomlTable Listen, DaemonSettings &Result) {
+  Result.Callers = readEndpoint(Listen, "callers");
+  Result.Readiness = readEndpoint(Listen, "readiness");
+  Result.Directory = readEndpoint(Listen, "directory");
+  Result.Operators = readEndpoint(Listen, "operators");
+  const std::vector<std::int64_t> Ports = Listen.integersOr("peer_ports", {}, 1, MaxPort);
+  if (Ports.empty()) {
+    Listen.addFinding("peer_ports", "'peer_ports' must name at least one port");
+  } else {
+    Result.PeerPort = static_cast<std::uint16_t>(Ports.front());
   }
-  GUri *Uri = g_uri_parse(Result.c_str(), G_URI_FLAGS_NONE, nullptr);
-  const bool Valid = Uri && std::string_view(g_uri_get_scheme(Uri)) == "http" &&
-                     g_uri_get_port(Uri) > 0 && g_hostname_is_ip_address(g_uri_get_host(Uri)) &&
-                     std::string_view(g_uri_get_path(Uri)).empty() && !g_uri_get_query(Uri) &&
-                     !g_uri_get_fragment(Uri) && !g_uri_get_userinfo(Uri);
-  if (Uri) {
-    g_uri_unref(Uri);
+  Listen.reportUnknownKeys();
+}
+
+void readRegions(TomlTable &Fleet, DaemonSettings &Result) {
+  for (const auto &[Domain, Region] : Fleet.table("regions").allStrings()) {
+    Result.Places.Regions[FailureDomainName(Domain)] = RegionName(Region);
   }
-  if (!Valid) {
-    Table.addFinding(Key, "'" + std::string(Key) + "' must be http://<ip number>:<port>");
+  if (!Result.Places.Regions.contains(Result.Places.OwnDomain)) {
+    Fleet.addFinding("regions", "'regions' must name the region of this entry's failure domain '" +
+                                    Result.Places.OwnDomain.str() + "'");
   }
-  return Result;
 }
 
-/// Peers and callers both use TCP, so that each interface needs its own port.
-void checkPorts(TomlTable &Listen, const DaemonSettings &Local) {
-  if (Local.PeerPort == Local.Port) {
-    Listen.addFinding("peer_port", "'peer_port' must differ from 'port'");
+void readFleet(TomlTable Fleet, DaemonSettings &Result) {
+  readRegions(Fleet, Result);
+  Result.Seeds = Fleet.stringsOr("seeds", {}, [](const std::string &Text) {
+    return parseEndpoint(Text) ? "" : "must be <IPv4 number>:<port>";
+  });
+  for (std::string &Each : Result.Seeds) {
+    Each = Each.substr(0, Each.find(':'));
   }
-  if (Local.AdminPort == Local.Port || Local.AdminPort == Local.PeerPort) {
-    Listen.addFinding("admin_port", "'admin_port' must differ from 'port' and 'peer_port'");
+  Result.FleetKey = Fleet.requiredString("key");
+  if (!Result.FleetKey.empty() && Result.FleetKey.size() < LeastKeyBytes) {
+    Fleet.addFinding("key", "'key' must have at least 16 bytes");
   }
+  Fleet.reportUnknownKeys();
+}
+
+void readLimits(TomlTable Limits, DaemonSettings &Result) {
+  RepeatBudgetTerms &Repeats = Result.Dispatch.Repeats;
+  Repeats.Ratio = Limits.numberOr("repeat_ratio", Repeats.Ratio, 0, 10);
+  Repeats.Extra = Limits.numberOr("repeat_extra", Repeats.Extra, 0, 1e6);
+  Repeats.Window = Limits.secondsOr("repeat_window_s", Repeats.Window, 1s, 1h);
+  ColdStartTerms &Cold = Result.Dispatch.ColdStart;
+  Cold.BurstFactor = Limits.numberOr("cold_burst_factor", Cold.BurstFactor, 0, 100);
+  Cold.Slack = Limits.numberOr("cold_slack", Cold.Slack, 0, 1e4);
+  Result.StopGrace = Limits.secondsOr("stop_grace_s", Result.StopGrace, 1s, 1h);
+  Result.AddressLifetime = Limits.secondsOr("address_lifetime_s", Result.AddressLifetime, 100ms, 1h);
+  Result.MaxConnections = Limits.integerOr("max_connections", Result.MaxConnections, 1, 100'000);
+  Result.AuditEntries = Limits.integerOr("audit_entries", Result.AuditEntries, 1, 1'000'000);
+  Limits.reportUnknownKeys();
 }
 
 } // namespace
@@ -59,42 +90,18 @@
   }
   DaemonSettings Result;
   TomlTable Root(*Parsed, Path, Problems);
-  Result.Vm = VmName(Root.requiredName("vm"));
-  Result.Region = RegionName(Root.requiredName("region"));
-  Result.Domain = FailureDomainName(Root.requiredName("failure_domain"));
-
-  TomlTable Listen = Root.table("listen");
-  Result.Address = Listen.stringOr("address", Result.Address);
-  if (!g_hostname_is_ip_address(Result.Address.c_str())) {
-    Listen.addFinding("address", "'address' must be an IP number");
-  }
-  Result.Port = readPort(Listen, "port");
-  Result.PeerPort = readPort(Listen, "peer_port");
-  Result.AdminPort = readPort(Listen, "admin_port");
-  if (Problems.empty()) {
-    checkPorts(Listen, Result);
-  }
-  Listen.reportUnknownKeys();
-
-  TomlTable Platform = Root.table("platform");
-  Result.ConfigurationService = readServiceUrl(Platform, "configuration_service");
-  Result.VmListService = readServiceUrl(Platform, "vm_list");
-  Platform.reportUnknownKeys();
-
-  TomlTable Fleet = Root.table("fleet");
-  Result.KeyFile = Fleet.requiredString("key_file");
-  Fleet.reportUnknownKeys();
-
+  Result.Vm = VmName(Root.requiredString("vm"));
+  Result.Places.OwnRegion = RegionName(Root.requiredString("region"));
+  Result.Places.OwnDomain = FailureDomainName(Root.requiredString("failure_domain"));
+  readListen(Root.table("listen"), Result);
+  TomlTable Store = Root.table("store");
+  Result.Store = readEndpoint(Store, "address");
+  Store.reportUnknownKeys();
+  readFleet(Root.table("fleet"), Result);
+  readLimits(Root.table("limits"), Result);
   TomlTable Log = Root.table("log");
   Result.LogLevel = Log.choiceOr("level", Result.LogLevel, {"debug", "info", "warning", "error"});
   Log.reportUnknownKeys();
-
-  TomlTable Limits = Root.table("limits");
-  Result.StopWait = Limits.millisecondsOr("stop_wait_ms", Result.StopWait, 1s, 1h);
-  Result.MaxBodyBytes = Limits.integerOr("max_body_bytes", Result.MaxBodyBytes, 1, 1 << 30);
-  Result.AuditEntries = Limits.integerOr("audit_entries", Result.AuditEntries, 1, 1'000'000);
-  Limits.reportUnknownKeys();
-
   Root.reportUnknownKeys();
   if (Problems.empty()) {
     return Result;
--- a/src/libs/protocol/DaemonSettings.h
+++ b/src/libs/protocol/DaemonSettings.h
@@ -1,41 +1,49 @@
 #pragma once
 
+#include "coordination/Dispatcher.h"
+#include "state/Endpoint.h"
 #include "state/Finding.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
+#include "state/Topology.h"
 
 #include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace anvilsaddle {
 
-/// Local settings of one daemon, read once at start. Value type.
+/// Local settings of one daemon. Value type.
 struct DaemonSettings {
   VmName Vm;
-  RegionName Region;
-  FailureDomainName Domain;
-  /// IP number of all listening sockets.
-  std::string Address = "127.0.0.1";
-  std::uint16_t Port = 0;
-  /// UDP and TCP port for other entries.
+  Topology Places;
+  /// Where callers send their requests.
+  Endpoint Callers;
+  /// Where the platform asks whether the entry is ready.
+  Endpoint Readiness;
+  /// Where callers ask which entries to use.
+  Endpoint Directory;
+  /// Operators' interface.
+  Endpoint Operators;
+  /// UDP port for other entries, the same on all of them: the first of those that are free.
   std::uint16_t PeerPort = 0;
-  /// Port of the operators' interface; always bound to 127.0.0.1.
-  std::uint16_t AdminPort = 0;
-  /// `http://<ip>:<port>` of the configuration service.
-  std::string ConfigurationService;
-  /// `http://<ip>:<port>` of the VM list.
-  std::string VmListService;
-  /// File with the fleet key; at least 16 bytes.
-  std::string KeyFile;
+  /// Store in which operators and targets publish.
+  Endpoint Store;
+  /// Entries that are asked for others, as IP numbers; some may be down.
+  std::vector<std::string> Seeds;
+  /// Authenticates messages between entries.
+  std::string FleetKey;
+  DispatchTerms Dispatch;
+  /// Time from the request to stop until the process is killed.
+  Duration StopGrace = std::chrono::seconds(6);
+  /// Callers keep a directory answer for this time.
+  Duration AddressLifetime = std::chrono::seconds(1);
+  std::int64_t MaxConnections = 2000;
   std::string LogLevel = "info";
-  /// Longest wait of a graceful shutdown. Requests end by their deadlines before; this bounds a
-  /// fault.
-  Duration StopWait = std::chrono::minutes(11);
-  std::int64_t MaxBodyBytes = 16 << 20;
-  std::int64_t AuditEntries = 10'000;
+  std::int64_t AuditEntries = 500;
 
   auto operator<=>(const DaemonSettings &) const = default;
 };
--- /dev/null
+++ b/src/libs/protocol/ExchangeProtocol.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "coordination/LoadReport.h"
+#include "protocol/HttpMessage.h"
+#include "state/Endpoint.h"
+#include "state/Identifiers.h"
+#include "state/Time.h"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvilsaddle {
+
+/// What a caller says of its request beside HTTP. Value type.
+struct CallerTerms {
+  /// Identifies the request; empty if the caller gave none.
+  std::string RequestId;
+  /// Time for which the caller waits.
+  std::optional<Duration> Remaining;
+
+  auto operator<=>(const CallerTerms &) const = default;
+};
+
+/// What a target says with an answer. Value type.
+struct TargetStatement {
+  /// Request that the answer belongs to; empty if the target doesn't say.
+  std::string RequestId;
+  /// The target vouches for the answer.
+  bool IsSigned = false;
+  /// The target did not run the request and will not run it.
+  bool NotRun = false;
+  /// Start of a target that answered; empty if it doesn't say.
+  TargetName Instance;
+  std::optional<LoadReport> Load;
+  /// Time for which it stays cold.
+  Duration ColdFor{0};
+
+  auto operator<=>(const TargetStatement &) const = default;
+};
+
+/// Headers by which callers, entries and targets talk about a request. The embedding program
+/// supplies their names. Thread-safe.
+class ExchangeProtocol {
+public:
+  virtual ~ExchangeProtocol() = default;
+
+  virtual CallerTerms readRequest(const RequestHead &Head) const = 0;
+  /// Replaces the headers that tell a target the time left and the start of it that may run the
+  /// request.
+  virtual void stampRequest(FieldList &Fields, const TargetName &Expected,
+                            Duration Remaining) const = 0;
+  virtual TargetStatement readAnswer(const AnswerHead &Head) const = 0;
+};
+
+/// A caller asks which entries to use. Value type.
+struct AddressQuestion {
+  std::string Host;
+  RegionName Region;
+  FailureDomainName Domain;
+
+  auto operator<=>(const AddressQuestion &) const = default;
+};
+
+/// Questions about an entry itself. The embedding program supplies their form. Thread-safe.
+class EntryPages {
+public:
+  virtual ~EntryPages() = default;
+
+  virtual bool isReadinessQuestion(const RequestHead &Head) const = 0;
+  /// Nothing if the request asks something else.
+  virtual std::optional<AddressQuestion> readAddressQuestion(const RequestHead &Head) const = 0;
+  /// Body of the answer to an address question; callers keep it for `Lifetime`.
+  virtual std::string writeAddresses(const std::vector<Endpoint> &Entries,
+                                     Duration Lifetime) const = 0;
+};
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/protocol/Metrics.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "coordination/DispatchTypes.h"
+#include "protocol/LatencyQuantiles.h"
+#include "protocol/PeerTraffic.h"
+#include "state/Identifiers.h"
+#include "state/Time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace anvilsaddle {
+
+/// Counters, latency histograms and quantiles of one entry, written in the Prometheus text format.
+/// The number of series is bounded: names beyond the limits are counted under `other`. Holds names
+/// of services and reasons of refusals only, no paths or content. Not thread-safe.
+class Metrics {
+public:
+  /// Twice the services of the design scale, with room for some that were replaced.
+  static constexpr std::size_t MaxServices = 600;
+  static constexpr std::size_t MaxReasons = 64;
+
+  /// What the entry holds at the moment.
+  struct Gauges {
+    std::size_t Requests = 0;
+    std::size_t Queued = 0;
+    std::size_t CallerConnections = 0;
+    std::size_t Entries = 0;
+    std::size_t Targets = 0;
+    std::uint64_t ConfigurationVersion = 0;
+  };
+
+  /// An answer of a target went to the caller. `Latency` counts from the arrival of the request.
+  void onAnswered(const ServiceName &Service, int Status, Duration Latency, TimePoint Now);
+  /// The entry itself answered. The reason must be one of a fixed set of texts.
+  void onRefused(const std::string &Reason, int Status);
+  /// A request was sent to a target; a repeat is one that follows another of the same request.
+  void onAttempt(const ServiceName &Service, bool IsRepeat);
+  void onAttemptEnd(const ServiceName &Service, AttemptOutcome Outcome);
+  void onProbe(bool Failed);
+  void onCallerGone() { ++this->CallersGone; }
+  void onLogLinesDropped(std::uint64_t Total) { this->LogLinesDropped = Total; }
+  void setPeerTraffic(const PeerTraffic &Traffic) { this->Peers = Traffic; }
+  void setGauges(const Gauges &Values) { this->Current = Values; }
+
+  /// All series as `text/plain; version=0.0.4`.
+  std::string render(TimePoint Now);
+
+private:
+  /// Upper bounds in seconds; the last bucket has none.
+  static constexpr std::array<double, 12> Bounds = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                                    0.4,   0.8,  1.6,   3.2,  6.4, 12.8};
+
+  struct ServiceSeries {
+    LatencyQuantiles Latencies;
+    std::array<std::uint64_t, Bounds.size() + 1> Buckets{};
+    /// By status.
+    std::map<int, std::uint64_t> Answers;
+    std::map<AttemptOutcome, std::uint64_t> Outcomes;
+    std::uint64_t Attempts = 0;
+    std::uint64_t Repeats = 0;
+  };
+
+  class Writer;
+
+  ServiceSeries &series(const ServiceName &Service);
+  void writeServices(Writer &Out, TimePoint Now);
+  static void writeLatencies(Writer &Out, const std::string &Service, ServiceSeries &Series,
+                             TimePoint Now);
+  void writeEntry(Writer &Out) const;
+  void writePeers(Writer &Out) const;
+
+  std::map<ServiceName, ServiceSeries> Services;
+  std::map<std::pair<std::string, int>, std::uint64_t> Refusals;
+  std::uint64_t Probes = 0;
+  std::uint64_t FailedProbes = 0;
+  std::uint64_t CallersGone = 0;
+  std::uint64_t LogLinesDropped = 0;
+  PeerTraffic Peers;
+  Gauges Current;
+};
+
+} // namespace anvilsaddle
--- a/src/libs/protocol/PeerEnvelope.h
+++ b/src/libs/protocol/PeerEnvelope.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "coordination/Messages.h"
+#include "coordination/Incarnation.h"
 #include "coordination/Sealer.h"
 #include "protocol/PeerRejection.h"
+#include "state/Identifiers.h"
 
 #include <compare>
 #include <cstddef>
--- a/src/libs/protocol/ReplayGuard.h
+++ b/src/libs/protocol/ReplayGuard.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "coordination/Messages.h"
+#include "coordination/Incarnation.h"
 #include "protocol/PeerRejection.h"
+#include "state/Identifiers.h"
 
 #include <bitset>
 #include <cstddef>
--- /dev/null
+++ b/src/libs/protocol/RequestParser.cpp
@@ -0,0 +1,114 @@
+#include "protocol/RequestParser.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace anvilsaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int BadRequest = 400;
+constexpr int ContentTooLarge = 413;
+constexpr int HeadTooLarge = 431;
+constexpr int NotImplemented = 501;
+constexpr unsigned Http10 = 10;
+
+std::string toText(boost::beast::string_view Text) { return {Text.data(), Text.size()}; }
+
+} // namespace
+
+struct RequestParser::Parser {
+  http::request_parser<http::string_body> Beast;
+};
+
+RequestParser::RequestParser(Limits Bounds) : Bounds(Bounds) { this->start(); }
+
+RequestParser::~RequestParser() = default;
+
+void RequestParser::start() {
+  this->Inner = std::make_unique<Parser>();
+  this->Inner->Beast.eager(true);
+  this->Inner->Beast.header_limit(static_cast<std::uint32_t>(this->Bounds.HeadBytes));
+  this->Inner->Beast.body_limit(this->Bounds.BodyBytes);
+  this->HeadDone = false;
+}
+
+RequestParser::State RequestParser::fail(int Status, std::string Text) {
+  this->ErrorStatus = Status;
+  this->ErrorText = std::move(Text);
+  return State::Failed;
+}
+
+RequestParser::State RequestParser::parse() {
+  if (this->ErrorStatus != 0) {
+    return State::Failed;
+  }
+  while (!this->Buffer.empty() && !this->Inner->Beast.is_done()) {
+    boost::beast::error_code Problem;
+    const std::size_t Count = this->Inner->Beast.put(
+        boost::asio::const_buffer(this->Buffer.data(), this->Buffer.size()), Problem);
+    this->Buffer.erase(0, Count);
+    if (Problem == http::error::need_more) {
+      break;
+    }
+    if (Problem == http::error::header_limit) {
+      return this->fail(HeadTooLarge, "the request head is too large");
+    }
+    if (Problem == http::error::body_limit) {
+      return this->fail(ContentTooLarge, "the request body is too large");
+    }
+    if (Problem) {
+      return this->fail(BadRequest, "malformed request: " + Problem.message());
+    }
+    if (Count == 0) {
+      break;
+    }
+  }
+  if (!this->HeadDone && this->Inner->Beast.is_header_done()) {
+    if (const State Result = this->finishHead(); Result == State::Failed) {
+      return Result;
+    }
+  }
+  return this->Inner->Beast.is_done() ? State::Complete : State::Incomplete;
+}
+
+RequestParser::State RequestParser::finishHead() {
+  const auto &Message = this->Inner->Beast.get();
+  this->HeadDone = true;
+  this->Head = {};
+  this->Head.Method = toText(Message.method_string());
+  this->Head.Target = toText(Message.target());
+  this->Head.IsHttp10 = Message.version() == Http10;
+  this->Head.KeepAlive = Message.keep_alive();
+  for (const auto &Field : Message) {
+    this->Head.Fields.emplace_back(toText(Field.name_string()), toText(Field.value()));
+  }
+  const bool HasCoding = !findField(this->Head.Fields, "Transfer-Encoding").empty();
+  if (HasCoding && !this->Inner->Beast.chunked()) {
+    return this->fail(NotImplemented, "unknown transfer coding");
+  }
+  if (this->Head.Target.empty() || this->Head.Target.front() != '/') {
+    return this->fail(BadRequest, "the request target is not a path");
+  }
+  return State::Incomplete;
+}
+
+std::string RequestParser::takeBody() { return std::move(this->Inner->Beast.get().body()); }
+
+void RequestParser::next() { this->start(); }
+
+bool RequestParser::isStarted() const {
+  return this->HeadDone ? !this->Inner->Beast.is_done() : !this->Buffer.empty();
+}
+
+bool RequestParser::awaitsContinue() const {
+  return this->HeadDone && !this->Inner->Beast.is_done() && this->Buffer.empty() &&
+         isFieldName(findField(this->Head.Fields, "Expect"), "100-continue");
+}
+
+} // namespace anvilsaddle
--- a/src/libs/protocol/TomlTable.cpp
+++ b/src/libs/protocol/TomlTable.cpp
@@ -13,6 +13,12 @@
 constexpr std::size_t MaxNameLength = 63;
 const toml::table EmptyTable;
 
+std::string numberText(double Value) {
+  std::ostringstream Out;
+  Out << Value;
+  return Out.str();
+}
+
 std::string quoted(std::string_view Key) { return "'" + std::string(Key) + "'"; }
 
 } // namespace
@@ -86,6 +92,25 @@
   return this->checkedInteger(*Value, Key, Minimum, Minimum, Maximum);
 }
 
+std::vector<std::int64_t> TomlTable::integersOr(std::string_view Key,
+                                                std::vector<std::int64_t> Default,
+                                                std::int64_t Minimum, std::int64_t Maximum) {
+  const toml::node *Value = this->find(Key);
+  if (!Value) {
+    return Default;
+  }
+  const toml::array *Elements = Value->as_array();
+  if (!Elements) {
+    this->addFindingAt(*Value, quoted(Key) + " must be an array of whole numbers");
+    return Default;
+  }
+  std::vector<std::int64_t> Result;
+  for (const toml::node &Element : *Elements) {
+    Result.push_back(this->checkedInteger(Element, Key, Minimum, Minimum, Maximum));
+  }
+  return Result;
+}
+
 Duration TomlTable::millisecondsOr(std::string_view Key, Duration Default, Duration Minimum,
                                    Duration Maximum) {
   using std::chrono::duration_cast;
@@ -95,6 +120,36 @@
                                       duration_cast<milliseconds>(Maximum).count()));
 }
 
+Duration TomlTable::secondsOr(std::string_view Key, Duration Default, Duration Minimum,
+                              Duration Maximum) {
+  using Seconds = std::chrono::duration<double>;
+  const double Value = this->numberOr(Key, Seconds(Default).count(), Seconds(Minimum).count(),
+                                      Seconds(Maximum).count());
+  return std::chrono::duration_cast<Duration>(Seconds(Value));
+}
+
+double TomlTable::numberOr(std::string_view Key, double Default, double Minimum, double Maximum) {
+  const toml::node *Value = this->find(Key);
+  if (!Value) {
+    return Default;
+  }
+  const std::optional<double> Number = Value->value<double>();
+  if (!Number || !(*Number >= Minimum && *Number <= Maximum)) {
+    this->addFindingAt(*Value, quoted(Key) + " must be a number from " + numberText(Minimum) +
+                                   " to " + numberText(Maximum));
+    return Default;
+  }
+  return *Number;
+}
+
+std::map<std::string, std::string> TomlTable::allStrings() {
+  std::map<std::string, std::string> Result;
+  for (const auto &[Key, Value] : this->Table) {
+    Result[std::string(Key.str())] = this->requiredString(Key.str());
+  }
+  return Result;
+}
+
 bool TomlTable::booleanOr(std::string_view Key, bool Default) {
   const toml::node *Value = this->find(Key);
   if (!Value) {
--- a/src/libs/protocol/TomlTable.h
+++ b/src/libs/protocol/TomlTable.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -36,10 +37,19 @@
   std::int64_t integerOr(std::string_view Key, std::int64_t Default, std::int64_t Minimum,
                          std::int64_t Maximum);
   std::int64_t requiredInteger(std::string_view Key, std::int64_t Minimum, std::int64_t Maximum);
+  /// An array of whole numbers.
+  std::vector<std::int64_t> integersOr(std::string_view Key, std::vector<std::int64_t> Default,
+                                       std::int64_t Minimum, std::int64_t Maximum);
   /// The key counts milliseconds.
   Duration millisecondsOr(std::string_view Key, Duration Default, Duration Minimum,
                           Duration Maximum);
+  /// The key counts seconds, with or without a fraction.
+  Duration secondsOr(std::string_view Key, Duration Default, Duration Minimum, Duration Maximum);
+  /// A number with or without a fraction.
+  double numberOr(std::string_view Key, double Default, double Minimum, double Maximum);
   bool booleanOr(std::string_view Key, bool Default);
+  /// All keys of this table with their values, which must be strings that are not empty.
+  std::map<std::string, std::string> allStrings();
   /// `Check` gives the problem of one element, or an empty text; the finding is at the element. An
   /// element that occurs twice is a finding, too.
   std::vector<std::string> stringsOr(std::string_view Key, std::vector<std::string> Default,
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -14,152 +14,37 @@
 namespace anvilsaddle { namespace wire {
 
 
-Incarnation::~Incarnation() noexcept {
+Member::~Member() noexcept {
 }
 
 
-void Incarnation::__set_startedUnixMilliseconds(const int64_t val) {
-  this->startedUnixMilliseconds = val;
+void Member::__set_address(const int32_t val) {
+  this->address = val;
 }
 
-void Incarnation::__set_random(const int64_t val) {
-  this->random = val;
-}
-std::ostream& operator<<(std::ostream& out, const Incarnation& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t Incarnation::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_startedUnixMilliseconds = false;
-  bool isset_random = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->startedUnixMilliseconds);
-          isset_startedUnixMilliseconds = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->random);
-          isset_random = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_startedUnixMilliseconds)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_random)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t Incarnation::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Incarnation");
-
-  xfer += oprot->writeFieldBegin("startedUnixMilliseconds", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->startedUnixMilliseconds);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("random", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->random);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Incarnation &a, Incarnation &b) {
-  using ::std::swap;
-  swap(a.startedUnixMilliseconds, b.startedUnixMilliseconds);
-  swap(a.random, b.random);
-}
-
-Incarnation::Incarnation(const Incarnation& other0) noexcept {
-  startedUnixMilliseconds = other0.startedUnixMilliseconds;
-  random = other0.random;
-}
-Incarnation& Incarnation::operator=(const Incarnation& other1) noexcept {
-  startedUnixMilliseconds = other1.startedUnixMilliseconds;
-  random = other1.random;
-  return *this;
-}
-void Incarnation::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Incarnation(";
-  out << "startedUnixMilliseconds=" << to_string(startedUnixMilliseconds);
-  out << ", " << "random=" << to_string(random);
-  out << ")";
-}
-
-
-GroupLoad::~GroupLoad() noexcept {
-}
-
-
-void GroupLoad::__set_serviceName(const std::string& val) {
-  this->serviceName = val;
-}
-
-void GroupLoad::__set_regionName(const std::string& val) {
-  this->regionName = val;
+void Member::__set_domain(const int16_t val) {
+  this->domain = val;
 }
 
-void GroupLoad::__set_shard(const int32_t val) {
-  this->shard = val;
+void Member::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
 }
 
-void GroupLoad::__set_spareSlots(const int32_t val) {
-  this->spareSlots = val;
+void Member::__set_beat(const int32_t val) {
+  this->beat = val;
 }
 
-void GroupLoad::__set_queued(const int32_t val) {
-  this->queued = val;
+void Member::__set_state(const int8_t val) {
+  this->state = val;
 }
-std::ostream& operator<<(std::ostream& out, const GroupLoad& obj)
+std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t GroupLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Member::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -171,11 +56,11 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_serviceName = false;
-  bool isset_regionName = false;
-  bool isset_shard = false;
-  bool isset_spareSlots = false;
-  bool isset_queued = false;
+  bool isset_address = false;
+  bool isset_domain = false;
+  bool isset_incarnation = false;
+  bool isset_beat = false;
+  bool isset_state = false;
 
   while (true)
   {
@@ -186,41 +71,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          isset_serviceName = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->address);
+          isset_address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->regionName);
-          isset_regionName = true;
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->domain);
+          isset_domain = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->shard);
-          isset_shard = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          isset_incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->spareSlots);
-          isset_spareSlots = true;
+          xfer += iprot->readI32(this->beat);
+          isset_beat = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->queued);
-          isset_queued = true;
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->state);
+          isset_state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -234,42 +119,42 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_serviceName)
+  if (!isset_address)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_regionName)
+  if (!isset_domain)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_shard)
+  if (!isset_incarnation)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_spareSlots)
+  if (!isset_beat)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_queued)
+  if (!isset_state)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t GroupLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Member::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("GroupLoad");
+  xfer += oprot->writeStructBegin("Member");
 
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->address);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("regionName", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->regionName);
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_I16, 2);
+  xfer += oprot->writeI16(this->domain);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("shard", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->shard);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("spareSlots", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->spareSlots);
+  xfer += oprot->writeFieldBegin("beat", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->beat);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_BYTE, 5);
+  xfer += oprot->writeByte(this->state);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -277,73 +162,61 @@
   return xfer;
 }
 
-void swap(GroupLoad &a, GroupLoad &b) {
+void swap(Member &a, Member &b) {
   using ::std::swap;
-  swap(a.serviceName, b.serviceName);
-  swap(a.regionName, b.regionName);
-  swap(a.shard, b.shard);
-  swap(a.spareSlots, b.spareSlots);
-  swap(a.queued, b.queued);
+  swap(a.address, b.address);
+  swap(a.domain, b.domain);
+  swap(a.incarnation, b.incarnation);
+  swap(a.beat, b.beat);
+  swap(a.state, b.state);
 }
 
-GroupLoad::GroupLoad(const GroupLoad& other2) {
-  serviceName = other2.serviceName;
-  regionName = other2.regionName;
-  shard = other2.shard;
-  spareSlots = other2.spareSlots;
-  queued = other2.queued;
+Member::Member(const Member& other0) noexcept {
+  address = other0.address;
+  domain = other0.domain;
+  incarnation = other0.incarnation;
+  beat = other0.beat;
+  state = other0.state;
 }
-GroupLoad& GroupLoad::operator=(const GroupLoad& other3) {
-  serviceName = other3.serviceName;
-  regionName = other3.regionName;
-  shard = other3.shard;
-  spareSlots = other3.spareSlots;
-  queued = other3.queued;
+Member& Member::operator=(const Member& other1) noexcept {
+  address = other1.address;
+  domain = other1.domain;
+  incarnation = other1.incarnation;
+  beat = other1.beat;
+  state = other1.state;
   return *this;
 }
-void GroupLoad::printTo(std::ostream& out) const {
+void Member::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "GroupLoad(";
-  out << "serviceName=" << to_string(serviceName);
-  out << ", " << "regionName=" << to_string(regionName);
-  out << ", " << "shard=" << to_string(shard);
-  out << ", " << "spareSlots=" << to_string(spareSlots);
-  out << ", " << "queued=" << to_string(queued);
+  out << "Member(";
+  out << "address=" << to_string(address);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "beat=" << to_string(beat);
+  out << ", " << "state=" << to_string(state);
   out << ")";
 }
 
 
-Heartbeat::~Heartbeat() noexcept {
-}
-
-
-void Heartbeat::__set_receiver(const Incarnation& val) {
-  this->receiver = val;
-}
-
-void Heartbeat::__set_state(const int32_t val) {
-  this->state = val;
+Gossip::~Gossip() noexcept {
 }
 
-void Heartbeat::__set_settingsDigest(const int64_t val) {
-  this->settingsDigest = val;
-}
 
-void Heartbeat::__set_vmListRevision(const int64_t val) {
-  this->vmListRevision = val;
+void Gossip::__set_domains(const std::vector<std::string> & val) {
+  this->domains = val;
 }
 
-void Heartbeat::__set_groups(const std::vector<GroupLoad> & val) {
-  this->groups = val;
+void Gossip::__set_members(const std::vector<Member> & val) {
+  this->members = val;
 }
-std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
+std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Heartbeat::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Gossip::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -355,11 +228,8 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_receiver = false;
-  bool isset_state = false;
-  bool isset_settingsDigest = false;
-  bool isset_vmListRevision = false;
-  bool isset_groups = false;
+  bool isset_domains = false;
+  bool isset_members = false;
 
   while (true)
   {
@@ -370,53 +240,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->receiver.read(iprot);
-          isset_receiver = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->domains.clear();
+            uint32_t _size2;
+            ::apache::thrift::protocol::TType _etype5;
+            xfer += iprot->readListBegin(_etype5, _size2);
+            this->domains.resize(_size2);
+            uint32_t _i6;
+            for (_i6 = 0; _i6 < _size2; ++_i6)
+            {
+              xfer += iprot->readString(this->domains[_i6]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_domains = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->state);
-          isset_state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->settingsDigest);
-          isset_settingsDigest = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->vmListRevision);
-          isset_vmListRevision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->groups.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->groups.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            this->members.clear();
+            uint32_t _size7;
+            ::apache::thrift::protocol::TType _etype10;
+            xfer += iprot->readListBegin(_etype10, _size7);
+            this->members.resize(_size7);
+            uint32_t _i11;
+            for (_i11 = 0; _i11 < _size7; ++_i11)
             {
-              xfer += this->groups[_i8].read(iprot);
+              xfer += this->members[_i11].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          isset_groups = true;
+          isset_members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -430,177 +288,40 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_receiver)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_state)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_settingsDigest)
+  if (!isset_domains)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_vmListRevision)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_groups)
+  if (!isset_members)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t Heartbeat::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Gossip::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Heartbeat");
-
-  xfer += oprot->writeFieldBegin("receiver", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->receiver.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->state);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("settingsDigest", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->settingsDigest);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("vmListRevision", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->vmListRevision);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Gossip");
 
-  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupLoad> ::const_iterator _iter9;
-    for (_iter9 = this->groups.begin(); _iter9 != this->groups.end(); ++_iter9)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::vector<std::string> ::const_iterator _iter12;
+    for (_iter12 = this->domains.begin(); _iter12 != this->domains.end(); ++_iter12)
     {
-      xfer += (*_iter9).write(oprot);
+      xfer += oprot->writeString((*_iter12));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Heartbeat &a, Heartbeat &b) {
-  using ::std::swap;
-  swap(a.receiver, b.receiver);
-  swap(a.state, b.state);
-  swap(a.settingsDigest, b.settingsDigest);
-  swap(a.vmListRevision, b.vmListRevision);
-  swap(a.groups, b.groups);
-}
-
-Heartbeat::Heartbeat(const Heartbeat& other10) {
-  receiver = other10.receiver;
-  state = other10.state;
-  settingsDigest = other10.settingsDigest;
-  vmListRevision = other10.vmListRevision;
-  groups = other10.groups;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other11) {
-  receiver = other11.receiver;
-  state = other11.state;
-  settingsDigest = other11.settingsDigest;
-  vmListRevision = other11.vmListRevision;
-  groups = other11.groups;
-  return *this;
-}
-void Heartbeat::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Heartbeat(";
-  out << "receiver=" << to_string(receiver);
-  out << ", " << "state=" << to_string(state);
-  out << ", " << "settingsDigest=" << to_string(settingsDigest);
-  out << ", " << "vmListRevision=" << to_string(vmListRevision);
-  out << ", " << "groups=" << to_string(groups);
-  out << ")";
-}
-
-
-LeaseClaim::~LeaseClaim() noexcept {
-}
-
-
-void LeaseClaim::__set_target(const std::string& val) {
-  this->target = val;
-}
-
-void LeaseClaim::__set_inFlight(const int32_t val) {
-  this->inFlight = val;
-}
-std::ostream& operator<<(std::ostream& out, const LeaseClaim& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t LeaseClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_target = false;
-  bool isset_inFlight = false;
-
-  while (true)
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter13;
+    for (_iter13 = this->members.begin(); _iter13 != this->members.end(); ++_iter13)
     {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          isset_target = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->inFlight);
-          isset_inFlight = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
+      xfer += (*_iter13).write(oprot);
     }
-    xfer += iprot->readFieldEnd();
+    xfer += oprot->writeListEnd();
   }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_target)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_inFlight)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t LeaseClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseClaim");
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->inFlight);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -608,49 +329,46 @@
   return xfer;
 }
 
-void swap(LeaseClaim &a, LeaseClaim &b) {
+void swap(Gossip &a, Gossip &b) {
   using ::std::swap;
-  swap(a.target, b.target);
-  swap(a.inFlight, b.inFlight);
+  swap(a.domains, b.domains);
+  swap(a.members, b.members);
 }
 
-LeaseClaim::LeaseClaim(const LeaseClaim& other12) {
-  target = other12.target;
-  inFlight = other12.inFlight;
+Gossip::Gossip(const Gossip& other14) {
+  domains = other14.domains;
+  members = other14.members;
 }
-LeaseClaim& LeaseClaim::operator=(const LeaseClaim& other13) {
-  target = other13.target;
-  inFlight = other13.inFlight;
+Gossip& Gossip::operator=(const Gossip& other15) {
+  domains = other15.domains;
+  members = other15.members;
   return *this;
 }
-void LeaseClaim::printTo(std::ostream& out) const {
+void Gossip::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseClaim(";
-  out << "target=" << to_string(target);
-  out << ", " << "inFlight=" << to_string(inFlight);
+  out << "Gossip(";
+  out << "domains=" << to_string(domains);
+  out << ", " << "members=" << to_string(members);
   out << ")";
 }
 
 
-LeaseRequest::~LeaseRequest() noexcept {
+PeerMessage::~PeerMessage() noexcept {
 }
 
 
-void LeaseRequest::__set_requestId(const int64_t val) {
-  this->requestId = val;
-}
-
-void LeaseRequest::__set_claims(const std::vector<LeaseClaim> & val) {
-  this->claims = val;
+void PeerMessage::__set_gossip(const Gossip& val) {
+  this->gossip = val;
+__isset.gossip = true;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseRequest& obj)
+std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PeerMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -662,8 +380,6 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_requestId = false;
-  bool isset_claims = false;
 
   while (true)
   {
@@ -673,30 +389,10 @@
     }
     switch (fid)
     {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->requestId);
-          isset_requestId = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->claims.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->claims.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
-            {
-              xfer += this->claims[_i18].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_claims = true;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->gossip.read(iprot);
+          this->__isset.gossip = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -710,1010 +406,17 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_requestId)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_claims)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t LeaseRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PeerMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseRequest");
-
-  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->requestId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<LeaseClaim> ::const_iterator _iter19;
-    for (_iter19 = this->claims.begin(); _iter19 != this->claims.end(); ++_iter19)
-    {
-      xfer += (*_iter19).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(LeaseRequest &a, LeaseRequest &b) {
-  using ::std::swap;
-  swap(a.requestId, b.requestId);
-  swap(a.claims, b.claims);
-}
+  xfer += oprot->writeStructBegin("PeerMessage");
 
-LeaseRequest::LeaseRequest(const LeaseRequest& other20) {
-  requestId = other20.requestId;
-  claims = other20.claims;
-}
-LeaseRequest& LeaseRequest::operator=(const LeaseRequest& other21) {
-  requestId = other21.requestId;
-  claims = other21.claims;
-  return *this;
-}
-void LeaseRequest::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "LeaseRequest(";
-  out << "requestId=" << to_string(requestId);
-  out << ", " << "claims=" << to_string(claims);
-  out << ")";
-}
-
-
-LeaseGrant::~LeaseGrant() noexcept {
-}
-
-
-void LeaseGrant::__set_target(const std::string& val) {
-  this->target = val;
-}
-
-void LeaseGrant::__set_granted(const bool val) {
-  this->granted = val;
-}
-
-void LeaseGrant::__set_reserved(const int32_t val) {
-  this->reserved = val;
-}
-std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_target = false;
-  bool isset_granted = false;
-  bool isset_reserved = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          isset_target = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          isset_granted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->reserved);
-          isset_reserved = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_target)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_granted)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_reserved)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseGrant");
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->granted);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("reserved", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->reserved);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(LeaseGrant &a, LeaseGrant &b) {
-  using ::std::swap;
-  swap(a.target, b.target);
-  swap(a.granted, b.granted);
-  swap(a.reserved, b.reserved);
-}
-
-LeaseGrant::LeaseGrant(const LeaseGrant& other22) {
-  target = other22.target;
-  granted = other22.granted;
-  reserved = other22.reserved;
-}
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other23) {
-  target = other23.target;
-  granted = other23.granted;
-  reserved = other23.reserved;
-  return *this;
-}
-void LeaseGrant::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "LeaseGrant(";
-  out << "target=" << to_string(target);
-  out << ", " << "granted=" << to_string(granted);
-  out << ", " << "reserved=" << to_string(reserved);
-  out << ")";
-}
-
-
-LeaseReply::~LeaseReply() noexcept {
-}
-
-
-void LeaseReply::__set_requestId(const int64_t val) {
-  this->requestId = val;
-}
-
-void LeaseReply::__set_grants(const std::vector<LeaseGrant> & val) {
-  this->grants = val;
-}
-std::ostream& operator<<(std::ostream& out, const LeaseReply& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t LeaseReply::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_requestId = false;
-  bool isset_grants = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->requestId);
-          isset_requestId = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->grants.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->grants.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
-            {
-              xfer += this->grants[_i28].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_grants = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_requestId)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_grants)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t LeaseReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseReply");
-
-  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->requestId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter29;
-    for (_iter29 = this->grants.begin(); _iter29 != this->grants.end(); ++_iter29)
-    {
-      xfer += (*_iter29).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(LeaseReply &a, LeaseReply &b) {
-  using ::std::swap;
-  swap(a.requestId, b.requestId);
-  swap(a.grants, b.grants);
-}
-
-LeaseReply::LeaseReply(const LeaseReply& other30) {
-  requestId = other30.requestId;
-  grants = other30.grants;
-}
-LeaseReply& LeaseReply::operator=(const LeaseReply& other31) {
-  requestId = other31.requestId;
-  grants = other31.grants;
-  return *this;
-}
-void LeaseReply::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "LeaseReply(";
-  out << "requestId=" << to_string(requestId);
-  out << ", " << "grants=" << to_string(grants);
-  out << ")";
-}
-
-
-LeaseRelease::~LeaseRelease() noexcept {
-}
-
-
-void LeaseRelease::__set_claims(const std::vector<LeaseClaim> & val) {
-  this->claims = val;
-}
-
-void LeaseRelease::__set_requestId(const int64_t val) {
-  this->requestId = val;
-}
-std::ostream& operator<<(std::ostream& out, const LeaseRelease& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t LeaseRelease::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_claims = false;
-  bool isset_requestId = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->claims.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->claims.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
-            {
-              xfer += this->claims[_i36].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_claims = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->requestId);
-          isset_requestId = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_claims)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_requestId)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t LeaseRelease::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseRelease");
-
-  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<LeaseClaim> ::const_iterator _iter37;
-    for (_iter37 = this->claims.begin(); _iter37 != this->claims.end(); ++_iter37)
-    {
-      xfer += (*_iter37).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->requestId);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(LeaseRelease &a, LeaseRelease &b) {
-  using ::std::swap;
-  swap(a.claims, b.claims);
-  swap(a.requestId, b.requestId);
-}
-
-LeaseRelease::LeaseRelease(const LeaseRelease& other38) {
-  claims = other38.claims;
-  requestId = other38.requestId;
-}
-LeaseRelease& LeaseRelease::operator=(const LeaseRelease& other39) {
-  claims = other39.claims;
-  requestId = other39.requestId;
-  return *this;
-}
-void LeaseRelease::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "LeaseRelease(";
-  out << "claims=" << to_string(claims);
-  out << ", " << "requestId=" << to_string(requestId);
-  out << ")";
-}
-
-
-LessorInquiry::~LessorInquiry() noexcept {
-}
-
-
-void LessorInquiry::__set_targets(const std::vector<std::string> & val) {
-  this->targets = val;
-}
-
-void LessorInquiry::__set_vmListRevision(const int64_t val) {
-  this->vmListRevision = val;
-}
-std::ostream& operator<<(std::ostream& out, const LessorInquiry& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t LessorInquiry::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_targets = false;
-  bool isset_vmListRevision = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->targets.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->targets.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
-            {
-              xfer += iprot->readString(this->targets[_i44]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_targets = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->vmListRevision);
-          isset_vmListRevision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_targets)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_vmListRevision)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t LessorInquiry::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LessorInquiry");
-
-  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->targets.size()));
-    std::vector<std::string> ::const_iterator _iter45;
-    for (_iter45 = this->targets.begin(); _iter45 != this->targets.end(); ++_iter45)
-    {
-      xfer += oprot->writeString((*_iter45));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("vmListRevision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->vmListRevision);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(LessorInquiry &a, LessorInquiry &b) {
-  using ::std::swap;
-  swap(a.targets, b.targets);
-  swap(a.vmListRevision, b.vmListRevision);
-}
-
-LessorInquiry::LessorInquiry(const LessorInquiry& other46) {
-  targets = other46.targets;
-  vmListRevision = other46.vmListRevision;
-}
-LessorInquiry& LessorInquiry::operator=(const LessorInquiry& other47) {
-  targets = other47.targets;
-  vmListRevision = other47.vmListRevision;
-  return *this;
-}
-void LessorInquiry::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "LessorInquiry(";
-  out << "targets=" << to_string(targets);
-  out << ", " << "vmListRevision=" << to_string(vmListRevision);
-  out << ")";
-}
-
-
-CededTarget::~CededTarget() noexcept {
-}
-
-
-void CededTarget::__set_target(const std::string& val) {
-  this->target = val;
-}
-
-void CededTarget::__set_remainingUseMicroseconds(const int64_t val) {
-  this->remainingUseMicroseconds = val;
-}
-std::ostream& operator<<(std::ostream& out, const CededTarget& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t CededTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_target = false;
-  bool isset_remainingUseMicroseconds = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          isset_target = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->remainingUseMicroseconds);
-          isset_remainingUseMicroseconds = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_target)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_remainingUseMicroseconds)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t CededTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CededTarget");
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("remainingUseMicroseconds", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->remainingUseMicroseconds);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(CededTarget &a, CededTarget &b) {
-  using ::std::swap;
-  swap(a.target, b.target);
-  swap(a.remainingUseMicroseconds, b.remainingUseMicroseconds);
-}
-
-CededTarget::CededTarget(const CededTarget& other48) {
-  target = other48.target;
-  remainingUseMicroseconds = other48.remainingUseMicroseconds;
-}
-CededTarget& CededTarget::operator=(const CededTarget& other49) {
-  target = other49.target;
-  remainingUseMicroseconds = other49.remainingUseMicroseconds;
-  return *this;
-}
-void CededTarget::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "CededTarget(";
-  out << "target=" << to_string(target);
-  out << ", " << "remainingUseMicroseconds=" << to_string(remainingUseMicroseconds);
-  out << ")";
-}
-
-
-LessorCession::~LessorCession() noexcept {
-}
-
-
-void LessorCession::__set_targets(const std::vector<CededTarget> & val) {
-  this->targets = val;
-}
-
-void LessorCession::__set_lessor(const Incarnation& val) {
-  this->lessor = val;
-}
-std::ostream& operator<<(std::ostream& out, const LessorCession& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t LessorCession::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_targets = false;
-  bool isset_lessor = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->targets.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->targets.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
-            {
-              xfer += this->targets[_i54].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          isset_targets = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->lessor.read(iprot);
-          isset_lessor = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_targets)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_lessor)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t LessorCession::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LessorCession");
-
-  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<CededTarget> ::const_iterator _iter55;
-    for (_iter55 = this->targets.begin(); _iter55 != this->targets.end(); ++_iter55)
-    {
-      xfer += (*_iter55).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("lessor", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->lessor.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(LessorCession &a, LessorCession &b) {
-  using ::std::swap;
-  swap(a.targets, b.targets);
-  swap(a.lessor, b.lessor);
-}
-
-LessorCession::LessorCession(const LessorCession& other56) {
-  targets = other56.targets;
-  lessor = other56.lessor;
-}
-LessorCession& LessorCession::operator=(const LessorCession& other57) {
-  targets = other57.targets;
-  lessor = other57.lessor;
-  return *this;
-}
-void LessorCession::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "LessorCession(";
-  out << "targets=" << to_string(targets);
-  out << ", " << "lessor=" << to_string(lessor);
-  out << ")";
-}
-
-
-PeerMessage::~PeerMessage() noexcept {
-}
-
-
-void PeerMessage::__set_heartbeat(const Heartbeat& val) {
-  this->heartbeat = val;
-__isset.heartbeat = true;
-}
-
-void PeerMessage::__set_leaseRequest(const LeaseRequest& val) {
-  this->leaseRequest = val;
-__isset.leaseRequest = true;
-}
-
-void PeerMessage::__set_leaseReply(const LeaseReply& val) {
-  this->leaseReply = val;
-__isset.leaseReply = true;
-}
-
-void PeerMessage::__set_leaseRelease(const LeaseRelease& val) {
-  this->leaseRelease = val;
-__isset.leaseRelease = true;
-}
-
-void PeerMessage::__set_lessorInquiry(const LessorInquiry& val) {
-  this->lessorInquiry = val;
-__isset.lessorInquiry = true;
-}
-
-void PeerMessage::__set_lessorCession(const LessorCession& val) {
-  this->lessorCession = val;
-__isset.lessorCession = true;
-}
-std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t PeerMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->heartbeat.read(iprot);
-          this->__isset.heartbeat = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leaseRequest.read(iprot);
-          this->__isset.leaseRequest = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leaseReply.read(iprot);
-          this->__isset.leaseReply = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->leaseRelease.read(iprot);
-          this->__isset.leaseRelease = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->lessorInquiry.read(iprot);
-          this->__isset.lessorInquiry = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->lessorCession.read(iprot);
-          this->__isset.lessorCession = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t PeerMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PeerMessage");
-
-  if (this->__isset.heartbeat) {
-    xfer += oprot->writeFieldBegin("heartbeat", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->heartbeat.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.leaseRequest) {
-    xfer += oprot->writeFieldBegin("leaseRequest", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->leaseRequest.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.leaseReply) {
-    xfer += oprot->writeFieldBegin("leaseReply", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->leaseReply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.leaseRelease) {
-    xfer += oprot->writeFieldBegin("leaseRelease", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->leaseRelease.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.lessorInquiry) {
-    xfer += oprot->writeFieldBegin("lessorInquiry", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->lessorInquiry.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.lessorCession) {
-    xfer += oprot->writeFieldBegin("lessorCession", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->lessorCession.write(oprot);
+  if (this->__isset.gossip) {
+    xfer += oprot->writeFieldBegin("gossip", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->gossip.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -1723,43 +426,23 @@
 
 void swap(PeerMessage &a, PeerMessage &b) {
   using ::std::swap;
-  swap(a.heartbeat, b.heartbeat);
-  swap(a.leaseRequest, b.leaseRequest);
-  swap(a.leaseReply, b.leaseReply);
-  swap(a.leaseRelease, b.leaseRelease);
-  swap(a.lessorInquiry, b.lessorInquiry);
-  swap(a.lessorCession, b.lessorCession);
+  swap(a.gossip, b.gossip);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other58) {
-  heartbeat = other58.heartbeat;
-  leaseRequest = other58.leaseRequest;
-  leaseReply = other58.leaseReply;
-  leaseRelease = other58.leaseRelease;
-  lessorInquiry = other58.lessorInquiry;
-  lessorCession = other58.lessorCession;
-  __isset = other58.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other16) {
+  gossip = other16.gossip;
+  __isset = other16.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other59) {
-  heartbeat = other59.heartbeat;
-  leaseRequest = other59.leaseRequest;
-  leaseReply = other59.leaseReply;
-  leaseRelease = other59.leaseRelease;
-  lessorInquiry = other59.lessorInquiry;
-  lessorCession = other59.lessorCession;
-  __isset = other59.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other17) {
+  gossip = other17.gossip;
+  __isset = other17.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "PeerMessage(";
-  out << "heartbeat="; (__isset.heartbeat ? (out << to_string(heartbeat)) : (out << "<null>"));
-  out << ", " << "leaseRequest="; (__isset.leaseRequest ? (out << to_string(leaseRequest)) : (out << "<null>"));
-  out << ", " << "leaseReply="; (__isset.leaseReply ? (out << to_string(leaseReply)) : (out << "<null>"));
-  out << ", " << "leaseRelease="; (__isset.leaseRelease ? (out << to_string(leaseRelease)) : (out << "<null>"));
-  out << ", " << "lessorInquiry="; (__isset.lessorInquiry ? (out << to_string(lessorInquiry)) : (out << "<null>"));
-  out << ", " << "lessorCession="; (__isset.lessorCession ? (out << to_string(lessorCession)) : (out << "<null>"));
+  out << "gossip="; (__isset.gossip ? (out << to_string(gossip)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -21,182 +21,62 @@
 
 namespace anvilsaddle { namespace wire {
 
-class Incarnation;
+class Member;
 
-class GroupLoad;
-
-class Heartbeat;
-
-class LeaseClaim;
-
-class LeaseRequest;
-
-class LeaseGrant;
-
-class LeaseReply;
-
-class LeaseRelease;
-
-class LessorInquiry;
-
-class CededTarget;
-
-class LessorCession;
+class Gossip;
 
 class PeerMessage;
 
 
-class Incarnation : public virtual ::apache::thrift::TBase {
+class Member : public virtual ::apache::thrift::TBase {
  public:
 
-  Incarnation(const Incarnation&) noexcept;
-  Incarnation& operator=(const Incarnation&) noexcept;
-  Incarnation() noexcept
-              : startedUnixMilliseconds(0),
-                random(0) {
+  Member(const Member&) noexcept;
+  Member& operator=(const Member&) noexcept;
+  Member() noexcept
+         : address(0),
+           domain(0),
+           incarnation(0),
+           beat(0),
+           state(0) {
   }
 
-  virtual ~Incarnation() noexcept;
-  int64_t startedUnixMilliseconds;
-  int64_t random;
-
-  void __set_startedUnixMilliseconds(const int64_t val);
-
-  void __set_random(const int64_t val);
-
-  bool operator == (const Incarnation & rhs) const
-  {
-    if (!(startedUnixMilliseconds == rhs.startedUnixMilliseconds))
-      return false;
-    if (!(random == rhs.random))
-      return false;
-    return true;
-  }
-  bool operator != (const Incarnation &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const Incarnation & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(Incarnation &a, Incarnation &b);
-
-std::ostream& operator<<(std::ostream& out, const Incarnation& obj);
-
-
-class GroupLoad : public virtual ::apache::thrift::TBase {
- public:
-
-  GroupLoad(const GroupLoad&);
-  GroupLoad& operator=(const GroupLoad&);
-  GroupLoad() noexcept
-            : serviceName(),
-              regionName(),
-              shard(0),
-              spareSlots(0),
-              queued(0) {
-  }
+  virtual ~Member() noexcept;
+  int32_t address;
+  int16_t domain;
+  int64_t incarnation;
+  int32_t beat;
+  int8_t state;
 
-  virtual ~GroupLoad() noexcept;
-  std::string serviceName;
-  std::string regionName;
-  int32_t shard;
-  int32_t spareSlots;
-  int32_t queued;
+  void __set_address(const int32_t val);
 
-  void __set_serviceName(const std::string& val);
+  void __set_domain(const int16_t val);
 
-  void __set_regionName(const std::string& val);
+  void __set_incarnation(const int64_t val);
 
-  void __set_shard(const int32_t val);
+  void __set_beat(const int32_t val);
 
-  void __set_spareSlots(const int32_t val);
+  void __set_state(const int8_t val);
 
-  void __set_queued(const int32_t val);
-
-  bool operator == (const GroupLoad & rhs) const
+  bool operator == (const Member & rhs) const
   {
-    if (!(serviceName == rhs.serviceName))
-      return false;
-    if (!(regionName == rhs.regionName))
+    if (!(address == rhs.address))
       return false;
-    if (!(shard == rhs.shard))
+    if (!(domain == rhs.domain))
       return false;
-    if (!(spareSlots == rhs.spareSlots))
+    if (!(incarnation == rhs.incarnation))
       return false;
-    if (!(queued == rhs.queued))
-      return false;
-    return true;
-  }
-  bool operator != (const GroupLoad &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const GroupLoad & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(GroupLoad &a, GroupLoad &b);
-
-std::ostream& operator<<(std::ostream& out, const GroupLoad& obj);
-
-
-class Heartbeat : public virtual ::apache::thrift::TBase {
- public:
-
-  Heartbeat(const Heartbeat&);
-  Heartbeat& operator=(const Heartbeat&);
-  Heartbeat() noexcept
-            : state(0),
-              settingsDigest(0),
-              vmListRevision(0) {
-  }
-
-  virtual ~Heartbeat() noexcept;
-  Incarnation receiver;
-  int32_t state;
-  int64_t settingsDigest;
-  int64_t vmListRevision;
-  std::vector<GroupLoad>  groups;
-
-  void __set_receiver(const Incarnation& val);
-
-  void __set_state(const int32_t val);
-
-  void __set_settingsDigest(const int64_t val);
-
-  void __set_vmListRevision(const int64_t val);
-
-  void __set_groups(const std::vector<GroupLoad> & val);
-
-  bool operator == (const Heartbeat & rhs) const
-  {
-    if (!(receiver == rhs.receiver))
+    if (!(beat == rhs.beat))
       return false;
     if (!(state == rhs.state))
       return false;
-    if (!(settingsDigest == rhs.settingsDigest))
-      return false;
-    if (!(vmListRevision == rhs.vmListRevision))
-      return false;
-    if (!(groups == rhs.groups))
-      return false;
     return true;
   }
-  bool operator != (const Heartbeat &rhs) const {
+  bool operator != (const Member &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const Heartbeat & ) const;
+  bool operator < (const Member & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -204,42 +84,40 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Heartbeat &a, Heartbeat &b);
+void swap(Member &a, Member &b);
 
-std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
+std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 
-class LeaseClaim : public virtual ::apache::thrift::TBase {
+class Gossip : public virtual ::apache::thrift::TBase {
  public:
 
-  LeaseClaim(const LeaseClaim&);
-  LeaseClaim& operator=(const LeaseClaim&);
-  LeaseClaim() noexcept
-             : target(),
-               inFlight(0) {
+  Gossip(const Gossip&);
+  Gossip& operator=(const Gossip&);
+  Gossip() noexcept {
   }
 
-  virtual ~LeaseClaim() noexcept;
-  std::string target;
-  int32_t inFlight;
+  virtual ~Gossip() noexcept;
+  std::vector<std::string>  domains;
+  std::vector<Member>  members;
 
-  void __set_target(const std::string& val);
+  void __set_domains(const std::vector<std::string> & val);
 
-  void __set_inFlight(const int32_t val);
+  void __set_members(const std::vector<Member> & val);
 
-  bool operator == (const LeaseClaim & rhs) const
+  bool operator == (const Gossip & rhs) const
   {
-    if (!(target == rhs.target))
+    if (!(domains == rhs.domains))
       return false;
-    if (!(inFlight == rhs.inFlight))
+    if (!(members == rhs.members))
       return false;
     return true;
   }
-  bool operator != (const LeaseClaim &rhs) const {
+  bool operator != (const Gossip &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const LeaseClaim & ) const;
+  bool operator < (const Gossip & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -247,319 +125,13 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(LeaseClaim &a, LeaseClaim &b);
+void swap(Gossip &a, Gossip &b);
 
-std::ostream& operator<<(std::ostream& out, const LeaseClaim& obj);
-
-
-class LeaseRequest : public virtual ::apache::thrift::TBase {
- public:
-
-  LeaseRequest(const LeaseRequest&);
-  LeaseRequest& operator=(const LeaseRequest&);
-  LeaseRequest() noexcept
-               : requestId(0) {
-  }
-
-  virtual ~LeaseRequest() noexcept;
-  int64_t requestId;
-  std::vector<LeaseClaim>  claims;
-
-  void __set_requestId(const int64_t val);
-
-  void __set_claims(const std::vector<LeaseClaim> & val);
-
-  bool operator == (const LeaseRequest & rhs) const
-  {
-    if (!(requestId == rhs.requestId))
-      return false;
-    if (!(claims == rhs.claims))
-      return false;
-    return true;
-  }
-  bool operator != (const LeaseRequest &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LeaseRequest & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LeaseRequest &a, LeaseRequest &b);
-
-std::ostream& operator<<(std::ostream& out, const LeaseRequest& obj);
-
-
-class LeaseGrant : public virtual ::apache::thrift::TBase {
- public:
-
-  LeaseGrant(const LeaseGrant&);
-  LeaseGrant& operator=(const LeaseGrant&);
-  LeaseGrant() noexcept
-             : target(),
-               granted(0),
-               reserved(0) {
-  }
-
-  virtual ~LeaseGrant() noexcept;
-  std::string target;
-  bool granted;
-  int32_t reserved;
-
-  void __set_target(const std::string& val);
-
-  void __set_granted(const bool val);
-
-  void __set_reserved(const int32_t val);
-
-  bool operator == (const LeaseGrant & rhs) const
-  {
-    if (!(target == rhs.target))
-      return false;
-    if (!(granted == rhs.granted))
-      return false;
-    if (!(reserved == rhs.reserved))
-      return false;
-    return true;
-  }
-  bool operator != (const LeaseGrant &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LeaseGrant & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LeaseGrant &a, LeaseGrant &b);
-
-std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj);
-
-
-class LeaseReply : public virtual ::apache::thrift::TBase {
- public:
-
-  LeaseReply(const LeaseReply&);
-  LeaseReply& operator=(const LeaseReply&);
-  LeaseReply() noexcept
-             : requestId(0) {
-  }
-
-  virtual ~LeaseReply() noexcept;
-  int64_t requestId;
-  std::vector<LeaseGrant>  grants;
-
-  void __set_requestId(const int64_t val);
-
-  void __set_grants(const std::vector<LeaseGrant> & val);
-
-  bool operator == (const LeaseReply & rhs) const
-  {
-    if (!(requestId == rhs.requestId))
-      return false;
-    if (!(grants == rhs.grants))
-      return false;
-    return true;
-  }
-  bool operator != (const LeaseReply &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LeaseReply & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LeaseReply &a, LeaseReply &b);
-
-std::ostream& operator<<(std::ostream& out, const LeaseReply& obj);
-
-
-class LeaseRelease : public virtual ::apache::thrift::TBase {
- public:
-
-  LeaseRelease(const LeaseRelease&);
-  LeaseRelease& operator=(const LeaseRelease&);
-  LeaseRelease() noexcept
-               : requestId(0) {
-  }
-
-  virtual ~LeaseRelease() noexcept;
-  std::vector<LeaseClaim>  claims;
-  int64_t requestId;
-
-  void __set_claims(const std::vector<LeaseClaim> & val);
-
-  void __set_requestId(const int64_t val);
-
-  bool operator == (const LeaseRelease & rhs) const
-  {
-    if (!(claims == rhs.claims))
-      return false;
-    if (!(requestId == rhs.requestId))
-      return false;
-    return true;
-  }
-  bool operator != (const LeaseRelease &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LeaseRelease & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LeaseRelease &a, LeaseRelease &b);
-
-std::ostream& operator<<(std::ostream& out, const LeaseRelease& obj);
-
-
-class LessorInquiry : public virtual ::apache::thrift::TBase {
- public:
-
-  LessorInquiry(const LessorInquiry&);
-  LessorInquiry& operator=(const LessorInquiry&);
-  LessorInquiry() noexcept
-                : vmListRevision(0) {
-  }
-
-  virtual ~LessorInquiry() noexcept;
-  std::vector<std::string>  targets;
-  int64_t vmListRevision;
-
-  void __set_targets(const std::vector<std::string> & val);
-
-  void __set_vmListRevision(const int64_t val);
-
-  bool operator == (const LessorInquiry & rhs) const
-  {
-    if (!(targets == rhs.targets))
-      return false;
-    if (!(vmListRevision == rhs.vmListRevision))
-      return false;
-    return true;
-  }
-  bool operator != (const LessorInquiry &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LessorInquiry & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LessorInquiry &a, LessorInquiry &b);
-
-std::ostream& operator<<(std::ostream& out, const LessorInquiry& obj);
-
-
-class CededTarget : public virtual ::apache::thrift::TBase {
- public:
-
-  CededTarget(const CededTarget&);
-  CededTarget& operator=(const CededTarget&);
-  CededTarget() noexcept
-              : target(),
-                remainingUseMicroseconds(0) {
-  }
-
-  virtual ~CededTarget() noexcept;
-  std::string target;
-  int64_t remainingUseMicroseconds;
-
-  void __set_target(const std::string& val);
-
-  void __set_remainingUseMicroseconds(const int64_t val);
-
-  bool operator == (const CededTarget & rhs) const
-  {
-    if (!(target == rhs.target))
-      return false;
-    if (!(remainingUseMicroseconds == rhs.remainingUseMicroseconds))
-      return false;
-    return true;
-  }
-  bool operator != (const CededTarget &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const CededTarget & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(CededTarget &a, CededTarget &b);
-
-std::ostream& operator<<(std::ostream& out, const CededTarget& obj);
-
-
-class LessorCession : public virtual ::apache::thrift::TBase {
- public:
-
-  LessorCession(const LessorCession&);
-  LessorCession& operator=(const LessorCession&);
-  LessorCession() noexcept {
-  }
-
-  virtual ~LessorCession() noexcept;
-  std::vector<CededTarget>  targets;
-  Incarnation lessor;
-
-  void __set_targets(const std::vector<CededTarget> & val);
-
-  void __set_lessor(const Incarnation& val);
-
-  bool operator == (const LessorCession & rhs) const
-  {
-    if (!(targets == rhs.targets))
-      return false;
-    if (!(lessor == rhs.lessor))
-      return false;
-    return true;
-  }
-  bool operator != (const LessorCession &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LessorCession & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LessorCession &a, LessorCession &b);
-
-std::ostream& operator<<(std::ostream& out, const LessorCession& obj);
+std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : heartbeat(false), leaseRequest(false), leaseReply(false), leaseRelease(false), lessorInquiry(false), lessorCession(false) {}
-  bool heartbeat :1;
-  bool leaseRequest :1;
-  bool leaseReply :1;
-  bool leaseRelease :1;
-  bool lessorInquiry :1;
-  bool lessorCession :1;
+  _PeerMessage__isset() : gossip(false) {}
+  bool gossip :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -571,52 +143,17 @@
   }
 
   virtual ~PeerMessage() noexcept;
-  Heartbeat heartbeat;
-  LeaseRequest leaseRequest;
-  LeaseReply leaseReply;
-  LeaseRelease leaseRelease;
-  LessorInquiry lessorInquiry;
-  LessorCession lessorCession;
+  Gossip gossip;
 
   _PeerMessage__isset __isset;
 
-  void __set_heartbeat(const Heartbeat& val);
-
-  void __set_leaseRequest(const LeaseRequest& val);
-
-  void __set_leaseReply(const LeaseReply& val);
-
-  void __set_leaseRelease(const LeaseRelease& val);
-
-  void __set_lessorInquiry(const LessorInquiry& val);
-
-  void __set_lessorCession(const LessorCession& val);
+  void __set_gossip(const Gossip& val);
 
   bool operator == (const PeerMessage & rhs) const
   {
-    if (__isset.heartbeat != rhs.__isset.heartbeat)
-      return false;
-    else if (__isset.heartbeat && !(heartbeat == rhs.heartbeat))
-      return false;
-    if (__isset.leaseRequest != rhs.__isset.leaseRequest)
-      return false;
-    else if (__isset.leaseRequest && !(leaseRequest == rhs.leaseRequest))
-      return false;
-    if (__isset.leaseReply != rhs.__isset.leaseReply)
-      return false;
-    else if (__isset.leaseReply && !(leaseReply == rhs.leaseReply))
-      return false;
-    if (__isset.leaseRelease != rhs.__isset.leaseRelease)
-      return false;
-    else if (__isset.leaseRelease && !(leaseRelease == rhs.leaseRelease))
-      return false;
-    if (__isset.lessorInquiry != rhs.__isset.lessorInquiry)
-      return false;
-    else if (__isset.lessorInquiry && !(lessorInquiry == rhs.lessorInquiry))
-      return false;
-    if (__isset.lessorCession != rhs.__isset.lessorCession)
+    if (__isset.gossip != rhs.__isset.gossip)
       return false;
-    else if (__isset.lessorCession && !(lessorCession == rhs.lessorCession))
+    else if (__isset.gossip && !(gossip == rhs.gossip))
       return false;
     return true;
   }
--- /dev/null
+++ b/src/libs/state/Endpoint.cpp
@@ -0,0 +1,29 @@
+#include "state/Endpoint.h"
+
+#include <charconv>
+
+#include <arpa/inet.h>
+
+namespace anvilsaddle {
+
+std::string toString(const Endpoint &Place) {
+  return Place.Address + ":" + std::to_string(Place.Port);
+}
+
+std::optional<Endpoint> parseEndpoint(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  Endpoint Result{std::string(Text.substr(0, Colon)), 0};
+  const char *End = Text.data() + Text.size();
+  const auto [Stop, Problem] = std::from_chars(Text.data() + Colon + 1, End, Result.Port);
+  in_addr Parsed{};
+  const bool IsAddress = inet_pton(AF_INET, Result.Address.c_str(), &Parsed) == 1;
+  if (Problem != std::errc() || Stop != End || Result.Port == 0 || !IsAddress) {
+    return std::nullopt;
+  }
+  return Result;
+}
+
+} // namespace anvilsaddle
--- a/src/libs/state/Identifiers.h
+++ b/src/libs/state/Identifiers.h
@@ -27,11 +27,8 @@
 using RegionName = Identifier<struct RegionNameTag>;
 using FailureDomainName = Identifier<struct FailureDomainNameTag>;
 using ServiceName = Identifier<struct ServiceNameTag>;
-using TeamName = Identifier<struct TeamNameTag>;
-/// Full customer name, `<team>.<customer>`.
-using CustomerName = Identifier<struct CustomerNameTag>;
 using RouteName = Identifier<struct RouteNameTag>;
-/// `<vm>/<service>`.
+/// Names one start of a target; a target that starts again usually has another name.
 using TargetName = Identifier<struct TargetNameTag>;
 
 } // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/state/Topology.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "state/Identifiers.h"
+
+#include <compare>
+#include <map>
+
+namespace anvilsaddle {
+
+/// How far a place is from this entry.
+enum class Distance { SameDomain, SameRegion, OtherRegion };
+
+/// Failure domains with their regions, and the place of this entry. Value type.
+struct Topology {
+  FailureDomainName OwnDomain;
+  RegionName OwnRegion;
+  std::map<FailureDomainName, RegionName> Regions;
+
+  /// Region of a failure domain; empty if the domain is unknown. Thread-safe.
+  RegionName regionOf(const FailureDomainName &Domain) const {
+    const auto Found = this->Regions.find(Domain);
+    return Found == this->Regions.end() ? RegionName() : Found->second;
+  }
+
+  /// Distance of a failure domain from this entry. Thread-safe.
+  Distance distanceTo(const FailureDomainName &Domain) const {
+    if (Domain == this->OwnDomain) {
+      return Distance::SameDomain;
+    }
+    return this->regionOf(Domain) == this->OwnRegion ? Distance::SameRegion : Distance::OtherRegion;
+  }
+
+  auto operator<=>(const Topology &) const = default;
+};
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/AttemptCall.cpp
@@ -0,0 +1,120 @@
+#include "transport/AttemptCall.h"
+
+#include "transport/TargetConnections.h"
+
+#include <utility>
+
+namespace anvilsaddle {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Answers up to this size are kept whole.
+constexpr std::size_t MaxKeptBytes = std::size_t{256} * 1024;
+/// A request that must not run twice is only sent on a connection that just proved to be open.
+constexpr Duration ProvenIdle = 200ms;
+constexpr Duration UsualIdle = 5s;
+constexpr int FirstErrorStatus = 500;
+constexpr int FirstSuccess = 200;
+constexpr int FirstRedirection = 300;
+
+bool isSuccess(int Status) { return Status >= FirstSuccess && Status < FirstRedirection; }
+
+} // namespace
+
+AttemptCall::AttemptCall(TargetConnections &Connections, const ExchangeProtocol &Protocol,
+                         AttemptListener &Listener, SendAttempt Order)
+    : Connections(Connections), Protocol(Protocol), Listener(Listener), Order(std::move(Order)) {}
+
+void AttemptCall::start(const RequestHead &Head, const std::string &Text, const std::string &Id,
+                        Duration Remaining) {
+  this->RequestId = Id;
+  RequestHead Passed = Head;
+  Passed.Fields = endToEndFields(Head.Fields);
+  std::erase_if(Passed.Fields, [](const auto &Each) { return isFieldName(Each.first, "Expect"); });
+  this->Protocol.stampRequest(Passed.Fields, this->Order.Target, Remaining);
+  TargetRequest Request;
+  Request.Destination = this->Order.Address;
+  Request.Head = writeRequestHead(Passed, Text.size());
+  Request.IsHead = Head.Method == "HEAD";
+  Request.Body = Text;
+  Request.MaxIdle = this->Order.Idempotent ? UsualIdle : ProvenIdle;
+  this->Sent = std::make_unique<TargetCall>(this->Connections, std::move(Request), *this);
+  this->Sent->send();
+}
+
+void AttemptCall::onCallHead(const AnswerHead &Answer) {
+  this->Statement = this->Protocol.readAnswer(Answer);
+  const std::string &Id = this->Statement.RequestId;
+  if (!Id.empty() && Id != this->RequestId) {
+    if (Answer.Framing == BodyFraming::UntilClose) {
+      this->end(AttemptOutcome::Broken, "an answer without end belongs to another request");
+      return;
+    }
+    this->Sent->skipAnswer();
+    return;
+  }
+  this->Head = Answer;
+  this->Sent->readMore();
+}
+
+void AttemptCall::onCallBytes(std::string Bytes, bool IsEnd) {
+  if (this->IsLarge) {
+    this->Listener.onAttemptPart(*this, std::move(Bytes), IsEnd);
+    return;
+  }
+  this->Body += Bytes;
+  if (IsEnd) {
+    this->finish();
+    return;
+  }
+  const bool IsUsable = this->Statement.IsSigned && isSuccess(this->Head.Status) &&
+                        this->Head.field("Content-Encoding").empty();
+  if (this->Body.size() <= MaxKeptBytes) {
+    this->Sent->readMore();
+    return;
+  }
+  if (!IsUsable) {
+    this->end(AttemptOutcome::Broken, "a long answer that is not usable");
+    return;
+  }
+  this->IsLarge = true;
+  this->Listener.onAttemptLarge(*this);
+}
+
+void AttemptCall::finish() {
+  if (this->Statement.NotRun) {
+    this->end(AttemptOutcome::NotRun, "status " + std::to_string(this->Head.Status));
+    return;
+  }
+  if (!this->Statement.IsSigned) {
+    this->end(AttemptOutcome::Broken, "the answer is not signed");
+    return;
+  }
+  if (isSuccess(this->Head.Status) && !this->Head.field("Content-Encoding").empty()) {
+    this->end(AttemptOutcome::Broken, "the answer has a content coding that nobody asked for");
+    return;
+  }
+  const bool IsError = this->Head.Status >= FirstErrorStatus;
+  this->end(IsError ? AttemptOutcome::TargetError : AttemptOutcome::Answered,
+            "status " + std::to_string(this->Head.Status));
+}
+
+void AttemptCall::onCallFailed(const std::string &Reason) {
+  if (this->IsLarge) {
+    this->Listener.onAttemptCut(*this, Reason);
+    return;
+  }
+  this->end(this->Sent->isSent() ? AttemptOutcome::Broken : AttemptOutcome::NotSent, Reason);
+}
+
+void AttemptCall::end(AttemptOutcome Outcome, const std::string &Detail) {
+  AttemptEnd Result;
+  Result.Outcome = Outcome;
+  Result.Load = this->Statement.Load;
+  Result.AnswerBytes = this->Body.size();
+  this->Listener.onAttemptEnd(*this, Result, Detail);
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/EntryPageHandler.cpp
@@ -0,0 +1,63 @@
+#include "transport/EntryPageHandler.h"
+
+#include "coordination/AddressDirectory.h"
+#include "coordination/RouteTable.h"
+#include "transport/RequestFlows.h"
+
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace anvilsaddle {
+
+namespace {
+
+void respondText(HttpExchange &Exchange, int Status, const char *Type, std::string_view Body) {
+  AnswerHead Head;
+  Head.Status = Status;
+  Head.Reason = reasonOf(Status);
+  Head.Fields = {{"Content-Type", Type}};
+  Exchange.respond(std::move(Head), Body);
+}
+
+} // namespace
+
+EntryPageHandler::EntryPageHandler(const EntryPages &Pages, const Membership &Members,
+                                   const Topology &Places, const RequestFlows &Flows,
+                                   std::uint16_t CallerPort, Duration AddressLifetime)
+    : Pages(Pages), Members(Members), Places(Places), Flows(Flows), CallerPort(CallerPort),
+      AddressLifetime(AddressLifetime) {}
+
+void EntryPageHandler::onRequest(HttpExchange &Exchange) {
+  if (this->Pages.isReadinessQuestion(Exchange.head())) {
+    const bool IsReady = this->Members.state() == EntryState::Ready;
+    respondText(Exchange, IsReady ? 200 : 503, "text/plain", toString(this->Members.state()));
+    return;
+  }
+  if (const auto Question = this->Pages.readAddressQuestion(Exchange.head())) {
+    this->answerAddresses(Exchange, *Question);
+    return;
+  }
+  respondText(Exchange, 404, "text/plain", "no such page\n");
+}
+
+void EntryPageHandler::answerAddresses(HttpExchange &Exchange,
+                                       const AddressQuestion &Question) const {
+  std::vector<const Route *> Routes;
+  if (const RouteTable *Known = this->Flows.routes()) {
+    Routes = Known->routesOf(Question.Host);
+  }
+  std::vector<Endpoint> Entries;
+  for (std::string &Address : chooseEntries(this->Members.live(), this->Places, Question.Region,
+                                            Question.Domain, Routes)) {
+    Entries.push_back({std::move(Address), this->CallerPort});
+  }
+  if (Entries.empty()) {
+    respondText(Exchange, 503, "text/plain", "no entry is ready\n");
+    return;
+  }
+  respondText(Exchange, 200, "application/json",
+              this->Pages.writeAddresses(Entries, this->AddressLifetime));
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -0,0 +1,343 @@
+#include "transport/EntryRuntime.h"
+
+#include "coordination/RandomSource.h"
+#include "transport/Clock.h"
+#include "transport/EventLog.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace anvilsaddle {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr guint HousekeepingMilliseconds = 100;
+/// Callers learn within the lifetime of a directory answer, or three of them, that this entry ends;
+/// until then it serves as usual.
+constexpr Duration ServeWhileLeaving = 2500ms;
+/// Answers of requests that are still under way go out this long before the process is killed.
+constexpr Duration LastAnswers = 700ms;
+/// The last answers need a moment to leave.
+constexpr Duration FlushTime = 200ms;
+constexpr std::size_t PageConnections = 256;
+
+std::set<std::string> toSet(const std::vector<std::string> &Values) {
+  return {Values.begin(), Values.end()};
+}
+
+MemberRecord makeSelf(const DaemonSettings &Settings, std::int64_t Started) {
+  MemberRecord Result;
+  Result.Address = Settings.Callers.Address;
+  Result.Domain = Settings.Places.OwnDomain;
+  Result.Incarnation = Started;
+  return Result;
+}
+
+} // namespace
+
+EntryRuntime::EntryRuntime(DaemonSettings Given, Parts Uses)
+    : Settings(std::move(Given)), Uses(Uses),
+      Run{Uses.Time.unixMilliseconds(), Uses.Random.bits()}, Seals(this->Settings.FleetKey),
+      Audit(static_cast<std::size_t>(this->Settings.AuditEntries)),
+      Decisions(this->Settings.Places, this->Settings.Dispatch, this->Settings.Callers.Address,
+                Uses.Random),
+      Members(makeSelf(this->Settings, this->Run.StartedUnixMilliseconds), this->Settings.Places,
+              toSet(this->Settings.Seeds), Uses.Random, Uses.Time.now()),
+      Connections(Uses.Time),
+      Probes(this->Connections, Uses.Protocol,
+             {[this](const TargetName &Name, const ProbeReport &Report) {
+                this->Counters.onProbe(false);
+                this->Decisions.onProbe(Name, Report, this->now());
+                this->settle();
+              },
+              [this](const TargetName &Name, ProbeFailure Reason, const std::string &Text) {
+                this->Counters.onProbe(true);
+                logEvent(LogLevel::Info, "probe_failed",
+                         {{"target", Name.str()}, {"reason", Text}});
+                this->Decisions.onProbeFailed(Name, Reason, this->now());
+                this->settle();
+              }}),
+      Flows({this->Decisions, this->Connections, Uses.Protocol, this->Counters, Uses.Time,
+             Uses.Random, [this] { this->settle(); }}),
+      Pages(Uses.Pages, this->Members, this->Settings.Places, this->Flows,
+            this->Settings.Callers.Port, this->Settings.AddressLifetime),
+      Operators({this->Decisions, this->Members, this->Flows, this->Audit, this->Counters,
+                 Uses.Time}),
+      CallerServer(this->Flows, Uses.Time,
+                   static_cast<std::size_t>(this->Settings.MaxConnections)),
+      ReadinessServer(this->Pages, Uses.Time, PageConnections),
+      DirectoryServer(this->Pages, Uses.Time, PageConnections),
+      OperatorServer(this->Operators, Uses.Time, PageConnections),
+      Peers(VmName(this->Settings.Callers.Address), this->Run, this->Seals,
+            {[this](const PeerEnvelope &, const PeerMessage &Message) {
+               this->Members.onMessage(std::get<Gossip>(Message), this->now());
+             },
+             [](const PeerError &Error, const std::string &From) {
+               logEvent(LogLevel::Warning, "peer_message_rejected",
+                        {{"from", From}, {"reason", Error.Message}});
+             }}) {}
+
+EntryRuntime::~EntryRuntime() {
+  if (this->Timer) {
+    g_source_destroy(this->Timer);
+    g_source_unref(this->Timer);
+  }
+  g_clear_handle_id(&this->Housekeeping, g_source_remove);
+}
+
+TimePoint EntryRuntime::now() const { return this->Uses.Time.now(); }
+
+std::string EntryRuntime::start() {
+  for (const auto &[Server, Place] : {std::pair(&this->CallerServer, &this->Settings.Callers),
+                                      {&this->ReadinessServer, &this->Settings.Readiness},
+                                      {&this->DirectoryServer, &this->Settings.Directory},
+                                      {&this->OperatorServer, &this->Settings.Operators}}) {
+    if (std::string Error = Server->listen(*Place); !Error.empty()) {
+      return Error;
+    }
+  }
+  if (std::string Error =
+          this->Peers.start(this->Settings.Callers.Address, this->Settings.PeerPort);
+      !Error.empty()) {
+    return Error;
+  }
+  static GSourceFuncs Functions = {
+      nullptr, nullptr,
+      [](GSource *, GSourceFunc Callback, gpointer Data) { return Callback(Data); }, nullptr,
+      nullptr, nullptr};
+  this->Timer = g_source_new(&Functions, sizeof(GSource));
+  g_source_set_callback(this->Timer, onTimer, this, nullptr);
+  g_source_attach(this->Timer, g_main_context_get_thread_default());
+  this->Housekeeping = g_timeout_add(HousekeepingMilliseconds, onHousekeeping, this);
+  this->Uses.Source.start(*this);
+  this->armTimer();
+  return {};
+}
+
+void EntryRuntime::reload(const DaemonSettings &Newer) {
+  this->Members.setSeeds(toSet(Newer.Seeds));
+  this->record("settings/seeds", std::to_string(this->Settings.Seeds.size()),
+               std::to_string(Newer.Seeds.size()), 0, "the settings file changed");
+  this->Settings.Seeds = Newer.Seeds;
+}
+
+// Decisions and time
+
+void EntryRuntime::settle() {
+  // Carrying out a decision may lead to the next one.
+  if (std::exchange(this->Settling, true)) {
+    return;
+  }
+  while (true) {
+    const std::vector<Effect> Next = this->Decisions.takeEffects();
+    if (Next.empty()) {
+      break;
+    }
+    for (const Effect &Each : Next) {
+      if (const auto *Probe = std::get_if<ProbeTarget>(&Each)) {
+        this->Probes.start(*Probe);
+      } else if (const auto *Send = std::get_if<SendAttempt>(&Each)) {
+        this->Flows.apply(*Send);
+      } else if (const auto *Cancel = std::get_if<CancelAttempt>(&Each)) {
+        this->Flows.apply(*Cancel);
+      } else if (const auto *Deliver = std::get_if<DeliverAnswer>(&Each)) {
+        this->Flows.apply(*Deliver);
+      } else {
+        this->Flows.apply(std::get<RefuseRequest>(Each));
+      }
+    }
+  }
+  this->Settling = false;
+  this->armTimer();
+}
+
+void EntryRuntime::armTimer() {
+  if (!this->Timer) {
+    return;
+  }
+  TimePoint Next = this->Members.nextWakeup();
+  if (const auto Decision = this->Decisions.nextWakeup()) {
+    Next = std::min(Next, *Decision);
+  }
+  const Duration Wait = std::max(Duration(0), Next - this->now());
+  g_source_set_ready_time(this->Timer, g_get_monotonic_time() + Wait.count());
+}
+
+gboolean EntryRuntime::onTimer(gpointer Data) {
+  auto &Self = *static_cast<EntryRuntime *>(Data);
+  Self.send(Self.Members.onTick(Self.now()));
+  Self.Decisions.onTick(Self.now());
+  Self.settle();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean EntryRuntime::onHousekeeping(gpointer Data) {
+  auto &Self = *static_cast<EntryRuntime *>(Data);
+  Self.updateEntries();
+  Self.Counters.setPeerTraffic(Self.Peers.traffic());
+  Self.Counters.onLogLinesDropped(droppedLogLines());
+  const Configuration *Current = Self.Flows.configuration();
+  Self.Counters.setGauges({Self.Flows.size(), Self.Decisions.queueLength(),
+                           Self.CallerServer.connectionCount(), Self.LastLive.size(),
+                           Self.Decisions.targets().all().size(), Current ? Current->Version : 0});
+  Self.Decisions.onTick(Self.now());
+  Self.settle();
+  flushLog();
+  if (Self.StopStarted) {
+    Self.advanceStop();
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+// Other entries
+
+void EntryRuntime::send(const std::vector<OutgoingGossip> &Messages) {
+  for (const OutgoingGossip &Each : Messages) {
+    this->Peers.send(VmName(Each.Receiver), Each.Receiver, this->Settings.PeerPort, Each.Message);
+  }
+}
+
+void EntryRuntime::updateEntries() {
+  std::vector<MemberRecord> Live = this->Members.live();
+  // Beats rise all the time; only who lives and in what state matters here.
+  for (MemberRecord &Each : Live) {
+    Each.Beat = 0;
+  }
+  if (Live == this->LastLive) {
+    return;
+  }
+  std::vector<std::string> Region;
+  for (const MemberRecord &Each : Live) {
+    if (this->Settings.Places.regionOf(Each.Domain) == this->Settings.Places.OwnRegion) {
+      Region.push_back(Each.Address);
+    }
+  }
+  logEvent(LogLevel::Info, "entries_changed",
+           {{"live", std::to_string(Live.size())}, {"in_region", std::to_string(Region.size())}});
+  this->record("entries", std::to_string(this->LastLive.size()), std::to_string(Live.size()), 0,
+               "membership");
+  this->Decisions.setEntries(std::move(Region), Live.size());
+  this->LastLive = std::move(Live);
+}
+
+// Publications
+
+void EntryRuntime::onPublications(const PublicationBatch &Batch) {
+  for (const Publication &Each : Batch.Changes) {
+    if (const auto *Newer = std::get_if<Configuration>(&Each)) {
+      this->takeConfiguration(*Newer);
+    } else {
+      this->recordChange(Each);
+    }
+  }
+  this->Decisions.targets().apply(Batch, this->now());
+  this->HasTargets = this->HasTargets || Batch.Complete;
+  this->becomeReady();
+}
+
+void EntryRuntime::takeConfiguration(const Configuration &Newer) {
+  const Configuration *Current = this->Flows.configuration();
+  const std::string From = Current ? std::to_string(Current->Version) : "none";
+  if (Current && Newer.Version <= Current->Version) {
+    logEvent(LogLevel::Info, "configuration_passed_over",
+             {{"version", std::to_string(Newer.Version)}, {"in_force", From}});
+    return;
+  }
+  logEvent(LogLevel::Info, "configuration_in_force",
+           {{"version", std::to_string(Newer.Version)}, {"from", From}});
+  this->record("configuration", From, std::to_string(Newer.Version), Newer.Version, "published");
+  this->Decisions.setServices(Newer.Services);
+  for (HttpServer *Each : {&this->CallerServer, &this->DirectoryServer}) {
+    Each->setLimits(Newer.Limits);
+  }
+  this->Flows.setConfiguration(Newer);
+}
+
+void EntryRuntime::recordChange(const Publication &Change) {
+  if (const auto *Registered = std::get_if<TargetRegistered>(&Change)) {
+    const Target &Value = Registered->Value;
+    const char *State = Value.Draining ? "draining" : "ready";
+    logEvent(LogLevel::Info, "target_registered",
+             {{"target", Value.Name.str()}, {"service", Value.Service.str()}, {"state", State}});
+    this->record("target/" + Value.Name.str(), "", State, 0, "registered");
+  } else if (const auto *Removed = std::get_if<TargetRemoved>(&Change)) {
+    logEvent(LogLevel::Info, "target_removed", {{"target", Removed->Name.str()}});
+    this->record("target/" + Removed->Name.str(), "", "removed", 0, "registration removed");
+  } else if (const auto *Evacuation = std::get_if<DomainEvacuation>(&Change)) {
+    const char *To = Evacuation->Active ? "taken out" : "in service";
+    logEvent(LogLevel::Info, "failure_domain_changed",
+             {{"failure_domain", Evacuation->Domain.str()}, {"to", To}});
+    this->record("failure_domain/" + Evacuation->Domain.str(), "", To, 0, "published");
+  }
+}
+
+void EntryRuntime::record(std::string What, std::string From, std::string To,
+                          std::uint64_t Revision, std::string Why) {
+  AuditEntry Entry;
+  Entry.UnixMilliseconds = this->Uses.Time.unixMilliseconds();
+  Entry.What = std::move(What);
+  Entry.From = std::move(From);
+  Entry.To = std::move(To);
+  Entry.Revision = Revision;
+  Entry.Why = std::move(Why);
+  this->Audit.append(std::move(Entry));
+}
+
+void EntryRuntime::becomeReady() {
+  const bool CanServe = this->HasTargets && this->Flows.configuration();
+  if (!CanServe || this->Members.state() != EntryState::Starting) {
+    return;
+  }
+  this->Members.setState(EntryState::Ready);
+  logEvent(LogLevel::Info, "ready",
+           {{"targets", std::to_string(this->Decisions.targets().all().size())}});
+}
+
+void EntryRuntime::onUnreadable(const Finding &Problem) {
+  logEvent(LogLevel::Warning, "publication_unreadable",
+           {{"item", Problem.Path}, {"reason", Problem.Message}});
+}
+
+void EntryRuntime::onSourceLost(const std::string &Reason) {
+  logEvent(LogLevel::Warning, "store_lost", {{"reason", Reason}});
+}
+
+void EntryRuntime::onSourceReturned() {
+  logEvent(LogLevel::Info, "store_returned");
+  this->Decisions.targets().onSourceReturned(this->now());
+}
+
+// Shutdown
+
+void EntryRuntime::stop(std::function<void()> Stopped) {
+  this->OnStopped = std::move(Stopped);
+  this->StopStarted = this->now();
+  this->Members.setState(EntryState::Leaving);
+  this->send(this->Members.announce());
+  this->CallerServer.setClosing();
+  logEvent(LogLevel::Info, "leaving", {{"requests", std::to_string(this->Flows.size())}});
+}
+
+void EntryRuntime::advanceStop() {
+  const Duration Elapsed = this->now() - *this->StopStarted;
+  if (Elapsed < ServeWhileLeaving) {
+    return;
+  }
+  if (std::exchange(this->Listening, false)) {
+    this->Flows.setRefusing();
+    this->CallerServer.stopListening();
+  }
+  if (Elapsed >= this->Settings.StopGrace - LastAnswers) {
+    this->Flows.refuseAll();
+  }
+  const bool IsOver = Elapsed >= this->Settings.StopGrace - LastAnswers + FlushTime;
+  const bool IsIdle = this->Flows.size() == 0 && this->CallerServer.connectionCount() == 0;
+  if ((IsOver || IsIdle) && this->OnStopped) {
+    std::exchange(this->OnStopped, nullptr)();
+  }
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/EntryRuntime.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "coordination/Dispatcher.h"
+#include "coordination/Incarnation.h"
+#include "coordination/Membership.h"
+#include "coordination/PublicationSource.h"
+#include "protocol/DaemonSettings.h"
+#include "protocol/GlibSealer.h"
+#include "protocol/Metrics.h"
+#include "state/AuditTrail.h"
+#include "transport/EntryPageHandler.h"
+#include "transport/HttpServer.h"
+#include "transport/OperatorPages.h"
+#include "transport/PeerSocket.h"
+#include "transport/ProbeRunner.h"
+#include "transport/RequestFlows.h"
+#include "transport/TargetConnections.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <glib.h>
+
+namespace anvilsaddle {
+
+class Clock;
+class EntryPages;
+class ExchangeProtocol;
+class RandomSource;
+
+/// One entry: connects the decisions with the network and the clock. Not thread-safe; uses the
+/// thread-default main context.
+class EntryRuntime final : public PublicationListener {
+public:
+  /// What the embedding program supplies; all of it outlives the runtime.
+  struct Parts {
+    PublicationSource &Source;
+    const ExchangeProtocol &Protocol;
+    const EntryPages &Pages;
+    const Clock &Time;
+    RandomSource &Random;
+  };
+
+  EntryRuntime(DaemonSettings Settings, Parts Uses);
+  ~EntryRuntime() override;
+  EntryRuntime(const EntryRuntime &) = delete;
+  EntryRuntime &operator=(const EntryRuntime &) = delete;
+
+  /// Opens all sockets. Returns an error text, empty on success.
+  std::string start();
+  /// Takes over the settings that can change while the process runs: the seeds.
+  void reload(const DaemonSettings &Newer);
+  /// Begins a graceful shutdown; `OnStopped` is called when no request is left, or when the time
+  /// for it is over. Precondition: called once.
+  void stop(std::function<void()> OnStopped);
+
+  void onPublications(const PublicationBatch &Batch) override;
+  void onUnreadable(const Finding &Problem) override;
+  void onSourceLost(const std::string &Reason) override;
+  void onSourceReturned() override;
+
+private:
+  static gboolean onTimer(gpointer Data);
+  static gboolean onHousekeeping(gpointer Data);
+
+  TimePoint now() const;
+  void settle();
+  void armTimer();
+  void send(const std::vector<OutgoingGossip> &Messages);
+  void takeConfiguration(const Configuration &Newer);
+  void recordChange(const Publication &Change);
+  void record(std::string What, std::string From, std::string To, std::uint64_t Revision,
+              std::string Why);
+  void becomeReady();
+  void updateEntries();
+  void advanceStop();
+
+  DaemonSettings Settings;
+  Parts Uses;
+  Incarnation Run;
+  GlibSealer Seals;
+  AuditTrail Audit;
+  Metrics Counters;
+  Dispatcher Decisions;
+  Membership Members;
+  TargetConnections Connections;
+  ProbeRunner Probes;
+  RequestFlows Flows;
+  EntryPageHandler Pages;
+  OperatorPages Operators;
+  HttpServer CallerServer;
+  HttpServer ReadinessServer;
+  HttpServer DirectoryServer;
+  HttpServer OperatorServer;
+  PeerSocket Peers;
+  GSource *Timer = nullptr;
+  guint Housekeeping = 0;
+  bool Settling = false;
+  bool HasTargets = false;
+  bool Listening = true;
+  std::vector<MemberRecord> LastLive;
+  std::optional<TimePoint> StopStarted;
+  std::function<void()> OnStopped;
+};
+
+} // namespace anvilsaddle
--- a/src/libs/transport/EventLog.cpp
+++ b/src/libs/transport/EventLog.cpp
@@ -1,8 +1,11 @@
 #include "transport/EventLog.h"
 
+#include "transport/LogBuffer.h"
+
 #include <easylogging++.h>
 #include <glib.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -10,6 +13,23 @@
 
 namespace {
 
+LogBuffer &output() {
+  static LogBuffer Result(STDOUT_FILENO);
+  return Result;
+}
+
+/// Takes the place of the library's own output, which may block.
+class BufferedDispatch final : public el::LogDispatchCallback {
+protected:
+  void handle(const el::LogDispatchData *Data) override {
+    const el::LogMessage &Message = *Data->logMessage();
+    output().add(Message.message());
+    if (Message.level() == el::Level::Warning || Message.level() == el::Level::Error) {
+      output().flush();
+    }
+  }
+};
+
 std::string currentTime() {
   GDateTime *Now = g_date_time_new_now_utc();
   gchar *Text = g_date_time_format(Now, "%Y-%m-%dT%H:%M:%S.%fZ");
@@ -48,10 +68,16 @@
   Settings.set(el::Level::Warning, el::ConfigurationType::Enabled,
                LowestLevel == "error" ? "false" : "true");
   el::Loggers::reconfigureLogger("default", Settings);
+  el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+      "DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<BufferedDispatch>("BufferedDispatch");
 }
 
-void logEvent(LogLevel Level, std::string_view Event,
-              const std::map<std::string, std::string> &Fields) {
+void flushLog() { output().flush(); }
+
+std::uint64_t droppedLogLines() { return output().dropped(); }
+
+void logEvent(LogLevel Level, std::string_view Event, const LogFields &Fields) {
   nlohmann::ordered_json Line = {
       {"time", currentTime()}, {"level", toText(Level)}, {"event", std::string(Event)}};
   for (const auto &[Name, Value] : Fields) {
--- /dev/null
+++ b/src/libs/transport/HttpConnection.cpp
@@ -0,0 +1,288 @@
+#include "transport/HttpConnection.h"
+
+#include "transport/Clock.h"
+#include "transport/HttpServer.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace anvilsaddle {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t ReadSize = 16384;
+/// Bytes taken from one connection before the others get their turn.
+constexpr std::size_t MaxReadPerTurn = 256 * 1024;
+/// Bytes of later requests that are read while earlier ones are pending.
+constexpr std::size_t MaxReadAhead = 64 * 1024;
+constexpr std::size_t MaxPipelined = 16;
+constexpr Duration LingerTime = 1s;
+
+GIOCondition operator|(GIOCondition Left, GIOCondition Right) {
+  return static_cast<GIOCondition>(static_cast<int>(Left) | static_cast<int>(Right));
+}
+
+bool isSafeMethod(const std::string &Method) {
+  return Method == "GET" || Method == "HEAD" || Method == "OPTIONS";
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(HttpServer &Server, GObjectPointer<GSocket> Socket, TimePoint Now)
+    : Server(Server), Socket(std::move(Socket)),
+      Watch(g_socket_get_fd(this->Socket.get()),
+            [this](GIOCondition Condition) { this->onReady(Condition); }),
+      Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}), LastActivity(Now) {
+  this->updateWatch();
+}
+
+HttpConnection::~HttpConnection() = default;
+
+bool HttpConnection::isIdle() const {
+  return this->Now == State::Open && this->Exchanges.empty() && !this->Parser.isStarted();
+}
+
+bool HttpConnection::wantsClose(const HttpExchange &Exchange) const {
+  // A request behind this one would be lost with the connection.
+  const bool IsLast = this->Exchanges.back().get() == &Exchange && this->Parser.buffered() == 0;
+  return this->Server.isClosing() && IsLast;
+}
+
+void HttpConnection::onReady(GIOCondition Condition) {
+  if ((Condition & G_IO_OUT) != 0) {
+    this->flush();
+  }
+  if (this->Now == State::Closed || (Condition & ~G_IO_OUT) == 0) {
+    return;
+  }
+  if (!this->readAll()) {
+    this->close();
+    return;
+  }
+  if (this->Now == State::Open) {
+    this->parse();
+    this->updateWatch();
+  }
+}
+
+bool HttpConnection::readAll() {
+  std::array<char, ReadSize> Buffer;
+  // All that has arrived is read first, so that the end of the connection is seen before the
+  // requests in front of it are handed on.
+  for (std::size_t Total = 0; Total < MaxReadPerTurn;) {
+    GError *Error = nullptr;
+    const gssize Count =
+        g_socket_receive(this->Socket.get(), Buffer.data(), Buffer.size(), nullptr, &Error);
+    const GErrorPointer Failure(Error);
+    if (Count < 0) {
+      return g_error_matches(Failure.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+    }
+    if (Count == 0) {
+      return false;
+    }
+    if (this->Now != State::Open || this->Failed) {
+      continue;
+    }
+    if (!this->Parser.isStarted()) {
+      this->RequestStarted = this->Server.now();
+    }
+    this->LastActivity = this->Server.now();
+    this->Parser.add({Buffer.data(), static_cast<std::size_t>(Count)});
+    Total += static_cast<std::size_t>(Count);
+    if (static_cast<std::size_t>(Count) < Buffer.size()) {
+      return true;
+    }
+  }
+  return true;
+}
+
+void HttpConnection::parse() {
+  while (this->Now == State::Open && !this->Failed && this->Exchanges.size() < MaxPipelined) {
+    const bool MayOvertake = std::all_of(
+        this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
+          return isSafeMethod(Each->Request.Method) && !Each->CloseAfter;
+        });
+    if (!MayOvertake) {
+      return;
+    }
+    const RequestParser::State Result = this->Parser.parse();
+    if (Result == RequestParser::State::Failed) {
+      this->refuse(this->Parser.errorStatus(), this->Parser.errorText());
+      return;
+    }
+    if (Result == RequestParser::State::Incomplete) {
+      if (this->Parser.awaitsContinue() && this->Exchanges.empty() &&
+          !std::exchange(this->ContinueSent, true)) {
+        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+        g_socket_send(this->Socket.get(), Continue.data(), Continue.size(), nullptr, nullptr);
+      }
+      return;
+    }
+    this->ContinueSent = false;
+    this->Exchanges.push_back(std::make_unique<HttpExchange>(
+        *this, this->Parser.head(), this->Parser.takeBody(), this->Server.now()));
+    this->Parser.next();
+    this->RequestStarted = this->Server.now();
+    this->Server.handler().onRequest(*this->Exchanges.back());
+  }
+}
+
+void HttpConnection::refuse(int Status, const std::string &Text) {
+  this->Failed = true;
+  RequestHead Unknown;
+  Unknown.Method = "GET";
+  Unknown.KeepAlive = false;
+  this->Exchanges.push_back(
+      std::make_unique<HttpExchange>(*this, std::move(Unknown), "", this->Server.now()));
+  AnswerHead Head;
+  Head.Status = Status;
+  Head.Reason = reasonOf(Status);
+  Head.Fields = {{"Content-Type", "text/plain"}};
+  this->Exchanges.back()->respond(std::move(Head), Text + "\n");
+}
+
+void HttpConnection::flush() {
+  // Callbacks of a flush may add output; the running flush then takes it along.
+  if (this->InFlush || this->Now == State::Closed) {
+    return;
+  }
+  this->InFlush = true;
+  this->write();
+  this->InFlush = false;
+  if (this->Now == State::Open) {
+    this->updateWatch();
+  }
+}
+
+void HttpConnection::write() {
+  while (this->Now == State::Open && !this->Exchanges.empty()) {
+    HttpExchange &Front = *this->Exchanges.front();
+    if (!Front.Output.empty()) {
+      GError *Error = nullptr;
+      const gssize Count = g_socket_send(this->Socket.get(), Front.Output.data(),
+                                         Front.Output.size(), nullptr, &Error);
+      const GErrorPointer Failure(Error);
+      if (Count < 0) {
+        if (!g_error_matches(Failure.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+          this->close();
+        }
+        return;
+      }
+      this->LastActivity = this->Server.now();
+      Front.Output.erase(0, static_cast<std::size_t>(Count));
+      continue;
+    }
+    if (!this->popWritten()) {
+      return;
+    }
+  }
+}
+
+bool HttpConnection::popWritten() {
+  HttpExchange &Front = *this->Exchanges.front();
+  if (!Front.Complete) {
+    if (const auto Callback = std::exchange(Front.Drained, nullptr)) {
+      Callback();
+    }
+    return !Front.Output.empty();
+  }
+  const bool CloseNow = Front.CloseAfter;
+  this->Exchanges.pop_front();
+  if (CloseNow) {
+    this->startLinger();
+    return false;
+  }
+  if (this->Exchanges.empty()) {
+    // Requests that waited for the answer of one that must not be overtaken.
+    this->parse();
+    if (this->isIdle() && this->Server.isClosing()) {
+      this->startLinger();
+    }
+  }
+  return true;
+}
+
+void HttpConnection::updateWatch() {
+  if (this->Now == State::Closed) {
+    return;
+  }
+  GIOCondition Wanted = G_IO_IN;
+  if (this->Parser.buffered() > MaxReadAhead && !this->Exchanges.empty()) {
+    Wanted = G_IO_HUP;
+  }
+  if (!this->Exchanges.empty() && !this->Exchanges.front()->Output.empty()) {
+    Wanted = Wanted | G_IO_OUT;
+  }
+  this->Watch.set(Wanted);
+}
+
+void HttpConnection::startLinger() {
+  this->Now = State::Lingering;
+  this->LastActivity = this->Server.now();
+  g_socket_shutdown(this->Socket.get(), FALSE, TRUE, nullptr);
+  for (const auto &Each : this->Exchanges) {
+    if (Each->Pending) {
+      this->Server.handler().onCallerGone(*Each);
+    }
+  }
+  this->Exchanges.clear();
+  this->Watch.set(G_IO_IN);
+}
+
+void HttpConnection::closeWhenIdle() {
+  if (this->isIdle()) {
+    this->startLinger();
+  }
+}
+
+void HttpConnection::reset() {
+  const linger Immediately = {1, 0};
+  setsockopt(g_socket_get_fd(this->Socket.get()), SOL_SOCKET, SO_LINGER, &Immediately,
+             sizeof(Immediately));
+  this->close();
+}
+
+void HttpConnection::close() {
+  if (std::exchange(this->Now, State::Closed) == State::Closed) {
+    return;
+  }
+  for (const auto &Each : this->Exchanges) {
+    if (std::exchange(Each->Pending, false)) {
+      this->Server.handler().onCallerGone(*Each);
+    }
+  }
+  this->Watch.set(static_cast<GIOCondition>(0));
+  g_socket_close(this->Socket.get(), nullptr);
+  this->Server.remove(*this);
+}
+
+void HttpConnection::checkTimeouts(TimePoint Now) {
+  if (this->Now == State::Lingering) {
+    if (Now - this->LastActivity > LingerTime) {
+      this->close();
+    }
+    return;
+  }
+  if (this->Now != State::Open) {
+    return;
+  }
+  if (this->isIdle()) {
+    if (Now - this->LastActivity > this->Server.limits().IdleTimeout) {
+      this->startLinger();
+    }
+    return;
+  }
+  const bool IsSlow = this->Exchanges.empty() && this->Parser.isStarted() &&
+                      Now - std::max(this->RequestStarted, this->LastActivity) >
+                          this->Server.limits().HeadTimeout;
+  if (IsSlow) {
+    this->refuse(408, "the request arrives too slowly");
+  }
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/HttpExchange.cpp
@@ -0,0 +1,72 @@
+#include "transport/HttpExchange.h"
+
+#include "transport/HttpConnection.h"
+
+#include <utility>
+
+namespace anvilsaddle {
+
+HttpExchange::HttpExchange(HttpConnection &Owner, RequestHead Head, std::string Body,
+                           TimePoint Received)
+    : Owner(Owner), Request(std::move(Head)), RequestBody(std::move(Body)), Time(Received) {}
+
+void HttpExchange::respond(AnswerHead Head, std::string_view Body) {
+  Head.Framing = BodyFraming::Length;
+  if (!Head.Length) {
+    Head.Length = Body.size();
+  }
+  this->appendHead(std::move(Head));
+  this->appendBody(Body);
+  this->end();
+}
+
+void HttpExchange::begin(AnswerHead Head) {
+  this->appendHead(std::move(Head));
+  this->Owner.flush();
+}
+
+void HttpExchange::addBody(std::string_view Text) {
+  this->appendBody(Text);
+  this->Owner.flush();
+}
+
+void HttpExchange::appendHead(AnswerHead Head) {
+  if (Head.Framing == BodyFraming::UntilClose || Head.Framing == BodyFraming::Chunked) {
+    // HTTP/1.0 has no chunks; the end of the connection then marks the end of the body.
+    Head.Framing = this->Request.IsHttp10 ? BodyFraming::UntilClose : BodyFraming::Chunked;
+  }
+  this->Framing = Head.Framing;
+  this->CloseAfter = !this->Request.KeepAlive || Head.Framing == BodyFraming::UntilClose ||
+                     this->Owner.wantsClose(*this);
+  this->Output += writeAnswerHead(Head, this->CloseAfter);
+}
+
+void HttpExchange::appendBody(std::string_view Text) {
+  const bool HasNoBody = this->Request.Method == "HEAD" || this->Framing == BodyFraming::None;
+  if (Text.empty() || HasNoBody) {
+    return;
+  }
+  if (this->Framing == BodyFraming::Chunked) {
+    this->Output += writeChunk(Text);
+  } else {
+    this->Output += Text;
+  }
+}
+
+void HttpExchange::end() {
+  if (this->Framing == BodyFraming::Chunked && this->Request.Method != "HEAD") {
+    this->Output += LastChunk;
+  }
+  this->Complete = true;
+  this->Pending = false;
+  this->Drained = nullptr;
+  this->Owner.flush();
+}
+
+void HttpExchange::abort() {
+  this->Pending = false;
+  this->Drained = nullptr;
+  this->Owner.reset();
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/HttpServer.cpp
@@ -0,0 +1,148 @@
+#include "transport/HttpServer.h"
+
+#include "transport/Clock.h"
+#include "transport/EventLog.h"
+#include "transport/HttpConnection.h"
+
+#include <algorithm>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace anvilsaddle {
+
+namespace {
+
+/// Holds the connections of all callers that come back at once after a failure elsewhere; a full
+/// queue costs each of them a second.
+constexpr int ListenBacklog = 1024;
+/// Connections accepted before other sources get their turn.
+constexpr int MaxAcceptsPerTurn = 32;
+constexpr guint SweepMilliseconds = 250;
+
+} // namespace
+
+HttpServer::HttpServer(HttpHandler &Handler, const Clock &Time, std::size_t MaxConnections)
+    : Handler(Handler), Time(Time), MaxConnections(MaxConnections),
+      SweepTimer(g_timeout_add(SweepMilliseconds, onSweep, this)) {}
+
+HttpServer::~HttpServer() {
+  g_source_remove(this->SweepTimer);
+  g_clear_handle_id(&this->DisposeTimer, g_source_remove);
+}
+
+TimePoint HttpServer::now() const { return this->Time.now(); }
+
+std::string HttpServer::listen(const Endpoint &Place) {
+  const GObjectPointer<GSocketAddress> Address(
+      g_inet_socket_address_new_from_string(Place.Address.c_str(), Place.Port));
+  if (!Address) {
+    return "'" + Place.Address + "' is not an IP number";
+  }
+  GError *Error = nullptr;
+  this->Listener.reset(g_socket_new(g_socket_address_get_family(Address.get()),
+                                    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &Error));
+  if (this->Listener) {
+    g_socket_set_blocking(this->Listener.get(), FALSE);
+    g_socket_set_listen_backlog(this->Listener.get(), ListenBacklog);
+    if (g_socket_bind(this->Listener.get(), Address.get(), TRUE, &Error)) {
+      g_socket_listen(this->Listener.get(), &Error);
+    }
+  }
+  const GErrorPointer Failure(Error);
+  if (Failure) {
+    return "cannot listen on " + toString(Place) + ": " + Failure->message;
+  }
+  const GObjectPointer<GSocketAddress> Bound(
+      g_socket_get_local_address(this->Listener.get(), nullptr));
+  this->BoundPort =
+      Bound ? g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(Bound.get())) : Place.Port;
+  this->Watch = std::make_unique<SocketWatch>(g_socket_get_fd(this->Listener.get()),
+                                              [this](GIOCondition) { this->onConnectable(); });
+  this->Watch->set(G_IO_IN);
+  return {};
+}
+
+void HttpServer::onConnectable() {
+  for (int Count = 0; Count < MaxAcceptsPerTurn && this->acceptOne(); ++Count) {
+  }
+}
+
+bool HttpServer::acceptOne() {
+  GError *Error = nullptr;
+  GObjectPointer<GSocket> Accepted(g_socket_accept(this->Listener.get(), nullptr, &Error));
+  const GErrorPointer Failure(Error);
+  if (!Accepted) {
+    if (!g_error_matches(Failure.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+      logEvent(LogLevel::Warning, "accept_failed", {{"reason", Failure->message}});
+    }
+    return false;
+  }
+  this->makeRoom();
+  g_socket_set_blocking(Accepted.get(), FALSE);
+  g_socket_set_option(Accepted.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  this->Connections.insert(
+      std::make_unique<HttpConnection>(*this, std::move(Accepted), this->now()));
+  return true;
+}
+
+void HttpServer::makeRoom() {
+  if (this->Connections.size() < this->MaxConnections) {
+    return;
+  }
+  HttpConnection *Oldest = nullptr;
+  for (const auto &Each : this->Connections) {
+    if (Each->isIdle() && (!Oldest || Each->lastActivity() < Oldest->lastActivity())) {
+      Oldest = Each.get();
+    }
+  }
+  if (Oldest) {
+    Oldest->closeWhenIdle();
+  }
+}
+
+void HttpServer::stopListening() {
+  this->Watch.reset();
+  if (this->Listener) {
+    g_socket_close(this->Listener.get(), nullptr);
+  }
+  for (const auto &Each : this->Connections) {
+    Each->closeWhenIdle();
+  }
+}
+
+void HttpServer::remove(HttpConnection &Connection) {
+  const auto Found =
+      std::find_if(this->Connections.begin(), this->Connections.end(),
+                   [&Connection](const auto &Each) { return Each.get() == &Connection; });
+  if (Found == this->Connections.end()) {
+    return;
+  }
+  this->Removed.push_back(std::move(this->Connections.extract(Found).value()));
+  if (this->DisposeTimer == 0) {
+    this->DisposeTimer = g_idle_add_full(G_PRIORITY_HIGH, onDispose, this, nullptr);
+  }
+}
+
+gboolean HttpServer::onDispose(gpointer Data) {
+  auto &Self = *static_cast<HttpServer *>(Data);
+  Self.DisposeTimer = 0;
+  Self.Removed.clear();
+  return G_SOURCE_REMOVE;
+}
+
+gboolean HttpServer::onSweep(gpointer Data) {
+  auto &Self = *static_cast<HttpServer *>(Data);
+  const TimePoint Now = Self.now();
+  std::vector<HttpConnection *> All;
+  All.reserve(Self.Connections.size());
+  for (const auto &Each : Self.Connections) {
+    All.push_back(Each.get());
+  }
+  for (HttpConnection *Each : All) {
+    Each->checkTimeouts(Now);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/transport/HttpServer.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "state/Configuration.h"
+#include "state/Endpoint.h"
+#include "state/Time.h"
+#include "transport/GlibPointers.h"
+#include "transport/HttpExchange.h"
+#include "transport/SocketWatch.h"
+
+#include <cstddef>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gio/gio.h>
+
+namespace anvilsaddle {
+
+class Clock;
+class HttpConnection;
+
+/// Accepts connections of callers on one address. Not thread-safe.
+class HttpServer {
+public:
+  /// Precondition: handler and clock outlive the server.
+  HttpServer(HttpHandler &Handler, const Clock &Time, std::size_t MaxConnections);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  /// Returns an error text, empty on success. Port 0 takes any free one.
+  std::string listen(const Endpoint &Place);
+  /// The bound port; 0 before listen().
+  std::uint16_t port() const { return this->BoundPort; }
+  /// Limits of connections that are accepted from now on.
+  void setLimits(const CallerLimits &Limits) { this->Bounds = Limits; }
+  /// From now on each connection is closed with the answer to its last request.
+  void setClosing() { this->Closing = true; }
+  /// Accepts no further connections and closes the idle ones.
+  void stopListening();
+  std::size_t connectionCount() const { return this->Connections.size(); }
+
+private:
+  friend class HttpConnection;
+
+  static gboolean onSweep(gpointer Data);
+  static gboolean onDispose(gpointer Data);
+
+  const CallerLimits &limits() const { return this->Bounds; }
+  HttpHandler &handler() { return this->Handler; }
+  bool isClosing() const { return this->Closing; }
+  TimePoint now() const;
+  void onConnectable();
+  bool acceptOne();
+  void makeRoom();
+  void remove(HttpConnection &Connection);
+
+  HttpHandler &Handler;
+  const Clock &Time;
+  std::size_t MaxConnections;
+  CallerLimits Bounds;
+  std::uint16_t BoundPort = 0;
+  bool Closing = false;
+  GObjectPointer<GSocket> Listener;
+  std::unique_ptr<SocketWatch> Watch;
+  std::set<std::unique_ptr<HttpConnection>> Connections;
+  /// Closed connections whose functions may still be running.
+  std::vector<std::unique_ptr<HttpConnection>> Removed;
+  guint SweepTimer;
+  guint DisposeTimer = 0;
+};
+
+} // namespace anvilsaddle
--- a/src/libs/transport/PeerSocket.cpp
+++ b/src/libs/transport/PeerSocket.cpp
@@ -138,8 +138,7 @@
                  From);
     return;
   }
-  const auto Message =
-      this->Codec.decode(Envelope.Payload, Envelope.Sender, Envelope.SenderIncarnation);
+  const auto Message = this->Codec.decode(Envelope.Payload);
   if (const auto *Error = std::get_if<PeerError>(&Message)) {
     this->reject(*Error, From);
     return;
--- a/src/libs/transport/PeerSocket.h
+++ b/src/libs/transport/PeerSocket.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "coordination/Messages.h"
+#include "coordination/Incarnation.h"
+#include "coordination/PeerMessage.h"
 #include "protocol/PeerCodec.h"
 #include "protocol/PeerEnvelope.h"
 #include "protocol/PeerTraffic.h"
@@ -23,7 +24,7 @@
 class PeerSocket {
 public:
   struct Listener {
-    /// A message that is authentic, fresh and valid; its sender is in both arguments.
+    /// A message that is authentic, fresh and valid.
     std::function<void(const PeerEnvelope &Envelope, const PeerMessage &Message)> OnMessage;
     /// A datagram that was dropped; may be empty. `From` is `address:port`.
     std::function<void(const PeerError &Error, const std::string &From)> OnRejected;
--- /dev/null
+++ b/src/libs/transport/SocketWatch.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+
+#include <glib.h>
+
+namespace anvilsaddle {
+
+/// Calls a function when a descriptor is ready. The conditions can change at any time without a new
+/// source. The function may destroy the watch. Not thread-safe; uses the thread-default main
+/// context.
+class SocketWatch {
+public:
+  /// Watches nothing until set(). Precondition: the descriptor stays open while the watch exists.
+  SocketWatch(int Descriptor, std::function<void(GIOCondition)> OnReady);
+  ~SocketWatch();
+  SocketWatch(const SocketWatch &) = delete;
+  SocketWatch &operator=(const SocketWatch &) = delete;
+
+  /// Replaces the conditions; errors and hang-ups are reported with any of them.
+  void set(GIOCondition Conditions);
+
+private:
+  struct Source;
+
+  static gboolean dispatch(GSource *Base, GSourceFunc Callback, gpointer Data);
+
+  std::function<void(GIOCondition)> OnReady;
+  Source *Inner;
+  GIOCondition Watched = static_cast<GIOCondition>(0);
+};
+
+} // namespace anvilsaddle
--- a/src/libs/transport/SystemClock.h
+++ b/src/libs/transport/SystemClock.h
@@ -4,7 +4,8 @@
 
 namespace anvilsaddle {
 
-/// GLib's monotonic and real-time clocks. Thread-safe.
+/// The system's clocks. now() also counts the time for which the VM was suspended, so that old
+/// knowledge looks old after it. Thread-safe.
 class SystemClock final : public Clock {
 public:
   TimePoint now() const override;
--- a/src/libs/transport/TargetCall.cpp
+++ b/src/libs/transport/TargetCall.cpp
@@ -1,10 +1,10 @@
 #include "transport/TargetCall.h"
 
-#include "transport/BodySource.h"
 #include "transport/TargetConnections.h"
 
+#include <algorithm>
 #include <array>
-#include <cstdio>
+#include <charconv>
 #include <utility>
 
 #include <netinet/in.h>
@@ -13,51 +13,57 @@
 namespace anvilsaddle {
 
 namespace {
+
+using namespace std::chrono_literals;
+
 constexpr std::size_t ReadSize = 65536;
-constexpr auto NoCondition = static_cast<GIOCondition>(0);
+/// Kept if the target says nothing; common servers close idle connections after 5 s or more.
+constexpr Duration UsualLifetime = 8s;
+/// The target may close this much earlier than it says, as its clock started before ours.
+constexpr Duration LifetimeMargin = 500ms;
+/// Answers of other requests that are passed over on one connection.
+constexpr int MaxSkipped = 4;
+/// Whole seconds, written by the target as `timeout=N`.
+constexpr std::string_view TimeoutParameter = "timeout=";
 
 GIOCondition operator|(GIOCondition Left, GIOCondition Right) {
   return static_cast<GIOCondition>(static_cast<int>(Left) | static_cast<int>(Right));
 }
+
 } // namespace
 
 TargetCall::TargetCall(TargetConnections &Connections, TargetRequest Request,
                        TargetCallListener &Listener)
     : Connections(Connections), Request(std::move(Request)), Listener(Listener),
-      Parser(this->Request.IsHead) {}
+      Parser(std::make_unique<AnswerParser>(this->Request.IsHead)) {}
 
-TargetCall::~TargetCall() {
-  g_clear_handle_id(&this->FailureTimer, g_source_remove);
-  this->watch(NoCondition);
-  if (this->Request.Rest) {
-    this->Request.Rest->setBodyCallback(nullptr);
-  }
-}
+TargetCall::~TargetCall() { g_clear_handle_id(&this->FailureTimer, g_source_remove); }
 
 void TargetCall::send() {
   this->Output = std::move(this->Request.Head) + this->Request.Body;
-  this->BodyEnded = !this->Request.Rest;
-  this->Socket = this->Connections.take(this->Request.Destination);
+  this->Socket = this->Connections.take(this->Request.Destination, this->Request.MaxIdle);
   if (!this->Socket) {
     if (std::string Error = this->connect(); !Error.empty()) {
       this->failLater(std::move(Error));
       return;
     }
-    this->watch(G_IO_OUT);
+    this->startWatch();
+    this->Watch->set(G_IO_OUT);
     return;
   }
+  this->Reused = true;
   this->Now = State::AwaitingHead;
-  if (this->Request.Rest) {
-    this->Request.Rest->setBodyCallback([this] {
-      this->fillOutput();
-      this->updateWatch();
-    });
-  }
-  this->fillOutput();
+  this->startWatch();
   this->write();
   this->updateWatch();
 }
 
+void TargetCall::startWatch() {
+  this->Watch = std::make_unique<SocketWatch>(
+      g_socket_get_fd(this->Socket.get()),
+      [this](GIOCondition Condition) { this->onReady(Condition); });
+}
+
 std::string TargetCall::connect() {
   const GObjectPointer<GSocketAddress> Address(g_inet_socket_address_new_from_string(
       this->Request.Destination.Address.c_str(), this->Request.Destination.Port));
@@ -93,79 +99,29 @@
 
 void TargetCall::fail(const std::string &Reason) {
   this->Now = State::Ended;
-  this->watch(NoCondition);
+  this->Watch.reset();
   this->Socket.reset();
   // A copy, because the listener may destroy this call and with it the text.
   this->Listener.onCallFailed(std::string(Reason));
 }
 
-void TargetCall::watch(GIOCondition Condition) {
-  if (Condition == this->Watched) {
-    return;
-  }
-  if (this->Source) {
-    g_source_destroy(this->Source);
-    g_source_unref(this->Source);
-    this->Source = nullptr;
-  }
-  this->Watched = Condition;
-  if (Condition != NoCondition) {
-    this->Source = g_socket_create_source(this->Socket.get(), Condition, nullptr);
-    g_source_set_callback(this->Source, G_SOURCE_FUNC(onReady), this, nullptr);
-    g_source_attach(this->Source, nullptr);
-  }
-}
-
-gboolean TargetCall::onReady(GSocket *, GIOCondition Condition, gpointer Data) {
-  auto &Self = *static_cast<TargetCall *>(Data);
-  if (Self.Now == State::Connecting) {
+void TargetCall::onReady(GIOCondition Condition) {
+  if (this->Now == State::Connecting) {
     GError *Error = nullptr;
-    if (!g_socket_check_connect_result(Self.Socket.get(), &Error)) {
+    if (!g_socket_check_connect_result(this->Socket.get(), &Error)) {
       const GErrorPointer Failure(Error);
-      Self.fail(Failure->message);
-      return G_SOURCE_REMOVE;
-    }
-    Self.Now = State::AwaitingHead;
-    if (Self.Request.Rest) {
-      Self.Request.Rest->setBodyCallback([&Self] {
-        Self.fillOutput();
-        Self.updateWatch();
-      });
+      this->fail(Failure->message);
+      return;
     }
+    this->Now = State::AwaitingHead;
   }
-  Self.fillOutput();
-  Self.write();
+  this->write();
   if ((Condition & ~G_IO_OUT) != 0) {
     // May destroy this call.
-    Self.read();
-    return G_SOURCE_CONTINUE;
-  }
-  Self.updateWatch();
-  return G_SOURCE_CONTINUE;
-}
-
-void TargetCall::fillOutput() {
-  if (!this->Request.Rest || this->BodyEnded || this->WriteFailed ||
-      this->Written < this->Output.size()) {
+    this->read();
     return;
   }
-  const std::string Part = this->Request.Rest->takeBody();
-  this->Output.clear();
-  this->Written = 0;
-  if (!Part.empty()) {
-    if (this->Request.Chunked) {
-      std::array<char, 20> Size{};
-      std::snprintf(Size.data(), Size.size(), "%zx\r\n", Part.size());
-      this->Output = Size.data() + Part + "\r\n";
-    } else {
-      this->Output = Part;
-    }
-    return;
-  }
-  if (this->Request.Rest->isBodyComplete()) {
-    this->BodyEnded = true;
-    this->Output = this->Request.Chunked ? "0\r\n\r\n" : "";
-  }
+  this->updateWatch();
 }
 
 void TargetCall::write() {
@@ -181,21 +137,21 @@
       return;
     }
     this->Written += static_cast<std::size_t>(Count);
-    if (this->Written == this->Output.size()) {
-      this->fillOutput();
-    }
   }
 }
 
 void TargetCall::updateWatch() {
-  GIOCondition Wanted = NoCondition;
-  if (this->Now == State::AwaitingHead || this->Now == State::AwaitingBody) {
+  GIOCondition Wanted = static_cast<GIOCondition>(0);
+  if (this->Now == State::AwaitingHead || this->Now == State::AwaitingBody ||
+      this->Now == State::Skipping) {
     Wanted = G_IO_IN;
   }
   if (this->Now != State::Ended && !this->WriteFailed && this->Written < this->Output.size()) {
     Wanted = Wanted | G_IO_OUT;
   }
-  this->watch(Wanted);
+  if (this->Watch) {
+    this->Watch->set(Wanted);
+  }
 }
 
 void TargetCall::read() {
@@ -213,22 +169,22 @@
     return;
   }
   if (Count == 0) {
-    this->Parser.addEnd();
+    this->Parser->addEnd();
   }
-  this->Parser.add({Buffer.data(), static_cast<std::size_t>(Count)});
+  this->Parser->add({Buffer.data(), static_cast<std::size_t>(Count)});
   this->parse();
 }
 
 void TargetCall::parse() {
   if (this->Now == State::AwaitingHead) {
-    if (this->Parser.parseHead()) {
+    if (this->Parser->parseHead()) {
       this->Now = State::Idle;
       this->updateWatch();
-      this->Listener.onCallHead(this->Parser.head());
+      this->Listener.onCallHead(this->Parser->head());
       return;
     }
-    if (!this->Parser.error().empty()) {
-      this->fail(this->Parser.error());
+    if (!this->Parser->error().empty()) {
+      this->fail(this->Parser->error());
       return;
     }
   }
@@ -236,6 +192,10 @@
     this->deliverBody();
     return;
   }
+  if (this->Now == State::Skipping) {
+    this->skipBody();
+    return;
+  }
   this->updateWatch();
 }
 
@@ -244,14 +204,39 @@
   this->deliverBody();
 }
 
+void TargetCall::skipAnswer() {
+  if (++this->Skipped > MaxSkipped) {
+    this->failLater("too many answers that belong to other requests");
+    return;
+  }
+  this->Now = State::Skipping;
+  this->skipBody();
+}
+
+void TargetCall::skipBody() {
+  std::string Ignored;
+  this->Parser->parseBody(Ignored);
+  if (!this->Parser->error().empty()) {
+    this->failLater(this->Parser->error());
+    return;
+  }
+  if (!this->Parser->isComplete()) {
+    this->updateWatch();
+    return;
+  }
+  this->Parser = this->Parser->takeNext();
+  this->Now = State::AwaitingHead;
+  this->parse();
+}
+
 void TargetCall::deliverBody() {
   std::string Bytes;
-  this->Parser.parseBody(Bytes);
-  if (!this->Parser.error().empty()) {
-    this->fail(this->Parser.error());
+  this->Parser->parseBody(Bytes);
+  if (!this->Parser->error().empty()) {
+    this->fail(this->Parser->error());
     return;
   }
-  const bool IsEnd = this->Parser.isComplete();
+  const bool IsEnd = this->Parser->isComplete();
   if (Bytes.empty() && !IsEnd) {
     this->updateWatch();
     return;
@@ -259,14 +244,27 @@
   this->Now = IsEnd ? State::Ended : State::Idle;
   this->updateWatch();
   if (IsEnd) {
-    const bool AllSent =
-        this->BodyEnded && !this->WriteFailed && this->Written == this->Output.size();
-    if (AllSent && this->Parser.isReusable()) {
-      this->Connections.keep(this->Request.Destination, std::move(this->Socket));
+    this->Watch.reset();
+    const bool AllSent = !this->WriteFailed && this->Written == this->Output.size();
+    if (AllSent && this->Parser->isReusable()) {
+      this->Connections.keep(this->Request.Destination, std::move(this->Socket),
+                             this->idleLifetime());
     }
     this->Socket.reset();
   }
   this->Listener.onCallBytes(std::move(Bytes), IsEnd);
 }
 
+Duration TargetCall::idleLifetime() const {
+  const std::string_view Value = this->Parser->head().field("Keep-Alive");
+  const std::size_t Place = Value.find(TimeoutParameter);
+  if (Place == std::string_view::npos) {
+    return UsualLifetime;
+  }
+  int Seconds = 0;
+  const char *Digits = Value.data() + Place + TimeoutParameter.size();
+  std::from_chars(Digits, Value.data() + Value.size(), Seconds);
+  return std::clamp<Duration>(std::chrono::seconds(Seconds) - LifetimeMargin, 0s, UsualLifetime * 10);
+}
+
 } // namespace anvilsaddle
--- a/src/libs/transport/TargetCall.h
+++ b/src/libs/transport/TargetCall.h
@@ -1,17 +1,19 @@
 #pragma once
 
-#include "coordination/Effect.h"
-#include "transport/AnswerParser.h"
+#include "protocol/AnswerParser.h"
+#include "state/Endpoint.h"
+#include "state/Time.h"
 #include "transport/GlibPointers.h"
+#include "transport/SocketWatch.h"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 #include <gio/gio.h>
 
 namespace anvilsaddle {
 
-class BodySource;
 class TargetConnections;
 
 /// Receives the answer of a call. Each function may destroy the call.
@@ -35,16 +37,13 @@
   /// True for the method HEAD.
   bool IsHead = false;
   std::string Body;
-  /// Follows `Body` if set; must outlive the call.
-  BodySource *Rest = nullptr;
-  /// True if `Rest` has no length and is sent in chunks.
-  bool Chunked = false;
+  /// An open connection is taken only if it was used within this time.
+  Duration MaxIdle{0};
 };
 
-/// One HTTP/1.1 request to a target or another entry on an idle or new connection. Puts the request
-/// on one connection only and never repeats it: the HTTP library of the server side is not used,
-/// because it resends requests and takes truncated chunked answers for complete ones. Destroying
-/// the call closes the connection. Not thread-safe.
+/// One HTTP/1.1 request on an idle or new connection. Puts the request on one connection only and
+/// never repeats it. Destroying the call closes the connection, which cancels the request. Not
+/// thread-safe.
 class TargetCall {
 public:
   /// Precondition: connections and listener outlive the call.
@@ -58,43 +57,47 @@
   /// Asks for the next part of the body. Precondition: onCallHead() came, and no part is pending.
   /// May report at once.
   void readMore();
+  /// Passes over an answer that belongs to another request and waits for the next one. Precondition:
+  /// called from onCallHead() for an answer whose end its framing tells; readMore() must not follow.
+  void skipAnswer();
   /// False only if no byte of the request left this process.
   bool isSent() const { return this->Sent; }
-  /// Status of the answer; 0 if none arrived.
-  int status() const { return this->Parser.head().Status; }
+  /// The connection had served other requests before.
+  bool isReused() const { return this->Reused; }
 
 private:
-  enum class State { Connecting, AwaitingHead, Idle, AwaitingBody, Ended };
+  enum class State { Connecting, AwaitingHead, Idle, AwaitingBody, Skipping, Ended };
 
-  static gboolean onReady(GSocket *Socket, GIOCondition Condition, gpointer Data);
   static gboolean onFailureLater(gpointer Data);
 
   std::string connect();
+  void startWatch();
   void failLater(std::string Reason);
   void fail(const std::string &Reason);
-  void watch(GIOCondition Condition);
-  void fillOutput();
+  void onReady(GIOCondition Condition);
   void write();
   void read();
   void parse();
   void deliverBody();
+  void skipBody();
   void updateWatch();
+  Duration idleLifetime() const;
 
   TargetConnections &Connections;
   TargetRequest Request;
   TargetCallListener &Listener;
-  AnswerParser Parser;
+  std::unique_ptr<AnswerParser> Parser;
   GObjectPointer<GSocket> Socket;
-  GSource *Source = nullptr;
-  GIOCondition Watched = static_cast<GIOCondition>(0);
+  std::unique_ptr<SocketWatch> Watch;
   guint FailureTimer = 0;
   std::string FailureReason;
   State Now = State::Connecting;
   std::string Output;
   std::size_t Written = 0;
-  bool BodyEnded = false;
   bool WriteFailed = false;
   bool Sent = false;
+  bool Reused = false;
+  int Skipped = 0;
 };
 
 } // namespace anvilsaddle
