--- a/src/libs/transport/TargetConnections.cpp
+++ b/src/libs/transport/TargetConnections.cpp
@@ -13,11 +13,8 @@
 
 namespace {
 
-/// Shorter than the keep-alive timeout of common servers (5 s), so that few requests meet a
-/// connection that the target is about to close.
-constexpr Duration MaxIdle = std::chrono::seconds(4);
-/// A target has about 260 connections for all entries together.
-constexpr std::size_t MaxIdlePerTarget = 12;
+/// A target bears some 260 connections, for all entries together.
+constexpr std::size_t MaxIdlePerTarget = 8;
 constexpr guint SweepSeconds = 1;
 
 } // namespace
@@ -27,25 +24,35 @@
 
 TargetConnections::~TargetConnections() { g_source_remove(this->SweepTimer); }
 
-GObjectPointer<GSocket> TargetConnections::take(const Endpoint &Destination) {
+GObjectPointer<GSocket> TargetConnections::take(const Endpoint &Destination, Duration MaxIdle) {
   const auto Found = this->Connections.find(Destination);
   while (Found != this->Connections.end() && !Found->second.empty()) {
-    Idle Last = std::move(Found->second.back());
-    Found->second.pop_back();
-    if (this->isUsable(Last)) {
-      return std::move(Last.Connection);
+    Idle &Last = Found->second.back();
+    if (!this->isUsable(Last)) {
+      Found->second.pop_back();
+      continue;
+    }
+    if (this->Time.now() - Last.Since > MaxIdle) {
+      return nullptr;
     }
+    GObjectPointer<GSocket> Result = std::move(Last.Connection);
+    Found->second.pop_back();
+    return Result;
   }
   return nullptr;
 }
 
-void TargetConnections::keep(const Endpoint &Destination, GObjectPointer<GSocket> Connection) {
+void TargetConnections::keep(const Endpoint &Destination, GObjectPointer<GSocket> Connection,
+                             Duration Lifetime) {
   std::vector<Idle> &Waiting = this->Connections[Destination];
   if (Waiting.size() < MaxIdlePerTarget) {
-    Waiting.push_back({std::move(Connection), this->Time.now()});
+    const TimePoint Now = this->Time.now();
+    Waiting.push_back({std::move(Connection), Now, Now + Lifetime});
   }
 }
 
+void TargetConnections::drop(const Endpoint &Destination) { this->Connections.erase(Destination); }
+
 std::size_t TargetConnections::size() const {
   std::size_t Result = 0;
   for (const auto &[Destination, Waiting] : this->Connections) {
@@ -59,17 +66,14 @@
   // Neither the end of the stream nor bytes that belong to no request may be waiting.
   const ssize_t Count =
       recv(g_socket_get_fd(Each.Connection.get()), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) &&
-         this->Time.now() - Each.Since < MaxIdle;
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && this->Time.now() < Each.Until;
 }
 
 gboolean TargetConnections::onSweep(gpointer Data) {
   auto &Self = *static_cast<TargetConnections *>(Data);
   for (auto Next = Self.Connections.begin(); Next != Self.Connections.end();) {
     std::vector<Idle> &Waiting = Next->second;
-    Waiting.erase(std::remove_if(Waiting.begin(), Waiting.end(),
-                                 [&Self](const Idle &Each) { return !Self.isUsable(Each); }),
-                  Waiting.end());
+    std::erase_if(Waiting, [&Self](const Idle &Each) { return !Self.isUsable(Each); });
     Next = Waiting.empty() ? Self.Connections.erase(Next) : std::next(Next);
   }
   return G_SOURCE_CONTINUE;
--- a/src/libs/transport/TargetConnections.h
+++ b/src/libs/transport/TargetConnections.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Effect.h"
+#include "state/Endpoint.h"
 #include "state/Time.h"
 #include "transport/GlibPointers.h"
 
@@ -14,7 +14,7 @@
 
 class Clock;
 
-/// Open connections to targets and other entries that no request uses. Not thread-safe.
+/// Open connections to targets that no request uses. Not thread-safe.
 class TargetConnections {
 public:
   /// Precondition: the clock outlives this object.
@@ -23,16 +23,20 @@
   TargetConnections(const TargetConnections &) = delete;
   TargetConnections &operator=(const TargetConnections &) = delete;
 
-  /// The connection used last that is still open and silent; null if there is none.
-  GObjectPointer<GSocket> take(const Endpoint &Destination);
-  /// Precondition: the answer on the connection was read to its end.
-  void keep(const Endpoint &Destination, GObjectPointer<GSocket> Connection);
+  /// The connection used last that is still open and silent, and was used within `MaxIdle`; null if
+  /// there is none.
+  GObjectPointer<GSocket> take(const Endpoint &Destination, Duration MaxIdle);
+  /// Keeps a connection for `Lifetime`. Precondition: the answer on it was read to its end.
+  void keep(const Endpoint &Destination, GObjectPointer<GSocket> Connection, Duration Lifetime);
+  /// Closes all connections to a place, after one of them turned out to be broken.
+  void drop(const Endpoint &Destination);
   std::size_t size() const;
 
 private:
   struct Idle {
     GObjectPointer<GSocket> Connection;
     TimePoint Since;
+    TimePoint Until;
   };
 
   static gboolean onSweep(gpointer Data);
