--- a/src/libs/coordination/PeerMessage.h
+++ b/src/libs/coordination/PeerMessage.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "coordination/Membership.h"
+#include "coordination/PublicationSpread.h"
 
 #include <variant>
 
 namespace anvilsaddle {
 
 /// A message between entries.
-using PeerMessage = std::variant<Gossip>;
+using PeerMessage = std::variant<Gossip, RevisionNotice>;
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/PublicationSource.h
+++ b/src/libs/coordination/PublicationSource.h
@@ -3,6 +3,7 @@
 #include "state/Finding.h"
 #include "state/Publication.h"
 
+#include <cstdint>
 #include <string>
 
 namespace anvilsaddle {
@@ -13,6 +14,8 @@
   virtual ~PublicationListener() = default;
 
   virtual void onPublications(const PublicationBatch &Batch) = 0;
+  /// The source answered that nothing changed up to this revision.
+  virtual void onUnchanged(std::int64_t Revision) = 0;
   /// An item could not be read; it is passed over.
   virtual void onUnreadable(const Finding &Problem) = 0;
   /// The source does not answer; what was published before stays in force.
@@ -26,9 +29,11 @@
 public:
   virtual ~PublicationSource() = default;
 
-  /// Reads all that is published, then follows the changes. Precondition: called once; the listener
-  /// outlives the source.
-  virtual void start(PublicationListener &Listener) = 0;
+  /// Follows the changes after a revision; 0 reads all that is published first. Precondition: the
+  /// listener outlives the source, and the source is not active.
+  virtual void activate(PublicationListener &Listener, std::int64_t Since) = 0;
+  /// Stops; nothing is reported until the next activate().
+  virtual void deactivate() = 0;
 };
 
 } // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/coordination/PublicationSpread.cpp
@@ -0,0 +1,128 @@
+#include "coordination/PublicationSpread.h"
+
+#include "coordination/RendezvousHash.h"
+
+#include <algorithm>
+
+namespace anvilsaddle {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// After its start an entry gets to know the others before it decides who reads.
+constexpr Duration FirstLook = 800ms;
+/// A reader that took over stays one for a while, so that a lost notice doesn't start and stop it.
+constexpr Duration ShortestReading = 3s;
+constexpr Duration FetchAgain = 200ms;
+/// What the reader of a failure domain is chosen by.
+constexpr const char *ReaderItem = "publications";
+
+} // namespace
+
+PublicationSpread::PublicationSpread(std::string Self, Topology Places, TimePoint Now)
+    : Self(std::move(Self)), Places(std::move(Places)), Started(Now) {}
+
+bool PublicationSpread::isDesignated(const std::string &Address,
+                                     const FailureDomainName &Domain) const {
+  const std::uint64_t Own = rendezvousScore(ReaderItem, Address);
+  return std::none_of(this->Members.begin(), this->Members.end(), [&](const MemberRecord &Each) {
+    return Each.Domain == Domain && Each.State != EntryState::Leaving &&
+           rendezvousScore(ReaderItem, Each.Address) > Own;
+  });
+}
+
+bool PublicationSpread::precedes(const std::string &Sender) const {
+  if (rendezvousScore(ReaderItem, Sender) > rendezvousScore(ReaderItem, this->Self)) {
+    return true;
+  }
+  return std::any_of(this->Members.begin(), this->Members.end(), [&](const MemberRecord &Each) {
+    return Each.Address == Sender && this->isDesignated(Each.Address, Each.Domain);
+  });
+}
+
+void PublicationSpread::onSourceAnswered(std::int64_t Known, TimePoint Now) {
+  const bool IsNews = Known > this->Revision || !this->IsSourceAlive;
+  this->IsSourceAlive = true;
+  this->Revision = std::max(this->Revision, Known);
+  if (this->Active && IsNews) {
+    this->notify(Now);
+  }
+}
+
+void PublicationSpread::notify(TimePoint Now) {
+  this->LastNoticeSent = Now;
+  SendNotice Result;
+  Result.Notice.Revision = this->Revision;
+  for (const MemberRecord &Each : this->Members) {
+    if (Each.Address != this->Self &&
+        this->Places.regionOf(Each.Domain) == this->Places.OwnRegion) {
+      Result.Receivers.push_back(Each.Address);
+    }
+  }
+  if (!Result.Receivers.empty()) {
+    this->Effects.emplace_back(std::move(Result));
+  }
+}
+
+void PublicationSpread::onNotice(const std::string &Sender, const RevisionNotice &Notice,
+                                 TimePoint Now) {
+  this->LastNoticeHeard = Now;
+  if (this->precedes(Sender)) {
+    this->LastPrecedence = Now;
+  }
+  if (Notice.Revision > std::max(this->Revision, this->AheadRevision) || !this->Fetching) {
+    this->AheadEntry = Sender;
+    this->AheadRevision = Notice.Revision;
+  }
+  this->fetchIfBehind(Now);
+}
+
+void PublicationSpread::fetchIfBehind(TimePoint Now) {
+  // A reader gets the same from the source.
+  const bool ReadsItself = this->Active && this->IsSourceAlive;
+  if (this->Fetching || ReadsItself || this->AheadRevision <= this->Revision ||
+      Now < this->NextFetch) {
+    return;
+  }
+  this->Fetching = true;
+  this->Effects.emplace_back(FetchPublications{this->AheadEntry});
+}
+
+void PublicationSpread::onFetched(std::int64_t Known, TimePoint Now) {
+  this->Fetching = false;
+  this->Revision = std::max(this->Revision, Known);
+  this->fetchIfBehind(Now);
+}
+
+void PublicationSpread::onFetchFailed(TimePoint Now) {
+  this->Fetching = false;
+  this->AheadRevision = 0;
+  this->NextFetch = Now + FetchAgain;
+}
+
+void PublicationSpread::onTick(TimePoint Now) {
+  const bool IsNew = Now - this->Started < FirstLook;
+  const TimePoint Heard = this->LastNoticeHeard.value_or(this->Started);
+  const bool IsSilent = Now - Heard >= SilenceLimit;
+  const bool IsChosen = !IsNew && this->isDesignated(this->Self, this->Places.OwnDomain);
+  // Of several entries that took over, the first in order stays.
+  const bool IsPreceded = Now - this->LastPrecedence < SilenceLimit;
+  if ((IsSilent || IsChosen) && !this->Active) {
+    this->Active = true;
+    this->ActiveSince = Now;
+    this->IsSourceAlive = false;
+    this->Effects.emplace_back(UseSource{true});
+  } else if (this->Active && !IsChosen && IsPreceded &&
+             Now - this->ActiveSince >= ShortestReading) {
+    this->Active = false;
+    this->IsSourceAlive = false;
+    this->Effects.emplace_back(UseSource{false});
+  }
+  if (this->Active && this->IsSourceAlive && Now - this->LastNoticeSent >= NoticeInterval) {
+    this->notify(Now);
+  }
+  this->fetchIfBehind(Now);
+}
+
+} // namespace anvilsaddle
--- a/src/libs/coordination/TargetTable.cpp
+++ b/src/libs/coordination/TargetTable.cpp
@@ -50,8 +50,12 @@
   }
 }
 
-void TargetTable::onSourceReturned(TimePoint Now) {
-  this->RemovalsWaitUntil = Now + RegistrationReturn;
+void TargetTable::deferRemovals(Duration Wait, TimePoint Now) {
+  this->RemovalsWaitUntil = std::max(this->RemovalsWaitUntil, Now + Wait);
+}
+
+Duration TargetTable::removalsWait(TimePoint Now) const {
+  return std::max(Duration(0), this->RemovalsWaitUntil - Now);
 }
 
 void TargetTable::onTick(TimePoint Now) {
--- a/src/libs/coordination/TargetTable.h
+++ b/src/libs/coordination/TargetTable.h
@@ -47,9 +47,11 @@
 
   /// Applies published changes in their order; ignores configurations.
   void apply(const PublicationBatch &Batch, TimePoint Now);
-  /// The source of publications answers again after an outage. Removals in the time that follows
-  /// wait until RegistrationReturn has passed.
-  void onSourceReturned(TimePoint Now);
+  /// Removals from now on wait until this time has passed, because the source of publications had
+  /// an outage.
+  void deferRemovals(Duration Wait, TimePoint Now);
+  /// Time for which removals still wait.
+  Duration removalsWait(TimePoint Now) const;
   /// Carries out the removals that are due.
   void onTick(TimePoint Now);
 
--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -29,6 +29,7 @@
   Result.Callers = readEndpoint(Listen, "callers");
   Result.Readiness = readEndpoint(Listen, "readiness");
   Result.Directory = readEndpoint(Listen, "directory");
+  Result.Control = readEndpoint(Listen, "control");
   Result.Operators = readEndpoint(Listen, "operators");
   const std::vector<std::int64_t> Ports = Listen.integersOr("peer_ports", {}, 1, MaxPort);
   if (Ports.empty()) {
--- a/src/libs/protocol/DaemonSettings.h
+++ b/src/libs/protocol/DaemonSettings.h
@@ -26,6 +26,8 @@
   Endpoint Readiness;
   /// Where callers ask which entries to use.
   Endpoint Directory;
+  /// Where other entries ask for publications; the port is the same on all of them.
+  Endpoint Control;
   /// Operators' interface.
   Endpoint Operators;
   /// UDP port for other entries, the same on all of them: the first of those that are free.
--- a/src/libs/protocol/PeerCodec.cpp
+++ b/src/libs/protocol/PeerCodec.cpp
@@ -73,9 +73,7 @@
   return Result;
 }
 
-std::string write(const Gossip &Message, Range Part) {
-  wire::PeerMessage Out;
-  Out.__set_gossip(toWire(Message, Part));
+std::string write(const wire::PeerMessage &Out) {
   const auto Buffer = std::make_shared<TMemoryBuffer>();
   Protocol Writer(Buffer);
   Out.write(&Writer);
@@ -84,7 +82,9 @@
 
 void writeParts(const Gossip &Message, Range Part, std::size_t Limit,
                 std::vector<std::string> &Result) {
-  std::string Payload = write(Message, Part);
+  wire::PeerMessage Out;
+  Out.__set_gossip(toWire(Message, Part));
+  std::string Payload = write(Out);
   if (Payload.size() <= Limit || Part.End - Part.Begin < 2) {
     Result.push_back(std::move(Payload));
     return;
@@ -107,6 +107,9 @@
 }
 
 PeerMessage fromWire(const wire::PeerMessage &In) {
+  if (In.__isset.notice) {
+    return RevisionNotice{In.notice.revision};
+  }
   if (!In.__isset.gossip) {
     throw FieldError("no known message");
   }
@@ -137,6 +140,13 @@
 } // namespace
 
 std::vector<std::string> PeerCodec::encode(const PeerMessage &Message, std::size_t Limit) const {
+  if (const auto *Notice = std::get_if<RevisionNotice>(&Message)) {
+    wire::PeerMessage Out;
+    wire::RevisionNotice Content;
+    Content.revision = Notice->Revision;
+    Out.__set_notice(Content);
+    return {write(Out)};
+  }
   std::vector<std::string> Result;
   const auto &Content = std::get<Gossip>(Message);
   writeParts(Content, {0, Content.Members.size()}, Limit, Result);
--- /dev/null
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -0,0 +1,200 @@
+#include "protocol/PublicationCodec.h"
+
+#include <cstdint>
+#include <memory>
+
+#include <peer_types.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace anvilsaddle {
+
+namespace {
+
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using Protocol = TCompactProtocolT<TMemoryBuffer>;
+
+wire::Route toWire(const Route &Value) {
+  wire::Route Result;
+  Result.name = Value.Name.str();
+  Result.host = Value.Host;
+  Result.pathPrefix = Value.PathPrefix;
+  Result.idempotent = Value.Idempotent;
+  Result.timeoutMicroseconds = Value.Timeout.count();
+  Result.objectiveMicroseconds = Value.LatencyObjective.count();
+  Result.priority = static_cast<std::int32_t>(Value.Priority);
+  Result.maxTargets = static_cast<std::int32_t>(Value.MaxTargets);
+  for (const WeightedService &Each : Value.Services) {
+    wire::WeightedService Part;
+    Part.serviceName = Each.Service.str();
+    Part.weight = Each.Weight;
+    Result.services.push_back(Part);
+  }
+  for (const RegionName &Each : Value.HomeRegions) {
+    Result.homeRegions.push_back(Each.str());
+  }
+  return Result;
+}
+
+wire::Configuration toWire(const Configuration &Value) {
+  wire::Configuration Result;
+  Result.version = static_cast<std::int64_t>(Value.Version);
+  for (const Route &Each : Value.Routes) {
+    Result.routes.push_back(toWire(Each));
+  }
+  for (const auto &[Name, Each] : Value.Services) {
+    wire::Service Part;
+    Part.name = Name.str();
+    Part.healthPath = Each.HealthPath;
+    Part.coldRate = Each.ColdRate;
+    Result.services.push_back(Part);
+  }
+  Result.headBytes = static_cast<std::int64_t>(Value.Limits.HeadBytes);
+  Result.bodyBytes = static_cast<std::int64_t>(Value.Limits.BodyBytes);
+  Result.headTimeoutMicroseconds = Value.Limits.HeadTimeout.count();
+  Result.idleTimeoutMicroseconds = Value.Limits.IdleTimeout.count();
+  return Result;
+}
+
+wire::Target toWire(const Target &Value) {
+  wire::Target Result;
+  Result.name = Value.Name.str();
+  Result.serviceName = Value.Service.str();
+  Result.address = Value.Address.Address;
+  Result.port = Value.Address.Port;
+  Result.domain = Value.Domain.str();
+  Result.slots = static_cast<std::int32_t>(Value.Slots);
+  Result.draining = Value.Draining;
+  Result.coldMicroseconds = Value.ColdFor.count();
+  Result.startedUnixMilliseconds = Value.StartedUnixMilliseconds;
+  return Result;
+}
+
+wire::Publication toWire(const Publication &Value) {
+  wire::Publication Result;
+  if (const auto *Settings = std::get_if<Configuration>(&Value)) {
+    Result.__set_configuration(toWire(*Settings));
+  } else if (const auto *Registered = std::get_if<TargetRegistered>(&Value)) {
+    Result.__set_registered(toWire(Registered->Value));
+  } else if (const auto *Removed = std::get_if<TargetRemoved>(&Value)) {
+    Result.__set_removed(Removed->Name.str());
+  } else if (const auto *Evacuation = std::get_if<DomainEvacuation>(&Value)) {
+    wire::Evacuation Part;
+    Part.domain = Evacuation->Domain.str();
+    Part.active = Evacuation->Active;
+    Result.__set_evacuation(Part);
+  }
+  return Result;
+}
+
+Route fromWire(const wire::Route &In) {
+  Route Result;
+  Result.Name = RouteName(In.name);
+  Result.Host = In.host;
+  Result.PathPrefix = In.pathPrefix;
+  Result.Idempotent = In.idempotent;
+  Result.Timeout = Duration(In.timeoutMicroseconds);
+  Result.LatencyObjective = Duration(In.objectiveMicroseconds);
+  Result.Priority = static_cast<std::uint32_t>(In.priority);
+  Result.MaxTargets = static_cast<std::uint32_t>(In.maxTargets);
+  for (const wire::WeightedService &Each : In.services) {
+    Result.Services.push_back({ServiceName(Each.serviceName), Each.weight});
+  }
+  for (const std::string &Each : In.homeRegions) {
+    Result.HomeRegions.insert(RegionName(Each));
+  }
+  return Result;
+}
+
+Configuration fromWire(const wire::Configuration &In) {
+  Configuration Result;
+  Result.Version = static_cast<std::uint64_t>(In.version);
+  for (const wire::Route &Each : In.routes) {
+    // A route without a service can't be followed.
+    if (!Each.services.empty()) {
+      Result.Routes.push_back(fromWire(Each));
+    }
+  }
+  for (const wire::Service &Each : In.services) {
+    Result.Services[ServiceName(Each.name)] = {ServiceName(Each.name), Each.healthPath,
+                                               Each.coldRate};
+  }
+  Result.Limits = {static_cast<std::size_t>(In.headBytes), static_cast<std::size_t>(In.bodyBytes),
+                   Duration(In.headTimeoutMicroseconds), Duration(In.idleTimeoutMicroseconds)};
+  return Result;
+}
+
+Target fromWire(const wire::Target &In) {
+  Target Result;
+  Result.Name = TargetName(In.name);
+  Result.Service = ServiceName(In.serviceName);
+  Result.Address = {In.address, static_cast<std::uint16_t>(In.port)};
+  Result.Domain = FailureDomainName(In.domain);
+  Result.Slots = static_cast<std::uint32_t>(In.slots);
+  Result.Draining = In.draining;
+  Result.ColdFor = Duration(In.coldMicroseconds);
+  Result.StartedUnixMilliseconds = In.startedUnixMilliseconds;
+  return Result;
+}
+
+std::optional<Publication> fromWire(const wire::Publication &In) {
+  if (In.__isset.configuration) {
+    return fromWire(In.configuration);
+  }
+  if (In.__isset.registered) {
+    return TargetRegistered{fromWire(In.registered)};
+  }
+  if (In.__isset.removed) {
+    return TargetRemoved{TargetName(In.removed)};
+  }
+  if (In.__isset.evacuation) {
+    return DomainEvacuation{FailureDomainName(In.evacuation.domain), In.evacuation.active};
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string writeBatch(const PublicationBatch &Batch) {
+  wire::PublicationBatch Out;
+  Out.complete = Batch.Complete;
+  Out.since = Batch.Since;
+  Out.revision = Batch.Revision;
+  Out.removalsWaitMicroseconds = Batch.RemovalsWait.count();
+  for (const Publication &Each : Batch.Changes) {
+    Out.changes.push_back(toWire(Each));
+  }
+  const auto Buffer = std::make_shared<TMemoryBuffer>();
+  Protocol Writer(Buffer);
+  Out.write(&Writer);
+  return Buffer->getBufferAsString();
+}
+
+std::optional<PublicationBatch> readBatch(std::string_view Text) {
+  // The buffer only observes the bytes; Thrift's interface lacks const.
+  auto *Bytes = reinterpret_cast<std::uint8_t *>(const_cast<char *>(Text.data()));
+  const auto Buffer = std::make_shared<TMemoryBuffer>(Bytes, static_cast<std::uint32_t>(Text.size()));
+  const auto Limit = static_cast<std::int32_t>(Text.size());
+  try {
+    Protocol Reader(Buffer, Limit, Limit);
+    wire::PublicationBatch In;
+    In.read(&Reader);
+    PublicationBatch Result{In.complete, In.since, In.revision,
+                            Duration(In.removalsWaitMicroseconds), {}};
+    for (const wire::Publication &Each : In.changes) {
+      const auto Change = fromWire(Each);
+      if (!Change) {
+        return std::nullopt;
+      }
+      Result.Changes.push_back(*Change);
+    }
+    return Result;
+  } catch (const TException &) {
+    // The caller logs that the text is unreadable.
+    return std::nullopt;
+  }
+}
+
+} // namespace anvilsaddle
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -353,6 +353,98 @@
 }
 
 
+RevisionNotice::~RevisionNotice() noexcept {
+}
+
+
+void RevisionNotice::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RevisionNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_revision = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RevisionNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RevisionNotice");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RevisionNotice &a, RevisionNotice &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+}
+
+RevisionNotice::RevisionNotice(const RevisionNotice& other16) noexcept {
+  revision = other16.revision;
+}
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other17) noexcept {
+  revision = other17.revision;
+  return *this;
+}
+void RevisionNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RevisionNotice(";
+  out << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
 PeerMessage::~PeerMessage() noexcept {
 }
 
@@ -361,6 +453,11 @@
   this->gossip = val;
 __isset.gossip = true;
 }
+
+void PeerMessage::__set_notice(const RevisionNotice& val) {
+  this->notice = val;
+__isset.notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
@@ -397,6 +494,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->notice.read(iprot);
+          this->__isset.notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -419,6 +524,11 @@
     xfer += this->gossip.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.notice) {
+    xfer += oprot->writeFieldBegin("notice", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -427,22 +537,1643 @@
 void swap(PeerMessage &a, PeerMessage &b) {
   using ::std::swap;
   swap(a.gossip, b.gossip);
+  swap(a.notice, b.notice);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other16) {
-  gossip = other16.gossip;
-  __isset = other16.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other18) {
+  gossip = other18.gossip;
+  notice = other18.notice;
+  __isset = other18.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other17) {
-  gossip = other17.gossip;
-  __isset = other17.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other19) {
+  gossip = other19.gossip;
+  notice = other19.notice;
+  __isset = other19.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "PeerMessage(";
   out << "gossip="; (__isset.gossip ? (out << to_string(gossip)) : (out << "<null>"));
+  out << ", " << "notice="; (__isset.notice ? (out << to_string(notice)) : (out << "<null>"));
+  out << ")";
+}
+
+
+WeightedService::~WeightedService() noexcept {
+}
+
+
+void WeightedService::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void WeightedService::__set_weight(const double val) {
+  this->weight = val;
+}
+std::ostream& operator<<(std::ostream& out, const WeightedService& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WeightedService::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_serviceName = false;
+  bool isset_weight = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->weight);
+          isset_weight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_weight)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t WeightedService::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WeightedService");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->weight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WeightedService &a, WeightedService &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.weight, b.weight);
+}
+
+WeightedService::WeightedService(const WeightedService& other20) {
+  serviceName = other20.serviceName;
+  weight = other20.weight;
+}
+WeightedService& WeightedService::operator=(const WeightedService& other21) {
+  serviceName = other21.serviceName;
+  weight = other21.weight;
+  return *this;
+}
+void WeightedService::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WeightedService(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "weight=" << to_string(weight);
+  out << ")";
+}
+
+
+Route::~Route() noexcept {
+}
+
+
+void Route::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Route::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void Route::__set_pathPrefix(const std::string& val) {
+  this->pathPrefix = val;
+}
+
+void Route::__set_idempotent(const bool val) {
+  this->idempotent = val;
+}
+
+void Route::__set_timeoutMicroseconds(const int64_t val) {
+  this->timeoutMicroseconds = val;
+}
+
+void Route::__set_objectiveMicroseconds(const int64_t val) {
+  this->objectiveMicroseconds = val;
+}
+
+void Route::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void Route::__set_maxTargets(const int32_t val) {
+  this->maxTargets = val;
+}
+
+void Route::__set_services(const std::vector<WeightedService> & val) {
+  this->services = val;
+}
+
+void Route::__set_homeRegions(const std::vector<std::string> & val) {
+  this->homeRegions = val;
+}
+std::ostream& operator<<(std::ostream& out, const Route& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Route::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_name = false;
+  bool isset_host = false;
+  bool isset_pathPrefix = false;
+  bool isset_idempotent = false;
+  bool isset_timeoutMicroseconds = false;
+  bool isset_objectiveMicroseconds = false;
+  bool isset_priority = false;
+  bool isset_maxTargets = false;
+  bool isset_services = false;
+  bool isset_homeRegions = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          isset_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          isset_host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pathPrefix);
+          isset_pathPrefix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idempotent);
+          isset_idempotent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeoutMicroseconds);
+          isset_timeoutMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->objectiveMicroseconds);
+          isset_objectiveMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          isset_priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxTargets);
+          isset_maxTargets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->services.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += this->services[_i26].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->homeRegions.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->homeRegions.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += iprot->readString(this->homeRegions[_i31]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_homeRegions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_host)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_pathPrefix)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_idempotent)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_timeoutMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_objectiveMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_priority)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_maxTargets)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_services)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_homeRegions)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Route::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Route");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pathPrefix", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->pathPrefix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idempotent", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->idempotent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMicroseconds", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->timeoutMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objectiveMicroseconds", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->objectiveMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxTargets", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->maxTargets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<WeightedService> ::const_iterator _iter32;
+    for (_iter32 = this->services.begin(); _iter32 != this->services.end(); ++_iter32)
+    {
+      xfer += (*_iter32).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("homeRegions", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->homeRegions.size()));
+    std::vector<std::string> ::const_iterator _iter33;
+    for (_iter33 = this->homeRegions.begin(); _iter33 != this->homeRegions.end(); ++_iter33)
+    {
+      xfer += oprot->writeString((*_iter33));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Route &a, Route &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.host, b.host);
+  swap(a.pathPrefix, b.pathPrefix);
+  swap(a.idempotent, b.idempotent);
+  swap(a.timeoutMicroseconds, b.timeoutMicroseconds);
+  swap(a.objectiveMicroseconds, b.objectiveMicroseconds);
+  swap(a.priority, b.priority);
+  swap(a.maxTargets, b.maxTargets);
+  swap(a.services, b.services);
+  swap(a.homeRegions, b.homeRegions);
+}
+
+Route::Route(const Route& other34) {
+  name = other34.name;
+  host = other34.host;
+  pathPrefix = other34.pathPrefix;
+  idempotent = other34.idempotent;
+  timeoutMicroseconds = other34.timeoutMicroseconds;
+  objectiveMicroseconds = other34.objectiveMicroseconds;
+  priority = other34.priority;
+  maxTargets = other34.maxTargets;
+  services = other34.services;
+  homeRegions = other34.homeRegions;
+}
+Route& Route::operator=(const Route& other35) {
+  name = other35.name;
+  host = other35.host;
+  pathPrefix = other35.pathPrefix;
+  idempotent = other35.idempotent;
+  timeoutMicroseconds = other35.timeoutMicroseconds;
+  objectiveMicroseconds = other35.objectiveMicroseconds;
+  priority = other35.priority;
+  maxTargets = other35.maxTargets;
+  services = other35.services;
+  homeRegions = other35.homeRegions;
+  return *this;
+}
+void Route::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Route(";
+  out << "name=" << to_string(name);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "pathPrefix=" << to_string(pathPrefix);
+  out << ", " << "idempotent=" << to_string(idempotent);
+  out << ", " << "timeoutMicroseconds=" << to_string(timeoutMicroseconds);
+  out << ", " << "objectiveMicroseconds=" << to_string(objectiveMicroseconds);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "maxTargets=" << to_string(maxTargets);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "homeRegions=" << to_string(homeRegions);
+  out << ")";
+}
+
+
+Service::~Service() noexcept {
+}
+
+
+void Service::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Service::__set_healthPath(const std::string& val) {
+  this->healthPath = val;
+}
+
+void Service::__set_coldRate(const double val) {
+  this->coldRate = val;
+}
+std::ostream& operator<<(std::ostream& out, const Service& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Service::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_name = false;
+  bool isset_healthPath = false;
+  bool isset_coldRate = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          isset_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->healthPath);
+          isset_healthPath = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->coldRate);
+          isset_coldRate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_healthPath)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_coldRate)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Service::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Service");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("healthPath", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->healthPath);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldRate", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->coldRate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Service &a, Service &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.healthPath, b.healthPath);
+  swap(a.coldRate, b.coldRate);
+}
+
+Service::Service(const Service& other36) {
+  name = other36.name;
+  healthPath = other36.healthPath;
+  coldRate = other36.coldRate;
+}
+Service& Service::operator=(const Service& other37) {
+  name = other37.name;
+  healthPath = other37.healthPath;
+  coldRate = other37.coldRate;
+  return *this;
+}
+void Service::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Service(";
+  out << "name=" << to_string(name);
+  out << ", " << "healthPath=" << to_string(healthPath);
+  out << ", " << "coldRate=" << to_string(coldRate);
+  out << ")";
+}
+
+
+Configuration::~Configuration() noexcept {
+}
+
+
+void Configuration::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void Configuration::__set_routes(const std::vector<Route> & val) {
+  this->routes = val;
+}
+
+void Configuration::__set_services(const std::vector<Service> & val) {
+  this->services = val;
+}
+
+void Configuration::__set_headBytes(const int64_t val) {
+  this->headBytes = val;
+}
+
+void Configuration::__set_bodyBytes(const int64_t val) {
+  this->bodyBytes = val;
+}
+
+void Configuration::__set_headTimeoutMicroseconds(const int64_t val) {
+  this->headTimeoutMicroseconds = val;
+}
+
+void Configuration::__set_idleTimeoutMicroseconds(const int64_t val) {
+  this->idleTimeoutMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const Configuration& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Configuration::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_version = false;
+  bool isset_routes = false;
+  bool isset_services = false;
+  bool isset_headBytes = false;
+  bool isset_bodyBytes = false;
+  bool isset_headTimeoutMicroseconds = false;
+  bool isset_idleTimeoutMicroseconds = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->routes.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
+            {
+              xfer += this->routes[_i42].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->services.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += this->services[_i47].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->headBytes);
+          isset_headBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bodyBytes);
+          isset_bodyBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->headTimeoutMicroseconds);
+          isset_headTimeoutMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->idleTimeoutMicroseconds);
+          isset_idleTimeoutMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_routes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_services)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_headBytes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_bodyBytes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_headTimeoutMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_idleTimeoutMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Configuration::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Configuration");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<Route> ::const_iterator _iter48;
+    for (_iter48 = this->routes.begin(); _iter48 != this->routes.end(); ++_iter48)
+    {
+      xfer += (*_iter48).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<Service> ::const_iterator _iter49;
+    for (_iter49 = this->services.begin(); _iter49 != this->services.end(); ++_iter49)
+    {
+      xfer += (*_iter49).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headBytes", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->headBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bodyBytes", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->bodyBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headTimeoutMicroseconds", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->headTimeoutMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idleTimeoutMicroseconds", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->idleTimeoutMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Configuration &a, Configuration &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.routes, b.routes);
+  swap(a.services, b.services);
+  swap(a.headBytes, b.headBytes);
+  swap(a.bodyBytes, b.bodyBytes);
+  swap(a.headTimeoutMicroseconds, b.headTimeoutMicroseconds);
+  swap(a.idleTimeoutMicroseconds, b.idleTimeoutMicroseconds);
+}
+
+Configuration::Configuration(const Configuration& other50) {
+  version = other50.version;
+  routes = other50.routes;
+  services = other50.services;
+  headBytes = other50.headBytes;
+  bodyBytes = other50.bodyBytes;
+  headTimeoutMicroseconds = other50.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other50.idleTimeoutMicroseconds;
+}
+Configuration& Configuration::operator=(const Configuration& other51) {
+  version = other51.version;
+  routes = other51.routes;
+  services = other51.services;
+  headBytes = other51.headBytes;
+  bodyBytes = other51.bodyBytes;
+  headTimeoutMicroseconds = other51.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other51.idleTimeoutMicroseconds;
+  return *this;
+}
+void Configuration::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Configuration(";
+  out << "version=" << to_string(version);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "headBytes=" << to_string(headBytes);
+  out << ", " << "bodyBytes=" << to_string(bodyBytes);
+  out << ", " << "headTimeoutMicroseconds=" << to_string(headTimeoutMicroseconds);
+  out << ", " << "idleTimeoutMicroseconds=" << to_string(idleTimeoutMicroseconds);
+  out << ")";
+}
+
+
+Target::~Target() noexcept {
+}
+
+
+void Target::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Target::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void Target::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void Target::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void Target::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void Target::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void Target::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void Target::__set_coldMicroseconds(const int64_t val) {
+  this->coldMicroseconds = val;
+}
+
+void Target::__set_startedUnixMilliseconds(const int64_t val) {
+  this->startedUnixMilliseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const Target& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Target::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_name = false;
+  bool isset_serviceName = false;
+  bool isset_address = false;
+  bool isset_port = false;
+  bool isset_domain = false;
+  bool isset_slots = false;
+  bool isset_draining = false;
+  bool isset_coldMicroseconds = false;
+  bool isset_startedUnixMilliseconds = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          isset_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          isset_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          isset_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          isset_slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          isset_draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->coldMicroseconds);
+          isset_coldMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedUnixMilliseconds);
+          isset_startedUnixMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_port)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_domain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slots)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_draining)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_coldMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_startedUnixMilliseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Target::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Target");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldMicroseconds", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->coldMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedUnixMilliseconds", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->startedUnixMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Target &a, Target &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.serviceName, b.serviceName);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.domain, b.domain);
+  swap(a.slots, b.slots);
+  swap(a.draining, b.draining);
+  swap(a.coldMicroseconds, b.coldMicroseconds);
+  swap(a.startedUnixMilliseconds, b.startedUnixMilliseconds);
+}
+
+Target::Target(const Target& other52) {
+  name = other52.name;
+  serviceName = other52.serviceName;
+  address = other52.address;
+  port = other52.port;
+  domain = other52.domain;
+  slots = other52.slots;
+  draining = other52.draining;
+  coldMicroseconds = other52.coldMicroseconds;
+  startedUnixMilliseconds = other52.startedUnixMilliseconds;
+}
+Target& Target::operator=(const Target& other53) {
+  name = other53.name;
+  serviceName = other53.serviceName;
+  address = other53.address;
+  port = other53.port;
+  domain = other53.domain;
+  slots = other53.slots;
+  draining = other53.draining;
+  coldMicroseconds = other53.coldMicroseconds;
+  startedUnixMilliseconds = other53.startedUnixMilliseconds;
+  return *this;
+}
+void Target::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Target(";
+  out << "name=" << to_string(name);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "coldMicroseconds=" << to_string(coldMicroseconds);
+  out << ", " << "startedUnixMilliseconds=" << to_string(startedUnixMilliseconds);
+  out << ")";
+}
+
+
+Evacuation::~Evacuation() noexcept {
+}
+
+
+void Evacuation::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void Evacuation::__set_active(const bool val) {
+  this->active = val;
+}
+std::ostream& operator<<(std::ostream& out, const Evacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Evacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_domain = false;
+  bool isset_active = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          isset_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->active);
+          isset_active = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_domain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_active)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Evacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Evacuation");
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("active", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->active);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Evacuation &a, Evacuation &b) {
+  using ::std::swap;
+  swap(a.domain, b.domain);
+  swap(a.active, b.active);
+}
+
+Evacuation::Evacuation(const Evacuation& other54) {
+  domain = other54.domain;
+  active = other54.active;
+}
+Evacuation& Evacuation::operator=(const Evacuation& other55) {
+  domain = other55.domain;
+  active = other55.active;
+  return *this;
+}
+void Evacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Evacuation(";
+  out << "domain=" << to_string(domain);
+  out << ", " << "active=" << to_string(active);
+  out << ")";
+}
+
+
+Publication::~Publication() noexcept {
+}
+
+
+void Publication::__set_configuration(const Configuration& val) {
+  this->configuration = val;
+__isset.configuration = true;
+}
+
+void Publication::__set_registered(const Target& val) {
+  this->registered = val;
+__isset.registered = true;
+}
+
+void Publication::__set_removed(const std::string& val) {
+  this->removed = val;
+__isset.removed = true;
+}
+
+void Publication::__set_evacuation(const Evacuation& val) {
+  this->evacuation = val;
+__isset.evacuation = true;
+}
+std::ostream& operator<<(std::ostream& out, const Publication& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Publication::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configuration.read(iprot);
+          this->__isset.configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->registered.read(iprot);
+          this->__isset.registered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuation.read(iprot);
+          this->__isset.evacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Publication::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Publication");
+
+  if (this->__isset.configuration) {
+    xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->configuration.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.registered) {
+    xfer += oprot->writeFieldBegin("registered", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->registered.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.removed) {
+    xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->removed);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.evacuation) {
+    xfer += oprot->writeFieldBegin("evacuation", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->evacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Publication &a, Publication &b) {
+  using ::std::swap;
+  swap(a.configuration, b.configuration);
+  swap(a.registered, b.registered);
+  swap(a.removed, b.removed);
+  swap(a.evacuation, b.evacuation);
+  swap(a.__isset, b.__isset);
+}
+
+Publication::Publication(const Publication& other56) {
+  configuration = other56.configuration;
+  registered = other56.registered;
+  removed = other56.removed;
+  evacuation = other56.evacuation;
+  __isset = other56.__isset;
+}
+Publication& Publication::operator=(const Publication& other57) {
+  configuration = other57.configuration;
+  registered = other57.registered;
+  removed = other57.removed;
+  evacuation = other57.evacuation;
+  __isset = other57.__isset;
+  return *this;
+}
+void Publication::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Publication(";
+  out << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
+  out << ", " << "registered="; (__isset.registered ? (out << to_string(registered)) : (out << "<null>"));
+  out << ", " << "removed="; (__isset.removed ? (out << to_string(removed)) : (out << "<null>"));
+  out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
+  out << ")";
+}
+
+
+PublicationBatch::~PublicationBatch() noexcept {
+}
+
+
+void PublicationBatch::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void PublicationBatch::__set_since(const int64_t val) {
+  this->since = val;
+}
+
+void PublicationBatch::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void PublicationBatch::__set_removalsWaitMicroseconds(const int64_t val) {
+  this->removalsWaitMicroseconds = val;
+}
+
+void PublicationBatch::__set_changes(const std::vector<Publication> & val) {
+  this->changes = val;
+}
+std::ostream& operator<<(std::ostream& out, const PublicationBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PublicationBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_complete = false;
+  bool isset_since = false;
+  bool isset_revision = false;
+  bool isset_removalsWaitMicroseconds = false;
+  bool isset_changes = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          isset_complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since);
+          isset_since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->removalsWaitMicroseconds);
+          isset_removalsWaitMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->changes.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += this->changes[_i62].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_complete)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_since)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_removalsWaitMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_changes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PublicationBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PublicationBatch");
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->since);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removalsWaitMicroseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->removalsWaitMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<Publication> ::const_iterator _iter63;
+    for (_iter63 = this->changes.begin(); _iter63 != this->changes.end(); ++_iter63)
+    {
+      xfer += (*_iter63).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PublicationBatch &a, PublicationBatch &b) {
+  using ::std::swap;
+  swap(a.complete, b.complete);
+  swap(a.since, b.since);
+  swap(a.revision, b.revision);
+  swap(a.removalsWaitMicroseconds, b.removalsWaitMicroseconds);
+  swap(a.changes, b.changes);
+}
+
+PublicationBatch::PublicationBatch(const PublicationBatch& other64) {
+  complete = other64.complete;
+  since = other64.since;
+  revision = other64.revision;
+  removalsWaitMicroseconds = other64.removalsWaitMicroseconds;
+  changes = other64.changes;
+}
+PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other65) {
+  complete = other65.complete;
+  since = other65.since;
+  revision = other65.revision;
+  removalsWaitMicroseconds = other65.removalsWaitMicroseconds;
+  changes = other65.changes;
+  return *this;
+}
+void PublicationBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PublicationBatch(";
+  out << "complete=" << to_string(complete);
+  out << ", " << "since=" << to_string(since);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "removalsWaitMicroseconds=" << to_string(removalsWaitMicroseconds);
+  out << ", " << "changes=" << to_string(changes);
   out << ")";
 }
 
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -25,8 +25,26 @@
 
 class Gossip;
 
+class RevisionNotice;
+
 class PeerMessage;
 
+class WeightedService;
+
+class Route;
+
+class Service;
+
+class Configuration;
+
+class Target;
+
+class Evacuation;
+
+class Publication;
+
+class PublicationBatch;
+
 
 class Member : public virtual ::apache::thrift::TBase {
  public:
@@ -129,9 +147,47 @@
 
 std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
+
+class RevisionNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  RevisionNotice(const RevisionNotice&) noexcept;
+  RevisionNotice& operator=(const RevisionNotice&) noexcept;
+  RevisionNotice() noexcept
+                 : revision(0) {
+  }
+
+  virtual ~RevisionNotice() noexcept;
+  int64_t revision;
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const RevisionNotice & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const RevisionNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RevisionNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RevisionNotice &a, RevisionNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj);
+
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : gossip(false) {}
+  _PeerMessage__isset() : gossip(false), notice(false) {}
   bool gossip :1;
+  bool notice :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -144,17 +200,24 @@
 
   virtual ~PeerMessage() noexcept;
   Gossip gossip;
+  RevisionNotice notice;
 
   _PeerMessage__isset __isset;
 
   void __set_gossip(const Gossip& val);
 
+  void __set_notice(const RevisionNotice& val);
+
   bool operator == (const PeerMessage & rhs) const
   {
     if (__isset.gossip != rhs.__isset.gossip)
       return false;
     else if (__isset.gossip && !(gossip == rhs.gossip))
       return false;
+    if (__isset.notice != rhs.__isset.notice)
+      return false;
+    else if (__isset.notice && !(notice == rhs.notice))
+      return false;
     return true;
   }
   bool operator != (const PeerMessage &rhs) const {
@@ -173,6 +236,515 @@
 
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj);
 
+
+class WeightedService : public virtual ::apache::thrift::TBase {
+ public:
+
+  WeightedService(const WeightedService&);
+  WeightedService& operator=(const WeightedService&);
+  WeightedService() noexcept
+                  : serviceName(),
+                    weight(0) {
+  }
+
+  virtual ~WeightedService() noexcept;
+  std::string serviceName;
+  double weight;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_weight(const double val);
+
+  bool operator == (const WeightedService & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(weight == rhs.weight))
+      return false;
+    return true;
+  }
+  bool operator != (const WeightedService &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WeightedService & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WeightedService &a, WeightedService &b);
+
+std::ostream& operator<<(std::ostream& out, const WeightedService& obj);
+
+
+class Route : public virtual ::apache::thrift::TBase {
+ public:
+
+  Route(const Route&);
+  Route& operator=(const Route&);
+  Route() noexcept
+        : name(),
+          host(),
+          pathPrefix(),
+          idempotent(0),
+          timeoutMicroseconds(0),
+          objectiveMicroseconds(0),
+          priority(0),
+          maxTargets(0) {
+  }
+
+  virtual ~Route() noexcept;
+  std::string name;
+  std::string host;
+  std::string pathPrefix;
+  bool idempotent;
+  int64_t timeoutMicroseconds;
+  int64_t objectiveMicroseconds;
+  int32_t priority;
+  int32_t maxTargets;
+  std::vector<WeightedService>  services;
+  std::vector<std::string>  homeRegions;
+
+  void __set_name(const std::string& val);
+
+  void __set_host(const std::string& val);
+
+  void __set_pathPrefix(const std::string& val);
+
+  void __set_idempotent(const bool val);
+
+  void __set_timeoutMicroseconds(const int64_t val);
+
+  void __set_objectiveMicroseconds(const int64_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_maxTargets(const int32_t val);
+
+  void __set_services(const std::vector<WeightedService> & val);
+
+  void __set_homeRegions(const std::vector<std::string> & val);
+
+  bool operator == (const Route & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(pathPrefix == rhs.pathPrefix))
+      return false;
+    if (!(idempotent == rhs.idempotent))
+      return false;
+    if (!(timeoutMicroseconds == rhs.timeoutMicroseconds))
+      return false;
+    if (!(objectiveMicroseconds == rhs.objectiveMicroseconds))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(maxTargets == rhs.maxTargets))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(homeRegions == rhs.homeRegions))
+      return false;
+    return true;
+  }
+  bool operator != (const Route &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Route & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Route &a, Route &b);
+
+std::ostream& operator<<(std::ostream& out, const Route& obj);
+
+
+class Service : public virtual ::apache::thrift::TBase {
+ public:
+
+  Service(const Service&);
+  Service& operator=(const Service&);
+  Service() noexcept
+          : name(),
+            healthPath(),
+            coldRate(0) {
+  }
+
+  virtual ~Service() noexcept;
+  std::string name;
+  std::string healthPath;
+  double coldRate;
+
+  void __set_name(const std::string& val);
+
+  void __set_healthPath(const std::string& val);
+
+  void __set_coldRate(const double val);
+
+  bool operator == (const Service & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(healthPath == rhs.healthPath))
+      return false;
+    if (!(coldRate == rhs.coldRate))
+      return false;
+    return true;
+  }
+  bool operator != (const Service &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Service & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Service &a, Service &b);
+
+std::ostream& operator<<(std::ostream& out, const Service& obj);
+
+
+class Configuration : public virtual ::apache::thrift::TBase {
+ public:
+
+  Configuration(const Configuration&);
+  Configuration& operator=(const Configuration&);
+  Configuration() noexcept
+                : version(0),
+                  headBytes(0),
+                  bodyBytes(0),
+                  headTimeoutMicroseconds(0),
+                  idleTimeoutMicroseconds(0) {
+  }
+
+  virtual ~Configuration() noexcept;
+  int64_t version;
+  std::vector<Route>  routes;
+  std::vector<Service>  services;
+  int64_t headBytes;
+  int64_t bodyBytes;
+  int64_t headTimeoutMicroseconds;
+  int64_t idleTimeoutMicroseconds;
+
+  void __set_version(const int64_t val);
+
+  void __set_routes(const std::vector<Route> & val);
+
+  void __set_services(const std::vector<Service> & val);
+
+  void __set_headBytes(const int64_t val);
+
+  void __set_bodyBytes(const int64_t val);
+
+  void __set_headTimeoutMicroseconds(const int64_t val);
+
+  void __set_idleTimeoutMicroseconds(const int64_t val);
+
+  bool operator == (const Configuration & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(headBytes == rhs.headBytes))
+      return false;
+    if (!(bodyBytes == rhs.bodyBytes))
+      return false;
+    if (!(headTimeoutMicroseconds == rhs.headTimeoutMicroseconds))
+      return false;
+    if (!(idleTimeoutMicroseconds == rhs.idleTimeoutMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const Configuration &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Configuration & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Configuration &a, Configuration &b);
+
+std::ostream& operator<<(std::ostream& out, const Configuration& obj);
+
+
+class Target : public virtual ::apache::thrift::TBase {
+ public:
+
+  Target(const Target&);
+  Target& operator=(const Target&);
+  Target() noexcept
+         : name(),
+           serviceName(),
+           address(),
+           port(0),
+           domain(),
+           slots(0),
+           draining(0),
+           coldMicroseconds(0),
+           startedUnixMilliseconds(0) {
+  }
+
+  virtual ~Target() noexcept;
+  std::string name;
+  std::string serviceName;
+  std::string address;
+  int32_t port;
+  std::string domain;
+  int32_t slots;
+  bool draining;
+  int64_t coldMicroseconds;
+  int64_t startedUnixMilliseconds;
+
+  void __set_name(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_domain(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_draining(const bool val);
+
+  void __set_coldMicroseconds(const int64_t val);
+
+  void __set_startedUnixMilliseconds(const int64_t val);
+
+  bool operator == (const Target & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(coldMicroseconds == rhs.coldMicroseconds))
+      return false;
+    if (!(startedUnixMilliseconds == rhs.startedUnixMilliseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const Target &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Target & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Target &a, Target &b);
+
+std::ostream& operator<<(std::ostream& out, const Target& obj);
+
+
+class Evacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  Evacuation(const Evacuation&);
+  Evacuation& operator=(const Evacuation&);
+  Evacuation() noexcept
+             : domain(),
+               active(0) {
+  }
+
+  virtual ~Evacuation() noexcept;
+  std::string domain;
+  bool active;
+
+  void __set_domain(const std::string& val);
+
+  void __set_active(const bool val);
+
+  bool operator == (const Evacuation & rhs) const
+  {
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(active == rhs.active))
+      return false;
+    return true;
+  }
+  bool operator != (const Evacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Evacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Evacuation &a, Evacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const Evacuation& obj);
+
+typedef struct _Publication__isset {
+  _Publication__isset() : configuration(false), registered(false), removed(false), evacuation(false) {}
+  bool configuration :1;
+  bool registered :1;
+  bool removed :1;
+  bool evacuation :1;
+} _Publication__isset;
+
+class Publication : public virtual ::apache::thrift::TBase {
+ public:
+
+  Publication(const Publication&);
+  Publication& operator=(const Publication&);
+  Publication() noexcept
+              : removed() {
+  }
+
+  virtual ~Publication() noexcept;
+  Configuration configuration;
+  Target registered;
+  std::string removed;
+  Evacuation evacuation;
+
+  _Publication__isset __isset;
+
+  void __set_configuration(const Configuration& val);
+
+  void __set_registered(const Target& val);
+
+  void __set_removed(const std::string& val);
+
+  void __set_evacuation(const Evacuation& val);
+
+  bool operator == (const Publication & rhs) const
+  {
+    if (__isset.configuration != rhs.__isset.configuration)
+      return false;
+    else if (__isset.configuration && !(configuration == rhs.configuration))
+      return false;
+    if (__isset.registered != rhs.__isset.registered)
+      return false;
+    else if (__isset.registered && !(registered == rhs.registered))
+      return false;
+    if (__isset.removed != rhs.__isset.removed)
+      return false;
+    else if (__isset.removed && !(removed == rhs.removed))
+      return false;
+    if (__isset.evacuation != rhs.__isset.evacuation)
+      return false;
+    else if (__isset.evacuation && !(evacuation == rhs.evacuation))
+      return false;
+    return true;
+  }
+  bool operator != (const Publication &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Publication & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Publication &a, Publication &b);
+
+std::ostream& operator<<(std::ostream& out, const Publication& obj);
+
+
+class PublicationBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  PublicationBatch(const PublicationBatch&);
+  PublicationBatch& operator=(const PublicationBatch&);
+  PublicationBatch() noexcept
+                   : complete(0),
+                     since(0),
+                     revision(0),
+                     removalsWaitMicroseconds(0) {
+  }
+
+  virtual ~PublicationBatch() noexcept;
+  bool complete;
+  int64_t since;
+  int64_t revision;
+  int64_t removalsWaitMicroseconds;
+  std::vector<Publication>  changes;
+
+  void __set_complete(const bool val);
+
+  void __set_since(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_removalsWaitMicroseconds(const int64_t val);
+
+  void __set_changes(const std::vector<Publication> & val);
+
+  bool operator == (const PublicationBatch & rhs) const
+  {
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(since == rhs.since))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(removalsWaitMicroseconds == rhs.removalsWaitMicroseconds))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    return true;
+  }
+  bool operator != (const PublicationBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PublicationBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PublicationBatch &a, PublicationBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const PublicationBatch& obj);
+
 }} // namespace
 
 #endif
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -20,7 +20,80 @@
   2: required list<Member> members
 }
 
+struct RevisionNotice {
+  1: required i64 revision
+}
+
 // Exactly one field is set.
 union PeerMessage {
   7: Gossip gossip
+  8: RevisionNotice notice
+}
+
+struct WeightedService {
+  1: required string serviceName
+  2: required double weight
+}
+
+struct Route {
+  1: required string name
+  2: required string host
+  3: required string pathPrefix
+  4: required bool idempotent
+  5: required i64 timeoutMicroseconds
+  6: required i64 objectiveMicroseconds
+  7: required i32 priority
+  8: required i32 maxTargets
+  9: required list<WeightedService> services
+  10: required list<string> homeRegions
+}
+
+struct Service {
+  1: required string name
+  2: required string healthPath
+  3: required double coldRate
+}
+
+struct Configuration {
+  1: required i64 version
+  2: required list<Route> routes
+  3: required list<Service> services
+  4: required i64 headBytes
+  5: required i64 bodyBytes
+  6: required i64 headTimeoutMicroseconds
+  7: required i64 idleTimeoutMicroseconds
+}
+
+struct Target {
+  1: required string name
+  2: required string serviceName
+  3: required string address
+  4: required i32 port
+  5: required string domain
+  6: required i32 slots
+  7: required bool draining
+  8: required i64 coldMicroseconds
+  9: required i64 startedUnixMilliseconds
+}
+
+struct Evacuation {
+  1: required string domain
+  2: required bool active
+}
+
+// Exactly one field is set.
+union Publication {
+  1: Configuration configuration
+  2: Target registered
+  3: string removed
+  4: Evacuation evacuation
+}
+
+// Answer to an entry that asks what was published after a revision.
+struct PublicationBatch {
+  1: required bool complete
+  2: required i64 since
+  3: required i64 revision
+  4: required i64 removalsWaitMicroseconds
+  5: required list<Publication> changes
 }
--- a/src/libs/state/Publication.h
+++ b/src/libs/state/Publication.h
@@ -2,9 +2,10 @@
 
 #include "state/Configuration.h"
 #include "state/Target.h"
+#include "state/Time.h"
 
 #include <compare>
-#include <string>
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -37,8 +38,15 @@
 
 /// Published facts in the order of their publication. Value type.
 struct PublicationBatch {
-  /// True if the batch holds all that is published, so that what it lacks was removed.
+  /// True if the batch holds all that is published, so that what it lacks was removed. Otherwise it
+  /// holds all changes after the revision Since.
   bool Complete = false;
+  std::int64_t Since = 0;
+  /// Revision of the source up to which the batch goes.
+  std::int64_t Revision = 0;
+  /// The source came back from an outage a short time ago; registrations that lapsed meanwhile may
+  /// be back within this time.
+  Duration RemovalsWait{0};
   std::vector<Publication> Changes;
 
   auto operator<=>(const PublicationBatch &) const = default;
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -46,6 +46,7 @@
                 Uses.Random),
       Members(makeSelf(this->Settings, this->Run.StartedUnixMilliseconds), this->Settings.Places,
               toSet(this->Settings.Seeds), Uses.Random, Uses.Time.now()),
+      Spread(this->Settings.Callers.Address, this->Settings.Places, Uses.Time.now()),
       Connections(Uses.Time),
       Probes(this->Connections, Uses.Protocol,
              {[this](const TargetName &Name, const ProbeReport &Report) {
@@ -60,6 +61,17 @@
                 this->Decisions.onProbeFailed(Name, Reason, this->now());
                 this->settle();
               }}),
+      Exchange(this->Published, this->Connections,
+               {[this](const PublicationBatch &Batch) {
+                  this->takeBatch(Batch);
+                  this->Spread.onFetched(this->Published.revision(), this->now());
+                  this->settleSpread();
+                },
+                [this](const std::string &Reason) {
+                  logEvent(LogLevel::Info, "fetch_failed", {{"reason", Reason}});
+                  this->Spread.onFetchFailed(this->now());
+                },
+                [this] { return this->Decisions.targets().removalsWait(this->now()); }}),
       Flows({this->Decisions, this->Connections, Uses.Protocol, this->Counters, Uses.Time,
              Uses.Random, [this] { this->settle(); }}),
       Pages(Uses.Pages, this->Members, this->Settings.Places, this->Flows,
@@ -70,11 +82,11 @@
                    static_cast<std::size_t>(this->Settings.MaxConnections)),
       ReadinessServer(this->Pages, Uses.Time, PageConnections),
       DirectoryServer(this->Pages, Uses.Time, PageConnections),
+      ControlServer(this->Exchange, Uses.Time, PageConnections),
       OperatorServer(this->Operators, Uses.Time, PageConnections),
       Peers(VmName(this->Settings.Callers.Address), this->Run, this->Seals,
-            {[this](const PeerEnvelope &, const PeerMessage &Message) {
-               this->Members.onMessage(std::get<Gossip>(Message), this->now());
-               this->Peers.raiseIncarnation(this->Members.incarnation());
+            {[this](const PeerEnvelope &Envelope, const PeerMessage &Message) {
+               this->onPeerMessage(Envelope.Sender.str(), Message);
              },
              [](const PeerError &Error, const std::string &From) {
                logEvent(LogLevel::Warning, "peer_message_rejected",
@@ -95,6 +107,7 @@
   for (const auto &[Server, Place] : {std::pair(&this->CallerServer, &this->Settings.Callers),
                                       {&this->ReadinessServer, &this->Settings.Readiness},
                                       {&this->DirectoryServer, &this->Settings.Directory},
+                                      {&this->ControlServer, &this->Settings.Control},
                                       {&this->OperatorServer, &this->Settings.Operators}}) {
     if (std::string Error = Server->listen(*Place); !Error.empty()) {
       return Error;
@@ -113,7 +126,6 @@
   g_source_set_callback(this->Timer, onTimer, this, nullptr);
   g_source_attach(this->Timer, g_main_context_get_thread_default());
   this->Housekeeping = g_timeout_add(HousekeepingMilliseconds, onHousekeeping, this);
-  this->Uses.Source.start(*this);
   this->armTimer();
   return {};
 }
@@ -178,6 +190,8 @@
 gboolean EntryRuntime::onHousekeeping(gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
   Self.updateEntries();
+  Self.Spread.onTick(Self.now());
+  Self.settleSpread();
   Self.Counters.setPeerTraffic(Self.Peers.traffic());
   Self.Counters.onLogLinesDropped(droppedLogLines());
   const Configuration *Current = Self.Flows.configuration();
@@ -201,6 +215,37 @@
   }
 }
 
+void EntryRuntime::onPeerMessage(const std::string &Sender, const PeerMessage &Message) {
+  if (const auto *Notice = std::get_if<RevisionNotice>(&Message)) {
+    this->Spread.onNotice(Sender, *Notice, this->now());
+    this->settleSpread();
+    return;
+  }
+  this->Members.onMessage(std::get<Gossip>(Message), this->now());
+  this->Peers.raiseIncarnation(this->Members.incarnation());
+}
+
+void EntryRuntime::settleSpread() {
+  for (const SpreadEffect &Each : this->Spread.takeEffects()) {
+    if (const auto *Use = std::get_if<UseSource>(&Each)) {
+      logEvent(LogLevel::Info, Use->Active ? "store_reading_started" : "store_reading_stopped",
+               {{"revision", std::to_string(this->Published.revision())}});
+      if (Use->Active) {
+        this->Uses.Source.activate(*this, this->Published.revision());
+      } else {
+        this->Uses.Source.deactivate();
+      }
+    } else if (const auto *Send = std::get_if<SendNotice>(&Each)) {
+      for (const std::string &Receiver : Send->Receivers) {
+        this->Peers.send(VmName(Receiver), Receiver, this->Settings.PeerPort, Send->Notice);
+      }
+    } else {
+      const auto &Fetch = std::get<FetchPublications>(Each);
+      this->Exchange.fetch({Fetch.Entry, this->Settings.Control.Port});
+    }
+  }
+}
+
 void EntryRuntime::updateEntries() {
   std::vector<MemberRecord> Live = this->Members.live();
   // Beats rise all the time; only who lives and in what state matters here.
@@ -223,6 +268,7 @@
   this->record("entries", std::to_string(this->LastLive.size()), std::to_string(Live.size()), 0,
                "membership");
   this->Decisions.setEntries(std::move(Region), Live.size());
+  this->Spread.setMembers(Live);
   // A dead entry may start again with a clock that went back.
   this->Peers.retainSenders(Senders);
   this->LastLive = std::move(Live);
@@ -231,6 +277,26 @@
 // Publications
 
 void EntryRuntime::onPublications(const PublicationBatch &Batch) {
+  this->takeBatch(Batch);
+  this->onUnchanged(this->Published.revision());
+}
+
+void EntryRuntime::onUnchanged(std::int64_t Revision) {
+  this->Spread.onSourceAnswered(Revision, this->now());
+  this->settleSpread();
+}
+
+void EntryRuntime::takeBatch(const PublicationBatch &Batch) {
+  if (!this->Published.apply(Batch)) {
+    logEvent(LogLevel::Info, "publications_passed_over",
+             {{"since", std::to_string(Batch.Since)},
+              {"revision", std::to_string(Batch.Revision)},
+              {"known", std::to_string(this->Published.revision())}});
+    return;
+  }
+  if (Batch.RemovalsWait > Duration(0)) {
+    this->Decisions.targets().deferRemovals(Batch.RemovalsWait, this->now());
+  }
   for (const Publication &Each : Batch.Changes) {
     if (const auto *Newer = std::get_if<Configuration>(&Each)) {
       this->takeConfiguration(*Newer);
@@ -308,11 +374,12 @@
 
 void EntryRuntime::onSourceLost(const std::string &Reason) {
   logEvent(LogLevel::Warning, "store_lost", {{"reason", Reason}});
+  this->Spread.onSourceLost();
 }
 
 void EntryRuntime::onSourceReturned() {
   logEvent(LogLevel::Info, "store_returned");
-  this->Decisions.targets().onSourceReturned(this->now());
+  this->Decisions.targets().deferRemovals(TargetTable::RegistrationReturn, this->now());
 }
 
 // Shutdown
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -3,7 +3,9 @@
 #include "coordination/Dispatcher.h"
 #include "coordination/Incarnation.h"
 #include "coordination/Membership.h"
+#include "coordination/PublicationLog.h"
 #include "coordination/PublicationSource.h"
+#include "coordination/PublicationSpread.h"
 #include "protocol/DaemonSettings.h"
 #include "protocol/GlibSealer.h"
 #include "protocol/Metrics.h"
@@ -13,6 +15,7 @@
 #include "transport/OperatorPages.h"
 #include "transport/PeerSocket.h"
 #include "transport/ProbeRunner.h"
+#include "transport/PublicationExchange.h"
 #include "transport/RequestFlows.h"
 #include "transport/TargetConnections.h"
 
@@ -57,6 +60,7 @@
   void stop(std::function<void()> OnStopped);
 
   void onPublications(const PublicationBatch &Batch) override;
+  void onUnchanged(std::int64_t Revision) override;
   void onUnreadable(const Finding &Problem) override;
   void onSourceLost(const std::string &Reason) override;
   void onSourceReturned() override;
@@ -69,6 +73,9 @@
   void settle();
   void armTimer();
   void send(const std::vector<OutgoingGossip> &Messages);
+  void onPeerMessage(const std::string &Sender, const PeerMessage &Message);
+  void settleSpread();
+  void takeBatch(const PublicationBatch &Batch);
   void takeConfiguration(const Configuration &Newer);
   void recordChange(const Publication &Change);
   void record(std::string What, std::string From, std::string To, std::uint64_t Revision,
@@ -85,14 +92,18 @@
   Metrics Counters;
   Dispatcher Decisions;
   Membership Members;
+  PublicationLog Published;
+  PublicationSpread Spread;
   TargetConnections Connections;
   ProbeRunner Probes;
+  PublicationExchange Exchange;
   RequestFlows Flows;
   EntryPageHandler Pages;
   OperatorPages Operators;
   HttpServer CallerServer;
   HttpServer ReadinessServer;
   HttpServer DirectoryServer;
+  HttpServer ControlServer;
   HttpServer OperatorServer;
   PeerSocket Peers;
   GSource *Timer = nullptr;
--- a/src/libs/transport/TargetCall.cpp
+++ b/src/libs/transport/TargetCall.cpp
@@ -26,6 +26,21 @@
 /// Whole seconds, written by the target as `timeout=N`.
 constexpr std::string_view TimeoutParameter = "timeout=";
 
+/// Seconds without traffic before the first question whether the other end is there, between
+/// questions, and unanswered questions that end the connection: three seconds in all.
+constexpr int SilenceSeconds = 1;
+constexpr int QuestionSeconds = 1;
+constexpr int UnansweredQuestions = 2;
+constexpr int UnacknowledgedMilliseconds = 2500;
+
+void detectSilence(GSocket *Socket) {
+  g_socket_set_keepalive(Socket, TRUE);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPIDLE, SilenceSeconds, nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPINTVL, QuestionSeconds, nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPCNT, UnansweredQuestions, nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMilliseconds, nullptr);
+}
+
 GIOCondition operator|(GIOCondition Left, GIOCondition Right) {
   return static_cast<GIOCondition>(static_cast<int>(Left) | static_cast<int>(Right));
 }
@@ -76,6 +91,9 @@
   if (this->Socket) {
     g_socket_set_blocking(this->Socket.get(), FALSE);
     g_socket_set_option(this->Socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    if (this->Request.DetectSilence) {
+      detectSilence(this->Socket.get());
+    }
     g_socket_connect(this->Socket.get(), Address.get(), nullptr, &Error);
   }
   const GErrorPointer Failure(Error);
--- a/src/libs/transport/TargetCall.h
+++ b/src/libs/transport/TargetCall.h
@@ -39,6 +39,9 @@
   std::string Body;
   /// An open connection is taken only if it was used within this time.
   Duration MaxIdle{0};
+  /// A new connection whose other end falls silent is given up within seconds, also while an answer
+  /// is awaited that may take long.
+  bool DetectSilence = false;
 };
 
 /// One HTTP/1.1 request on an idle or new connection. Puts the request on one connection only and
--- /dev/null
+++ b/tests/auto/Batches.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "state/Publication.h"
+
+#include <utility>
+#include <vector>
+
+namespace anvilsaddle {
+
+/// A batch of all that is published, or of some changes.
+inline PublicationBatch batch(bool Complete, std::vector<Publication> Changes,
+                              std::int64_t Since = 0, std::int64_t Revision = 0) {
+  PublicationBatch Result;
+  Result.Complete = Complete;
+  Result.Since = Since;
+  Result.Revision = Revision;
+  Result.Changes = std::move(Changes);
+  return Result;
+}
+
+} // namespace anvilsaddle
--- a/tests/auto/libs/coordination/DispatchWorld.cpp
+++ b/tests/auto/libs/coordination/DispatchWorld.cpp
@@ -1,5 +1,7 @@
 #include "DispatchWorld.h"
 
+#include "Batches.h"
+
 namespace anvilsaddle {
 
 namespace {
@@ -40,7 +42,7 @@
 }
 
 void DispatchWorld::publish(const Publication &Change) {
-  this->Decisions.targets().apply({false, {Change}}, this->Now);
+  this->Decisions.targets().apply(batch(false, {Change}), this->Now);
 }
 
 void DispatchWorld::addTarget(const std::string &Name, const std::string &Domain, bool Draining) {
--- a/tests/auto/libs/coordination/tst_targettable.cpp
+++ b/tests/auto/libs/coordination/tst_targettable.cpp
@@ -1,3 +1,4 @@
+#include "Batches.h"
 #include "Property.h"
 #include "coordination/TargetTable.h"
 
@@ -47,9 +48,8 @@
 public:
   /// Guards against work for targets that leave or whose failure domain is taken out.
   void publications() {
-    const PublicationBatch All{true,
-                               {TargetRegistered{makeTarget("a")},
-                                TargetRegistered{makeTarget("b", "d2")}}};
+    const PublicationBatch All = batch(
+        true, {TargetRegistered{makeTarget("a")}, TargetRegistered{makeTarget("b", "d2")}});
     struct Case {
       const char *Name;
       PublicationBatch Batch;
@@ -57,27 +57,24 @@
     };
     const FailureDomainName Second("d2");
     const Case Table[] = {
-        {"none", {false, {}}, "ab"},
-        {"draining", {false, {TargetRegistered{draining(makeTarget("a"))}}}, "b"},
-        {"removed", {false, {TargetRemoved{TargetName("b")}}}, "a"},
-        {"unknown removed", {false, {TargetRemoved{TargetName("x")}}}, "ab"},
-        {"taken out", {false, {DomainEvacuation{Second, true}}}, "a"},
+        {"none", batch(false, {}), "ab"},
+        {"draining", batch(false, {TargetRegistered{draining(makeTarget("a"))}}), "b"},
+        {"removed", batch(false, {TargetRemoved{TargetName("b")}}), "a"},
+        {"unknown removed", batch(false, {TargetRemoved{TargetName("x")}}), "ab"},
+        {"taken out", batch(false, {DomainEvacuation{Second, true}}), "a"},
         {"taken back",
-         {false, {DomainEvacuation{Second, true}, DomainEvacuation{Second, false}}},
-         "ab"},
-        {"complete without b", {true, {TargetRegistered{makeTarget("a")}}}, "a"},
+         batch(false, {DomainEvacuation{Second, true}, DomainEvacuation{Second, false}}), "ab"},
+        {"complete without b", batch(true, {TargetRegistered{makeTarget("a")}}), "a"},
         {"complete with domain out",
-         {true,
-          {TargetRegistered{makeTarget("a")}, TargetRegistered{makeTarget("b", "d2")},
-           DomainEvacuation{Second, true}}},
+         batch(true, {TargetRegistered{makeTarget("a")}, TargetRegistered{makeTarget("b", "d2")},
+                      DomainEvacuation{Second, true}}),
          "a"},
         {"moved to another service",
-         {false,
-          {TargetRegistered{[] {
-            Target Value = makeTarget("b");
-            Value.Service = ServiceName("book");
-            return Value;
-          }()}}},
+         batch(false, {TargetRegistered{[] {
+                 Target Value = makeTarget("b");
+                 Value.Service = ServiceName("book");
+                 return Value;
+               }()}}),
          "a"},
     };
     for (const Case &Each : Table) {
@@ -91,21 +88,21 @@
   /// Guards against targets that are given up because their registrations lapsed while the store
   /// was away, and against targets that are kept although they stay away.
   void removalsAfterAnOutage() {
-    const PublicationBatch Removal{false, {TargetRemoved{TargetName("a")}}};
+    const PublicationBatch Removal = batch(false, {TargetRemoved{TargetName("a")}});
     TargetTable Targets;
-    Targets.apply({true, {TargetRegistered{makeTarget("a")}}}, Start);
-    Targets.onSourceReturned(Start + 5s);
+    Targets.apply(batch(true, {TargetRegistered{makeTarget("a")}}), Start);
+    Targets.deferRemovals(TargetTable::RegistrationReturn, Start + 5s);
     Targets.apply(Removal, Start + 5s);
     Targets.onTick(Start + 6s);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), usableNames(Targets));
-    Targets.apply({false, {TargetRegistered{makeTarget("a")}}}, Start + 6s);
+    Targets.apply(batch(false, {TargetRegistered{makeTarget("a")}}), Start + 6s);
     Targets.onTick(Start + 8s);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("it came back", std::string("a"), usableNames(Targets));
-    Targets.onSourceReturned(Start + 10s);
+    Targets.deferRemovals(TargetTable::RegistrationReturn, Start + 10s);
     Targets.apply(Removal, Start + 10s);
     Targets.onTick(Start + 10s + TargetTable::RegistrationReturn);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("it stayed away", std::string(), usableNames(Targets));
-    Targets.apply({false, {TargetRegistered{makeTarget("a")}}}, Start + 15s);
+    Targets.apply(batch(false, {TargetRegistered{makeTarget("a")}}), Start + 15s);
     Targets.apply(Removal, Start + 15s);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("long after the outage", std::string(), usableNames(Targets));
   }
@@ -113,26 +110,26 @@
   /// Guards against load, failures and warmth of an earlier start that are held for a new one's.
   void restartUnderTheSameName() {
     TargetTable Targets;
-    Targets.apply({true, {TargetRegistered{makeTarget("a", "d1", 1)}}}, Start);
+    Targets.apply(batch(true, {TargetRegistered{makeTarget("a", "d1", 1)}}), Start);
     const TargetName Name("a");
     Targets.onLoad(Name, {1, 0, 3, 1.0}, Start);
     Targets.onAttemptEnd(Name, true, Start);
     Target Again = makeTarget("a", "d1", 2);
     Again.ColdFor = 3s;
-    Targets.apply({false, {TargetRegistered{Again}}}, Start + 1s);
+    Targets.apply(batch(false, {TargetRegistered{Again}}), Start + 1s);
     const TargetView &View = *Targets.find(Name);
     CPPUNIT_ASSERT(!View.Load);
     CPPUNIT_ASSERT_EQUAL(0.0, TargetTable::failures(View, Start + 1s));
     CPPUNIT_ASSERT(View.isCold(Start + 2s) && !View.isCold(Start + 4s));
     Targets.onLoad(Name, {1, 0, 3, 1.0}, Start + 2s);
-    Targets.apply({false, {TargetRegistered{Again}}}, Start + 2s);
+    Targets.apply(batch(false, {TargetRegistered{Again}}), Start + 2s);
     CPPUNIT_ASSERT_MESSAGE("the same start keeps what is known", Targets.find(Name)->Load);
   }
 
   /// Guards against a dead target that is asked again and again, and one that is never asked again.
   void probes() {
     TargetTable Targets;
-    Targets.apply({true, {TargetRegistered{makeTarget("a")}}}, Start);
+    Targets.apply(batch(true, {TargetRegistered{makeTarget("a")}}), Start);
     const TargetName Name("a");
     const Duration Table[] = {200ms, 400ms, 800ms, 1600ms, 2s, 2s};
     TimePoint Now = Start;
@@ -153,7 +150,7 @@
   /// Guards against a target that is avoided for good after a few failures.
   void failuresFade() {
     TargetTable Targets;
-    Targets.apply({true, {TargetRegistered{makeTarget("a")}}}, Start);
+    Targets.apply(batch(true, {TargetRegistered{makeTarget("a")}}), Start);
     const TargetName Name("a");
     Targets.onSent(Name);
     Targets.onSent(Name);
--- a/tests/auto/libs/protocol/tst_daemonsettings.cpp
+++ b/tests/auto/libs/protocol/tst_daemonsettings.cpp
@@ -13,6 +13,7 @@
 callers = "10.1.0.9:8080"
 readiness = "10.1.0.9:8081"
 directory = "10.1.0.9:8082"
+control = "10.1.0.9:8083"
 operators = "10.1.0.9:9464"
 peer_ports = [7200, 7215]
 [store]
