Expect waits by the starts while requests wait; read the store at the start

Cause: (1) starts without a queue tell the rate of arrivals, not what the targets bear; callers were refused as soon as a queue formed. Change: the rate counts only while requests wait; requests at the end of the queue are refused once their turn will come too late; a new entry reads the store at once.

--- a/src/libs/coordination/DispatchQueue.cpp
+++ b/src/libs/coordination/DispatchQueue.cpp
@@ -1,5 +1,6 @@
 #include "coordination/DispatchQueue.h"
 
+#include <algorithm>
 #include <iterator>
 #include <limits>
 
@@ -9,6 +10,8 @@
 
 /// Span over which starts are counted for the expected wait.
 constexpr Duration RateWindow = std::chrono::seconds(1);
+/// A queue that has stood for less time may be gone with the next answer of a target.
+constexpr Duration ShortestSpan = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -20,6 +23,10 @@
 
 void DispatchQueue::push(RequestNumber Request, const RequestTerms &Terms, Duration Work,
                          TimePoint Now) {
+  if (this->Order.empty()) {
+    this->WaitingSince = Now;
+    this->Starts.clear();
+  }
   const Place Added = makePlace(Request, Terms, Work, Now);
   this->Order.insert(Added);
   this->Places.emplace(Request, Added);
@@ -49,21 +56,48 @@
   return std::nullopt;
 }
 
-void DispatchQueue::onStart(TimePoint Now) { this->Starts.push_back(Now); }
-
-std::optional<Duration> DispatchQueue::expectedWait(const RequestTerms &Terms, Duration Work,
-                                                    TimePoint Now) {
-  while (!this->Starts.empty() && this->Starts.front() < Now - RateWindow) {
+void DispatchQueue::onStart(TimePoint Now) {
+  this->Starts.push_back(Now);
+  while (this->Starts.front() < Now - RateWindow) {
     this->Starts.pop_front();
   }
-  if (this->Starts.empty()) {
+}
+
+std::optional<Duration> DispatchQueue::startInterval(TimePoint Now) const {
+  const Duration Span = std::min(RateWindow, Now - this->WaitingSince);
+  const auto Counted = std::count_if(this->Starts.begin(), this->Starts.end(),
+                                     [&](TimePoint Start) { return Start >= Now - Span; });
+  if (this->Order.empty() || Span < ShortestSpan || Counted == 0) {
+    return std::nullopt;
+  }
+  return Span / Counted;
+}
+
+std::optional<Duration> DispatchQueue::expectedWait(const RequestTerms &Terms, Duration Work,
+                                                    TimePoint Now) const {
+  const std::optional<Duration> Interval = this->startInterval(Now);
+  if (!Interval) {
     return std::nullopt;
   }
   // A new request comes behind those that are equal to it.
   constexpr RequestNumber Newest = std::numeric_limits<RequestNumber>::max();
   const auto Behind = this->Order.lower_bound(makePlace(Newest, Terms, Work, Now));
-  const auto Ahead = std::distance(this->Order.begin(), Behind);
-  return RateWindow * Ahead / static_cast<std::int64_t>(this->Starts.size());
+  return *Interval * std::distance(this->Order.begin(), Behind);
+}
+
+std::optional<RequestNumber> DispatchQueue::last() const {
+  if (this->Order.empty()) {
+    return std::nullopt;
+  }
+  return this->Order.rbegin()->Request;
+}
+
+std::optional<Duration> DispatchQueue::waitOfLast(TimePoint Now) const {
+  const std::optional<Duration> Interval = this->startInterval(Now);
+  if (!Interval) {
+    return std::nullopt;
+  }
+  return *Interval * static_cast<std::int64_t>(this->Order.size() - 1);
 }
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/DispatchQueue.h
+++ b/src/libs/coordination/DispatchQueue.h
@@ -23,13 +23,19 @@
   /// First request; nothing if the queue is empty. Requests that can no longer meet their objective
   /// move back first.
   std::optional<RequestNumber> first(TimePoint Now);
+  /// The request that comes last; nothing if the queue is empty.
+  std::optional<RequestNumber> last() const;
+  /// Expected wait of the last request; nothing as long as the starts are too few.
+  std::optional<Duration> waitOfLast(TimePoint Now) const;
   bool empty() const { return this->Places.empty(); }
   std::size_t size() const { return this->Places.size(); }
 
   /// Records that a request of the service was sent to a target.
   void onStart(TimePoint Now);
-  /// Expected wait of a request that arrives now; nothing while no starts are known.
-  std::optional<Duration> expectedWait(const RequestTerms &Terms, Duration Work, TimePoint Now);
+  /// Expected wait of a request that arrives now, by the starts while requests waited; nothing as
+  /// long as these are too few. Starts without a queue tell only how many requests arrived.
+  std::optional<Duration> expectedWait(const RequestTerms &Terms, Duration Work,
+                                       TimePoint Now) const;
 
 private:
   struct Place {
@@ -42,11 +48,16 @@
     auto operator<=>(const Place &) const = default;
   };
 
+  /// Time between two starts while requests wait; nothing as long as these are too few.
+  std::optional<Duration> startInterval(TimePoint Now) const;
   static Place makePlace(RequestNumber Request, const RequestTerms &Terms, Duration Work,
                          TimePoint Now);
 
   std::set<Place> Order;
   std::map<RequestNumber, Place> Places;
+  /// Since then requests have waited without a break.
+  TimePoint WaitingSince{};
+  /// Starts after WaitingSince, within the last RateWindow.
   std::deque<TimePoint> Starts;
 };
 
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -382,8 +382,21 @@
   this->updateTimer(Number, Current);
 }
 
+void Dispatcher::refuseHopeless(DispatchQueue &Queue, TimePoint Now) {
+  while (const auto Wait = Queue.waitOfLast(Now)) {
+    const RequestNumber Last = *Queue.last();
+    const Request &Current = this->Requests.at(Last);
+    const Duration Least = scaled(this->expected(Current).Work, LeastWorkPart);
+    if (Now + *Wait + Least < Current.Terms.Deadline) {
+      return;
+    }
+    this->finishWithoutTarget(Last, "no target will have room in time", Now);
+  }
+}
+
 void Dispatcher::runQueue(const ServiceName &Service, TimePoint Now) {
   ServiceState &State = this->States[Service];
+  this->refuseHopeless(State.Queue, Now);
   if (State.Searches >= MaxQueueSearches) {
     return;
   }
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -141,6 +141,8 @@
 
   void enqueue(RequestNumber Number, TimePoint Now);
   void runQueue(const ServiceName &Service, TimePoint Now);
+  /// Refuses requests at the end of the queue whose time will be over before their turn.
+  void refuseHopeless(DispatchQueue &Queue, TimePoint Now);
   bool canRepeat(const Request &Current, TimePoint Now);
   bool hasRunning(const Request &Current) const;
   void onFailedAttempt(RequestNumber Number, TimePoint Now);
--- a/src/libs/coordination/PublicationSpread.cpp
+++ b/src/libs/coordination/PublicationSpread.cpp
@@ -103,8 +103,8 @@
 
 void PublicationSpread::onTick(TimePoint Now) {
   const bool IsNew = Now - this->Started < FirstLook;
-  const TimePoint Heard = this->LastNoticeHeard.value_or(this->Started);
-  const bool IsSilent = Now - Heard >= SilenceLimit;
+  // A new entry reads the source at once: after a loss of all entries nobody else can tell it.
+  const bool IsSilent = !this->LastNoticeHeard || Now - *this->LastNoticeHeard >= SilenceLimit;
   const bool IsChosen = !IsNew && this->isDesignated(this->Self, this->Places.OwnDomain);
   // Of several entries that took over, the first in order stays.
   const bool IsPreceded = Now - this->LastPrecedence < SilenceLimit;
--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -100,10 +100,18 @@
 
 std::string RequestParser::takeBody() { return std::move(this->Inner->Beast.get().body()); }
 
-void RequestParser::next() { this->start(); }
+void RequestParser::add(std::string_view Bytes) {
+  this->Started = this->Started || !Bytes.empty();
+  this->Buffer += Bytes;
+}
+
+void RequestParser::next() {
+  this->start();
+  this->Started = !this->Buffer.empty();
+}
 
 bool RequestParser::isStarted() const {
-  return this->HeadDone ? !this->Inner->Beast.is_done() : !this->Buffer.empty();
+  return this->Started && !this->Inner->Beast.is_done();
 }
 
 bool RequestParser::awaitsContinue() const {
--- a/src/libs/protocol/RequestParser.h
+++ b/src/libs/protocol/RequestParser.h
@@ -32,7 +32,7 @@
   RequestParser &operator=(const RequestParser &) = delete;
 
   /// Adds bytes from the connection.
-  void add(std::string_view Bytes) { this->Buffer += Bytes; }
+  void add(std::string_view Bytes);
   /// Parses as far as the bytes go.
   State parse();
   /// Head of the request. Precondition: parse() returned Complete.
@@ -63,6 +63,8 @@
   std::unique_ptr<Parser> Inner;
   std::string Buffer;
   RequestHead Head;
+  /// Bytes of a request arrived; the parser may have taken them from the buffer.
+  bool Started = false;
   bool HeadDone = false;
   int ErrorStatus = 0;
   std::string ErrorText;
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -49,7 +49,7 @@
 
 bool HttpConnection::wantsClose(const HttpExchange &Exchange) const {
   // A request behind this one would be lost with the connection.
-  const bool IsLast = this->Exchanges.back().get() == &Exchange && this->Parser.buffered() == 0;
+  const bool IsLast = this->Exchanges.back().get() == &Exchange && !this->Parser.isStarted();
   return this->Server.isClosing() && IsLast;
 }
 
--- a/tests/auto/libs/protocol/tst_requestparser.cpp
+++ b/tests/auto/libs/protocol/tst_requestparser.cpp
@@ -87,6 +87,9 @@
   void states() {
     RequestParser Parser({1000, 100});
     CPPUNIT_ASSERT(!Parser.isStarted());
+    RequestParser Partial({1000, 100});
+    Partial.add("GET /a HTTP/1.1\r\n");
+    CPPUNIT_ASSERT(Partial.parse() == State::Incomplete && Partial.isStarted());
     Parser.add("POST /u HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
     CPPUNIT_ASSERT(Parser.parse() == State::Incomplete);
     CPPUNIT_ASSERT(Parser.isStarted() && Parser.awaitsContinue());
--- /dev/null
+++ b/tests/auto/libs/transport/FakeProtocol.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "protocol/ExchangeProtocol.h"
+
+#include <charconv>
+#include <string>
+
+namespace anvilsaddle {
+
+/// Headers `Id`, `Left` (milliseconds), `Expect-Instance`, `Signed`, `Not-Run`, `Load`
+/// (`running,slots`), `Instance` and `Cold` (milliseconds).
+class FakeProtocol final : public ExchangeProtocol, public EntryPages {
+public:
+  CallerTerms readRequest(const RequestHead &Head) const override {
+    CallerTerms Result;
+    Result.RequestId = findField(Head.Fields, "Id");
+    if (const std::string_view Left = findField(Head.Fields, "Left"); !Left.empty()) {
+      Result.Remaining = std::chrono::milliseconds(number(Left));
+    }
+    return Result;
+  }
+
+  void stampRequest(FieldList &Fields, const TargetName &Expected,
+                    Duration Remaining) const override {
+    std::erase_if(Fields, [](const auto &Each) { return Each.first == "Left"; });
+    Fields.emplace_back("Left", std::to_string(Remaining.count() / 1000));
+    Fields.emplace_back("Expect-Instance", Expected.str());
+  }
+
+  TargetStatement readAnswer(const AnswerHead &Head) const override {
+    TargetStatement Result;
+    Result.RequestId = Head.field("Id");
+    Result.IsSigned = !Head.field("Signed").empty();
+    Result.NotRun = !Head.field("Not-Run").empty();
+    Result.Instance = TargetName(std::string(Head.field("Instance")));
+    if (const std::string_view Load = Head.field("Load"); !Load.empty()) {
+      Result.Load = LoadReport{static_cast<std::uint32_t>(number(Load)), 0, 3, 1};
+    }
+    if (const std::string_view Cold = Head.field("Cold"); !Cold.empty()) {
+      Result.ColdFor = std::chrono::milliseconds(number(Cold));
+    }
+    return Result;
+  }
+
+  bool isReadinessQuestion(const RequestHead &Head) const override {
+    return pathOf(Head.Target) == "/ready";
+  }
+  std::optional<AddressQuestion> readAddressQuestion(const RequestHead &Head) const override {
+    if (pathOf(Head.Target) != "/entries") {
+      return std::nullopt;
+    }
+    return AddressQuestion{queryParameter(Head.Target, "host"),
+                           RegionName(queryParameter(Head.Target, "region")),
+                           FailureDomainName(queryParameter(Head.Target, "domain"))};
+  }
+  std::string writeAddresses(const std::vector<Endpoint> &Entries, Duration) const override {
+    std::string Result;
+    for (const Endpoint &Each : Entries) {
+      Result += toString(Each) + "\n";
+    }
+    return Result;
+  }
+
+private:
+  static int number(std::string_view Text) {
+    int Result = 0;
+    std::from_chars(Text.data(), Text.data() + Text.size(), Result);
+    return Result;
+  }
+};
+
+} // namespace anvilsaddle
--- a/tests/auto/libs/transport/tst_targetcall.cpp
+++ b/tests/auto/libs/transport/tst_targetcall.cpp
@@ -19,6 +19,7 @@
     TargetRequest Request;
     Request.Destination = {"127.0.0.1", Port};
     Request.IsHead = Method == "HEAD";
+    Request.MaxIdle = std::chrono::seconds(5);
     Request.Head = Method + " /x HTTP/1.1\r\nHost: t\r\n\r\n";
     this->Call = std::make_unique<TargetCall>(Connections, std::move(Request), *this);
     this->Call->send();
--- /dev/null
+++ b/tests/auto/platform/tst_platformprotocol.cpp
@@ -0,0 +1,100 @@
+#include "Property.h"
+#include "platform/PlatformProtocol.h"
+
+using namespace anvilsaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+const platform::PlatformProtocol Protocol;
+
+AnswerHead withField(const std::string &Name, const std::string &Value, int Status = 200) {
+  AnswerHead Result;
+  Result.Status = Status;
+  Result.Fields = {{Name, Value}};
+  return Result;
+}
+
+} // namespace
+
+class PlatformProtocolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformProtocolTest);
+  CPPUNIT_TEST(requests);
+  CPPUNIT_TEST(loads);
+  CPPUNIT_TEST(statements);
+  CPPUNIT_TEST(pages);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Guards against a target that is told more time than the caller has, or an old instance.
+  void requests() {
+    RequestHead Head;
+    Head.Fields = {{"x-anvilsaddle-attempt-id", "9c"},
+                   {"X-Anvilsaddle-Remaining-Milliseconds", "1500"},
+                   {"X-Anvilsaddle-Expected-Instance", "forged"}};
+    const CallerTerms Terms = Protocol.readRequest(Head);
+    CPPUNIT_ASSERT_EQUAL(std::string("9c"), Terms.RequestId);
+    CPPUNIT_ASSERT(Terms.Remaining == 1500ms);
+    Protocol.stampRequest(Head.Fields, TargetName("i-7"), 1234567us);
+    CPPUNIT_ASSERT(Head.Fields == (FieldList{{"x-anvilsaddle-attempt-id", "9c"},
+                                             {"X-Anvilsaddle-Remaining-Milliseconds", "1234"},
+                                             {"X-Anvilsaddle-Expected-Instance", "i-7"}}));
+    for (const char *Bad : {"", "-5", "x", "1500ms", "99999999999999999999"}) {
+      RequestHead Other;
+      Other.Fields = {{"X-Anvilsaddle-Remaining-Milliseconds", Bad}};
+      CPPUNIT_ASSERT_MESSAGE(Bad, !Protocol.readRequest(Other).Remaining);
+    }
+  }
+
+  void loads() {
+    const std::pair<const char *, std::optional<LoadReport>> Table[] = {
+        {"3,0,8", LoadReport{3, 0, 8, 1}}, {"3,1,8,250", LoadReport{3, 1, 8, 2.5}},
+        {"3,1,8,250,7", LoadReport{3, 1, 8, 2.5}}, {"3,1", {}}, {"3,1,0", {}},
+        {"3,-1,8", {}}, {"a,b,c", {}}, {"", {}}, {"3,,8", {}},
+    };
+    for (const auto &[Text, Expected] : Table) {
+      const auto Statement =
+          Protocol.readAnswer(withField("X-Anvilsaddle-Server-Load", Text));
+      CPPUNIT_ASSERT_MESSAGE(Text, Statement.Load == Expected);
+    }
+  }
+
+  /// Guards against a promise of a target that is overheard or made up.
+  void statements() {
+    struct Case {
+      AnswerHead Head;
+      bool NotRun;
+      bool IsSigned;
+    };
+    const Case Table[] = {
+        {withField("X-Anvilsaddle-Not-Executed", "1", 503), true, false},
+        {withField("X", "1", 503), false, false},
+        {withField("X-Anvilsaddle-Instance-Id", "i-8", 421), true, false},
+        {withField("X-Anvilsaddle-Response-Signature", "3e1b"), false, true},
+    };
+    for (const Case &Each : Table) {
+      const auto Statement = Protocol.readAnswer(Each.Head);
+      CPPUNIT_ASSERT_EQUAL(Each.NotRun, Statement.NotRun);
+      CPPUNIT_ASSERT_EQUAL(Each.IsSigned, Statement.IsSigned);
+    }
+    CPPUNIT_ASSERT(Protocol.readAnswer(withField("X-Anvilsaddle-Cold-Milliseconds", "2500"))
+                       .ColdFor == 2500ms);
+    CPPUNIT_ASSERT(Protocol.readAnswer(withField("X-Anvilsaddle-Instance-Id", "i-8")).Instance ==
+                   TargetName("i-8"));
+  }
+
+  void pages() {
+    RequestHead Head;
+    Head.Target = "/-/resolve?name=jepu9.example&region=norte&zone=norte-a";
+    const AddressQuestion Expected{"jepu9.example", RegionName("norte"),
+                                   FailureDomainName("norte-a")};
+    CPPUNIT_ASSERT(Protocol.readAddressQuestion(Head) == Expected);
+    CPPUNIT_ASSERT(!Protocol.isReadinessQuestion(Head));
+    Head.Target = "/-/readiness";
+    CPPUNIT_ASSERT(Protocol.isReadinessQuestion(Head) && !Protocol.readAddressQuestion(Head));
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"addresses":["10.1.0.18:8381"],"ttlS":1.5})"),
+                         Protocol.writeAddresses({{"10.1.0.18", 8381}}, 1500ms));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
--- /dev/null
+++ b/tests/auto/platform/tst_storedecoder.cpp
@@ -0,0 +1,127 @@
+#include "Property.h"
+#include "platform/StoreDecoder.h"
+
+using namespace anvilsaddle;
+using namespace anvilsaddle::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const char *const GoodTarget =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"kaskelen","version":"v1",)"
+    R"("slots":3,"state":"ready","coldRemainingS":1.5,"sequence":4,"born":1700000000123})";
+
+const char *const GoodConfiguration =
+    R"({"version":"0000001f","routes":{"columns":["name","host","pathPrefix","kind","timeoutS",)"
+    R"("targetLatencyS","priority","service","attempts","allowedRegions","trafficSplit"],"rows":[)"
+    R"(["r-1","h.example","/x/","unsafe",2.5,0.5,1,"wuno96b",2,["zhetysu"],null],)"
+    R"(["r-2","h.example","/y/","download",2,0.4,2,null,3,[],)"
+    R"([{"service":"huvo11a","weight":90},{"service":"kafi81c","weight":10}]]]},)"
+    R"("services":{"columns":["name","healthCheckPath","coldPerS"],"rows":[["wuno96b","/health",4.0]]},)"
+    R"("limits":{"headerBytes":16384,"bodyBytes":1000,"headerTimeoutS":3,"idleTimeoutS":15}})";
+
+} // namespace
+
+class StoreDecoderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreDecoderTest);
+  CPPUNIT_TEST(pages);
+  CPPUNIT_TEST(targets);
+  CPPUNIT_TEST(foreignItems);
+  CPPUNIT_TEST(configurations);
+  CPPUNIT_TEST(otherItems);
+  CPPUNIT_TEST(anyBytesAreSurvived);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void pages() {
+    const auto Range = std::get<StorePage>(readPage(
+        R"({"items":[{"key":"a","value":"eHk=","revision":4,"created":4,"lease":0}],)"
+        R"("hasMore":true,"at":530})"));
+    CPPUNIT_ASSERT(Range == (StorePage{{{"a", "xy"}}, true, 530}));
+    const auto Watch = std::get<StorePage>(
+        readPage(R"({"events":[{"key":"a","revision":5,"removed":true}],"at":531})"));
+    CPPUNIT_ASSERT(Watch == (StorePage{{{"a", std::nullopt}}, false, 531}));
+    for (const char *Bad : {"", "{}", R"({"items":[]})", R"({"items":[{"key":1}],"at":1})",
+                            R"({"items":7,"at":1})", "[]"}) {
+      CPPUNIT_ASSERT_MESSAGE(Bad, std::holds_alternative<Finding>(readPage(Bad)));
+    }
+  }
+
+  void targets() {
+    const auto Read = readItem({"servers/i-7f", GoodTarget});
+    const Target &Value = std::get<TargetRegistered>(std::get<Publication>(Read)).Value;
+    CPPUNIT_ASSERT(Value == (Target{TargetName("i-7f"), ServiceName("huvo11a"),
+                                    {"10.128.0.9", 8080}, FailureDomainName("kaskelen"), 3, false,
+                                    1500ms, 1700000000123}));
+    const auto Gone = readItem({"servers/i-7f", std::nullopt});
+    CPPUNIT_ASSERT(std::get<TargetRemoved>(std::get<Publication>(Gone)).Name ==
+                   TargetName("i-7f"));
+  }
+
+  /// Guards against an entry of another writer that is used as a target, or that hides the others.
+  void foreignItems() {
+    const std::pair<std::string, std::string> Table[] = {
+        {R"("state":"ready")", R"("state":"resting")"},
+        {R"("state":"ready")", R"("state":7)"},
+        {R"("address":"10.128.0.9:8080")", R"("address":"nowhere")"},
+        {R"("address":"10.128.0.9:8080",)", ""},
+        {R"("slots":3)", R"("slots":"3")"},
+        {R"("slots":3)", R"("slots":-3)"},
+        {R"("zone":"kaskelen",)", ""},
+        {R"("service":"huvo11a")", R"("service":null)"},
+        {R"("born":1700000000123)", R"("born":"yesterday")"},
+        {R"({"service")", R"({{"service")"},
+    };
+    for (const auto &[Old, New] : Table) {
+      std::string Text = GoodTarget;
+      Text.replace(Text.find(Old), Old.size(), New);
+      const auto Read = readItem({"servers/i-7f", Text});
+      CPPUNIT_ASSERT_MESSAGE(Text, std::holds_alternative<Finding>(Read));
+      CPPUNIT_ASSERT_EQUAL(std::string("servers/i-7f"), std::get<Finding>(Read).Path);
+    }
+    for (const char *Bad : {"", "7", "null", "[]", "\xff\xfe"}) {
+      CPPUNIT_ASSERT(std::holds_alternative<Finding>(readItem({"servers/i-7f", Bad})));
+    }
+    CPPUNIT_ASSERT(std::holds_alternative<Finding>(readItem({"servers/", GoodTarget})));
+  }
+
+  void configurations() {
+    const auto Read = readItem({"op/config", GoodConfiguration});
+    const auto &Settings = std::get<Configuration>(std::get<Publication>(Read));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{31}, Settings.Version);
+    const Route First{RouteName("r-1"), "h.example", "/x/", false, 2500ms, 500ms, 1, 2,
+                      {{ServiceName("wuno96b"), 1}}, {RegionName("zhetysu")}};
+    const Route Second{RouteName("r-2"), "h.example", "/y/", true, 2s, 400ms, 2, 3,
+                       {{ServiceName("huvo11a"), 90}, {ServiceName("kafi81c"), 10}}, {}};
+    CPPUNIT_ASSERT(Settings.Routes == (std::vector<Route>{First, Second}));
+    CPPUNIT_ASSERT(Settings.Services.at(ServiceName("wuno96b")) ==
+                   (Service{ServiceName("wuno96b"), "/health", 4.0}));
+    CPPUNIT_ASSERT(Settings.Limits == (CallerLimits{16384, 1000, 3s, 15s}));
+    CPPUNIT_ASSERT(std::holds_alternative<Finding>(readItem({"op/config", "{}"})));
+  }
+
+  void otherItems() {
+    const auto Out = readItem({"op/evacuate/lenger", "{}"});
+    CPPUNIT_ASSERT(std::get<DomainEvacuation>(std::get<Publication>(Out)) ==
+                   (DomainEvacuation{FailureDomainName("lenger"), true}));
+    const auto Back = readItem({"op/evacuate/lenger", std::nullopt});
+    CPPUNIT_ASSERT(!std::get<DomainEvacuation>(std::get<Publication>(Back)).Active);
+    CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(readItem({"my/leader", "x"})));
+    CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(readItem({"op/config", std::nullopt})));
+  }
+
+  void anyBytesAreSurvived() {
+    checkProperty("any item is read or refused", [] {
+      std::string Text = *rc::gen::element(std::string(GoodTarget), std::string(GoodConfiguration));
+      for (int Change = *rc::gen::inRange(1, 4); Change > 0; --Change) {
+        const auto Place = *rc::gen::inRange<std::size_t>(0, Text.size());
+        Text[Place] = *rc::gen::arbitrary<char>();
+      }
+      readItem({"servers/i", Text});
+      readItem({"op/config", Text});
+      readPage(Text);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreDecoderTest);
