--- a/src/anvilsaddle/CheckCommand.cpp
+++ b/src/anvilsaddle/CheckCommand.cpp
@@ -42,9 +42,7 @@
 void CheckCommand::addTo(CLI::App &App) {
   this->Declared = App.add_subcommand(
       "check", "Check local settings of daemons offline and show all findings together");
-  this->Declared->add_option("path", this->Paths, "Files")
-      ->required()
-      ->check(CLI::ExistingFile);
+  this->Declared->add_option("path", this->Paths, "Files")->required()->check(CLI::ExistingFile);
   this->Declared->add_flag("--json", this->Json, "Write JSON instead of lines");
 }
 
--- a/src/anvilsaddle/StatusCommand.cpp
+++ b/src/anvilsaddle/StatusCommand.cpp
@@ -9,7 +9,8 @@
 namespace leaf = boost::leaf;
 
 void StatusCommand::addTo(CLI::App &App) {
-  this->Declared = App.add_subcommand("status", "Show the state of a daemon and the entries it knows");
+  this->Declared =
+      App.add_subcommand("status", "Show the state of a daemon and the entries it knows");
   this->Daemon.addTo(*this->Declared, "operators");
 }
 
@@ -29,8 +30,8 @@
   Out << '\n';
   TextTable Entries({"ENTRY", "FAILURE DOMAIN", "STATE"});
   for (const auto &Each : Status.value("entries", nlohmann::json::array())) {
-    Entries.add({fieldText(Each, "address"), fieldText(Each, "failure_domain"),
-                 fieldText(Each, "state")});
+    Entries.add(
+        {fieldText(Each, "address"), fieldText(Each, "failure_domain"), fieldText(Each, "state")});
   }
   Entries.write(Out);
   return ExitCode::Fine;
--- a/src/libs/coordination/AddressDirectory.cpp
+++ b/src/libs/coordination/AddressDirectory.cpp
@@ -35,21 +35,19 @@
                                        const Topology &Places, const RegionName &CallerRegion,
                                        const FailureDomainName &CallerDomain,
                                        const std::vector<const Route *> &Routes) {
-  std::vector<std::string> Result = select(
-      Live, [&](const MemberRecord &Each) { return Each.Domain == CallerDomain; });
+  std::vector<std::string> Result =
+      select(Live, [&](const MemberRecord &Each) { return Each.Domain == CallerDomain; });
   if (Result.size() >= EnoughNear) {
     return Result;
   }
-  Result = select(Live, [&](const MemberRecord &Each) {
-    return Places.regionOf(Each.Domain) == CallerRegion;
-  });
+  Result = select(
+      Live, [&](const MemberRecord &Each) { return Places.regionOf(Each.Domain) == CallerRegion; });
   if (!Result.empty()) {
     return Result;
   }
   const std::set<RegionName> Home = homeRegions(Routes);
-  Result = select(Live, [&](const MemberRecord &Each) {
-    return Home.contains(Places.regionOf(Each.Domain));
-  });
+  Result = select(
+      Live, [&](const MemberRecord &Each) { return Home.contains(Places.regionOf(Each.Domain)); });
   if (!Result.empty()) {
     return Result;
   }
--- a/src/libs/coordination/DispatchTypes.h
+++ b/src/libs/coordination/DispatchTypes.h
@@ -136,7 +136,6 @@
   auto operator<=>(const RefuseRequest &) const = default;
 };
 
-using Effect =
-    std::variant<ProbeTarget, SendAttempt, CancelAttempt, DeliverAnswer, RefuseRequest>;
+using Effect = std::variant<ProbeTarget, SendAttempt, CancelAttempt, DeliverAnswer, RefuseRequest>;
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -117,9 +117,9 @@
   if (Region.empty() || (!Home.empty() && !Home.contains(Region)) || Now < View.AvoidUntil) {
     return false;
   }
-  const bool IsUsed = std::any_of(
-      Current.Attempts.begin(), Current.Attempts.end(),
-      [&View](const Attempt &Each) { return Each.Target == View.Record.Name; });
+  const bool IsUsed =
+      std::any_of(Current.Attempts.begin(), Current.Attempts.end(),
+                  [&View](const Attempt &Each) { return Each.Target == View.Record.Name; });
   if (IsUsed) {
     return false;
   }
@@ -152,7 +152,8 @@
   const std::size_t Count = std::min(Result.size(), IsReserve ? ReserveTargets : StageTargets);
   for (std::size_t Index = 0; Index < Count; ++Index) {
     const auto Left = static_cast<double>(Result.size() - Index);
-    std::swap(Result[Index], Result[Index + static_cast<std::size_t>(this->Random.uniform() * Left)]);
+    std::swap(Result[Index],
+              Result[Index + static_cast<std::size_t>(this->Random.uniform() * Left)]);
   }
   Result.resize(Count);
   return Result;
@@ -262,11 +263,11 @@
       return;
     }
     const Search &Looking = *Current.Looking;
-    const bool Waits = Now < Looking.StageEnds &&
-                       std::any_of(Looking.Candidates.begin(), Looking.Candidates.end(),
-                                   [this, &Looking](const TargetName &Each) {
-                                     return this->isPending(Each, Looking);
-                                   });
+    const bool Waits =
+        Now < Looking.StageEnds && std::any_of(Looking.Candidates.begin(), Looking.Candidates.end(),
+                                               [this, &Looking](const TargetName &Each) {
+                                                 return this->isPending(Each, Looking);
+                                               });
     if (Waits) {
       this->updateTimer(Number, Current);
       return;
@@ -298,8 +299,8 @@
   }
   const bool IsHedge = Current.Looking->IsHedge;
   this->endSearch(Current);
-  this->send(Number, *View,
-             {*View->Load, Now - View->LoadTime, Choice.Cost, Candidates, IsHedge}, Now);
+  this->send(Number, *View, {*View->Load, Now - View->LoadTime, Choice.Cost, Candidates, IsHedge},
+             Now);
   return true;
 }
 
@@ -342,8 +343,8 @@
     return;
   }
   const Duration Work = this->expected(Current).Work;
-  const TimePoint Usual = Now + std::max(scaled(Work, HedgeWorkFactor),
-                                         scaled(Note.ExpectedCost, HedgeExpectedFactor));
+  const TimePoint Usual =
+      Now + std::max(scaled(Work, HedgeWorkFactor), scaled(Note.ExpectedCost, HedgeExpectedFactor));
   const TimePoint Latest =
       Current.Terms.Received + Current.Terms.Objective - scaled(Work, HedgeReserve);
   // Before the usual time has passed there is no reason for a hedge.
--- a/src/libs/coordination/Membership.cpp
+++ b/src/libs/coordination/Membership.cpp
@@ -94,9 +94,8 @@
     this->Dead[Next->first] = {Next->second.Record, Now};
     Next = this->Members.erase(Next);
   }
-  std::erase_if(this->Dead, [Now](const auto &Each) {
-    return Now - Each.second.LastRise >= DeadKept;
-  });
+  std::erase_if(this->Dead,
+                [Now](const auto &Each) { return Now - Each.second.LastRise >= DeadKept; });
   if (Now < this->NextRound) {
     return {};
   }
@@ -160,9 +159,10 @@
   for (const auto &[Address, Each] : this->Members) {
     Result.push_back(Each.Record);
   }
-  const auto Place = std::lower_bound(
-      Result.begin(), Result.end(), this->Self,
-      [](const MemberRecord &Left, const MemberRecord &Right) { return Left.Address < Right.Address; });
+  const auto Place = std::lower_bound(Result.begin(), Result.end(), this->Self,
+                                      [](const MemberRecord &Left, const MemberRecord &Right) {
+                                        return Left.Address < Right.Address;
+                                      });
   Result.insert(Place, this->Self);
   return Result;
 }
--- a/src/libs/coordination/Placement.cpp
+++ b/src/libs/coordination/Placement.cpp
@@ -66,9 +66,10 @@
   if (Rated.empty()) {
     return std::nullopt;
   }
-  const auto Best = std::min_element(
-      Rated.begin(), Rated.end(),
-      [](const PlacementChoice &Left, const PlacementChoice &Right) { return Left.Cost < Right.Cost; });
+  const auto Best = std::min_element(Rated.begin(), Rated.end(),
+                                     [](const PlacementChoice &Left, const PlacementChoice &Right) {
+                                       return Left.Cost < Right.Cost;
+                                     });
   const auto Limit = std::chrono::duration_cast<Duration>(Best->Cost * (1 + TiePart));
   std::vector<PlacementChoice> Ties;
   for (const PlacementChoice &Each : Rated) {
--- a/src/libs/coordination/WorkEstimate.cpp
+++ b/src/libs/coordination/WorkEstimate.cpp
@@ -30,7 +30,8 @@
   const Duration Usual = std::chrono::duration_cast<Duration>(Elapsed / std::max(1.0, Slowdown));
   // Steps of equal size up and down settle at the median, which single slow answers don't move.
   const double Factor = Usual > Current.Work ? 1 + MedianStep : 1 - MedianStep;
-  Current.Work = std::max(Duration(1000), std::chrono::duration_cast<Duration>(Current.Work * Factor));
+  Current.Work =
+      std::max(Duration(1000), std::chrono::duration_cast<Duration>(Current.Work * Factor));
   Current.AnswerBytes += SizeWeight * (AnswerBytes - Current.AnswerBytes);
   this->Routes[Route] = Current;
 }
--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -74,7 +74,8 @@
   Cold.BurstFactor = Limits.numberOr("cold_burst_factor", Cold.BurstFactor, 0, 100);
   Cold.Slack = Limits.numberOr("cold_slack", Cold.Slack, 0, 1e4);
   Result.StopGrace = Limits.secondsOr("stop_grace_s", Result.StopGrace, 1s, 1h);
-  Result.AddressLifetime = Limits.secondsOr("address_lifetime_s", Result.AddressLifetime, 100ms, 1h);
+  Result.AddressLifetime =
+      Limits.secondsOr("address_lifetime_s", Result.AddressLifetime, 100ms, 1h);
   Result.MaxConnections = Limits.integerOr("max_connections", Result.MaxConnections, 1, 100'000);
   Result.AuditEntries = Limits.integerOr("audit_entries", Result.AuditEntries, 1, 1'000'000);
   Limits.reportUnknownKeys();
--- a/src/libs/protocol/GlibSealer.cpp
+++ b/src/libs/protocol/GlibSealer.cpp
@@ -25,7 +25,8 @@
   // Every byte is looked at, so that the time tells nothing about the place of a difference.
   unsigned Difference = 0;
   for (std::size_t Index = 0; Index < Left.size(); ++Index) {
-    Difference |= static_cast<unsigned char>(Left[Index]) ^ static_cast<unsigned char>(Right[Index]);
+    Difference |=
+        static_cast<unsigned char>(Left[Index]) ^ static_cast<unsigned char>(Right[Index]);
   }
   return Difference == 0;
 }
--- a/src/libs/protocol/HttpMessage.cpp
+++ b/src/libs/protocol/HttpMessage.cpp
@@ -16,8 +16,8 @@
 namespace beast = boost::beast;
 
 constexpr std::array<std::string_view, 10> ConnectionFields = {
-    "Connection",       "Keep-Alive", "Proxy-Connection",  "Transfer-Encoding", "TE",
-    "Upgrade", "Proxy-Authenticate", "Proxy-Authorization", "Content-Length", "Trailer"};
+    "Connection", "Keep-Alive",         "Proxy-Connection",    "Transfer-Encoding", "TE",
+    "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization", "Content-Length",    "Trailer"};
 
 beast::string_view view(std::string_view Text) { return {Text.data(), Text.size()}; }
 
--- a/src/libs/protocol/PublicationCodec.cpp
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -175,14 +175,15 @@
 std::optional<PublicationBatch> readBatch(std::string_view Text) {
   // The buffer only observes the bytes; Thrift's interface lacks const.
   auto *Bytes = reinterpret_cast<std::uint8_t *>(const_cast<char *>(Text.data()));
-  const auto Buffer = std::make_shared<TMemoryBuffer>(Bytes, static_cast<std::uint32_t>(Text.size()));
+  const auto Buffer =
+      std::make_shared<TMemoryBuffer>(Bytes, static_cast<std::uint32_t>(Text.size()));
   const auto Limit = static_cast<std::int32_t>(Text.size());
   try {
     Protocol Reader(Buffer, Limit, Limit);
     wire::PublicationBatch In;
     In.read(&Reader);
-    PublicationBatch Result{In.complete, In.since, In.revision,
-                            Duration(In.removalsWaitMicroseconds), {}};
+    PublicationBatch Result{
+        In.complete, In.since, In.revision, Duration(In.removalsWaitMicroseconds), {}};
     for (const wire::Publication &Each : In.changes) {
       const auto Change = fromWire(Each);
       if (!Change) {
--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -110,9 +110,7 @@
   this->Started = !this->Buffer.empty();
 }
 
-bool RequestParser::isStarted() const {
-  return this->Started && !this->Inner->Beast.is_done();
-}
+bool RequestParser::isStarted() const { return this->Started && !this->Inner->Beast.is_done(); }
 
 bool RequestParser::awaitsContinue() const {
   return this->HeadDone && !this->Inner->Beast.is_done() && this->Buffer.empty() &&
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -39,28 +39,27 @@
 } // namespace
 
 EntryRuntime::EntryRuntime(DaemonSettings Given, Parts Uses)
-    : Settings(std::move(Given)), Uses(Uses),
-      Run{Uses.Time.unixMilliseconds(), Uses.Random.bits()}, Seals(this->Settings.FleetKey),
-      Audit(static_cast<std::size_t>(this->Settings.AuditEntries)),
+    : Settings(std::move(Given)), Uses(Uses), Run{Uses.Time.unixMilliseconds(), Uses.Random.bits()},
+      Seals(this->Settings.FleetKey), Audit(static_cast<std::size_t>(this->Settings.AuditEntries)),
       Decisions(this->Settings.Places, this->Settings.Dispatch, this->Settings.Callers.Address,
                 Uses.Random),
       Members(makeSelf(this->Settings, this->Run.StartedUnixMilliseconds), this->Settings.Places,
               toSet(this->Settings.Seeds), Uses.Random, Uses.Time.now()),
       Spread(this->Settings.Callers.Address, this->Settings.Places, Uses.Time.now()),
       Connections(Uses.Time),
-      Probes(this->Connections, Uses.Protocol,
-             {[this](const TargetName &Name, const ProbeReport &Report) {
-                this->Counters.onProbe(false);
-                this->Decisions.onProbe(Name, Report, this->now());
-                this->settle();
-              },
-              [this](const TargetName &Name, ProbeFailure Reason, const std::string &Text) {
-                this->Counters.onProbe(true);
-                logEvent(LogLevel::Info, "probe_failed",
-                         {{"target", Name.str()}, {"reason", Text}});
-                this->Decisions.onProbeFailed(Name, Reason, this->now());
-                this->settle();
-              }}),
+      Probes(
+          this->Connections, Uses.Protocol,
+          {[this](const TargetName &Name, const ProbeReport &Report) {
+             this->Counters.onProbe(false);
+             this->Decisions.onProbe(Name, Report, this->now());
+             this->settle();
+           },
+           [this](const TargetName &Name, ProbeFailure Reason, const std::string &Text) {
+             this->Counters.onProbe(true);
+             logEvent(LogLevel::Info, "probe_failed", {{"target", Name.str()}, {"reason", Text}});
+             this->Decisions.onProbeFailed(Name, Reason, this->now());
+             this->settle();
+           }}),
       Exchange(this->Published, this->Connections,
                {[this](const PublicationBatch &Batch) {
                   this->takeBatch(Batch);
@@ -76,10 +75,9 @@
              Uses.Random, [this] { this->settle(); }}),
       Pages(Uses.Pages, this->Members, this->Settings.Places, this->Flows,
             this->Settings.Callers.Port, this->Settings.AddressLifetime),
-      Operators({this->Decisions, this->Members, this->Flows, this->Audit, this->Counters,
-                 Uses.Time}),
-      CallerServer(this->Flows, Uses.Time,
-                   static_cast<std::size_t>(this->Settings.MaxConnections)),
+      Operators(
+          {this->Decisions, this->Members, this->Flows, this->Audit, this->Counters, Uses.Time}),
+      CallerServer(this->Flows, Uses.Time, static_cast<std::size_t>(this->Settings.MaxConnections)),
       ReadinessServer(this->Pages, Uses.Time, PageConnections),
       DirectoryServer(this->Pages, Uses.Time, PageConnections),
       ControlServer(this->Exchange, Uses.Time, PageConnections),
@@ -118,10 +116,12 @@
       !Error.empty()) {
     return Error;
   }
-  static GSourceFuncs Functions = {
-      nullptr, nullptr,
-      [](GSource *, GSourceFunc Callback, gpointer Data) { return Callback(Data); }, nullptr,
-      nullptr, nullptr};
+  static GSourceFuncs Functions = {nullptr,
+                                   nullptr,
+                                   [](GSource *, GSourceFunc Callback, gpointer Data) { return Callback(Data); },
+                                   nullptr,
+                                   nullptr,
+                                   nullptr};
   this->Timer = g_source_new(&Functions, sizeof(GSource));
   g_source_set_callback(this->Timer, onTimer, this, nullptr);
   g_source_attach(this->Timer, g_main_context_get_thread_default());
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -103,8 +103,8 @@
 
 void HttpConnection::parse() {
   while (this->Now == State::Open && !this->Failed && this->Exchanges.size() < MaxPipelined) {
-    const bool MayOvertake = std::all_of(
-        this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
+    const bool MayOvertake =
+        std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
           return isSafeMethod(Each->Request.Method) && !Each->CloseAfter;
         });
     if (!MayOvertake) {
@@ -277,9 +277,9 @@
     }
     return;
   }
-  const bool IsSlow = this->Exchanges.empty() && this->Parser.isStarted() &&
-                      Now - std::max(this->RequestStarted, this->LastActivity) >
-                          this->Server.limits().HeadTimeout;
+  const bool IsSlow =
+      this->Exchanges.empty() && this->Parser.isStarted() &&
+      Now - std::max(this->RequestStarted, this->LastActivity) > this->Server.limits().HeadTimeout;
   if (IsSlow) {
     this->refuse(408, "the request arrives too slowly");
   }
--- a/src/libs/transport/PublicationExchange.cpp
+++ b/src/libs/transport/PublicationExchange.cpp
@@ -14,7 +14,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::string_view Path = "/publications";
-/// Entries of a region are about a millisecond apart; a fetch that takes longer is tried at another.
+/// Entries of a region are about a millisecond apart; a fetch that takes longer is tried at
+/// another.
 constexpr Duration FetchLimit = 600ms;
 constexpr int OkStatus = 200;
 
--- a/src/libs/transport/RequestFlows.cpp
+++ b/src/libs/transport/RequestFlows.cpp
@@ -107,8 +107,8 @@
   this->Routes.emplace(*this->Settings);
 }
 
-std::optional<RequestTerms>
-RequestFlows::makeTerms(const HttpExchange &Exchange, const std::optional<Duration> &Remaining) {
+std::optional<RequestTerms> RequestFlows::makeTerms(const HttpExchange &Exchange,
+                                                    const std::optional<Duration> &Remaining) {
   const RequestHead &Head = Exchange.head();
   const Route *Found =
       this->Routes ? this->Routes->find(findField(Head.Fields, "Host"), Head.Target) : nullptr;
@@ -142,8 +142,8 @@
     return;
   }
   const RequestNumber Number = ++this->LastNumber;
-  this->Flows[Number] = std::make_unique<RequestFlow>(Number, Exchange, *Terms, Caller.RequestId,
-                                                      this->Reports);
+  this->Flows[Number] =
+      std::make_unique<RequestFlow>(Number, Exchange, *Terms, Caller.RequestId, this->Reports);
   this->Numbers[&Exchange] = Number;
   this->Uses.Decisions.onRequest(Number, std::move(*Terms), this->Uses.Time.now());
   this->Uses.Settle();
--- a/src/libs/transport/RequestFlows.h
+++ b/src/libs/transport/RequestFlows.h
@@ -48,9 +48,7 @@
 
   /// Requests from now on follow this configuration; those under way keep theirs.
   void setConfiguration(const Configuration &Settings);
-  const Configuration *configuration() const {
-    return this->Settings ? &*this->Settings : nullptr;
-  }
+  const Configuration *configuration() const { return this->Settings ? &*this->Settings : nullptr; }
   const RouteTable *routes() const { return this->Routes ? &*this->Routes : nullptr; }
   /// From now on new requests are refused as not run, because the entry ends.
   void setRefusing() { this->Refusing = true; }
--- a/src/libs/transport/TargetCall.cpp
+++ b/src/libs/transport/TargetCall.cpp
@@ -74,9 +74,9 @@
 }
 
 void TargetCall::startWatch() {
-  this->Watch = std::make_unique<SocketWatch>(
-      g_socket_get_fd(this->Socket.get()),
-      [this](GIOCondition Condition) { this->onReady(Condition); });
+  this->Watch =
+      std::make_unique<SocketWatch>(g_socket_get_fd(this->Socket.get()),
+                                    [this](GIOCondition Condition) { this->onReady(Condition); });
 }
 
 std::string TargetCall::connect() {
@@ -282,7 +282,8 @@
   int Seconds = 0;
   const char *Digits = Value.data() + Place + TimeoutParameter.size();
   std::from_chars(Digits, Value.data() + Value.size(), Seconds);
-  return std::clamp<Duration>(std::chrono::seconds(Seconds) - LifetimeMargin, 0s, UsualLifetime * 10);
+  return std::clamp<Duration>(std::chrono::seconds(Seconds) - LifetimeMargin, 0s,
+                              UsualLifetime * 10);
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/TargetCall.h
+++ b/src/libs/transport/TargetCall.h
@@ -60,8 +60,9 @@
   /// Asks for the next part of the body. Precondition: onCallHead() came, and no part is pending.
   /// May report at once.
   void readMore();
-  /// Passes over an answer that belongs to another request and waits for the next one. Precondition:
-  /// called from onCallHead() for an answer whose end its framing tells; readMore() must not follow.
+  /// Passes over an answer that belongs to another request and waits for the next one.
+  /// Precondition: called from onCallHead() for an answer whose end its framing tells; readMore()
+  /// must not follow.
   void skipAnswer();
   /// False only if no byte of the request left this process.
   bool isSent() const { return this->Sent; }
--- a/tests/auto/libs/coordination/tst_addressdirectory.cpp
+++ b/tests/auto/libs/coordination/tst_addressdirectory.cpp
@@ -45,9 +45,13 @@
     };
     const Case Table[] = {
         {"own domain", {entry("a", "n1"), entry("b", "n1"), entry("c", "n2")}, &Anywhere, "ab"},
-        {"one in the domain", {entry("a", "n1"), entry("c", "n2"), entry("s", "s1")}, &Anywhere,
+        {"one in the domain",
+         {entry("a", "n1"), entry("c", "n2"), entry("s", "s1")},
+         &Anywhere,
          "ac"},
-        {"leaving", {entry("a", "n1"), entry("b", "n1", Leaving), entry("c", "n2")}, &Anywhere,
+        {"leaving",
+         {entry("a", "n1"), entry("b", "n1", Leaving), entry("c", "n2")},
+         &Anywhere,
          "ac"},
         {"starting", {entry("a", "n1", EntryState::Starting), entry("c", "n2")}, &Anywhere, "c"},
         {"region lost, no home", {entry("s", "s1"), entry("t", "c1")}, &Anywhere, "st"},
@@ -57,8 +61,8 @@
         {"none", {entry("a", "n1", Leaving)}, &Anywhere, ""},
     };
     for (const Case &Each : Table) {
-      const auto Result = chooseEntries(Each.Live, Places, RegionName("n"),
-                                        FailureDomainName("n1"), {Each.Choice});
+      const auto Result =
+          chooseEntries(Each.Live, Places, RegionName("n"), FailureDomainName("n1"), {Each.Choice});
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.Expected), joined(Result));
     }
   }
@@ -68,9 +72,9 @@
     Topology Places;
     Places.Regions = {{FailureDomainName("n1"), RegionName("n")}};
     const std::vector<MemberRecord> Many(100, entry("a", "n1"));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{64}, chooseEntries(Many, Places, RegionName("n"),
-                                                        FailureDomainName("n1"), {})
-                                              .size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{64},
+        chooseEntries(Many, Places, RegionName("n"), FailureDomainName("n1"), {}).size());
   }
 };
 
--- a/tests/auto/libs/coordination/tst_coldstartgate.cpp
+++ b/tests/auto/libs/coordination/tst_coldstartgate.cpp
@@ -42,8 +42,8 @@
       ColdStartTerms Terms;
     };
     const Case Table[] = {
-        {"small fleet", 7, false, 4, {1.5, 5}},   {"large fleet", 46, false, 4, {1.5, 8}},
-        {"split fleet", 46, true, 4, {1.5, 8}},   {"small split fleet", 7, true, 4, {1.5, 5}},
+        {"small fleet", 7, false, 4, {1.5, 5}}, {"large fleet", 46, false, 4, {1.5, 8}},
+        {"split fleet", 46, true, 4, {1.5, 8}}, {"small split fleet", 7, true, 4, {1.5, 5}},
         {"low rate", 46, false, 0.5, {1.0, 1}},
     };
     SeededRandom Random(5);
@@ -54,9 +54,9 @@
       for (std::size_t Index = 0; Index < Each.Entries; ++Index) {
         Fleet.emplace_back(Each.Terms, names(Index, 1).front());
         const bool IsFirst = Index < Half;
-        Fleet.back().setEntries(Each.Split
-                                    ? names(IsFirst ? 0 : Half, IsFirst ? Half : Each.Entries - Half)
-                                    : names(0, Each.Entries));
+        Fleet.back().setEntries(
+            Each.Split ? names(IsFirst ? 0 : Half, IsFirst ? Half : Each.Entries - Half)
+                       : names(0, Each.Entries));
       }
       const TargetName Cold("cold");
       std::deque<TimePoint> Sent;
--- a/tests/auto/libs/coordination/tst_dispatcher.cpp
+++ b/tests/auto/libs/coordination/tst_dispatcher.cpp
@@ -56,8 +56,7 @@
       };
       const RequestNumber Number = World.request(World.terms());
       World.run(1s);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.Expected),
-                                   World.onlyTarget(Number));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.Expected), World.onlyTarget(Number));
       CPPUNIT_ASSERT(World.finalOf(Number) && World.finalOf(Number)->Delivered);
     }
   }
@@ -190,8 +189,7 @@
       Terms.HomeRegions = Each.Home;
       const RequestNumber Number = World.request(Terms);
       World.run(3s);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.Expected),
-                                   World.onlyTarget(Number));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.Expected), World.onlyTarget(Number));
     }
   }
 
--- a/tests/auto/libs/coordination/tst_dispatchqueue.cpp
+++ b/tests/auto/libs/coordination/tst_dispatchqueue.cpp
@@ -81,7 +81,8 @@
       const auto Wait = Queue.expectedWait(Each.Terms, 100ms, Start + 500ms);
       CPPUNIT_ASSERT_MESSAGE(Each.Name, Wait == Each.Expected);
     }
-    CPPUNIT_ASSERT_MESSAGE("starts are forgotten", !Queue.expectedWait(Terms, 100ms, Start + 1600ms));
+    CPPUNIT_ASSERT_MESSAGE("starts are forgotten",
+                           !Queue.expectedWait(Terms, 100ms, Start + 1600ms));
     for (RequestNumber Number = 1; Number <= 5; ++Number) {
       Queue.remove(Number);
     }
--- a/tests/auto/libs/coordination/tst_publicationspread.cpp
+++ b/tests/auto/libs/coordination/tst_publicationspread.cpp
@@ -189,8 +189,8 @@
     CPPUNIT_ASSERT_MESSAGE("the others need not all read", All.readers().size() <= 5);
   }
 
-  /// Guards against a fleet that waits for news from others after all entries were lost; callers are
-  /// refused until then.
+  /// Guards against a fleet that waits for news from others after all entries were lost; callers
+  /// are refused until then.
   void restartOfAll() {
     Region All(18);
     All.run(100ms);
--- a/tests/auto/libs/coordination/tst_routetable.cpp
+++ b/tests/auto/libs/coordination/tst_routetable.cpp
@@ -24,10 +24,9 @@
   /// Guards against a request that follows the route of another prefix or host.
   void longestPrefix() {
     Configuration Settings;
-    Settings.Routes = {makeRoute("root", "shop.example", "/"),
-                       makeRoute("a", "shop.example", "/a/"),
-                       makeRoute("ab", "shop.example", "/a/b/"),
-                       makeRoute("other", "lab.example", "/a/")};
+    Settings.Routes = {
+        makeRoute("root", "shop.example", "/"), makeRoute("a", "shop.example", "/a/"),
+        makeRoute("ab", "shop.example", "/a/b/"), makeRoute("other", "lab.example", "/a/")};
     const RouteTable Routes(Settings);
     struct Case {
       const char *Host;
--- a/tests/auto/libs/coordination/tst_targettable.cpp
+++ b/tests/auto/libs/coordination/tst_targettable.cpp
@@ -48,8 +48,8 @@
 public:
   /// Guards against work for targets that leave or whose failure domain is taken out.
   void publications() {
-    const PublicationBatch All = batch(
-        true, {TargetRegistered{makeTarget("a")}, TargetRegistered{makeTarget("b", "d2")}});
+    const PublicationBatch All =
+        batch(true, {TargetRegistered{makeTarget("a")}, TargetRegistered{makeTarget("b", "d2")}});
     struct Case {
       const char *Name;
       PublicationBatch Batch;
@@ -69,12 +69,11 @@
          batch(true, {TargetRegistered{makeTarget("a")}, TargetRegistered{makeTarget("b", "d2")},
                       DomainEvacuation{Second, true}}),
          "a"},
-        {"moved to another service",
-         batch(false, {TargetRegistered{[] {
-                 Target Value = makeTarget("b");
-                 Value.Service = ServiceName("book");
-                 return Value;
-               }()}}),
+        {"moved to another service", batch(false, {TargetRegistered{[] {
+                                             Target Value = makeTarget("b");
+                                             Value.Service = ServiceName("book");
+                                             return Value;
+                                           }()}}),
          "a"},
     };
     for (const Case &Each : Table) {
--- a/tests/auto/libs/protocol/tst_httpmessage.cpp
+++ b/tests/auto/libs/protocol/tst_httpmessage.cpp
@@ -24,9 +24,9 @@
   /// Guards against headers of one connection that reach the next, among them those that frame the
   /// body.
   void connectionFieldsStay() {
-    const FieldList Fields = {{"Host", "a"},          {"Connection", "X-Private, keep-alive"},
+    const FieldList Fields = {{"Host", "a"},           {"Connection", "X-Private, keep-alive"},
                               {"X-Private", "secret"}, {"Keep-Alive", "timeout=5"},
-                              {"TE", "trailers"},     {"Transfer-Encoding", "chunked"},
+                              {"TE", "trailers"},      {"Transfer-Encoding", "chunked"},
                               {"Content-Length", "3"}, {"Upgrade", "h2c"},
                               {"X-Public", "1"}};
     const FieldList Expected = {{"Host", "a"}, {"X-Public", "1"}};
@@ -73,8 +73,9 @@
       const char *Expected;
     };
     const Case Table[] = {
-        {"/p?a=1&b=2", "b", "2"}, {"/p?a=1%202", "a", "1 2"}, {"/p?a=", "a", ""},
-        {"/p?b=1", "a", ""},      {"/p", "a", ""},            {"/p?a=%zz", "a", ""},
+        {"/p?a=1&b=2", "b", "2"}, {"/p?a=1%202", "a", "1 2"},
+        {"/p?a=", "a", ""},       {"/p?b=1", "a", ""},
+        {"/p", "a", ""},          {"/p?a=%zz", "a", ""},
     };
     for (const Case &Each : Table) {
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Target, std::string(Each.Expected),
--- a/tests/auto/libs/protocol/tst_publicationcodec.cpp
+++ b/tests/auto/libs/protocol/tst_publicationcodec.cpp
@@ -15,11 +15,13 @@
   Settings.Routes = {Choice};
   Settings.Services = {{ServiceName("s"), {ServiceName("s"), "/health", 4.5}}};
   Settings.Limits = {100, 200, 3s, 4s};
-  const Target Value{TargetName("t1"), ServiceName("s"), {"10.0.0.1", 80},
-                     FailureDomainName("d"), 3, true, 5s, 1'700'000'000'000};
+  const Target Value{
+      TargetName("t1"), ServiceName("s"), {"10.0.0.1", 80}, FailureDomainName("d"), 3, true, 5s,
+      1'700'000'000'000};
   PublicationBatch Result =
-      batch(true, {Settings, TargetRegistered{Value}, TargetRemoved{TargetName("t2")},
-                   DomainEvacuation{FailureDomainName("d"), true}},
+      batch(true,
+            {Settings, TargetRegistered{Value}, TargetRemoved{TargetName("t2")},
+             DomainEvacuation{FailureDomainName("d"), true}},
             3, 99);
   Result.RemovalsWait = 1500ms;
   return Result;
--- a/tests/auto/libs/protocol/tst_requestparser.cpp
+++ b/tests/auto/libs/protocol/tst_requestparser.cpp
@@ -40,7 +40,8 @@
     const std::string Head = "POST /u HTTP/1.1\r\nHost: h\r\n";
     const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
     const std::pair<std::string, std::string> Table[] = {
-        {"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", "GET /a ;GET /b ;"},
+        {"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+         "GET /a ;GET /b ;"},
         {Head + "Content-Length: 3\r\n\r\nabcGET /c HTTP/1.1\r\n\r\n", "POST /u abc;GET /c ;"},
         {Chunked + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", "POST /u abcde;"},
         {Chunked + "3;x=y\r\nabc\r\n0\r\n\r\n", "POST /u abc;"},
@@ -74,8 +75,8 @@
       for (std::size_t Second = First; Second < Text.size(); Second += 7) {
         RequestParser Parser({1000, 100});
         std::string Result;
-        for (const auto &Part : {Text.substr(0, First), Text.substr(First, Second - First),
-                                 Text.substr(Second)}) {
+        for (const auto &Part :
+             {Text.substr(0, First), Text.substr(First, Second - First), Text.substr(Second)}) {
           Parser.add(Part);
           Result += readAll(Parser);
         }
--- a/tests/auto/libs/transport/tst_attemptcall.cpp
+++ b/tests/auto/libs/transport/tst_attemptcall.cpp
@@ -49,9 +49,16 @@
     Order.Address = {"127.0.0.1", Port};
     Order.Idempotent = Method == "GET";
     this->Attempt = std::make_unique<AttemptCall>(Connections, this->Protocol, this->Seen, Order);
-    const RequestHead Head{Method, "/x?y=1", false, true,
-                           {{"Host", "h"}, {"Id", "7"}, {"Left", "9"}, {"Connection", "Private"},
-                            {"Private", "p"}, {"Expect", "100-continue"}}};
+    const RequestHead Head{Method,
+                           "/x?y=1",
+                           false,
+                           true,
+                           {{"Host", "h"},
+                            {"Id", "7"},
+                            {"Left", "9"},
+                            {"Connection", "Private"},
+                            {"Private", "p"},
+                            {"Expect", "100-continue"}}};
     this->Attempt->start(Head, "body", "7", 1500ms);
   }
   bool wait() {
@@ -64,8 +71,8 @@
 };
 
 std::string answer(const std::string &Status, const std::string &Fields, const std::string &Body) {
-  return "HTTP/1.1 " + Status + "\r\n" + Fields +
-         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  return "HTTP/1.1 " + Status + "\r\n" + Fields + "Content-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
 }
 
 } // namespace
@@ -130,7 +137,8 @@
     }
   }
 
-  /// Guards against a changed request, and against headers of the caller's connection at the target.
+  /// Guards against a changed request, and against headers of the caller's connection at the
+  /// target.
   void requestIsPassedOnUnchanged() {
     const SystemClock Time;
     TargetConnections Connections(Time);
--- a/tests/auto/libs/transport/tst_peersocket.cpp
+++ b/tests/auto/libs/transport/tst_peersocket.cpp
@@ -14,8 +14,9 @@
 constexpr const char *Loopback = "127.0.0.1";
 
 MemberRecord member(std::uint32_t Number) {
-  return {"10.0.0." + std::to_string(Number % 250), FailureDomainName("d" + std::to_string(Number % 7)),
-          1'700'000'000'000 + Number, Number, EntryState::Ready};
+  return {"10.0.0." + std::to_string(Number % 250),
+          FailureDomainName("d" + std::to_string(Number % 7)), 1'700'000'000'000 + Number, Number,
+          EntryState::Ready};
 }
 
 /// A socket that keeps what it receives.
@@ -124,8 +125,7 @@
         {std::string(100, 'x'), PeerRejection::UnsupportedVersion},
         {Datagram + "x", PeerRejection::BadAuthentication},
         {Good.seal(Keys, VmName("entry-3")), PeerRejection::BadAuthentication},
-        {Good.seal(GlibSealer("other key"), VmName("entry-2")),
-         PeerRejection::BadAuthentication},
+        {Good.seal(GlibSealer("other key"), VmName("entry-2")), PeerRejection::BadAuthentication},
         {Malformed.seal(Keys, VmName("entry-2")), PeerRejection::Malformed},
     };
     sendRaw(Receiver, Datagram);
--- a/tests/auto/libs/transport/tst_proberunner.cpp
+++ b/tests/auto/libs/transport/tst_proberunner.cpp
@@ -68,17 +68,25 @@
       std::optional<ProbeFailure> Failure;
     };
     const Case Table[] = {
-        {"load", answer("Instance: me\r\nLoad: 2\r\n"), ProbeReport{true, {2, 0, 3, 1}, true, 0s}, {}},
-        {"cold", answer("Load: 0\r\nCold: 1500\r\n"),
-         ProbeReport{true, {0, 0, 3, 1}, true, 1500ms}, {}},
+        {"load",
+         answer("Instance: me\r\nLoad: 2\r\n"),
+         ProbeReport{true, {2, 0, 3, 1}, true, 0s},
+         {}},
+        {"cold",
+         answer("Load: 0\r\nCold: 1500\r\n"),
+         ProbeReport{true, {0, 0, 3, 1}, true, 1500ms},
+         {}},
         {"no load told", answer(""), ProbeReport{false, {}, true, 0s}, {}},
-        {"not well", answer("Load: 1\r\n", "503 Service Unavailable"),
-         ProbeReport{true, {1, 0, 3, 1}, false, 0s}, {}},
+        {"not well",
+         answer("Load: 1\r\n", "503 Service Unavailable"),
+         ProbeReport{true, {1, 0, 3, 1}, false, 0s},
+         {}},
         {"another target", answer("Instance: you\r\nLoad: 0\r\n"), {}, ProbeFailure::OtherTarget},
         {"garbage", "garbage\r\n\r\n", {}, ProbeFailure::Unreachable},
         {"late answer of a request first",
          answer("Signed: x\r\nId: 7\r\n") + answer("Instance: me\r\nLoad: 1\r\n"),
-         ProbeReport{true, {1, 0, 3, 1}, true, 0s}, {}},
+         ProbeReport{true, {1, 0, 3, 1}, true, 0s},
+         {}},
     };
     for (const Case &Each : Table) {
       Bench All;
@@ -118,8 +126,7 @@
   /// Guards against two reports for one question.
   void restarted() {
     Bench All;
-    ScriptedServer Target(
-        [](RawConnection &Caller, int) { Caller.send(answer("Load: 0\r\n")); });
+    ScriptedServer Target([](RawConnection &Caller, int) { Caller.send(answer("Load: 0\r\n")); });
     All.Runner.start({TargetName("me"), {"127.0.0.1", Target.Port}, "/health"});
     All.Runner.start({TargetName("me"), {"127.0.0.1", Target.Port}, "/health"});
     CPPUNIT_ASSERT(runUntil([&] { return All.Ends > 0; }));
--- a/tests/auto/libs/transport/tst_requestflows.cpp
+++ b/tests/auto/libs/transport/tst_requestflows.cpp
@@ -40,8 +40,8 @@
                   this->Decisions.onProbeFailed(Name, Failure, this->Time.now());
                   this->settle();
                 }}),
-        Flows({Decisions, Connections, Protocol, Counters, Time, Random,
-               [this] { this->settle(); }}),
+        Flows(
+            {Decisions, Connections, Protocol, Counters, Time, Random, [this] { this->settle(); }}),
         Server(Flows, Time, 100) {
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Server.listen({"127.0.0.1", 0}));
     this->Ticks = g_timeout_add(
@@ -135,8 +135,8 @@
 };
 
 std::string answer(const std::string &Status, const std::string &Fields, const std::string &Body) {
-  return "HTTP/1.1 " + Status + "\r\n" + Fields +
-         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  return "HTTP/1.1 " + Status + "\r\n" + Fields + "Content-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
 }
 
 std::string request(const std::string &Method, const std::string &Path) {
--- a/tests/auto/platform/tst_platformprotocol.cpp
+++ b/tests/auto/platform/tst_platformprotocol.cpp
@@ -48,13 +48,18 @@
 
   void loads() {
     const std::pair<const char *, std::optional<LoadReport>> Table[] = {
-        {"3,0,8", LoadReport{3, 0, 8, 1}}, {"3,1,8,250", LoadReport{3, 1, 8, 2.5}},
-        {"3,1,8,250,7", LoadReport{3, 1, 8, 2.5}}, {"3,1", {}}, {"3,1,0", {}},
-        {"3,-1,8", {}}, {"a,b,c", {}}, {"", {}}, {"3,,8", {}},
+        {"3,0,8", LoadReport{3, 0, 8, 1}},
+        {"3,1,8,250", LoadReport{3, 1, 8, 2.5}},
+        {"3,1,8,250,7", LoadReport{3, 1, 8, 2.5}},
+        {"3,1", {}},
+        {"3,1,0", {}},
+        {"3,-1,8", {}},
+        {"a,b,c", {}},
+        {"", {}},
+        {"3,,8", {}},
     };
     for (const auto &[Text, Expected] : Table) {
-      const auto Statement =
-          Protocol.readAnswer(withField("X-Anvilsaddle-Server-Load", Text));
+      const auto Statement = Protocol.readAnswer(withField("X-Anvilsaddle-Server-Load", Text));
       CPPUNIT_ASSERT_MESSAGE(Text, Statement.Load == Expected);
     }
   }
@@ -77,8 +82,9 @@
       CPPUNIT_ASSERT_EQUAL(Each.NotRun, Statement.NotRun);
       CPPUNIT_ASSERT_EQUAL(Each.IsSigned, Statement.IsSigned);
     }
-    CPPUNIT_ASSERT(Protocol.readAnswer(withField("X-Anvilsaddle-Cold-Milliseconds", "2500"))
-                       .ColdFor == 2500ms);
+    CPPUNIT_ASSERT(
+        Protocol.readAnswer(withField("X-Anvilsaddle-Cold-Milliseconds", "2500")).ColdFor ==
+        2500ms);
     CPPUNIT_ASSERT(Protocol.readAnswer(withField("X-Anvilsaddle-Instance-Id", "i-8")).Instance ==
                    TargetName("i-8"));
   }
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -63,8 +63,8 @@
 public:
   void onPublications(const PublicationBatch &Batch) override {
     this->Text += Batch.Complete ? "all" : "since " + std::to_string(Batch.Since);
-    this->Text += " to " + std::to_string(Batch.Revision) + ":" +
-                  std::to_string(Batch.Changes.size()) + ";";
+    this->Text +=
+        " to " + std::to_string(Batch.Revision) + ":" + std::to_string(Batch.Changes.size()) + ";";
   }
   void onUnchanged(std::int64_t Revision) override {
     this->Text += "unchanged " + std::to_string(Revision) + ";";
@@ -97,13 +97,14 @@
     };
     const Case Table[] = {
         {"listing and change", {range(Out, 7), events(Out, 9)}, "all to 7:1;since 7 to 9:1;"},
-        {"pages", {range(Out, 7, true), range(item("op/evacuate/b"), 8), events("", 8)},
+        {"pages",
+         {range(Out, 7, true), range(item("op/evacuate/b"), 8), events("", 8)},
          "all to 7:2;unchanged 8;"},
         {"busy", {answer("", "503 Busy"), range(Out, 7)}, "lost;back;all to 7:1;"},
         {"too many calls", {answer("", "429 Too Many"), range(Out, 7)}, "lost;back;all to 7:1;"},
-        {"reset", {range(Out, 7), "", events(Out, 9)},
-         "all to 7:1;lost;back;since 7 to 9:1;"},
-        {"history gone", {range(Out, 7), answer("", "410 Gone"), range("", 20), events(Out, 21)},
+        {"reset", {range(Out, 7), "", events(Out, 9)}, "all to 7:1;lost;back;since 7 to 9:1;"},
+        {"history gone",
+         {range(Out, 7), answer("", "410 Gone"), range("", 20), events(Out, 21)},
          "all to 7:1;all to 20:0;since 20 to 21:1;"},
         {"unreadable item", {range(Out + "," + item("servers/x"), 7)}, "bad servers/x;all to 7:1;"},
         {"unreadable answer", {answer("{"), range(Out, 7)}, "bad store;lost;back;all to 7:1;"},
--- a/tests/auto/platform/tst_storedecoder.cpp
+++ b/tests/auto/platform/tst_storedecoder.cpp
@@ -34,9 +34,9 @@
 
 public:
   void pages() {
-    const auto Range = std::get<StorePage>(readPage(
-        R"({"items":[{"key":"a","value":"eHk=","revision":4,"created":4,"lease":0}],)"
-        R"("hasMore":true,"at":530})"));
+    const auto Range = std::get<StorePage>(
+        readPage(R"({"items":[{"key":"a","value":"eHk=","revision":4,"created":4,"lease":0}],)"
+                 R"("hasMore":true,"at":530})"));
     CPPUNIT_ASSERT(Range == (StorePage{{{"a", "xy"}}, true, 530}));
     const auto Watch = std::get<StorePage>(
         readPage(R"({"events":[{"key":"a","revision":5,"removed":true}],"at":531})"));
@@ -50,12 +50,16 @@
   void targets() {
     const auto Read = readItem({"servers/i-7f", GoodTarget});
     const Target &Value = std::get<TargetRegistered>(std::get<Publication>(Read)).Value;
-    CPPUNIT_ASSERT(Value == (Target{TargetName("i-7f"), ServiceName("huvo11a"),
-                                    {"10.128.0.9", 8080}, FailureDomainName("kaskelen"), 3, false,
-                                    1500ms, 1700000000123}));
+    CPPUNIT_ASSERT(Value == (Target{TargetName("i-7f"),
+                                    ServiceName("huvo11a"),
+                                    {"10.128.0.9", 8080},
+                                    FailureDomainName("kaskelen"),
+                                    3,
+                                    false,
+                                    1500ms,
+                                    1700000000123}));
     const auto Gone = readItem({"servers/i-7f", std::nullopt});
-    CPPUNIT_ASSERT(std::get<TargetRemoved>(std::get<Publication>(Gone)).Name ==
-                   TargetName("i-7f"));
+    CPPUNIT_ASSERT(std::get<TargetRemoved>(std::get<Publication>(Gone)).Name == TargetName("i-7f"));
   }
 
   /// Guards against an entry of another writer that is used as a target, or that hides the others.
@@ -89,10 +93,26 @@
     const auto Read = readItem({"op/config", GoodConfiguration});
     const auto &Settings = std::get<Configuration>(std::get<Publication>(Read));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{31}, Settings.Version);
-    const Route First{RouteName("r-1"), "h.example", "/x/", false, 2500ms, 500ms, 1, 2,
-                      {{ServiceName("wuno96b"), 1}}, {RegionName("zhetysu")}};
-    const Route Second{RouteName("r-2"), "h.example", "/y/", true, 2s, 400ms, 2, 3,
-                       {{ServiceName("huvo11a"), 90}, {ServiceName("kafi81c"), 10}}, {}};
+    const Route First{RouteName("r-1"),
+                      "h.example",
+                      "/x/",
+                      false,
+                      2500ms,
+                      500ms,
+                      1,
+                      2,
+                      {{ServiceName("wuno96b"), 1}},
+                      {RegionName("zhetysu")}};
+    const Route Second{RouteName("r-2"),
+                       "h.example",
+                       "/y/",
+                       true,
+                       2s,
+                       400ms,
+                       2,
+                       3,
+                       {{ServiceName("huvo11a"), 90}, {ServiceName("kafi81c"), 10}},
+                       {}};
     CPPUNIT_ASSERT(Settings.Routes == (std::vector<Route>{First, Second}));
     CPPUNIT_ASSERT(Settings.Services.at(ServiceName("wuno96b")) ==
                    (Service{ServiceName("wuno96b"), "/health", 4.0}));
