--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -50,7 +50,8 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(Topology Places, DispatchTerms Terms, std::string Self, RandomSource &Random)
+Dispatcher::Dispatcher(Topology Places, const DispatchTerms &Terms, std::string Self,
+                       RandomSource &Random)
     : Places(std::move(Places)), Repeats(Terms.Repeats),
       ColdStart(Terms.ColdStart, std::move(Self)), Random(Random) {}
 
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -43,7 +43,7 @@
 public:
   /// Precondition: the random source outlives the dispatcher. `Self` is this entry's name among the
   /// live entries.
-  Dispatcher(Topology Places, DispatchTerms Terms, std::string Self, RandomSource &Random);
+  Dispatcher(Topology Places, const DispatchTerms &Terms, std::string Self, RandomSource &Random);
 
   TargetTable &targets() { return this->Targets; }
   const TargetTable &targets() const { return this->Targets; }
--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -56,7 +56,7 @@
     return parseEndpoint(Text) ? "" : "must be <IPv4 number>:<port>";
   });
   for (std::string &Each : Result.Seeds) {
-    Each = Each.substr(0, Each.find(':'));
+    Each.resize(Each.find(':'));
   }
   Result.FleetKey = Fleet.requiredString("key");
   if (!Result.FleetKey.empty() && Result.FleetKey.size() < LeastKeyBytes) {
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-EntryRuntime::EntryRuntime(DaemonSettings Given, Parts Uses)
+EntryRuntime::EntryRuntime(DaemonSettings Given, const Parts &Uses)
     : Settings(std::move(Given)), Uses(Uses), Run{Uses.Time.unixMilliseconds(), Uses.Random.bits()},
       Seals(this->Settings.FleetKey), Audit(static_cast<std::size_t>(this->Settings.AuditEntries)),
       Decisions(this->Settings.Places, this->Settings.Dispatch, this->Settings.Callers.Address,
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -46,7 +46,7 @@
     RandomSource &Random;
   };
 
-  EntryRuntime(DaemonSettings Settings, Parts Uses);
+  EntryRuntime(DaemonSettings Settings, const Parts &Uses);
   ~EntryRuntime() override;
   EntryRuntime(const EntryRuntime &) = delete;
   EntryRuntime &operator=(const EntryRuntime &) = delete;
--- a/src/libs/transport/OperatorPages.h
+++ b/src/libs/transport/OperatorPages.h
@@ -28,7 +28,7 @@
   };
 
   /// Precondition: all parts outlive the object.
-  explicit OperatorPages(Parts Uses) : Uses(Uses) {}
+  explicit OperatorPages(const Parts &Uses) : Uses(Uses) {}
 
   void onRequest(HttpExchange &Exchange) override;
   void onCallerGone(HttpExchange &) override {}
