--- a/src/libs/transport/EntryPageHandler.cpp
+++ b/src/libs/transport/EntryPageHandler.cpp
@@ -4,24 +4,11 @@
 #include "coordination/RouteTable.h"
 #include "transport/RequestFlows.h"
 
-#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace anvilsaddle {
 
-namespace {
-
-void respondText(HttpExchange &Exchange, int Status, const char *Type, std::string_view Body) {
-  AnswerHead Head;
-  Head.Status = Status;
-  Head.Reason = reasonOf(Status);
-  Head.Fields = {{"Content-Type", Type}};
-  Exchange.respond(std::move(Head), Body);
-}
-
-} // namespace
-
 EntryPageHandler::EntryPageHandler(const EntryPages &Pages, const Membership &Members,
                                    const Topology &Places, const RequestFlows &Flows,
                                    std::uint16_t CallerPort, Duration AddressLifetime)
@@ -31,14 +18,14 @@
 void EntryPageHandler::onRequest(HttpExchange &Exchange) {
   if (this->Pages.isReadinessQuestion(Exchange.head())) {
     const bool IsReady = this->Members.state() == EntryState::Ready;
-    respondText(Exchange, IsReady ? 200 : 503, "text/plain", toString(this->Members.state()));
+    Exchange.respondText(IsReady ? 200 : 503, "text/plain", toString(this->Members.state()));
     return;
   }
   if (const auto Question = this->Pages.readAddressQuestion(Exchange.head())) {
     this->answerAddresses(Exchange, *Question);
     return;
   }
-  respondText(Exchange, 404, "text/plain", "no such page\n");
+  Exchange.respondText(404, "text/plain", "no such page\n");
 }
 
 void EntryPageHandler::answerAddresses(HttpExchange &Exchange,
@@ -53,11 +40,11 @@
     Entries.push_back({std::move(Address), this->CallerPort});
   }
   if (Entries.empty()) {
-    respondText(Exchange, 503, "text/plain", "no entry is ready\n");
+    Exchange.respondText(503, "text/plain", "no entry is ready\n");
     return;
   }
-  respondText(Exchange, 200, "application/json",
-              this->Pages.writeAddresses(Entries, this->AddressLifetime));
+  Exchange.respondText(200, "application/json",
+                       this->Pages.writeAddresses(Entries, this->AddressLifetime));
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -139,11 +139,7 @@
   Unknown.KeepAlive = false;
   this->Exchanges.push_back(
       std::make_unique<HttpExchange>(*this, std::move(Unknown), "", this->Server.now()));
-  AnswerHead Head;
-  Head.Status = Status;
-  Head.Reason = reasonOf(Status);
-  Head.Fields = {{"Content-Type", "text/plain"}};
-  this->Exchanges.back()->respond(std::move(Head), Text + "\n");
+  this->Exchanges.back()->respondText(Status, "text/plain", Text + "\n");
 }
 
 void HttpConnection::flush() {
--- a/src/libs/transport/HttpExchange.cpp
+++ b/src/libs/transport/HttpExchange.cpp
@@ -20,6 +20,14 @@
   this->end();
 }
 
+void HttpExchange::respondText(int Status, const char *ContentType, std::string_view Text) {
+  AnswerHead Head;
+  Head.Status = Status;
+  Head.Reason = reasonOf(Status);
+  Head.Fields = {{"Content-Type", ContentType}};
+  this->respond(std::move(Head), Text);
+}
+
 void HttpExchange::begin(AnswerHead Head) {
   this->appendHead(std::move(Head));
   this->Owner.flush();
--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -28,6 +28,8 @@
 
   /// Sends a whole answer.
   void respond(AnswerHead Head, std::string_view Body);
+  /// Sends a whole answer of this entry's own.
+  void respondText(int Status, const char *ContentType, std::string_view Text);
   /// Begins an answer whose body follows in parts.
   void begin(AnswerHead Head);
   /// Precondition: begin() was called.
--- a/src/libs/transport/OperatorPages.cpp
+++ b/src/libs/transport/OperatorPages.cpp
@@ -21,14 +21,6 @@
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-void respond(HttpExchange &Exchange, int Status, const char *Type, std::string_view Body) {
-  AnswerHead Head;
-  Head.Status = Status;
-  Head.Reason = reasonOf(Status);
-  Head.Fields = {{"Content-Type", Type}};
-  Exchange.respond(std::move(Head), Body);
-}
-
 double seconds(Duration Value) { return std::chrono::duration<double>(Value).count(); }
 
 const char *stateOf(const TargetView &View, bool IsUsable, TimePoint Now) {
@@ -53,18 +45,18 @@
   const std::string_view Target = Exchange.head().Target;
   const std::string_view Path = pathOf(Target);
   if (Path == "/metrics") {
-    respond(Exchange, 200, "text/plain; version=0.0.4",
-            this->Uses.Counters.render(this->Uses.Time.now()));
+    Exchange.respondText(200, "text/plain; version=0.0.4",
+                         this->Uses.Counters.render(this->Uses.Time.now()));
   } else if (Path == "/status") {
-    respond(Exchange, 200, "application/json", this->status());
+    Exchange.respondText(200, "application/json", this->status());
   } else if (Path == "/targets") {
-    respond(Exchange, 200, "application/json", this->targets());
+    Exchange.respondText(200, "application/json", this->targets());
   } else if (Path == "/audit") {
-    respond(Exchange, 200, "application/json", this->audit(Target));
+    Exchange.respondText(200, "application/json", this->audit(Target));
   } else if (Path == "/explain") {
-    respond(Exchange, 200, "application/json", this->explain(Target));
+    Exchange.respondText(200, "application/json", this->explain(Target));
   } else {
-    respond(Exchange, 404, "text/plain", "no such page\n");
+    Exchange.respondText(404, "text/plain", "no such page\n");
   }
 }
 
--- a/src/libs/transport/PublicationExchange.cpp
+++ b/src/libs/transport/PublicationExchange.cpp
@@ -58,17 +58,14 @@
 }
 
 void PublicationExchange::onRequest(HttpExchange &Exchange) {
-  AnswerHead Head;
-  Head.Status = pathOf(Exchange.head().Target) == Path ? OkStatus : 404;
-  Head.Reason = reasonOf(Head.Status);
-  if (Head.Status != OkStatus) {
-    Exchange.respond(std::move(Head), "no such page\n");
+  if (pathOf(Exchange.head().Target) != Path) {
+    Exchange.respondText(404, "text/plain", "no such page\n");
     return;
   }
   const std::string After = queryParameter(Exchange.head().Target, "after");
   std::int64_t Revision = 0;
   std::from_chars(After.data(), After.data() + After.size(), Revision);
-  Exchange.respond(std::move(Head), this->textSince(Revision));
+  Exchange.respondText(OkStatus, "application/octet-stream", this->textSince(Revision));
 }
 
 } // namespace anvilsaddle
