--- a/scripts/soak/standins.py
+++ b/scripts/soak/standins.py
@@ -54,6 +54,9 @@
     async def serve(self, reader, writer):
         while head := await read_head(reader):
             path, query = query_of(head[0])
+            if path == "/-/kv-key":
+                writer.write(answer("404 Not Found", {}))
+                continue
             body = self.range() if path == "/-/kv-range" else await self.watch(query)
             writer.write(answer("200 OK", {}, json.dumps(body).encode()))
         writer.close()
--- a/src/libs/coordination/PublicationSpread.h
+++ b/src/libs/coordination/PublicationSpread.h
@@ -48,7 +48,7 @@
 /// Decides which entries read the source of publications, and spreads what they read.
 ///
 /// In each failure domain one live entry reads the source and tells all others of the region how
-/// far it got, at each change and twice a second. The others fetch from it what they lack. An entry
+/// far it got, at each change and about three times a second. The others fetch from it what they lack. An entry
 /// that hears no notice, as after its start, reads the source itself, so that dead readers and
 /// readers that the source turns away are replaced without an agreement. Each region reads on its
 /// own, because links between regions are paid by volume.
@@ -57,10 +57,10 @@
 class PublicationSpread {
 public:
   /// Interval of the notices of a reader.
-  static constexpr Duration NoticeInterval = std::chrono::milliseconds(500);
+  static constexpr Duration NoticeInterval = std::chrono::milliseconds(300);
   /// Without a notice for this time, an entry reads the source itself. Configurations must be in
   /// force within 2.5 s.
-  static constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
+  static constexpr Duration SilenceLimit = std::chrono::milliseconds(900);
 
   PublicationSpread(std::string Self, Topology Places, TimePoint Now);
 
