--- a/src/libs/coordination/PublicationSpread.h
+++ b/src/libs/coordination/PublicationSpread.h
@@ -48,10 +48,10 @@
 /// Decides which entries read the source of publications, and spreads what they read.
 ///
 /// In each failure domain one live entry reads the source and tells all others of the region how
-/// far it got, at each change and about three times a second. The others fetch from it what they lack. An entry
-/// that hears no notice, as after its start, reads the source itself, so that dead readers and
-/// readers that the source turns away are replaced without an agreement. Each region reads on its
-/// own, because links between regions are paid by volume.
+/// far it got, at each change and about three times a second. The others fetch from it what they
+/// lack. An entry that hears no notice, as after its start, reads the source itself, so that dead
+/// readers and readers that the source turns away are replaced without an agreement. Each region
+/// reads on its own, because links between regions are paid by volume.
 ///
 /// Performs no I/O and reads no clock; times must not decrease. Not thread-safe.
 class PublicationSpread {
