Log what a fetch of publications costs and by which version a request was routed

The logs could not distinguish a reader whose link is full from a slow one, nor show that one request was routed by two versions of the configuration. New: publications_fetched (entry, content, bytes, duration), source in configuration_in_force, version in forwarded and answered, and counters of publications served and fetched.

--- a/src/libs/coordination/DispatchTypes.h
+++ b/src/libs/coordination/DispatchTypes.h
@@ -22,6 +22,8 @@
 
 /// Attributes of a request that determine how it is dispatched. Value type.
 struct RequestAttributes {
+  /// Version of the configuration that was in force when the request was routed.
+  std::uint64_t ConfigurationVersion = 0;
   RouteName Route;
   /// One of the route's services, selected once for the request.
   ServiceName Service;
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -114,6 +114,7 @@
   this->writeServices(Out, Now);
   this->writeEntry(Out);
   this->writePeers(Out);
+  this->writePublications(Out);
   return Out.text();
 }
 
@@ -212,6 +213,24 @@
   }
 }
 
+void Metrics::writePublications(Writer &Out) const {
+  Out.writeFamily("publications_served_total", "counter",
+                  "Responses with publications sent to other entries, by content.");
+  Out.writeSample("publications_served_total", {{"content", "snapshot"}},
+                  this->Publications.SnapshotsOut);
+  Out.writeSample("publications_served_total", {{"content", "changes"}},
+                  this->Publications.ChangesOut);
+  Out.writeFamily("publication_bytes_total", "counter",
+                  "Bytes of publications exchanged with other entries.");
+  Out.writeSample("publication_bytes_total", {{"direction", "in"}}, this->Publications.BytesIn);
+  Out.writeSample("publication_bytes_total", {{"direction", "out"}}, this->Publications.BytesOut);
+  Out.writeSingleSample("publication_fetches_total", "counter",
+                        "Requests for publications to other entries.", this->Publications.Fetches);
+  Out.writeSingleSample("publication_fetches_failed_total", "counter",
+                        "Requests for publications without a usable response.",
+                        this->Publications.FailedFetches);
+}
+
 Metrics::ServiceSeries &Metrics::findOrAddSeries(const ServiceName &Service) {
   const auto Found = this->Services.find(Service);
   if (Found != this->Services.end()) {
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -3,6 +3,7 @@
 #include "coordination/DispatchTypes.h"
 #include "protocol/LatencyQuantiles.h"
 #include "protocol/PeerTraffic.h"
+#include "protocol/PublicationTraffic.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
 
@@ -50,6 +51,7 @@
   void onCallerDisconnected() { ++this->CallerDisconnects; }
   void setLogLinesDropped(std::uint64_t Total) { this->LogLinesDropped = Total; }
   void setPeerTraffic(const PeerTraffic &Traffic) { this->Peers = Traffic; }
+  void setPublicationTraffic(const PublicationTraffic &Traffic) { this->Publications = Traffic; }
   void setGauges(const Gauges &Values) { this->CurrentGauges = Values; }
 
   /// Returns all series as `text/plain; version=0.0.4`.
@@ -78,6 +80,7 @@
                              TimePoint Now);
   void writeEntry(Writer &Out) const;
   void writePeers(Writer &Out) const;
+  void writePublications(Writer &Out) const;
 
   std::map<ServiceName, ServiceSeries> Services;
   std::map<std::pair<std::string, int>, std::uint64_t> Refusals;
@@ -86,6 +89,7 @@
   std::uint64_t CallerDisconnects = 0;
   std::uint64_t LogLinesDropped = 0;
   PeerTraffic Peers;
+  PublicationTraffic Publications;
   Gauges CurrentGauges;
 };
 
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -42,6 +42,16 @@
   return Result;
 }
 
+void logFetched(const PublicationBatch &Batch, const FetchDetails &Details) {
+  logEvent(LogLevel::Info, "publications_fetched",
+           {{"entry", Details.Entry},
+            {"content", Batch.IsSnapshot ? "snapshot" : "changes"},
+            {"revision", std::to_string(Batch.Revision)},
+            {"changes", std::to_string(Batch.Changes.size())},
+            {"bytes", std::to_string(Details.Bytes)},
+            {"after_ms", std::to_string(toMilliseconds(Details.Elapsed))}});
+}
+
 } // namespace
 
 EntryRuntime::EntryRuntime(DaemonSettings InitialSettings, const Dependencies &Deps)
@@ -71,9 +81,10 @@
              this->applyEffects();
            }}),
       PublicationTransfer(
-          this->Publications, this->Connections,
-          {[this](const PublicationBatch &Batch) {
-             this->applyBatch(Batch);
+          this->Publications, this->Connections, Deps.Time,
+          {[this](const PublicationBatch &Batch, const FetchDetails &Details) {
+             logFetched(Batch, Details);
+             this->applyBatch(Batch, Details.Entry);
              this->Distributor.onFetched(this->Publications.revision(), this->now());
              this->applyDistributionEffects();
            },
@@ -201,6 +212,7 @@
   Self.Distributor.onTick(Self.now());
   Self.applyDistributionEffects();
   Self.EntryMetrics.setPeerTraffic(Self.Peers.traffic());
+  Self.EntryMetrics.setPublicationTraffic(Self.PublicationTransfer.traffic());
   Self.EntryMetrics.setLogLinesDropped(droppedLogLines());
   const Configuration *Current = Self.Proxy.configuration();
   Self.EntryMetrics.setGauges({Self.Proxy.size(), Self.RequestDispatcher.queueLength(),
@@ -296,7 +308,7 @@
 // Publications
 
 void EntryRuntime::onPublications(const PublicationBatch &Batch) {
-  this->applyBatch(Batch);
+  this->applyBatch(Batch, "store");
   this->onSourceUpToDate(this->Publications.revision());
 }
 
@@ -305,7 +317,7 @@
   this->applyDistributionEffects();
 }
 
-void EntryRuntime::applyBatch(const PublicationBatch &Batch) {
+void EntryRuntime::applyBatch(const PublicationBatch &Batch, const std::string &Source) {
   if (!this->Publications.apply(Batch)) {
     logEvent(LogLevel::Info, "publications_passed_over",
              {{"since", std::to_string(Batch.Since)},
@@ -318,7 +330,7 @@
   }
   for (const Publication &Each : Batch.Changes) {
     if (const auto *Newer = std::get_if<Configuration>(&Each)) {
-      this->applyConfiguration(*Newer);
+      this->applyConfiguration(*Newer, Source);
     } else {
       this->recordChange(Each);
     }
@@ -328,7 +340,7 @@
   this->updateReadiness();
 }
 
-void EntryRuntime::applyConfiguration(const Configuration &Newer) {
+void EntryRuntime::applyConfiguration(const Configuration &Newer, const std::string &Source) {
   const Configuration *Current = this->Proxy.configuration();
   const std::string CurrentVersion = Current ? std::to_string(Current->Version) : "none";
   if (Current && Newer.Version <= Current->Version) {
@@ -336,8 +348,9 @@
              {{"version", std::to_string(Newer.Version)}, {"in_force", CurrentVersion}});
     return;
   }
-  logEvent(LogLevel::Info, "configuration_in_force",
-           {{"version", std::to_string(Newer.Version)}, {"from", CurrentVersion}});
+  logEvent(
+      LogLevel::Info, "configuration_in_force",
+      {{"version", std::to_string(Newer.Version)}, {"from", CurrentVersion}, {"source", Source}});
   this->recordAudit("configuration", CurrentVersion, std::to_string(Newer.Version), Newer.Version,
                     "published");
   this->RequestDispatcher.setServices(Newer.Services);
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -80,8 +80,9 @@
   void sendGossip(const std::vector<OutgoingGossip> &Messages);
   void onPeerMessage(const std::string &Sender, const PeerMessage &Message);
   void applyDistributionEffects();
-  void applyBatch(const PublicationBatch &Batch);
-  void applyConfiguration(const Configuration &Newer);
+  /// `Source` is the origin of the publications, for the log: an entry's address, or the store.
+  void applyBatch(const PublicationBatch &Batch, const std::string &Source);
+  void applyConfiguration(const Configuration &Newer, const std::string &Source);
   void recordChange(const Publication &Change);
   /// `ConfigurationVersion` is 0 if the change is not a configuration.
   void recordAudit(std::string Subject, std::string OldValue, std::string NewValue,
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -73,8 +73,10 @@
   return MatchedRoute.Services.back().Service;
 }
 
-LogFields forwardedLogFields(const std::string &RequestId, const SendAttempt &Command) {
-  return {{"request", RequestId},
+LogFields forwardedLogFields(const ActiveRequest &Request, const SendAttempt &Command) {
+  return {{"request", Request.id()},
+          {"service", Request.attributes().Service.str()},
+          {"version", std::to_string(Request.attributes().ConfigurationVersion)},
           {"attempt", std::to_string(Command.Attempt)},
           {"entry", Command.Target.str()},
           {"may_wait", Command.Forward->MayQueue ? "yes" : "no"},
@@ -132,6 +134,7 @@
     return std::nullopt;
   }
   RequestAttributes Result;
+  Result.ConfigurationVersion = this->CurrentConfiguration->Version;
   Result.Route = Found->Name;
   Result.Service = chooseService(*Found, this->Deps.Random.uniform());
   Result.Idempotent = Found->Idempotent;
@@ -240,7 +243,7 @@
   }
   this->Deps.RequestMetrics.onAttempt(Request->attributes().Service, Command.Attempt > 0);
   if (Command.Forward) {
-    logEvent(LogLevel::Info, "forwarded", forwardedLogFields(Request->id(), Command));
+    logEvent(LogLevel::Info, "forwarded", forwardedLogFields(*Request, Command));
   } else {
     logEvent(LogLevel::Info, "sent", sentLogFields(Request->id(), Command));
   }
@@ -326,6 +329,7 @@
             {"complete", Complete ? "yes" : "no"},
             {"route", Request.attributes().Route.str()},
             {"service", Request.attributes().Service.str()},
+            {"version", std::to_string(Request.attributes().ConfigurationVersion)},
             {"after_ms", formatMilliseconds(Latency)}});
   if (this->find(Request.number()) == &Request) {
     this->erase(Request);
--- a/src/libs/transport/PublicationExchange.cpp
+++ b/src/libs/transport/PublicationExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/HttpMessage.h"
 #include "protocol/PublicationCodec.h"
+#include "transport/Clock.h"
 
 #include <charconv>
 #include <chrono>
@@ -22,13 +23,16 @@
 } // namespace
 
 PublicationExchange::PublicationExchange(const PublicationLog &Log, ConnectionPool &Connections,
-                                         Callbacks Handlers)
-    : Log(Log), Handlers(std::move(Handlers)),
+                                         const Clock &Time, Callbacks Handlers)
+    : Log(Log), Time(Time), Handlers(std::move(Handlers)),
       Fetch(Connections, [this](const std::optional<HttpFetch::Result> &Response,
                                 const std::string &Reason) { this->onFetched(Response, Reason); }) {
 }
 
 void PublicationExchange::fetch(const Endpoint &Entry) {
+  ++this->Traffic.Fetches;
+  this->FetchedEntry = Entry;
+  this->FetchStart = this->Time.now();
   this->Fetch.start(
       Entry, std::string(PublicationsPath) + "?after=" + std::to_string(this->Log.revision()),
       FetchTimeout);
@@ -37,15 +41,19 @@
 void PublicationExchange::onFetched(const std::optional<HttpFetch::Result> &Response,
                                     const std::string &Reason) {
   if (!Response || Response->Status != StatusOk) {
+    ++this->Traffic.FailedFetches;
     this->Handlers.OnFailure(Response ? "HTTP status " + std::to_string(Response->Status) : Reason);
     return;
   }
+  this->Traffic.BytesIn += Response->Body.size();
   const auto Batch = readBatch(Response->Body);
   if (!Batch) {
+    ++this->Traffic.FailedFetches;
     this->Handlers.OnFailure("the publications cannot be decoded");
     return;
   }
-  this->Handlers.OnBatch(*Batch);
+  this->Handlers.OnBatch(*Batch, {this->FetchedEntry.Address, Response->Body.size(),
+                                  this->Time.now() - this->FetchStart});
 }
 
 const std::string &PublicationExchange::encodedBatchSince(std::int64_t Revision) {
@@ -53,9 +61,12 @@
     PublicationBatch Batch = this->Log.batchSince(Revision);
     Batch.RemovalDelay = this->Handlers.RemovalDelay();
     this->CachedBatch = writeBatch(Batch);
+    this->IsCachedSnapshot = Batch.IsSnapshot;
     this->CachedSince = Revision;
     this->CachedRevision = this->Log.revision();
   }
+  ++(this->IsCachedSnapshot ? this->Traffic.SnapshotsOut : this->Traffic.ChangesOut);
+  this->Traffic.BytesOut += this->CachedBatch.size();
   return this->CachedBatch;
 }
 
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -44,6 +44,7 @@
     Counters.onProbe(true);
     Counters.onCallerDisconnected();
     Counters.setGauges({1, 2, 3, 4, 5, 6});
+    Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
     const char *const Table[] = {
         "anvilsaddle_request_duration_seconds_bucket{service=\"board\",le=\"0.1\"} 1\n",
@@ -61,6 +62,12 @@
         "anvilsaddle_callers_gone_total 1\n",
         "anvilsaddle_queued_requests 2\n",
         "anvilsaddle_configuration_version 6\n",
+        "anvilsaddle_publications_served_total{content=\"snapshot\"} 7\n",
+        "anvilsaddle_publications_served_total{content=\"changes\"} 8\n",
+        "anvilsaddle_publication_bytes_total{direction=\"out\"} 9\n",
+        "anvilsaddle_publication_fetches_total 10\n",
+        "anvilsaddle_publication_fetches_failed_total 11\n",
+        "anvilsaddle_publication_bytes_total{direction=\"in\"} 12\n",
     };
     for (const char *Expected : Table) {
       CPPUNIT_ASSERT_MESSAGE(std::string(Expected) + " in " + Text,
--- a/tests/auto/libs/transport/tst_publicationexchange.cpp
+++ b/tests/auto/libs/transport/tst_publicationexchange.cpp
@@ -16,8 +16,8 @@
 /// An entry with a publication log and an exchange that listens on a port.
 struct Entry {
   Entry()
-      : Connections(Time), Exchange(Log, Connections,
-                                    {[this](const PublicationBatch &Batch) {
+      : Connections(Time), Exchange(Log, Connections, Time,
+                                    {[this](const PublicationBatch &Batch, const FetchDetails &) {
                                        this->ReceivedRemovalDelay = Batch.RemovalDelay;
                                        this->Log.apply(Batch);
                                        ++this->FetchCount;
@@ -74,6 +74,11 @@
     CPPUNIT_ASSERT(Follower.fetch(Reader.Server.port()));
     CPPUNIT_ASSERT(Follower.Log.batchSince(0) == Reader.Log.batchSince(0));
     CPPUNIT_ASSERT_EQUAL(std::string(), Follower.Failure);
+    const PublicationTraffic Served = Reader.Exchange.traffic();
+    const PublicationTraffic Fetched = Follower.Exchange.traffic();
+    CPPUNIT_ASSERT(Served.SnapshotsOut == 1 && Served.ChangesOut == 1 && Served.BytesOut > 0);
+    CPPUNIT_ASSERT(Fetched.Fetches == 2 && Fetched.FailedFetches == 0);
+    CPPUNIT_ASSERT_EQUAL(Served.BytesOut, Fetched.BytesIn);
   }
 
   /// Guards against failed fetches that are not reported, or that change the log.
@@ -99,6 +104,7 @@
       CPPUNIT_ASSERT_MESSAGE(Each.Name, Follower.fetch(Server.Port));
       CPPUNIT_ASSERT_MESSAGE(Each.Name, !Follower.Failure.empty());
       CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, Follower.Log.revision());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Follower.Exchange.traffic().FailedFetches);
     }
   }
 };
