Send entries that are behind the current state, not every superseded change

Callers saw 404 on routes that had been added more than 3 s before. PublicationLog kept each change, so an entry that was behind fetched all configurations published since: 272 KB at worst, of which the last 3.8 KB count. The narrow link (10 Mbit/s) of a reader filled up, fetches timed out and started over, entries fell further behind and fetched more.

The log now keeps the state with the revision at which each part changed last; a fetch returns the parts that changed since.

--- a/src/libs/coordination/PublicationLog.h
+++ b/src/libs/coordination/PublicationLog.h
@@ -4,43 +4,45 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
-#include <set>
 
 namespace anvilsaddle {
 
-/// Current state of all publications that this entry knows, and the latest changes for entries that
-/// fetch them. Not thread-safe.
+/// Current state of all publications that this entry knows, with the revision at which each of them
+/// changed last, for entries that fetch the changes. A superseded change is not kept: an entry that
+/// is behind gets at most the current state, however many changes it missed. Not thread-safe.
 class PublicationLog {
 public:
-  /// Number of changes that are retained. An entry that lacks older ones gets a snapshot.
-  static constexpr std::size_t MaxRetainedChanges = 512;
+  /// Number of removals that are remembered. An entry that lacks older ones gets a snapshot.
+  static constexpr std::size_t MaxRetainedRemovals = 512;
 
   /// Applies a batch. Returns false and changes nothing if changes before the batch are missing or
   /// if the batch is older than the log.
   bool apply(const PublicationBatch &Batch);
   /// Revision up to which all publications are known; 0 if none are.
   std::int64_t revision() const { return this->Revision; }
-  /// Returns the changes after a revision, or a snapshot if they are no longer retained.
+  /// Returns the changes after a revision without superseded ones, or a snapshot if removals since
+  /// then are no longer known.
   PublicationBatch batchSince(std::int64_t KnownRevision) const;
 
 private:
-  struct RetainedChange {
-    std::int64_t Revision = 0;
-    Publication Change;
+  template <typename ValueType> struct Revised {
+    std::int64_t ChangedAt = 0;
+    ValueType Value;
   };
 
-  void applyChange(const Publication &Change);
+  void applyChange(const Publication &Change, std::int64_t ChangedAt);
+  void dropOldRemovals();
 
   std::int64_t Revision = 0;
-  /// Changes up to this revision are discarded; later ones are retained.
+  /// Removals up to this revision are not complete.
   std::int64_t CompactedRevision = 0;
-  std::deque<RetainedChange> Changes;
-  std::optional<Configuration> CurrentConfiguration;
-  std::map<TargetName, Target> Targets;
-  std::set<FailureDomainName> EvacuatedDomains;
+  std::optional<Revised<Configuration>> CurrentConfiguration;
+  std::map<TargetName, Revised<Target>> Targets;
+  std::map<TargetName, std::int64_t> RemovedTargets;
+  /// True for failure domains that are evacuated, false for those returned to service.
+  std::map<FailureDomainName, Revised<bool>> Evacuations;
 };
 
 } // namespace anvilsaddle
--- a/tests/auto/libs/coordination/tst_publicationlog.cpp
+++ b/tests/auto/libs/coordination/tst_publicationlog.cpp
@@ -2,7 +2,9 @@
 #include "Property.h"
 #include "coordination/PublicationLog.h"
 
-#include <map>
+#include <algorithm>
+#include <set>
+#include <string>
 
 using namespace anvilsaddle;
 
@@ -21,6 +23,28 @@
   return Result;
 }
 
+/// Name of what a publication is about.
+std::string subjectOf(const Publication &Change) {
+  if (const auto *Registered = std::get_if<TargetRegistered>(&Change)) {
+    return "target " + Registered->Registration.Name.str();
+  }
+  if (const auto *Removed = std::get_if<TargetRemoved>(&Change)) {
+    return "target " + Removed->Name.str();
+  }
+  if (const auto *Evacuation = std::get_if<DomainEvacuation>(&Change)) {
+    return "domain " + Evacuation->Domain.str();
+  }
+  return "configuration";
+}
+
+/// True if the batch has no two changes of the same subject.
+bool hasEachSubjectOnce(const PublicationBatch &Batch) {
+  std::set<std::string> Subjects;
+  return std::all_of(
+      Batch.Changes.begin(), Batch.Changes.end(),
+      [&Subjects](const Publication &Each) { return Subjects.insert(subjectOf(Each)).second; });
+}
+
 /// Snapshot of a log without its revision, so that the content of two logs can be compared.
 PublicationBatch contentOf(const PublicationLog &Log) {
   PublicationBatch Result = Log.batchSince(0);
@@ -64,12 +88,15 @@
     CPPUNIT_ASSERT(Log.apply(batch(false, {makeConfiguration(5)}, 10, 11)));
     CPPUNIT_ASSERT_MESSAGE("an older version is ignored",
                            std::get<Configuration>(Log.batchSince(0).Changes.front()).Version == 7);
+    CPPUNIT_ASSERT(!Log.batchSince(10).IsSnapshot && Log.batchSince(10).Changes.empty());
+    CPPUNIT_ASSERT(Log.apply(batch(false, {makeRegistration(1)}, 11, 12)));
     CPPUNIT_ASSERT(!Log.batchSince(10).IsSnapshot && Log.batchSince(10).Changes.size() == 1);
-    CPPUNIT_ASSERT(Log.batchSince(11).Changes.empty() && Log.batchSince(9).IsSnapshot);
+    CPPUNIT_ASSERT(!Log.batchSince(11).IsSnapshot && Log.batchSince(11).Changes.size() == 1);
+    CPPUNIT_ASSERT(Log.batchSince(12).Changes.empty() && Log.batchSince(9).IsSnapshot);
   }
 
   /// Guards against an entry whose state differs from that of the entry it fetches from, regardless
-  /// of how far it was behind.
+  /// of how far it was behind, and against superseded changes in what it fetches.
   void followersConverge() {
     checkProperty("a follower has the same state as its source", [] {
       PublicationLog Source;
@@ -86,10 +113,13 @@
         } else if (RandomNumber < 30) {
           Change = DomainEvacuation{FailureDomainName("d" + std::to_string(RandomNumber % 2)),
                                     RandomNumber < 25};
+        } else if (RandomNumber < 50) {
+          Change = makeConfiguration(static_cast<std::uint64_t>(Revision));
         }
         RC_ASSERT(Source.apply(batch(false, {Change}, Revision, NextRevision)));
         Revision = NextRevision;
         if (RandomNumber > 95) {
+          RC_ASSERT(hasEachSubjectOnce(Source.batchSince(Follower.revision())));
           RC_ASSERT(Follower.apply(Source.batchSince(Follower.revision())));
           RC_ASSERT(contentOf(Follower) == contentOf(Source));
         }
