Fetch what a new listing of the store changed, not everything

Callers of busy entries got no answer, and versions came up to 0.9 s later to a part of the region, when the store had dropped its history (status 410).

Unchanged registrations of a listing are no longer logged and audited one by one.

Tests: configurationIsInForceInTimeAfterDroppedHistory plays it with 52 entries and fails before; snapshotsAreFetchedAsChanges; entriesHaveTheStateOfTheirRevision lets entries list, watch and fetch from each other in random order and fails without the gaps and without sending them along.

--- a/src/libs/coordination/PublicationLog.h
+++ b/src/libs/coordination/PublicationLog.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -11,11 +12,14 @@
 
 /// Current state of all publications that this entry knows, with the revision at which each of them
 /// changed last, for entries that fetch the changes. A superseded change is not kept: an entry that
-/// is behind gets at most the current state, however many changes it missed. Not thread-safe.
+/// is behind gets at most the current state, however many changes it missed. A snapshot that
+/// follows other publications counts as the changes that it makes to them. Not thread-safe.
 class PublicationLog {
 public:
   /// Number of removals that are remembered. An entry that lacks older ones gets a snapshot.
   static constexpr std::size_t MaxRetainedRemovals = 512;
+  /// Number of gaps that are remembered. An entry whose revision is before those gets a snapshot.
+  static constexpr std::size_t MaxRetainedGaps = 32;
 
   /// Applies a batch. Returns false and changes nothing if changes before the batch are missing or
   /// if the batch is older than the log.
@@ -32,12 +36,21 @@
     ValueType Value;
   };
 
+  void addGap(const RevisionGap &Added);
+  bool isInGap(std::int64_t KnownRevision) const;
+  /// True if applying the change would change nothing.
+  bool isKnown(const Publication &Change) const;
   void applyChange(const Publication &Change, std::int64_t ChangedAt);
+  /// Removes the targets and ends the evacuations that a snapshot doesn't list.
+  void removeUnlisted(const PublicationBatch &Snapshot);
   void dropOldRemovals();
 
   std::int64_t Revision = 0;
   /// Removals up to this revision are not complete.
   std::int64_t CompactedRevision = 0;
+  /// From snapshots that followed other publications, here or at the entries from which this one
+  /// fetched. An entry whose revision is inside a gap gets a snapshot.
+  std::deque<RevisionGap> Gaps;
   std::optional<Revised<Configuration>> CurrentConfiguration;
   std::map<TargetName, Revised<Target>> Targets;
   std::map<TargetName, std::int64_t> RemovedTargets;
--- a/src/libs/protocol/PublicationCodec.cpp
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -160,6 +160,13 @@
   for (const Publication &Each : Batch.Changes) {
     Out.changes.push_back(toWire(Each));
   }
+  for (const RevisionGap &Each : Batch.Gaps) {
+    wire::RevisionGap Part;
+    Part.first = Each.First;
+    Part.last = Each.Last;
+    Out.gaps.push_back(Part);
+  }
+  Out.__isset.gaps = !Out.gaps.empty();
   return writeThrift(Out);
 }
 
@@ -168,7 +175,10 @@
     wire::PublicationBatch In;
     readThrift(Text, In);
     PublicationBatch Result{
-        In.complete, In.since, In.revision, Duration(In.removalsWaitMicroseconds), {}};
+        In.complete, In.since, In.revision, Duration(In.removalsWaitMicroseconds), {}, {}};
+    for (const wire::RevisionGap &Each : In.gaps) {
+      Result.Gaps.push_back({Each.first, Each.last});
+    }
     for (const wire::Publication &Each : In.changes) {
       const auto Change = fromWire(Each);
       if (!Change) {
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -1919,6 +1919,121 @@
 }
 
 
+RevisionGap::~RevisionGap() noexcept {
+}
+
+
+void RevisionGap::__set_first(const int64_t val) {
+  this->first = val;
+}
+
+void RevisionGap::__set_last(const int64_t val) {
+  this->last = val;
+}
+std::ostream& operator<<(std::ostream& out, const RevisionGap& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RevisionGap::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_first = false;
+  bool isset_last = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->first);
+          isset_first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last);
+          isset_last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_first)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_last)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RevisionGap::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RevisionGap");
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RevisionGap &a, RevisionGap &b) {
+  using ::std::swap;
+  swap(a.first, b.first);
+  swap(a.last, b.last);
+}
+
+RevisionGap::RevisionGap(const RevisionGap& other74) noexcept {
+  first = other74.first;
+  last = other74.last;
+}
+RevisionGap& RevisionGap::operator=(const RevisionGap& other75) noexcept {
+  first = other75.first;
+  last = other75.last;
+  return *this;
+}
+void RevisionGap::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RevisionGap(";
+  out << "first=" << to_string(first);
+  out << ", " << "last=" << to_string(last);
+  out << ")";
+}
+
+
 PublicationBatch::~PublicationBatch() noexcept {
 }
 
@@ -1942,6 +2057,11 @@
 void PublicationBatch::__set_changes(const std::vector<Publication> & val) {
   this->changes = val;
 }
+
+void PublicationBatch::__set_gaps(const std::vector<RevisionGap> & val) {
+  this->gaps = val;
+__isset.gaps = true;
+}
 std::ostream& operator<<(std::ostream& out, const PublicationBatch& obj)
 {
   obj.printTo(out);
@@ -2011,14 +2131,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->changes.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->changes.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->changes[_i78].read(iprot);
+              xfer += this->changes[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2027,6 +2147,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->gaps.clear();
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->gaps.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
+            {
+              xfer += this->gaps[_i85].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.gaps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2073,15 +2213,28 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Publication> ::const_iterator _iter79;
-    for (_iter79 = this->changes.begin(); _iter79 != this->changes.end(); ++_iter79)
+    std::vector<Publication> ::const_iterator _iter86;
+    for (_iter86 = this->changes.begin(); _iter86 != this->changes.end(); ++_iter86)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.gaps) {
+    xfer += oprot->writeFieldBegin("gaps", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gaps.size()));
+      std::vector<RevisionGap> ::const_iterator _iter87;
+      for (_iter87 = this->gaps.begin(); _iter87 != this->gaps.end(); ++_iter87)
+      {
+        xfer += (*_iter87).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2094,21 +2247,27 @@
   swap(a.revision, b.revision);
   swap(a.removalsWaitMicroseconds, b.removalsWaitMicroseconds);
   swap(a.changes, b.changes);
+  swap(a.gaps, b.gaps);
+  swap(a.__isset, b.__isset);
 }
 
-PublicationBatch::PublicationBatch(const PublicationBatch& other80) {
-  complete = other80.complete;
-  since = other80.since;
-  revision = other80.revision;
-  removalsWaitMicroseconds = other80.removalsWaitMicroseconds;
-  changes = other80.changes;
-}
-PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other81) {
-  complete = other81.complete;
-  since = other81.since;
-  revision = other81.revision;
-  removalsWaitMicroseconds = other81.removalsWaitMicroseconds;
-  changes = other81.changes;
+PublicationBatch::PublicationBatch(const PublicationBatch& other88) {
+  complete = other88.complete;
+  since = other88.since;
+  revision = other88.revision;
+  removalsWaitMicroseconds = other88.removalsWaitMicroseconds;
+  changes = other88.changes;
+  gaps = other88.gaps;
+  __isset = other88.__isset;
+}
+PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other89) {
+  complete = other89.complete;
+  since = other89.since;
+  revision = other89.revision;
+  removalsWaitMicroseconds = other89.removalsWaitMicroseconds;
+  changes = other89.changes;
+  gaps = other89.gaps;
+  __isset = other89.__isset;
   return *this;
 }
 void PublicationBatch::printTo(std::ostream& out) const {
@@ -2119,6 +2278,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "removalsWaitMicroseconds=" << to_string(removalsWaitMicroseconds);
   out << ", " << "changes=" << to_string(changes);
+  out << ", " << "gaps="; (__isset.gaps ? (out << to_string(gaps)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -41,6 +41,8 @@
 
 class Publication;
 
+class RevisionGap;
+
 class PublicationBatch;
 
 
@@ -638,6 +640,53 @@
 std::ostream& operator<<(std::ostream& out, const Publication& obj);
 
 
+class RevisionGap : public virtual ::apache::thrift::TBase {
+ public:
+
+  RevisionGap(const RevisionGap&) noexcept;
+  RevisionGap& operator=(const RevisionGap&) noexcept;
+  RevisionGap() noexcept
+              : first(0),
+                last(0) {
+  }
+
+  virtual ~RevisionGap() noexcept;
+  int64_t first;
+  int64_t last;
+
+  void __set_first(const int64_t val);
+
+  void __set_last(const int64_t val);
+
+  bool operator == (const RevisionGap & rhs) const
+  {
+    if (!(first == rhs.first))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    return true;
+  }
+  bool operator != (const RevisionGap &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RevisionGap & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RevisionGap &a, RevisionGap &b);
+
+std::ostream& operator<<(std::ostream& out, const RevisionGap& obj);
+
+typedef struct _PublicationBatch__isset {
+  _PublicationBatch__isset() : gaps(false) {}
+  bool gaps :1;
+} _PublicationBatch__isset;
+
 class PublicationBatch : public virtual ::apache::thrift::TBase {
  public:
 
@@ -656,6 +705,9 @@
   int64_t revision;
   int64_t removalsWaitMicroseconds;
   std::vector<Publication>  changes;
+  std::vector<RevisionGap>  gaps;
+
+  _PublicationBatch__isset __isset;
 
   void __set_complete(const bool val);
 
@@ -667,6 +719,8 @@
 
   void __set_changes(const std::vector<Publication> & val);
 
+  void __set_gaps(const std::vector<RevisionGap> & val);
+
   bool operator == (const PublicationBatch & rhs) const
   {
     if (!(complete == rhs.complete))
@@ -679,6 +733,10 @@
       return false;
     if (!(changes == rhs.changes))
       return false;
+    if (__isset.gaps != rhs.__isset.gaps)
+      return false;
+    else if (__isset.gaps && !(gaps == rhs.gaps))
+      return false;
     return true;
   }
   bool operator != (const PublicationBatch &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -89,6 +89,11 @@
   4: Evacuation evacuation
 }
 
+struct RevisionGap {
+  1: required i64 first
+  2: required i64 last
+}
+
 // Response to an entry that requests the publications after a revision.
 struct PublicationBatch {
   1: required bool complete
@@ -96,4 +101,5 @@
   3: required i64 revision
   4: required i64 removalsWaitMicroseconds
   5: required list<Publication> changes
+  6: optional list<RevisionGap> gaps
 }
--- a/src/libs/state/Publication.h
+++ b/src/libs/state/Publication.h
@@ -38,6 +38,19 @@
 /// configuration, target or failure domain.
 using Publication = std::variant<Configuration, TargetRegistered, TargetRemoved, DomainEvacuation>;
 
+/// Range of revisions about which it is only known what changed from its first to its last one, but
+/// not what changed in between and changed back. Value type.
+struct RevisionGap {
+  std::int64_t First = 0;
+  std::int64_t Last = 0;
+
+  bool isInside(std::int64_t Revision) const {
+    return this->First < Revision && Revision < this->Last;
+  }
+
+  auto operator<=>(const RevisionGap &) const = default;
+};
+
 /// Publications in the order of their revision. Value type.
 struct PublicationBatch {
   /// True if the batch contains everything that is published, so that anything missing was removed.
@@ -51,6 +64,8 @@
   /// recently.
   Duration RemovalDelay{0};
   std::vector<Publication> Changes;
+  /// Gaps of the sender that end after Since.
+  std::vector<RevisionGap> Gaps;
 
   auto operator<=>(const PublicationBatch &) const = default;
 };
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -363,6 +363,10 @@
 void EntryRuntime::recordChange(const Publication &Change) {
   if (const auto *Registered = std::get_if<TargetRegistered>(&Change)) {
     const Target &Value = Registered->Registration;
+    const TargetState *Known = this->RequestDispatcher.targets().find(Value.Name);
+    if (Known && Known->Registration == Value) {
+      return;
+    }
     const char *State = Value.Draining ? "draining" : "ready";
     logEvent(LogLevel::Info, "target_registered",
              {{"target", Value.Name.str()}, {"service", Value.Service.str()}, {"state", State}});
--- a/tests/auto/libs/coordination/tst_publicationlog.cpp
+++ b/tests/auto/libs/coordination/tst_publicationlog.cpp
@@ -3,8 +3,10 @@
 #include "coordination/PublicationLog.h"
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace anvilsaddle;
 
@@ -45,6 +47,24 @@
       [&Subjects](const Publication &Each) { return Subjects.insert(subjectOf(Each)).second; });
 }
 
+rc::Gen<Publication> randomChange(std::int64_t Revision) {
+  return rc::gen::map(rc::gen::inRange(0, 12), [Revision](int Number) -> Publication {
+    const TargetName Name("t" + std::to_string(Number % 2));
+    const FailureDomainName Domain("d" + std::to_string(Number % 2));
+    switch (Number / 2) {
+    case 0:
+      return makeConfiguration(static_cast<std::uint64_t>(Revision) + 1);
+    case 1:
+      return TargetRemoved{Name};
+    case 2:
+    case 3:
+      return DomainEvacuation{Domain, Number / 2 == 2};
+    default:
+      return makeRegistration(Number % 2, Number / 2);
+    }
+  });
+}
+
 /// Snapshot of a log without its revision, so that the content of two logs can be compared.
 PublicationBatch contentOf(const PublicationLog &Log) {
   PublicationBatch Result = Log.batchSince(0);
@@ -57,7 +77,9 @@
 class PublicationLogTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublicationLogTest);
   CPPUNIT_TEST(batchesAreAppliedInOrder);
+  CPPUNIT_TEST(snapshotsAreFetchedAsChanges);
   CPPUNIT_TEST(followersConverge);
+  CPPUNIT_TEST(entriesHaveTheStateOfTheirRevision);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +117,36 @@
     CPPUNIT_ASSERT(Log.batchSince(12).Changes.empty() && Log.batchSince(9).IsSnapshot);
   }
 
+  /// Guards against an entry that fetches everything because its source has listed the store again.
+  void snapshotsAreFetchedAsChanges() {
+    const FailureDomainName East("east");
+    const FailureDomainName West("west");
+    PublicationLog Log;
+    CPPUNIT_ASSERT(Log.apply(batch(true,
+                                   {makeConfiguration(7), makeRegistration(1), makeRegistration(2),
+                                    makeRegistration(3), DomainEvacuation{East, true}},
+                                   0, 10)));
+    CPPUNIT_ASSERT(Log.apply(batch(true,
+                                   {makeConfiguration(7), makeRegistration(1),
+                                    makeRegistration(2, 5), DomainEvacuation{West, true}},
+                                   0, 20)));
+    PublicationBatch Expected =
+        batch(false,
+              {makeRegistration(2, 5), DomainEvacuation{East, false}, DomainEvacuation{West, true},
+               TargetRemoved{TargetName("t3")}},
+              10, 20);
+    Expected.Gaps = {{10, 20}};
+    CPPUNIT_ASSERT(Log.batchSince(10) == Expected);
+    CPPUNIT_ASSERT_MESSAGE("an entry inside the gap", Log.batchSince(15).IsSnapshot);
+    CPPUNIT_ASSERT(Log.batchSince(20) == batch(false, {}, 20, 20));
+    CPPUNIT_ASSERT(Log.batchSince(9).IsSnapshot);
+    CPPUNIT_ASSERT(Log.batchSince(0) ==
+                   batch(true,
+                         {makeConfiguration(7), makeRegistration(1), makeRegistration(2, 5),
+                          DomainEvacuation{West, true}},
+                         0, 20));
+  }
+
   /// Guards against an entry whose state differs from that of the entry it fetches from, regardless
   /// of how far it was behind, and against superseded changes in what it fetches.
   void followersConverge() {
@@ -116,7 +168,14 @@
         } else if (RandomNumber < 50) {
           Change = makeConfiguration(static_cast<std::uint64_t>(Revision));
         }
-        RC_ASSERT(Source.apply(batch(false, {Change}, Revision, NextRevision)));
+        if (RandomNumber >= 50 && RandomNumber < 55) {
+          PublicationLog Listed;
+          Listed.apply(batch(true, Source.batchSince(0).Changes, 0, Revision));
+          Listed.apply(batch(false, {Change}, Revision, NextRevision));
+          RC_ASSERT(Source.apply(Listed.batchSince(0)));
+        } else {
+          RC_ASSERT(Source.apply(batch(false, {Change}, Revision, NextRevision)));
+        }
         Revision = NextRevision;
         if (RandomNumber > 95) {
           RC_ASSERT(hasEachSubjectOnce(Source.batchSince(Follower.revision())));
@@ -128,6 +187,44 @@
       RC_ASSERT(contentOf(Follower) == contentOf(Source));
     });
   }
+
+  /// Guards against changes that get lost when an entry fetches from several others, of which some
+  /// list the store anew and have not seen what changed back in the meantime.
+  void entriesHaveTheStateOfTheirRevision() {
+    checkProperty("an entry has the state of its revision", [] {
+      std::vector<PublicationBatch> States = {
+          batch(true, {makeConfiguration(1), makeRegistration(0)}, 0, 1)};
+      std::vector<Publication> History;
+      PublicationLog Truth;
+      Truth.apply(States.front());
+      std::array<PublicationLog, 4> Entries;
+      const int StepCount = *rc::gen::inRange(1, 120);
+      for (int Step = 0; Step < StepCount; ++Step) {
+        const int RandomNumber = *rc::gen::inRange(0, 60);
+        PublicationLog &Entry = Entries.at(static_cast<std::size_t>(RandomNumber) % 4);
+        const std::int64_t Revision = Truth.revision();
+        if (RandomNumber < 20) {
+          History.push_back(*randomChange(Revision));
+          Truth.apply(batch(false, {History.back()}, Revision, Revision + 1));
+          States.push_back(Truth.batchSince(0));
+        } else if (RandomNumber < 25) {
+          RC_ASSERT(Entry.apply(States.back()));
+        } else if (RandomNumber < 35 && Entry.revision() > 0) {
+          std::vector<Publication> Missed(History.begin() + Entry.revision() - 1, History.end());
+          RC_ASSERT(Entry.apply(batch(false, Missed, Entry.revision(), Revision)));
+        } else {
+          const PublicationLog &From = Entries.at(static_cast<std::size_t>(RandomNumber) / 4 % 4);
+          if (From.revision() > Entry.revision()) {
+            RC_ASSERT(Entry.apply(From.batchSince(Entry.revision())));
+          }
+        }
+        if (Entry.revision() > 0) {
+          const auto Index = static_cast<std::size_t>(Entry.revision()) - 1;
+          RC_ASSERT(Entry.batchSince(0) == States.at(Index));
+        }
+      }
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PublicationLogTest);
--- a/tests/auto/libs/protocol/tst_publicationcodec.cpp
+++ b/tests/auto/libs/protocol/tst_publicationcodec.cpp
@@ -24,6 +24,7 @@
              DomainEvacuation{FailureDomainName("d"), true}},
             3, 99);
   Result.RemovalDelay = 1500ms;
+  Result.Gaps = {{2, 40}, {55, 99}};
   return Result;
 }
 
--- a/tests/auto/libs/protocol/tst_publicationspread.cpp
+++ b/tests/auto/libs/protocol/tst_publicationspread.cpp
@@ -64,7 +64,7 @@
   void publish(const Publication &Change) {
     ++this->Revision;
     this->Changes.push_back({this->Revision, Change});
-    this->Current.apply({false, this->Revision - 1, this->Revision, Duration(0), {Change}});
+    this->Current.apply({false, this->Revision - 1, this->Revision, Duration(0), {Change}, {}});
   }
 
   void dropHistory() { this->Changes.clear(); }
@@ -76,7 +76,7 @@
     if (Since == 0 || (Since + 1 < Kept && Since < this->Revision)) {
       return this->Current.batchSince(0);
     }
-    PublicationBatch Result{false, Since, this->Revision, Duration(0), {}};
+    PublicationBatch Result{false, Since, this->Revision, Duration(0), {}, {}};
     for (const auto &[ChangeRevision, Change] : this->Changes) {
       if (ChangeRevision > Since) {
         Result.Changes.push_back(Change);
@@ -235,6 +235,7 @@
 class PublicationSpreadTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublicationSpreadTest);
   CPPUNIT_TEST(stormOfConfigurationsIsInForceInTime);
+  CPPUNIT_TEST(configurationIsInForceInTimeAfterDroppedHistory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -256,6 +257,21 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Region.FailedFetches);
     }
   }
+
+  /// Guards against readers that send all registrations to all entries after a new listing.
+  void configurationIsInForceInTimeAfterDroppedHistory() {
+    NarrowRegion Region;
+    Region.run(4s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Region.oldestVersion());
+    const std::size_t FailedAtStart = Region.FailedFetches;
+    for (std::uint64_t Version = 2; Version < 12; ++Version) {
+      Region.Store.publish(makeConfiguration(Version));
+      Region.Store.dropHistory();
+      Region.run(1s);
+      CPPUNIT_ASSERT_EQUAL(Version, Region.oldestVersion());
+    }
+    CPPUNIT_ASSERT_EQUAL(FailedAtStart, Region.FailedFetches);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PublicationSpreadTest);
