Keep the service of a request that another entry handles

Callers could be served by a version of the configuration that the entry they talk to had already replaced, or had not seen yet: an entry of another region routed a forwarded request anew, by its own version.

The first entry now names the service in a second header field, which entries of the older version ignore.

--- a/src/libs/coordination/DispatchTypes.h
+++ b/src/libs/coordination/DispatchTypes.h
@@ -54,6 +54,9 @@
   bool MayQueue = false;
   /// Time since the request arrived at the first entry.
   Duration Elapsed{0};
+  /// Service that the first entry selected; empty if it is an entry of an older version, which
+  /// leaves the selection to the other one.
+  ServiceName Service{};
 
   auto operator<=>(const ForwardOptions &) const = default;
 };
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -205,6 +205,7 @@
   Forward.MaxTargets = Attributes.Idempotent && TargetsLeft > 1 ? TargetsLeft - 1 : TargetsLeft;
   Forward.MayQueue = !this->Finder.hasLocalTargets(Context, Now);
   Forward.Elapsed = Now - Attributes.ReceivedAt;
+  Forward.Service = Attributes.Service;
   const auto Attempt = static_cast<AttemptNumber>(Request.Attempts.size());
   const TargetName Name(Entry->Address);
   Request.Attempts.push_back(
--- a/src/libs/protocol/ForwardHeader.cpp
+++ b/src/libs/protocol/ForwardHeader.cpp
@@ -13,11 +13,14 @@
 /// The value is `targets wait elapsed`: the maximum number of targets to try, 1 if the request may
 /// wait in a queue or 0, and the elapsed time in milliseconds.
 constexpr const char *HeaderName = "Anvilsaddle-Forwarded";
+/// The value is the name of the service that the first entry selected.
+constexpr const char *ServiceHeaderName = "Anvilsaddle-Forwarded-Service";
 constexpr std::int64_t MaxTargetLimit = 100;
 constexpr std::int64_t MaxElapsedMilliseconds = 24LL * 3600 * 1000;
 
 bool isForwardHeader(const std::pair<std::string, std::string> &Field) {
-  return equalsIgnoreCase(Field.first, HeaderName);
+  return equalsIgnoreCase(Field.first, HeaderName) ||
+         equalsIgnoreCase(Field.first, ServiceHeaderName);
 }
 
 /// Parses three non-negative integers that are separated by single spaces.
@@ -44,10 +47,14 @@
   Fields.emplace_back(HeaderName, std::to_string(Options.MaxTargets) + " " +
                                       (Options.MayQueue ? "1 " : "0 ") +
                                       std::to_string(toMilliseconds(Options.Elapsed)));
+  if (!Options.Service.empty()) {
+    Fields.emplace_back(ServiceHeaderName, Options.Service.str());
+  }
 }
 
 std::optional<ForwardOptions> takeForwardHeader(FieldList &Fields) {
   const std::string Text(findField(Fields, HeaderName));
+  const ServiceName Service(std::string(findField(Fields, ServiceHeaderName)));
   std::erase_if(Fields, isForwardHeader);
   const auto Numbers = readNumbers(Text);
   if (!Numbers) {
@@ -59,7 +66,7 @@
     return std::nullopt;
   }
   return ForwardOptions{static_cast<std::uint32_t>(TargetLimit), QueueFlag == 1,
-                        std::chrono::milliseconds(Elapsed)};
+                        std::chrono::milliseconds(Elapsed), Service};
 }
 
 } // namespace anvilsaddle
--- a/src/libs/protocol/ForwardHeader.h
+++ b/src/libs/protocol/ForwardHeader.h
@@ -7,11 +7,11 @@
 
 namespace anvilsaddle {
 
-/// Sets the header field that marks a request as forwarded by another entry and carries its
-/// options, replacing any previous value.
+/// Sets the header fields that mark a request as forwarded by another entry and carry its
+/// options, replacing any previous values.
 void writeForwardHeader(FieldList &Fields, const ForwardOptions &Options);
 
-/// Removes the header field and returns its options, or nothing if it is missing or malformed.
+/// Removes the header fields and returns the options, or nothing if it is missing or malformed.
 std::optional<ForwardOptions> takeForwardHeader(FieldList &Fields);
 
 } // namespace anvilsaddle
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -73,6 +73,11 @@
   return MatchedRoute.Services.back().Service;
 }
 
+bool hasService(const Route &MatchedRoute, const ServiceName &Service) {
+  return std::any_of(MatchedRoute.Services.begin(), MatchedRoute.Services.end(),
+                     [&Service](const WeightedService &Each) { return Each.Service == Service; });
+}
+
 LogFields forwardedLogFields(const ActiveRequest &Request, const SendAttempt &Command) {
   return {{"request", Request.id()},
           {"service", Request.attributes().Service.str()},
@@ -123,28 +128,25 @@
   this->Routes.emplace(*this->CurrentConfiguration);
 }
 
-std::optional<RequestAttributes>
-ProxyHandler::makeAttributes(const HttpExchange &Exchange,
-                             const std::optional<Duration> &RemainingTime) {
-  const RequestHead &Head = Exchange.head();
-  const Route *Found = this->Routes
-                           ? this->Routes->find(findField(Head.Fields, "Host"), Head.RequestTarget)
-                           : nullptr;
-  if (!Found) {
-    return std::nullopt;
-  }
+const Route *ProxyHandler::findRoute(const RequestHead &Head) const {
+  return this->Routes ? this->Routes->find(findField(Head.Fields, "Host"), Head.RequestTarget)
+                      : nullptr;
+}
+
+RequestAttributes ProxyHandler::makeAttributes(const HttpExchange &Exchange,
+                                               const Route &MatchedRoute,
+                                               const std::optional<Duration> &RemainingTime) const {
   RequestAttributes Result;
   Result.ConfigurationVersion = this->CurrentConfiguration->Version;
-  Result.Route = Found->Name;
-  Result.Service = chooseService(*Found, this->Deps.Random.uniform());
-  Result.Idempotent = Found->Idempotent;
-  Result.Priority = Found->Priority;
-  Result.MaxTargets = std::max<std::uint32_t>(1, Found->MaxTargets);
-  Result.HomeRegions = Found->HomeRegions;
+  Result.Route = MatchedRoute.Name;
+  Result.Idempotent = MatchedRoute.Idempotent;
+  Result.Priority = MatchedRoute.Priority;
+  Result.MaxTargets = std::max<std::uint32_t>(1, MatchedRoute.MaxTargets);
+  Result.HomeRegions = MatchedRoute.HomeRegions;
   Result.ReceivedAt = Exchange.received();
-  Result.Objective = Found->LatencyObjective;
-  Result.Deadline =
-      Result.ReceivedAt + std::min(Found->Timeout, RemainingTime.value_or(Found->Timeout));
+  Result.Objective = MatchedRoute.LatencyObjective;
+  Result.Deadline = Result.ReceivedAt +
+                    std::min(MatchedRoute.Timeout, RemainingTime.value_or(MatchedRoute.Timeout));
   return Result;
 }
 
@@ -173,23 +175,32 @@
     Exchange.respond(localResponse(Unavailable, RetryAfterShutdown), "the entry ends\n");
     return;
   }
-  auto Attributes = this->makeAttributes(Exchange, Metadata.RemainingTime);
-  if (!Attributes) {
+  const Route *MatchedRoute = this->findRoute(Exchange.head());
+  if (!MatchedRoute) {
     this->rejectUnrouted(Exchange, Metadata.RequestId);
     return;
   }
+  if (Forward && !Forward->Service.empty() && !hasService(*MatchedRoute, Forward->Service)) {
+    this->rejectRoutedDifferently(Exchange, Metadata.RequestId, Forward->Service);
+    return;
+  }
+  RequestAttributes Attributes =
+      this->makeAttributes(Exchange, *MatchedRoute, Metadata.RemainingTime);
+  Attributes.Service = Forward && !Forward->Service.empty()
+                           ? Forward->Service
+                           : chooseService(*MatchedRoute, this->Deps.Random.uniform());
   if (Forward) {
-    Attributes->CameFromOtherEntry = true;
-    Attributes->MayQueue = Forward->MayQueue;
-    Attributes->MaxTargets = std::min(Attributes->MaxTargets, Forward->MaxTargets);
+    Attributes.CameFromOtherEntry = true;
+    Attributes.MayQueue = Forward->MayQueue;
+    Attributes.MaxTargets = std::min(Attributes.MaxTargets, Forward->MaxTargets);
     // The latency objective is measured from the arrival at the first entry.
-    Attributes->ReceivedAt -= Forward->Elapsed;
+    Attributes.ReceivedAt -= Forward->Elapsed;
   }
   const RequestNumber Number = ++this->LastNumber;
   this->Requests[Number] = std::make_unique<ActiveRequest>(
-      Number, Exchange, *Attributes, Metadata.RequestId, this->RequestCallbacks);
+      Number, Exchange, Attributes, Metadata.RequestId, this->RequestCallbacks);
   this->NumberByExchange[&Exchange] = Number;
-  this->Deps.RequestDispatcher.onRequest(Number, std::move(*Attributes), this->Deps.Time.now());
+  this->Deps.RequestDispatcher.onRequest(Number, std::move(Attributes), this->Deps.Time.now());
   this->Deps.ApplyEffects();
 }
 
@@ -207,6 +218,18 @@
                    Reason + "\n");
 }
 
+void ProxyHandler::rejectRoutedDifferently(HttpExchange &Exchange, const std::string &Id,
+                                           const ServiceName &Service) {
+  const std::string Reason = "routed by another configuration";
+  this->Deps.RequestMetrics.onRefused(Reason, Unavailable);
+  logEvent(LogLevel::Info, "refused",
+           {{"request", Id},
+            {"reason", Reason},
+            {"service", Service.str()},
+            {"version", std::to_string(this->CurrentConfiguration->Version)}});
+  Exchange.respond(localResponse(Unavailable, RetryWhileUnconfigured), Reason + "\n");
+}
+
 void ProxyHandler::onCallerDisconnected(HttpExchange &Exchange) {
   const auto Found = this->NumberByExchange.find(&Exchange);
   if (Found == this->NumberByExchange.end()) {
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -71,9 +71,13 @@
 
 private:
   void handleRequest(HttpExchange &Exchange, const std::optional<ForwardOptions> &Forward);
-  std::optional<RequestAttributes> makeAttributes(const HttpExchange &Exchange,
-                                                  const std::optional<Duration> &RemainingTime);
+  RequestAttributes makeAttributes(const HttpExchange &Exchange, const Route &MatchedRoute,
+                                   const std::optional<Duration> &RemainingTime) const;
+  const Route *findRoute(const RequestHead &Head) const;
   void rejectUnrouted(HttpExchange &Exchange, const std::string &Id);
+  /// Rejects a forwarded request that the first entry routed by another configuration.
+  void rejectRoutedDifferently(HttpExchange &Exchange, const std::string &Id,
+                               const ServiceName &Service);
   ActiveRequest *find(RequestNumber Number);
   void erase(ActiveRequest &Request);
   void onAttemptEnd(ActiveRequest &Request, AttemptNumber Attempt, const AttemptResult &End,
--- a/tests/auto/libs/protocol/tst_forwardheader.cpp
+++ b/tests/auto/libs/protocol/tst_forwardheader.cpp
@@ -14,9 +14,12 @@
   /// Guards against modified options, and against a header field that stays in the head and reaches
   /// a target.
   void roundTrip() {
-    const ForwardOptions Table[] = {{1, false, 0ms}, {3, true, 1234ms}, {100, false, 24h}};
+    const ForwardOptions Table[] = {
+        {1, false, 0ms}, {3, true, 1234ms, ServiceName("board")}, {100, false, 24h}};
     for (const ForwardOptions &Each : Table) {
-      FieldList Fields = {{"Host", "h"}, {"anvilsaddle-forwarded", "9 9 9"}};
+      FieldList Fields = {{"Host", "h"},
+                          {"anvilsaddle-forwarded", "9 9 9"},
+                          {"anvilsaddle-forwarded-service", "other"}};
       writeForwardHeader(Fields, Each);
       CPPUNIT_ASSERT(takeForwardHeader(Fields) == Each);
       CPPUNIT_ASSERT((Fields == FieldList{{"Host", "h"}}));
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -59,7 +59,7 @@
   TestEntry(const TestEntry &) = delete;
   TestEntry &operator=(const TestEntry &) = delete;
 
-  void configure() {
+  void configure(const std::vector<WeightedService> &Services = {{ServiceName("s"), 1}}) {
     Configuration NewConfiguration;
     NewConfiguration.Version = 1;
     for (const bool Idempotent : {true, false}) {
@@ -71,16 +71,16 @@
       NewRoute.Timeout = 400ms;
       NewRoute.LatencyObjective = 200ms;
       NewRoute.MaxTargets = 2;
-      NewRoute.Services = {{ServiceName("s"), 1}};
+      NewRoute.Services = Services;
       NewConfiguration.Routes.push_back(NewRoute);
     }
     this->Proxy.setConfiguration(NewConfiguration);
   }
 
-  void addTarget(const std::string &Name, std::uint16_t Port) {
+  void addTarget(const std::string &Name, std::uint16_t Port, const std::string &Service = "s") {
     Target NewTarget;
     NewTarget.Name = TargetName(Name);
-    NewTarget.Service = ServiceName("s");
+    NewTarget.Service = ServiceName(Service);
     NewTarget.Address = {"127.0.0.1", Port};
     NewTarget.Domain = FailureDomainName("a1");
     this->RequestDispatcher.targets().apply(batch(false, {TargetRegistered{NewTarget}}),
@@ -155,6 +155,7 @@
   CPPUNIT_TEST_SUITE(ProxyHandlerTest);
   CPPUNIT_TEST(responses);
   CPPUNIT_TEST(forwardedRequests);
+  CPPUNIT_TEST(forwardedRequestsKeepTheirService);
   CPPUNIT_TEST(unresponsiveTargets);
   CPPUNIT_TEST(pathsAreForwardedUnchanged);
   CPPUNIT_TEST(slowCallersPauseDownloads);
@@ -257,6 +258,52 @@
     }
   }
 
+  /// Guards against requests that run by a configuration which the entry of the caller doesn't
+  /// have.
+  void forwardedRequestsKeepTheirService() {
+    struct Case {
+      const char *ServiceHeader;
+      std::vector<WeightedService> Services;
+      std::string Expected;
+      int OldRequests;
+      int NewRequests;
+    };
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    const std::string NotExecuted = "HTTP/1.1 503 ";
+    const WeightedService Old{ServiceName("old"), 1};
+    const WeightedService New{ServiceName("new"), 1'000'000};
+    const Case Table[] = {
+        {"Anvilsaddle-Forwarded-Service: new\r\n", {New}, Ok, 0, 1},
+        {"Anvilsaddle-Forwarded-Service: old\r\n", {New, Old}, Ok, 1, 0},
+        {"Anvilsaddle-Forwarded-Service: old\r\n", {New}, NotExecuted, 0, 0},
+        {"Anvilsaddle-Forwarded-Service: new\r\n", {Old}, NotExecuted, 0, 0},
+        {"", {New}, Ok, 0, 1},
+    };
+    for (const Case &Each : Table) {
+      FakeTarget OldTarget(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "x"));
+      FakeTarget NewTarget(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "x"));
+      TestEntry Entry;
+      Entry.configure(Each.Services);
+      Entry.addTarget("t-old", OldTarget.Server.Port, "old");
+      Entry.addTarget("t-new", NewTarget.Server.Port, "new");
+      ForwardHandler Handler(Entry.Proxy);
+      HttpServer ForwardServer(Handler, Entry.Time, 10);
+      CPPUNIT_ASSERT_EQUAL(std::string(), ForwardServer.listen({"127.0.0.1", 0}));
+      const auto OtherEntry = RawConnection::connect(ForwardServer.port());
+      std::string Text = makeRequest("GET", "/safe/");
+      Text.insert(Text.find("Id: 7"),
+                  std::string("Anvilsaddle-Forwarded: 1 0 30\r\n") + Each.ServiceHeader);
+      OtherEntry->send(Text);
+      CPPUNIT_ASSERT_MESSAGE(Each.ServiceHeader, runUntil([&] {
+                               return OtherEntry->Received.find("\r\n\r\n") != std::string::npos;
+                             }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.ServiceHeader, Each.Expected,
+                                   OtherEntry->Received.substr(0, Each.Expected.size()));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.ServiceHeader, Each.OldRequests, OldTarget.Requests);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.ServiceHeader, Each.NewRequests, NewTarget.Requests);
+    }
+  }
+
   /// Guards against callers that wait forever for a target that doesn't respond, and against
   /// telling them that the request did not run although it may have.
   void unresponsiveTargets() {
