Decode the request limit that a target names, and show it

The code did not know the field, so neither logs nor metrics told that a target demands a limit, or who had heard of it. platform/ decodes Server-Limit once, into TargetConditions (what a target demands of all entries); answers to probes and to requests carry it to the target's state. It belongs to the start of the target; only an answer to a probe ends it, as a refusal may come without the field.

New: target_conditions_changed in the log, gauge limited_targets, a column of anvilsaddle targets.

--- a/src/libs/coordination/DispatchTypes.h
+++ b/src/libs/coordination/DispatchTypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/LoadReport.h"
+#include "coordination/TargetConditions.h"
 #include "state/Endpoint.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
@@ -82,6 +83,8 @@
   /// Load reported with the response.
   std::optional<LoadReport> Load;
   std::size_t ResponseBytes = 0;
+  /// Demands of the target that executed the request.
+  TargetConditions Conditions{};
 
   auto operator<=>(const AttemptResult &) const = default;
 };
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -389,6 +389,7 @@
   if (Result.Load) {
     this->targets().onLoad(Ended.Target, *Result.Load, Now);
   }
+  this->targets().onConditions(Ended.Target, Result.Conditions, Now);
   const ServiceName Service = Request.Attributes.Service;
   const TargetName Name = Ended.Target;
   switch (Result.Outcome) {
--- a/src/libs/coordination/LoadReport.h
+++ b/src/libs/coordination/LoadReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/TargetConditions.h"
 #include "state/Time.h"
 
 #include <compare>
@@ -27,6 +28,7 @@
   bool Healthy = true;
   /// Time for which the target remains cold; zero if it is warm.
   Duration ColdFor{0};
+  TargetConditions Conditions{};
 
   auto operator<=>(const ProbeReport &) const = default;
 };
--- a/src/libs/coordination/TargetTable.cpp
+++ b/src/libs/coordination/TargetTable.cpp
@@ -153,6 +153,13 @@
   return Found == this->Targets.end() ? nullptr : &Found->second;
 }
 
+std::size_t TargetTable::limitedCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->Targets.begin(), this->Targets.end(), [](const auto &Each) {
+        return Each.second.Conditions.RequestLimit.has_value();
+      }));
+}
+
 void TargetTable::onProbe(const TargetName &Name, const ProbeReport &Report, TimePoint Now) {
   TargetState *State = this->find(Name);
   if (!State) {
@@ -162,6 +169,7 @@
   State->BackoffUntil = TimePoint{};
   State->Healthy = Report.Healthy;
   State->ColdUntil = Now + Report.ColdFor;
+  this->setConditions(*State, Report.Conditions, Now);
   LoadReport Load = Report.Load;
   if (!Report.HasLoad) {
     Load.Running = State->InFlight;
@@ -191,6 +199,23 @@
   }
 }
 
+void TargetTable::onConditions(const TargetName &Name, const TargetConditions &Conditions,
+                               TimePoint Now) {
+  TargetState *State = this->find(Name);
+  if (State && Conditions.RequestLimit) {
+    this->setConditions(*State, Conditions, Now);
+  }
+}
+
+void TargetTable::setConditions(TargetState &State, const TargetConditions &Conditions,
+                                TimePoint Now) {
+  if (State.Conditions != Conditions) {
+    this->ChangedConditions.insert(State.Registration.Name);
+  }
+  State.Conditions = Conditions;
+  State.ConditionsTime = Now;
+}
+
 void TargetTable::onSent(const TargetName &Name) {
   if (TargetState *State = this->find(Name)) {
     ++State->InFlight;
--- a/src/libs/coordination/TargetTable.h
+++ b/src/libs/coordination/TargetTable.h
@@ -5,10 +5,12 @@
 #include "state/Target.h"
 #include "state/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace anvilsaddle {
@@ -32,6 +34,9 @@
   /// The target gets no requests before this time, because probes failed.
   TimePoint BackoffUntil{};
   std::uint32_t ConsecutiveProbeFailures = 0;
+  /// What the target demanded last, and when it said so.
+  TargetConditions Conditions;
+  TimePoint ConditionsTime{};
   /// Set when the registration disappeared while the source of publications may have lost it in an
   /// outage.
   std::optional<TimePoint> RemoveAt;
@@ -64,6 +69,8 @@
   bool isUsable(const TargetName &Name) const;
   /// Returns null if the target is not registered.
   TargetState *find(const TargetName &Name);
+  /// Number of targets that demand a request limit.
+  std::size_t limitedCount() const;
   const std::map<TargetName, TargetState> &all() const { return this->Targets; }
   const std::set<FailureDomainName> &evacuatedDomains() const { return this->EvacuatedDomains; }
 
@@ -71,9 +78,17 @@
   void onProbeFailed(const TargetName &Name, ProbeFailure Reason, TimePoint Now);
   /// Records the load that was reported with the response to a request.
   void onLoad(const TargetName &Name, const LoadReport &Load, TimePoint Now);
+  /// Records what the target demanded with the response to a request. Only a probe's response ends
+  /// an earlier demand.
+  void onConditions(const TargetName &Name, const TargetConditions &Conditions, TimePoint Now);
   void onSent(const TargetName &Name);
   void onAttemptEnd(const TargetName &Name, bool HasFailed, TimePoint Now);
 
+  /// Returns the targets whose demands have changed since the last call.
+  std::set<TargetName> takeChangedConditions() {
+    return std::exchange(this->ChangedConditions, {});
+  }
+
   /// Failure score of a target, decayed up to `Now`.
   static double decayedFailureScore(const TargetState &State, TimePoint Now);
 
@@ -82,11 +97,13 @@
   void remove(const TargetName &Name, TimePoint Now);
   void erase(const TargetName &Name);
   bool isUsable(const TargetState &State) const;
+  void setConditions(TargetState &State, const TargetConditions &Conditions, TimePoint Now);
 
   std::map<TargetName, TargetState> Targets;
   std::map<ServiceName, std::set<TargetName>> Services;
   std::set<FailureDomainName> EvacuatedDomains;
   TimePoint RemovalsDeferredUntil{};
+  std::set<TargetName> ChangedConditions;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -191,6 +191,9 @@
                         this->CurrentGauges.CallerConnections);
   Out.writeSingleSample("entries", "gauge", "Live entries.", this->CurrentGauges.Entries);
   Out.writeSingleSample("targets", "gauge", "Registered targets.", this->CurrentGauges.Targets);
+  Out.writeSingleSample("limited_targets", "gauge",
+                        "Targets that demand a limit of their requests.",
+                        this->CurrentGauges.LimitedTargets);
   Out.writeSingleSample("configuration_version", "gauge", "Version of the active configuration.",
                         this->CurrentGauges.ConfigurationVersion);
 }
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -36,6 +36,7 @@
     std::size_t Entries = 0;
     std::size_t Targets = 0;
     std::uint64_t ConfigurationVersion = 0;
+    std::size_t LimitedTargets = 0;
   };
 
   /// A response of a target was delivered to the caller. `Latency` is measured from the arrival of
--- a/src/libs/protocol/RequestMetadataProtocol.h
+++ b/src/libs/protocol/RequestMetadataProtocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/LoadReport.h"
+#include "coordination/TargetConditions.h"
 #include "protocol/HttpMessage.h"
 #include "state/Endpoint.h"
 #include "state/Identifiers.h"
@@ -37,6 +38,7 @@
   std::optional<LoadReport> Load;
   /// Remaining time during which the target is cold after its start.
   Duration RemainingColdTime{0};
+  TargetConditions Conditions;
 
   auto operator<=>(const ResponseMetadata &) const = default;
 };
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -183,9 +183,26 @@
     }
   }
   this->IsApplyingEffects = false;
+  this->logChangedConditions();
   this->scheduleTimer();
 }
 
+void EntryRuntime::logChangedConditions() {
+  TargetTable &Table = this->RequestDispatcher.targets();
+  for (const TargetName &Name : Table.takeChangedConditions()) {
+    const TargetState *State = Table.find(Name);
+    if (!State) {
+      continue;
+    }
+    const std::optional<double> &Limit = State->Conditions.RequestLimit;
+    logEvent(LogLevel::Info, "target_conditions_changed",
+             {{"target", Name.str()},
+              {"service", State->Registration.Service.str()},
+              {"started_ms", std::to_string(State->Registration.StartedUnixMilliseconds)},
+              {"limit_per_s", Limit ? std::to_string(*Limit) : "none"}});
+  }
+}
+
 void EntryRuntime::scheduleTimer() {
   if (!this->Timer) {
     return;
@@ -215,10 +232,10 @@
   Self.EntryMetrics.setPublicationTraffic(Self.PublicationTransfer.traffic());
   Self.EntryMetrics.setLogLinesDropped(droppedLogLines());
   const Configuration *Current = Self.Proxy.configuration();
-  Self.EntryMetrics.setGauges({Self.Proxy.size(), Self.RequestDispatcher.queueLength(),
-                               Self.CallerServer.connectionCount(), Self.LastLiveMembers.size(),
-                               Self.RequestDispatcher.targets().all().size(),
-                               Current ? Current->Version : 0});
+  Self.EntryMetrics.setGauges(
+      {Self.Proxy.size(), Self.RequestDispatcher.queueLength(), Self.CallerServer.connectionCount(),
+       Self.LastLiveMembers.size(), Self.RequestDispatcher.targets().all().size(),
+       Current ? Current->Version : 0, Self.RequestDispatcher.targets().limitedCount()});
   Self.RequestDispatcher.onTick(Self.now());
   Self.applyEffects();
   flushLog();
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -76,6 +76,7 @@
   template <typename EffectType> void applyEffect(const EffectType &Each) {
     this->Proxy.apply(Each);
   }
+  void logChangedConditions();
   void scheduleTimer();
   void sendGossip(const std::vector<OutgoingGossip> &Messages);
   void onPeerMessage(const std::string &Sender, const PeerMessage &Message);
--- a/src/libs/transport/OperatorPages.cpp
+++ b/src/libs/transport/OperatorPages.cpp
@@ -99,6 +99,9 @@
       Row["slowdown"] = View.Load->Slowdown;
       Row["report_age_s"] = toSeconds(Now - View.LoadTime);
     }
+    if (View.Conditions.RequestLimit) {
+      Row["limit_per_s"] = *View.Conditions.RequestLimit;
+    }
     Result.push_back(std::move(Row));
   }
   return toText(Result);
--- a/src/libs/transport/ProbeRunner.cpp
+++ b/src/libs/transport/ProbeRunner.cpp
@@ -78,6 +78,7 @@
     Report.HasLoad = this->Metadata.Load.has_value();
     Report.Load = this->Metadata.Load.value_or(LoadReport{});
     Report.ColdFor = this->Metadata.RemainingColdTime;
+    Report.Conditions = this->Metadata.Conditions;
     const TargetName Name = this->Probe.Target;
     ProbeRunner &Runner = this->Owner;
     Runner.remove(Name);
--- a/src/libs/transport/RequestAttempt.cpp
+++ b/src/libs/transport/RequestAttempt.cpp
@@ -150,6 +150,10 @@
   Result.Outcome = Outcome;
   Result.Load = this->Metadata.Load;
   Result.ResponseBytes = this->Body.size();
+  // A response that denies the execution may come from another target at the same address.
+  if (!this->Metadata.NotExecuted) {
+    Result.Conditions = this->Metadata.Conditions;
+  }
   this->Listener.onAttemptEnd(*this, Result, Detail);
 }
 
--- a/tests/auto/libs/coordination/tst_targettable.cpp
+++ b/tests/auto/libs/coordination/tst_targettable.cpp
@@ -2,6 +2,9 @@
 #include "Property.h"
 #include "coordination/TargetTable.h"
 
+#include <functional>
+#include <optional>
+
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
 
@@ -43,6 +46,7 @@
   CPPUNIT_TEST(restartWithSameName);
   CPPUNIT_TEST(probes);
   CPPUNIT_TEST(failuresDecay);
+  CPPUNIT_TEST(conditionsBelongToTheStart);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -167,6 +171,55 @@
                                    1e-9);
     }
   }
+
+  /// Guards against demands of a target that outlive it, are forgotten while the target repeats
+  /// them, or are ended by a response that merely does not mention them.
+  void conditionsBelongToTheStart() {
+    const TargetName Name("t1");
+    const TargetConditions Limited{4.5};
+    ProbeReport LimitedReport;
+    LimitedReport.Conditions = Limited;
+    struct Case {
+      const char *Name;
+      std::function<void(TargetTable &)> Event;
+      std::optional<double> Limit;
+      bool IsChanged;
+    };
+    const Case Table[] = {
+        {"repeated", [&](TargetTable &Each) { Each.onProbe(Name, LimitedReport, Start); }, 4.5,
+         false},
+        {"ended", [&](TargetTable &Each) { Each.onProbe(Name, ProbeReport{}, Start); }, {}, true},
+        {"lowered", [&](TargetTable &Each) { Each.onConditions(Name, {2.0}, Start); }, 2.0, true},
+        {"not mentioned", [&](TargetTable &Each) { Each.onConditions(Name, {}, Start); }, 4.5,
+         false},
+        {"probe failed",
+         [&](TargetTable &Each) { Each.onProbeFailed(Name, ProbeFailure::Unreachable, Start); },
+         4.5, false},
+        {"registered again",
+         [&](TargetTable &Each) {
+           Each.apply(batch(false, {TargetRegistered{makeTarget("t1", "d1", 1)}}), Start);
+         },
+         4.5, false},
+        {"started again",
+         [&](TargetTable &Each) {
+           Each.apply(batch(false, {TargetRegistered{makeTarget("t1", "d1", 2)}}), Start);
+         },
+         {},
+         false},
+    };
+    for (const Case &Each : Table) {
+      TargetTable Tested;
+      Tested.apply(batch(false, {TargetRegistered{makeTarget("t1", "d1", 1)}}), Start);
+      Tested.onProbe(Name, LimitedReport, Start);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{1},
+                                   Tested.takeChangedConditions().size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{1}, Tested.limitedCount());
+      Each.Event(Tested);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Tested.find(Name)->Conditions.RequestLimit == Each.Limit);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsChanged,
+                                   !Tested.takeChangedConditions().empty());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetTableTest);
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -43,7 +43,7 @@
     Counters.onAttemptEnd(Board, AttemptOutcome::Interrupted);
     Counters.onProbe(true);
     Counters.onCallerDisconnected();
-    Counters.setGauges({1, 2, 3, 4, 5, 6});
+    Counters.setGauges({1, 2, 3, 4, 5, 6, 13});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
     const char *const Table[] = {
@@ -62,6 +62,7 @@
         "anvilsaddle_callers_gone_total 1\n",
         "anvilsaddle_queued_requests 2\n",
         "anvilsaddle_configuration_version 6\n",
+        "anvilsaddle_limited_targets 13\n",
         "anvilsaddle_publications_served_total{content=\"snapshot\"} 7\n",
         "anvilsaddle_publications_served_total{content=\"changes\"} 8\n",
         "anvilsaddle_publication_bytes_total{direction=\"out\"} 9\n",
--- a/tests/auto/platform/tst_platformprotocol.cpp
+++ b/tests/auto/platform/tst_platformprotocol.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST_SUITE(PlatformProtocolTest);
   CPPUNIT_TEST(requestMetadata);
   CPPUNIT_TEST(loadReports);
+  CPPUNIT_TEST(requestLimits);
   CPPUNIT_TEST(responseMetadata);
   CPPUNIT_TEST(entryQueries);
   CPPUNIT_TEST_SUITE_END();
@@ -65,6 +66,21 @@
     }
   }
 
+  /// Guards against limits of targets that are not recognised, and against invented ones.
+  void requestLimits() {
+    const std::pair<const char *, std::optional<double>> Table[] = {
+        {"4.5", 4.5},  {"12", 12.0},  {"0", 0.0},   {"1e2", 100.0}, {"0.05", 0.05},
+        {"-1", {}},    {"", {}},      {"nan", {}},  {"inf", {}},    {"4,5", {}},
+        {"4.5/s", {}}, {"1e999", {}}, {"0x10", {}},
+    };
+    for (const auto &[Text, Expected] : Table) {
+      const auto Metadata = Protocol.readResponse(headWithField("Server-Limit", Text));
+      CPPUNIT_ASSERT_MESSAGE(Text, Metadata.Conditions.RequestLimit == Expected);
+    }
+    const auto Metadata = Protocol.readResponse(headWithField("X", "1"));
+    CPPUNIT_ASSERT(!Metadata.Conditions.RequestLimit);
+  }
+
   /// The statements of a target, such as that it did not execute a request, must not be overlooked,
   /// and must not be assumed if the target did not make them.
   void responseMetadata() {
