Keep the limit that a target demands from all entries together

A share of the limit for each entry would not keep it either, as each entry may send one request at once.

Each request is sent after an answer of the target that is at most 4 ms old and names the limit, so every sender knows it. RequestRateLimiter selects 1 + limit senders for a target by rendezvous hashing over the live entries of the region, each with a token bucket of two requests. SenderAssignment, the selection, is shared with ColdStartLimiter. Targets that allow no request now are not probed for a second. Entries of other regions send nothing directly to a limited target.

Tests: allEntriesTogetherKeepTheLimitOfATarget plays 7 and 46 entries; it fails before (70 requests in a window that allows 19.4). limitsAreUsedWhenNoOtherTargetHasRoom, otherRegionsSendNothingDirectly, tst_requestratelimiter. The soak's targets demand limits at random, and its checker counts executions.

--- a/scripts/soak/fakes.py
+++ b/scripts/soak/fakes.py
@@ -118,6 +118,7 @@
         self.on_execution = on_execution
         self.mean_processing_time_s = mean_processing_time_s
         self.cold_until = 0.0
+        self.request_limit = None
         self.slots = 3
         self.running = 0
         self.slowdown = 1.0
@@ -151,6 +152,8 @@
 
     async def execute(self, line, headers, body):
         load = {"X-Anvilsaddle-Server-Load": self.load_header()}
+        if self.request_limit is not None:
+            load["Server-Limit"] = self.request_limit
         if " /health " in line:
             return self.health_response(load)
         identity = {"X-Anvilsaddle-Attempt-Id": headers.get("x-anvilsaddle-attempt-id", "")}
--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -109,7 +109,7 @@
 
     async def target_fault(self):
         target = self.random.choice(self.fleet.targets)
-        kind = self.random.choice(["slow", "down", "replace", "replace", "cold"])
+        kind = self.random.choice(["slow", "down", "replace", "replace", "cold", "limit"])
         if kind == "slow":
             target.slowdown = self.random.uniform(2, 20)
             await asyncio.sleep(self.random.uniform(0.5, 3))
@@ -120,9 +120,22 @@
             target.is_down = False
         elif kind == "cold":
             target.cold_until = asyncio.get_running_loop().time() + self.random.uniform(1, 4)
+        elif kind == "limit":
+            await self.limit_requests(target)
         else:
             await self.replace_target(target)
 
+    async def limit_requests(self, target):
+        """Lets the target demand a limit of its requests from all entries together."""
+        if target.is_leaving or target.request_limit is not None:
+            return
+        target.request_limit = self.random.uniform(0.5, 6)
+        interval = [asyncio.get_running_loop().time(), None, target.request_limit]
+        self.checker.request_limits[target.name].append(interval)
+        await asyncio.sleep(self.random.uniform(5, 10))
+        interval[1] = interval[1] or asyncio.get_running_loop().time()
+        target.request_limit = None
+
     async def replace_target(self, target):
         """Drains and removes the target, then registers another one with the same address."""
         if target.is_leaving:
@@ -133,6 +146,9 @@
         self.checker.drain_starts[old_name] = asyncio.get_running_loop().time()
         await asyncio.sleep(self.random.uniform(2, 4))
         await self.fleet.unregister(target)
+        if target.request_limit is not None:
+            self.checker.request_limits[old_name][-1][1] = asyncio.get_running_loop().time()
+            target.request_limit = None
         target.name = f"t{target.index}-{self.random.randrange(10**9)}"
         target.cold_until = asyncio.get_running_loop().time() + self.random.uniform(0, 3)
         await self.fleet.register(target)
--- a/scripts/soak/invariants.py
+++ b/scripts/soak/invariants.py
@@ -12,6 +12,7 @@
 DEAD_ENTRY_BOUND_S = 7.0
 # A time bound applies to an entry only if no fault affected it for this long.
 FAULT_RECOVERY_S = 4.0
+LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK_REQUESTS = 4.0, 1.5, 5
 COLD_RATE_PER_S, COLD_BURST_FACTOR, COLD_SLACK_REQUESTS = 4.0, 1.5, 5
 # If timers of this process fire later than this, the host is too busy to check time bounds.
 MAX_TIMER_LAG_S = 0.25
@@ -45,6 +46,8 @@
         self.outcomes = {}
         self.executions = collections.defaultdict(list)
         self.drain_starts = {}
+        # By target: start, end or None, and requests per second.
+        self.request_limits = collections.defaultdict(list)
         self.evacuations = collections.defaultdict(list)
         self.fault_intervals = FaultIntervals()
         self.publication_times = {}
@@ -127,6 +130,8 @@
             for execution in executions:
                 self.check_placement(request, call, execution)
         self.check_cold_start_rate()
+        for target, limits in self.request_limits.items():
+            self.check_request_limits(target, limits)
 
     def check_at_most_once(self, request, call, executions):
         if call.unsafe and len(executions) > 1:
@@ -178,3 +183,23 @@
                         f"cold start rate bound violated: {target} executed {count} requests "
                         f"within one second while it was cold")
                     break
+
+    def check_request_limits(self, target, limits):
+        link = target.split("-")[0]
+        times = sorted(
+            execution.time for request, executions in self.executions.items()
+            for execution in executions if execution.target == target and request in self.calls and
+            self.bound_applies(self.calls[request].entry, execution.time, link))
+        for begin, end, limit in limits:
+            bound = limit * LIMIT_FACTOR * LIMIT_WINDOW_S + LIMIT_SLACK_REQUESTS
+            for time in times:
+                if time < begin + LIMIT_WINDOW_S or (end is not None and
+                                                     time + LIMIT_WINDOW_S > end):
+                    continue
+                count = bisect.bisect_left(times, time + LIMIT_WINDOW_S) - bisect.bisect_left(
+                    times, time)
+                if count > bound:
+                    self.report_violation(
+                        f"request limit violated: {target} executed {count} requests within "
+                        f"{LIMIT_WINDOW_S} s at a limit of {limit} a second")
+                    break
--- a/src/libs/coordination/ColdStartLimiter.cpp
+++ b/src/libs/coordination/ColdStartLimiter.cpp
@@ -1,7 +1,5 @@
 #include "coordination/ColdStartLimiter.h"
 
-#include "coordination/RendezvousHash.h"
-
 #include <algorithm>
 
 namespace anvilsaddle {
@@ -22,12 +20,7 @@
 bool ColdStartLimiter::isAssignedSender(const TargetName &Target, double ColdRate) const {
   const double FleetLimit = ColdRate * this->Limits.BurstFactor + this->Limits.Slack;
   const auto MaxSenders = static_cast<std::size_t>(std::max(1.0, UsedFraction * FleetLimit));
-  const std::uint64_t OwnScore = rendezvousScore(Target.str(), this->Self);
-  std::size_t HigherScores = 0;
-  for (const std::string &Each : this->LiveEntries) {
-    HigherScores += rendezvousScore(Target.str(), Each) > OwnScore ? 1 : 0;
-  }
-  return HigherScores < MaxSenders;
+  return this->Senders.isSender(Target, MaxSenders);
 }
 
 bool ColdStartLimiter::maySend(const TargetName &Target, double ColdRate, TimePoint Now) const {
--- a/src/libs/coordination/ColdStartLimiter.h
+++ b/src/libs/coordination/ColdStartLimiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/SenderAssignment.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
 
@@ -25,10 +26,10 @@
 class ColdStartLimiter {
 public:
   ColdStartLimiter(ColdStartLimits Limits, std::string Self)
-      : Limits(Limits), Self(std::move(Self)) {}
+      : Limits(Limits), Senders(std::move(Self)) {}
 
   /// Sets the names of the live entries, including this one.
-  void setEntries(std::vector<std::string> Names) { this->LiveEntries = std::move(Names); }
+  void setEntries(std::vector<std::string> Names) { this->Senders.setEntries(std::move(Names)); }
   /// True if a request may be sent now. Precondition: the target is cold.
   bool maySend(const TargetName &Target, double ColdRate, TimePoint Now) const;
   /// Records a request to a cold target.
@@ -38,8 +39,7 @@
   bool isAssignedSender(const TargetName &Target, double ColdRate) const;
 
   ColdStartLimits Limits;
-  std::string Self;
-  std::vector<std::string> LiveEntries;
+  SenderAssignment Senders;
   std::map<TargetName, TimePoint> LastSentAt;
 };
 
--- a/src/libs/coordination/TargetFinder.cpp
+++ b/src/libs/coordination/TargetFinder.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t TargetsPerFallbackOrRemoteStage = 2;
 /// Two round trips to another region: one for the probe and one for the request.
 constexpr Duration RemoteAddedLatency = 120ms;
+/// A target whose request limit allows no request is probed again after this time, to hear whether
+/// it still demands the limit.
+constexpr Duration RequestLimitRecheckInterval = 1s;
 
 bool isWarmAndHealthy(const TargetState &State, TimePoint Now) {
   return State.Healthy && !State.isCold(Now);
@@ -35,7 +38,8 @@
 
 TargetFinder::TargetFinder(Topology FleetTopology, const ColdStartLimits &Limits, std::string Self,
                            RandomSource &Random)
-    : FleetTopology(std::move(FleetTopology)), ColdStart(Limits, std::move(Self)), Random(Random) {}
+    : FleetTopology(std::move(FleetTopology)), ColdStart(Limits, Self),
+      RequestRates(std::move(Self)), Random(Random) {}
 
 bool TargetFinder::matchesStage(const TargetState &State, const SearchContext &Context,
                                 SearchStage Stage, TimePoint Now) const {
@@ -69,7 +73,8 @@
                                                        SearchStage Stage, TimePoint Now) {
   std::vector<TargetName> Result;
   for (const TargetState *Each : this->Targets.usableTargets(Context.Attributes.Service)) {
-    if (this->matchesStage(*Each, Context, Stage, Now)) {
+    if (this->matchesStage(*Each, Context, Stage, Now) &&
+        !this->isExcludedByRequestLimit(*Each, Now)) {
       Result.push_back(Each->Registration.Name);
     }
   }
@@ -200,6 +205,22 @@
   return this->ColdStart.maySend(State.Registration.Name, Rate, Now);
 }
 
+bool TargetFinder::isWithinRequestLimit(const TargetState &State, TimePoint Now) const {
+  const std::optional<double> &Limit = State.Conditions.RequestLimit;
+  if (!Limit) {
+    return true;
+  }
+  // The entries of the target's region share its limit.
+  const bool IsInOtherRegion =
+      this->FleetTopology.distanceTo(State.Registration.Domain) == Distance::OtherRegion;
+  return !IsInOtherRegion && this->RequestRates.maySend(State.Registration.Name, *Limit, Now);
+}
+
+bool TargetFinder::isExcludedByRequestLimit(const TargetState &State, TimePoint Now) const {
+  return Now - State.ConditionsTime < RequestLimitRecheckInterval &&
+         !this->isWithinRequestLimit(State, Now);
+}
+
 std::optional<PlacementCandidate> TargetFinder::makeCandidate(const TargetSearch &Search,
                                                               std::size_t Index,
                                                               bool IsWarmAndHealthy,
@@ -211,7 +232,8 @@
   const TargetState &State = Found->second;
   const bool IsReported = State.Load && State.LoadTime + MaxReportAge >= Search.StartedAt;
   if (!IsReported || Now < State.BackoffUntil || isWarmAndHealthy(State, Now) != IsWarmAndHealthy ||
-      (State.isCold(Now) && !this->maySendToCold(State, Now))) {
+      (State.isCold(Now) && !this->maySendToCold(State, Now)) ||
+      !this->isWithinRequestLimit(State, Now)) {
     return std::nullopt;
   }
   return PlacementCandidate{Index, this->FleetTopology.distanceTo(State.Registration.Domain),
@@ -246,6 +268,9 @@
   if (State && State->isCold(Now)) {
     this->ColdStart.onSent(Name, Now);
   }
+  if (State && State->Conditions.RequestLimit) {
+    this->RequestRates.onSent(Name, *State->Conditions.RequestLimit, Now);
+  }
   this->Targets.onSent(Name);
 }
 
--- a/src/libs/coordination/TargetFinder.h
+++ b/src/libs/coordination/TargetFinder.h
@@ -4,6 +4,7 @@
 #include "coordination/DispatchTypes.h"
 #include "coordination/Placement.h"
 #include "coordination/ProcessingTimeEstimator.h"
+#include "coordination/RequestRateLimiter.h"
 #include "coordination/TargetTable.h"
 #include "state/Configuration.h"
 #include "state/Topology.h"
@@ -59,6 +60,7 @@
   }
   /// Sets the names of the live entries of this region, including this one.
   void setEntries(std::vector<std::string> RegionEntries) {
+    this->RequestRates.setEntries(RegionEntries);
     this->ColdStart.setEntries(std::move(RegionEntries));
   }
 
@@ -100,12 +102,18 @@
   std::optional<ProbeTarget> startProbeIfNeeded(const TargetName &Name, TimePoint Now);
   bool isReportPending(const TargetName &Name, const TargetSearch &Search) const;
   bool maySendToCold(const TargetState &State, TimePoint Now) const;
+  /// True if the target demands no request limit, or if this entry may send now within the limit.
+  bool isWithinRequestLimit(const TargetState &State, TimePoint Now) const;
+  /// True if the search need not probe the target, because its request limit was heard a moment ago
+  /// and allows no request now.
+  bool isExcludedByRequestLimit(const TargetState &State, TimePoint Now) const;
   std::optional<PlacementCandidate> makeCandidate(const TargetSearch &Search, std::size_t Index,
                                                   bool IsWarmAndHealthy, TimePoint Now) const;
 
   Topology FleetTopology;
   TargetTable Targets;
   ColdStartLimiter ColdStart;
+  RequestRateLimiter RequestRates;
   RandomSource &Random;
   std::map<ServiceName, Service> Services;
   /// Running probes and the times at which they were sent.
--- a/tests/auto/libs/coordination/DispatcherHarness.cpp
+++ b/tests/auto/libs/coordination/DispatcherHarness.cpp
@@ -29,9 +29,9 @@
 
 } // namespace
 
-DispatcherHarness::DispatcherHarness(std::uint64_t Seed)
-    : Random(Seed), TestedDispatcher(makeTopology(), makeLimits(), "10.0.0.1", this->Random) {
-  this->TestedDispatcher.setEntries({"10.0.0.1"}, 1);
+DispatcherHarness::DispatcherHarness(std::uint64_t Seed, const std::string &Self)
+    : Random(Seed), TestedDispatcher(makeTopology(), makeLimits(), Self, this->Random) {
+  this->TestedDispatcher.setEntries({Self}, 1);
   Service TestService;
   TestService.Name = ServiceName("s");
   TestService.HealthPath = "/health";
@@ -170,7 +170,7 @@
       return;
     }
     Ended.Outcome = Behavior.Outcome;
-    AttemptResult End{Behavior.Outcome, std::nullopt, 1500};
+    AttemptResult End{Behavior.Outcome, std::nullopt, 1500, Behavior.Conditions};
     if (this->OnResponseLoad) {
       End.Load = this->OnResponseLoad(Ended.Send.Target);
     }
--- a/tests/auto/libs/coordination/DispatcherHarness.h
+++ b/tests/auto/libs/coordination/DispatcherHarness.h
@@ -23,6 +23,7 @@
   struct AttemptBehavior {
     Duration ResponseTime{std::chrono::milliseconds(100)};
     AttemptOutcome Outcome = AttemptOutcome::Succeeded;
+    TargetConditions Conditions{};
   };
   /// End of a request.
   struct Completion {
@@ -38,7 +39,9 @@
     std::optional<AttemptOutcome> Outcome;
   };
 
-  explicit DispatcherHarness(std::uint64_t Seed = 1);
+  /// `Self` is the address of the entry; it is the only one of the region until the test calls
+  /// setEntries() of the dispatcher.
+  explicit DispatcherHarness(std::uint64_t Seed = 1, const std::string &Self = "10.0.0.1");
 
   /// Failure domains: `a1`, `a2` in region `a`, and `b1`, `b2` in region `b`. The entry is in `a1`.
   void addTarget(const std::string &Name, const std::string &Domain, bool Draining = false);
