--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -15,7 +15,9 @@
 
     async def inject(self, until):
         loop = asyncio.get_running_loop()
-        running = set()
+        # A limit is checked from some seconds after its start, so one target has one all the time.
+        limited = self.random.choice(self.fleet.targets)
+        running = {asyncio.create_task(self.limit_requests(limited, until - loop.time()))}
         fault_kinds = [self.entry_fault, self.entry_fault, self.link_fault, self.store_fault,
                        self.target_fault, self.operator_change]
         while loop.time() < until:
@@ -121,18 +123,18 @@
         elif kind == "cold":
             target.cold_until = asyncio.get_running_loop().time() + self.random.uniform(1, 4)
         elif kind == "limit":
-            await self.limit_requests(target)
+            await self.limit_requests(target, self.random.uniform(8, 12))
         else:
             await self.replace_target(target)
 
-    async def limit_requests(self, target):
+    async def limit_requests(self, target, duration_s):
         """Lets the target demand a limit of its requests from all entries together."""
         if target.is_leaving or target.request_limit is not None:
             return
         target.request_limit = self.random.uniform(0.5, 6)
         interval = [asyncio.get_running_loop().time(), None, target.request_limit]
         self.checker.request_limits[target.name].append(interval)
-        await asyncio.sleep(self.random.uniform(5, 10))
+        await asyncio.sleep(duration_s)
         interval[1] = interval[1] or asyncio.get_running_loop().time()
         target.request_limit = None
 
