Move the recording of changes out of EntryRuntime into ChangeRecorder

EntryRuntime held the log lines and audit records of publications, membership, seeds and demands of targets beside its wiring. They are a class of their own now; texts and fields are unchanged.

--- /dev/null
+++ b/src/libs/transport/ChangeRecorder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "coordination/TargetTable.h"
+#include "state/AuditTrail.h"
+#include "state/Publication.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace anvilsaddle {
+
+class Clock;
+
+/// Writes what changes the beliefs of this entry to the log and to the audit trail. Not
+/// thread-safe.
+class ChangeRecorder {
+public:
+  /// Precondition: the audit trail, the targets and the clock outlive the object.
+  ChangeRecorder(AuditTrail &Audit, TargetTable &Targets, const Clock &Time)
+      : Audit(Audit), Targets(Targets), Time(Time) {}
+
+  void onSeedsChanged(std::size_t OldCount, std::size_t NewCount);
+  void onEntriesChanged(std::size_t OldCount, std::size_t NewCount, std::size_t InRegion);
+  /// A configuration is in force. `From` is the version before it, `Source` the store or the entry
+  /// that it came from.
+  void onConfiguration(std::uint64_t Version, const std::string &From, const std::string &Source);
+  /// A target or a failure domain changes. Called before the targets are updated, so that
+  /// registrations that change nothing are left out. Precondition: it is no configuration.
+  void onPublication(const Publication &Change);
+  /// Records the targets whose demands have changed.
+  void recordChangedConditions();
+
+private:
+  void onTargetRegistered(const Target &Registration);
+  void append(std::string Subject, std::string OldValue, std::string NewValue,
+              const std::string &Reason, std::uint64_t ConfigurationVersion = 0);
+
+  AuditTrail &Audit;
+  TargetTable &Targets;
+  const Clock &Time;
+};
+
+} // namespace anvilsaddle
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -61,6 +61,7 @@
       Audit(static_cast<std::size_t>(this->Settings.MaxAuditRecords)),
       RequestDispatcher(this->Settings.FleetTopology, this->Settings.Dispatch,
                         this->Settings.CallerEndpoint.Address, Deps.Random),
+      Changes(this->Audit, this->RequestDispatcher.targets(), Deps.Time),
       Members(makeOwnRecord(this->Settings, this->OwnIncarnation.StartedUnixMilliseconds),
               this->Settings.FleetTopology, toSet(this->Settings.Seeds), Deps.Random,
               Deps.Time.now()),
@@ -160,8 +161,7 @@
 
 void EntryRuntime::reload(const DaemonSettings &Newer) {
   this->Members.setSeeds(toSet(Newer.Seeds));
-  this->recordAudit("settings/seeds", std::to_string(this->Settings.Seeds.size()),
-                    std::to_string(Newer.Seeds.size()), 0, "the settings file changed");
+  this->Changes.onSeedsChanged(this->Settings.Seeds.size(), Newer.Seeds.size());
   this->Settings.Seeds = Newer.Seeds;
 }
 
@@ -183,26 +183,10 @@
     }
   }
   this->IsApplyingEffects = false;
-  this->logChangedConditions();
+  this->Changes.recordChangedConditions();
   this->scheduleTimer();
 }
 
-void EntryRuntime::logChangedConditions() {
-  TargetTable &Table = this->RequestDispatcher.targets();
-  for (const TargetName &Name : Table.takeChangedConditions()) {
-    const TargetState *State = Table.find(Name);
-    if (!State) {
-      continue;
-    }
-    const std::optional<double> &Limit = State->Conditions.RequestLimit;
-    logEvent(LogLevel::Info, "target_conditions_changed",
-             {{"target", Name.str()},
-              {"service", State->Registration.Service.str()},
-              {"started_ms", std::to_string(State->Registration.StartedUnixMilliseconds)},
-              {"limit_per_s", Limit ? std::to_string(*Limit) : "none"}});
-  }
-}
-
 void EntryRuntime::scheduleTimer() {
   if (!this->Timer) {
     return;
@@ -308,11 +292,8 @@
       RemoteEntriesByRegion[Region].push_back({Each.Address, this->Settings.PeerPort});
     }
   }
-  logEvent(LogLevel::Info, "entries_changed",
-           {{"live", std::to_string(Live.size())},
-            {"in_region", std::to_string(OwnRegionEntries.size())}});
-  this->recordAudit("entries", std::to_string(this->LastLiveMembers.size()),
-                    std::to_string(Live.size()), 0, "membership");
+  this->Changes.onEntriesChanged(this->LastLiveMembers.size(), Live.size(),
+                                 OwnRegionEntries.size());
   this->RequestDispatcher.setEntries(std::move(OwnRegionEntries), Live.size());
   this->RequestDispatcher.setRemoteEntries(std::move(RemoteEntriesByRegion));
   this->Distributor.setEntries(Live);
@@ -349,7 +330,7 @@
     if (const auto *Newer = std::get_if<Configuration>(&Each)) {
       this->applyConfiguration(*Newer, Source);
     } else {
-      this->recordChange(Each);
+      this->Changes.onPublication(Each);
     }
   }
   this->RequestDispatcher.targets().apply(Batch, this->now());
@@ -365,11 +346,7 @@
              {{"version", std::to_string(Newer.Version)}, {"in_force", CurrentVersion}});
     return;
   }
-  logEvent(
-      LogLevel::Info, "configuration_in_force",
-      {{"version", std::to_string(Newer.Version)}, {"from", CurrentVersion}, {"source", Source}});
-  this->recordAudit("configuration", CurrentVersion, std::to_string(Newer.Version), Newer.Version,
-                    "published");
+  this->Changes.onConfiguration(Newer.Version, CurrentVersion, Source);
   this->RequestDispatcher.setServices(Newer.Services);
   for (HttpServer *Each : {&this->CallerServer, &this->ForwardServer, &this->DirectoryServer}) {
     Each->setLimits(Newer.Limits);
@@ -377,40 +354,6 @@
   this->Proxy.setConfiguration(Newer);
 }
 
-void EntryRuntime::recordChange(const Publication &Change) {
-  if (const auto *Registered = std::get_if<TargetRegistered>(&Change)) {
-    const Target &Value = Registered->Registration;
-    const TargetState *Known = this->RequestDispatcher.targets().find(Value.Name);
-    if (Known && Known->Registration == Value) {
-      return;
-    }
-    const char *State = Value.Draining ? "draining" : "ready";
-    logEvent(LogLevel::Info, "target_registered",
-             {{"target", Value.Name.str()}, {"service", Value.Service.str()}, {"state", State}});
-    this->recordAudit("target/" + Value.Name.str(), "", State, 0, "registered");
-  } else if (const auto *Removed = std::get_if<TargetRemoved>(&Change)) {
-    logEvent(LogLevel::Info, "target_removed", {{"target", Removed->Name.str()}});
-    this->recordAudit("target/" + Removed->Name.str(), "", "removed", 0, "registration removed");
-  } else if (const auto *Evacuation = std::get_if<DomainEvacuation>(&Change)) {
-    const char *NewState = Evacuation->Active ? "taken out" : "in service";
-    logEvent(LogLevel::Info, "failure_domain_changed",
-             {{"failure_domain", Evacuation->Domain.str()}, {"to", NewState}});
-    this->recordAudit("failure_domain/" + Evacuation->Domain.str(), "", NewState, 0, "published");
-  }
-}
-
-void EntryRuntime::recordAudit(std::string Subject, std::string OldValue, std::string NewValue,
-                               std::uint64_t ConfigurationVersion, std::string Reason) {
-  AuditRecord Record;
-  Record.UnixMilliseconds = this->Deps.Time.unixMilliseconds();
-  Record.Subject = std::move(Subject);
-  Record.OldValue = std::move(OldValue);
-  Record.NewValue = std::move(NewValue);
-  Record.ConfigurationVersion = ConfigurationVersion;
-  Record.Reason = std::move(Reason);
-  this->Audit.append(std::move(Record));
-}
-
 void EntryRuntime::updateReadiness() {
   const bool IsPrepared = this->HasSnapshot && this->Proxy.configuration();
   if (!IsPrepared || this->Members.state() != EntryState::Starting) {
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -10,6 +10,7 @@
 #include "protocol/GlibMessageAuthenticator.h"
 #include "protocol/Metrics.h"
 #include "state/AuditTrail.h"
+#include "transport/ChangeRecorder.h"
 #include "transport/ConnectionPool.h"
 #include "transport/EntryPageHandler.h"
 #include "transport/ForwardHandler.h"
@@ -76,7 +77,6 @@
   template <typename EffectType> void applyEffect(const EffectType &Each) {
     this->Proxy.apply(Each);
   }
-  void logChangedConditions();
   void scheduleTimer();
   void sendGossip(const std::vector<OutgoingGossip> &Messages);
   void onPeerMessage(const std::string &Sender, const PeerMessage &Message);
@@ -84,10 +84,6 @@
   /// `Source` is the origin of the publications, for the log: an entry's address, or the store.
   void applyBatch(const PublicationBatch &Batch, const std::string &Source);
   void applyConfiguration(const Configuration &Newer, const std::string &Source);
-  void recordChange(const Publication &Change);
-  /// `ConfigurationVersion` is 0 if the change is not a configuration.
-  void recordAudit(std::string Subject, std::string OldValue, std::string NewValue,
-                   std::uint64_t ConfigurationVersion, std::string Reason);
   void updateReadiness();
   void updateLiveMembers();
   void advanceShutdown();
@@ -99,6 +95,7 @@
   AuditTrail Audit;
   Metrics EntryMetrics;
   Dispatcher RequestDispatcher;
+  ChangeRecorder Changes;
   Membership Members;
   PublicationLog Publications;
   PublicationDistributor Distributor;
--- a/tests/auto/libs/transport/tst_requestattempt.cpp
+++ b/tests/auto/libs/transport/tst_requestattempt.cpp
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
@@ -49,7 +50,7 @@
   TestAttempt(std::uint16_t Port, ConnectionPool &Pool, const std::string &Method = "GET",
               std::optional<ForwardOptions> Forward = std::nullopt) {
     SendAttempt Command;
-    Command.Forward = Forward;
+    Command.Forward = std::move(Forward);
     Command.Target = TargetName("me");
     Command.Address = {"127.0.0.1", Port};
     Command.Idempotent = Method == "GET";
