Move the timers of requests and the estimates of responses out of the dispatcher

The dispatcher kept a set of timers and the next timer of each request in step by hand, and combined two estimators itself. Both are classes of their own now, RequestTimers and ResponseEstimates, without change of behaviour: the tests of the dispatcher, of its load, of limits and of the model pass unchanged.

--- a/src/libs/coordination/DispatchRequest.cpp
+++ b/src/libs/coordination/DispatchRequest.cpp
@@ -54,4 +54,15 @@
   return std::max(Now + ProcessingTime, std::min(Usual, Latest));
 }
 
+TimePoint DispatchRequest::nextTimer() const {
+  TimePoint Result = this->Attributes.Deadline;
+  if (this->Search) {
+    Result = std::min(Result, this->Search->StageDeadline);
+  }
+  if (this->HedgeAt) {
+    Result = std::min(Result, *this->HedgeAt);
+  }
+  return Result;
+}
+
 } // namespace anvilsaddle
--- a/src/libs/coordination/DispatchRequest.h
+++ b/src/libs/coordination/DispatchRequest.h
@@ -46,10 +46,10 @@
   /// Attempt that ended with a complete response of status 500 or above.
   std::optional<AttemptNumber> ErrorResponse;
   std::optional<TimePoint> HedgeAt;
-  /// Time of the deadline, the hedge or the end of the search stage, whichever comes first.
-  TimePoint NextTimer{};
 
   bool hasRunningAttempt() const;
+  /// Time of the deadline, the hedge or the end of the search stage, whichever comes first.
+  TimePoint nextTimer() const;
   /// Number of targets that received the request, or may receive it from another entry.
   std::uint32_t usedTargetCount() const;
   /// Names of the targets that received the request.
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -43,17 +43,9 @@
   return Result;
 }
 
-ProcessingTimeEstimator::Estimate Dispatcher::estimate(const DispatchRequest &Request,
-                                                       TimePoint Now) const {
-  ProcessingTimeEstimator::Estimate Result =
-      this->RouteEstimates.estimate(Request.Attributes.Route, Request.Attributes.Objective);
-  Result.SaturationFactor =
-      this->SaturationEstimates.saturationFactor(Request.Attributes.Service, Now);
-  return Result;
-}
-
 SearchContext Dispatcher::searchContext(const DispatchRequest &Request, TimePoint Now) const {
-  return {Request.Attributes, Request.usedTargetNames(), this->estimate(Request, Now)};
+  return {Request.Attributes, Request.usedTargetNames(),
+          this->Estimates.estimate(Request.Attributes, Now)};
 }
 
 void Dispatcher::onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now) {
@@ -103,7 +95,8 @@
 
 void Dispatcher::advanceSearch(RequestNumber Number, TimePoint Now) {
   DispatchRequest &Request = this->Requests.at(Number);
-  const ProcessingTimeEstimator::Estimate Estimate = this->estimate(Request, Now);
+  const ProcessingTimeEstimator::Estimate Estimate =
+      this->Estimates.estimate(Request.Attributes, Now);
   while (true) {
     std::vector<PlacementCandidate> Reported =
         this->Finder.reportedCandidates(*Request.Search, true, Now);
@@ -169,8 +162,8 @@
   }
   Request.Attempts.push_back(
       {Name, State.Registration.Address, Now, Details.Load.Slowdown, TargetOccupancy, 1, true});
-  Request.HedgeAt =
-      Request.hedgeTime(this->estimate(Request, Now).ProcessingTime, Details.ExpectedCost, Now);
+  Request.HedgeAt = Request.hedgeTime(
+      this->Estimates.estimate(Request.Attributes, Now).ProcessingTime, Details.ExpectedCost, Now);
   this->updateTimer(Number, Request);
   const ServiceName Service = Request.Attributes.Service;
   this->Queues[Service].onDispatched(Now);
@@ -212,8 +205,8 @@
       {Name, *Entry, Now, 1, Occupancy::OtherRegion, Forward.MaxTargets, true});
   PlacementDetails Details;
   Details.ExpectedCost = AddedCost + Context.Estimate.ProcessingTime;
-  Request.HedgeAt =
-      Request.hedgeTime(this->estimate(Request, Now).ProcessingTime, Details.ExpectedCost, Now);
+  Request.HedgeAt = Request.hedgeTime(
+      this->Estimates.estimate(Request.Attributes, Now).ProcessingTime, Details.ExpectedCost, Now);
   this->updateTimer(Number, Request);
   this->Effects.emplace_back(SendAttempt{Number, Attempt, Name, *Entry, Attributes.Deadline,
                                          Attributes.Idempotent, Details, Forward});
@@ -260,7 +253,8 @@
     this->deliverErrorOrRefuse(Number, "no target has room for another region", Now);
     return;
   }
-  const ProcessingTimeEstimator::Estimate Estimate = this->estimate(Request, Now);
+  const ProcessingTimeEstimator::Estimate Estimate =
+      this->Estimates.estimate(Request.Attributes, Now);
   ServiceQueue &Queue = this->Queues[Request.Attributes.Service];
   const Duration Wait =
       Queue.Requests.expectedWait(Request.Attributes, Estimate.ProcessingTime, Now)
@@ -283,7 +277,8 @@
     const RequestNumber Last = *Queue.back();
     const DispatchRequest &Request = this->Requests.at(Last);
     const Duration MinProcessingTime =
-        scaled(this->estimate(Request, Now).ProcessingTime, MinProcessingTimeFraction);
+        scaled(this->Estimates.estimate(Request.Attributes, Now).ProcessingTime,
+               MinProcessingTimeFraction);
     if (Now + *Wait + MinProcessingTime < Request.Attributes.Deadline) {
       return;
     }
@@ -302,8 +297,8 @@
   }
   Queue.Requests.remove(*First);
   DispatchRequest &Request = this->Requests.at(*First);
-  const Duration MinProcessingTime =
-      scaled(this->estimate(Request, Now).ProcessingTime, MinProcessingTimeFraction);
+  const Duration MinProcessingTime = scaled(
+      this->Estimates.estimate(Request.Attributes, Now).ProcessingTime, MinProcessingTimeFraction);
   if (Now + MinProcessingTime >= Request.Attributes.Deadline) {
     this->deliverErrorOrRefuse(*First, "no target had room in time", Now);
     return std::nullopt;
@@ -351,7 +346,7 @@
 }
 
 Duration Dispatcher::retryAfter(const DispatchRequest &Request, TimePoint Now) {
-  const Duration ProcessingTime = this->estimate(Request, Now).ProcessingTime;
+  const Duration ProcessingTime = this->Estimates.estimate(Request.Attributes, Now).ProcessingTime;
   const Duration Wait = this->Queues[Request.Attributes.Service]
                             .Requests.expectedWait(Request.Attributes, ProcessingTime, Now)
                             .value_or(ProcessingTime);
@@ -363,8 +358,8 @@
 // Attempts
 
 bool Dispatcher::canRetry(const DispatchRequest &Request, TimePoint Now) {
-  const Duration MinProcessingTime =
-      scaled(this->estimate(Request, Now).ProcessingTime, MinProcessingTimeFraction);
+  const Duration MinProcessingTime = scaled(
+      this->Estimates.estimate(Request.Attributes, Now).ProcessingTime, MinProcessingTimeFraction);
   return Request.mayRetry() && Now + MinProcessingTime < Request.Attributes.Deadline &&
          this->Retries.canAcquire(Request.Attributes.Service, Now);
 }
@@ -394,7 +389,7 @@
   const TargetName Name = Ended.Target;
   switch (Result.Outcome) {
   case AttemptOutcome::Succeeded:
-    this->updateEstimates(Request, Ended, Result, Now);
+    this->Estimates.onResponse(Request.Attributes, Ended, Result, Now);
     this->deliver(Number, Attempt, Now);
     break;
   case AttemptOutcome::TargetError:
@@ -424,21 +419,6 @@
   }
 }
 
-void Dispatcher::updateEstimates(const DispatchRequest &Request, const DispatchAttempt &Ended,
-                                 const AttemptResult &Result, TimePoint Now) {
-  const Duration Elapsed = Now - Ended.SentAt;
-  if (Ended.TargetOccupancy == Occupancy::FreeSlots) {
-    this->RouteEstimates.onResponse(Request.Attributes.Route, Request.Attributes.Objective, Elapsed,
-                                    Ended.Slowdown, static_cast<double>(Result.ResponseBytes));
-  } else if (Ended.TargetOccupancy == Occupancy::LastSlot) {
-    const Duration Usual =
-        scaled(this->estimate(Request, Now).ProcessingTime, std::max(1.0, Ended.Slowdown));
-    this->SaturationEstimates.onResponse(
-        Request.Attributes.Service,
-        std::chrono::duration<double>(Elapsed) / std::chrono::duration<double>(Usual), Now);
-  }
-}
-
 void Dispatcher::retryOrFinish(RequestNumber Number, TimePoint Now) {
   DispatchRequest &Request = this->Requests.at(Number);
   if (Request.hasRunningAttempt() || Request.Search) {
@@ -501,7 +481,7 @@
   }
   this->endSearch(Request);
   this->Queues[Service].Requests.remove(Number);
-  this->Timers.erase({Request.NextTimer, Number});
+  this->Timers.remove(Number);
   this->Requests.erase(Number);
 }
 
@@ -533,17 +513,8 @@
   }
 }
 
-void Dispatcher::updateTimer(RequestNumber Number, DispatchRequest &Request) {
-  TimePoint Next = Request.Attributes.Deadline;
-  if (Request.Search) {
-    Next = std::min(Next, Request.Search->StageDeadline);
-  }
-  if (Request.HedgeAt) {
-    Next = std::min(Next, *Request.HedgeAt);
-  }
-  this->Timers.erase({Request.NextTimer, Number});
-  Request.NextTimer = Next;
-  this->Timers.insert({Next, Number});
+void Dispatcher::updateTimer(RequestNumber Number, const DispatchRequest &Request) {
+  this->Timers.set(Number, Request.nextTimer());
 }
 
 void Dispatcher::onRequestTimer(RequestNumber Number, TimePoint Now) {
@@ -569,11 +540,7 @@
 
 void Dispatcher::onTick(TimePoint Now) {
   this->targets().onTick(Now);
-  std::vector<RequestNumber> Due;
-  for (auto Next = this->Timers.begin(); Next != this->Timers.end() && Next->first <= Now; ++Next) {
-    Due.push_back(Next->second);
-  }
-  for (const RequestNumber Number : Due) {
+  for (const RequestNumber Number : this->Timers.due(Now)) {
     if (this->Requests.contains(Number)) {
       this->onRequestTimer(Number, Now);
     }
@@ -590,10 +557,7 @@
 }
 
 std::optional<TimePoint> Dispatcher::nextTick() const {
-  std::optional<TimePoint> Result;
-  if (!this->Timers.empty()) {
-    Result = this->Timers.begin()->first;
-  }
+  std::optional<TimePoint> Result = this->Timers.next();
   for (const auto &[Name, Queue] : this->Queues) {
     if (!Queue.Requests.empty() && Queue.maySearch()) {
       Result = Result ? std::min(*Result, Queue.nextSearch()) : Queue.nextSearch();
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -3,10 +3,10 @@
 #include "coordination/DispatchRequest.h"
 #include "coordination/DispatchTypes.h"
 #include "coordination/Placement.h"
-#include "coordination/ProcessingTimeEstimator.h"
 #include "coordination/RemoteEntries.h"
+#include "coordination/RequestTimers.h"
+#include "coordination/ResponseEstimates.h"
 #include "coordination/RetryBudget.h"
-#include "coordination/SaturationEstimator.h"
 #include "coordination/ServiceQueue.h"
 #include "coordination/TargetFinder.h"
 #include "state/Topology.h"
@@ -14,7 +14,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -89,12 +88,9 @@
   std::size_t queueLength() const;
 
 private:
-  ProcessingTimeEstimator::Estimate estimate(const DispatchRequest &Request, TimePoint Now) const;
   SearchContext searchContext(const DispatchRequest &Request, TimePoint Now) const;
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
                        AttemptOutcome Outcome, TimePoint Now);
-  void updateEstimates(const DispatchRequest &Request, const DispatchAttempt &Ended,
-                       const AttemptResult &Result, TimePoint Now);
   void startSearch(RequestNumber Number, bool IsHedge, TimePoint Now);
   void endSearch(DispatchRequest &Request);
   /// Adds the targets of the next stage that has any, up to `LastStage`. Returns false if there is
@@ -132,20 +128,18 @@
               TimePoint Now);
   void removeRequest(RequestNumber Number, std::optional<AttemptNumber> KeptAttempt, TimePoint Now);
   Duration retryAfter(const DispatchRequest &Request, TimePoint Now);
-  void updateTimer(RequestNumber Number, DispatchRequest &Request);
+  void updateTimer(RequestNumber Number, const DispatchRequest &Request);
   void onRequestTimer(RequestNumber Number, TimePoint Now);
   void resumeSearches(const TargetName &Name, TimePoint Now);
 
   TargetFinder Finder;
   RemoteEntries EntriesOfOtherRegions;
   RetryBudget Retries;
-  ProcessingTimeEstimator RouteEstimates;
-  SaturationEstimator SaturationEstimates;
+  ResponseEstimates Estimates;
   RandomSource &Random;
   std::map<ServiceName, ServiceQueue> Queues;
   std::map<RequestNumber, DispatchRequest> Requests;
-  /// Next timer of each request.
-  std::set<std::pair<TimePoint, RequestNumber>> Timers;
+  RequestTimers Timers;
   std::vector<Effect> Effects;
 };
 
--- /dev/null
+++ b/src/libs/coordination/ResponseEstimates.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "coordination/DispatchRequest.h"
+#include "coordination/DispatchTypes.h"
+#include "coordination/ProcessingTimeEstimator.h"
+#include "coordination/SaturationEstimator.h"
+#include "state/Time.h"
+
+namespace anvilsaddle {
+
+/// Estimates for the responses to a request: the processing time of its route, and how much its
+/// service's targets slow down when they are full. Learns from the responses of targets. Performs
+/// no I/O and reads no clock; times must not decrease. Not thread-safe.
+class ResponseEstimates {
+public:
+  ProcessingTimeEstimator::Estimate estimate(const RequestAttributes &Attributes,
+                                             TimePoint Now) const;
+  /// Records a successful response. Attempts at queued targets and at other entries are ignored,
+  /// because their time does not tell the processing time.
+  void onResponse(const RequestAttributes &Attributes, const DispatchAttempt &Ended,
+                  const AttemptResult &Result, TimePoint Now);
+
+private:
+  ProcessingTimeEstimator Routes;
+  SaturationEstimator Services;
+};
+
+} // namespace anvilsaddle
