Send entries the routes that changed, compressed, instead of the whole configuration

Callers saw requests time out and connections close for seconds after a change of a large configuration. The reader of a failure domain (0.1 cores, 10 Mbit/s) sends each new version in full to some 15 entries of its region: with 1,400 routes a version is 108 KB, so two versions fill its link for three seconds, fetches time out after 0.6 s and start over, and the answers to its callers wait behind them.

An entry that fetches names the version of its configuration. The response is compressed. Entries of earlier versions name no version and get what they got before.

tst_publicationexchange: a change of one route of 1,400 takes less than 512 bytes. The test needs the new interface, so it was not run on the code before.

--- a/src/libs/protocol/PublicationCodec.cpp
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -3,6 +3,7 @@
 #include "protocol/ThriftBytes.h"
 
 #include <cstdint>
+#include <utility>
 
 #include <peer_types.h>
 
@@ -83,6 +84,23 @@
   return Result;
 }
 
+wire::Publication toWire(const ConfigurationDelta &Value) {
+  Configuration Changes;
+  Changes.Version = Value.Version;
+  Changes.Routes = Value.ChangedRoutes;
+  Changes.Services = Value.Services;
+  Changes.Limits = Value.Limits;
+  wire::ConfigurationDelta Part;
+  Part.baseVersion = static_cast<std::int64_t>(Value.BaseVersion);
+  Part.changes = toWire(Changes);
+  for (const RouteName &Each : Value.RemovedRoutes) {
+    Part.removedRoutes.push_back(Each.str());
+  }
+  wire::Publication Result;
+  Result.__set_configurationDelta(Part);
+  return Result;
+}
+
 Route fromWire(const wire::Route &In) {
   Route Result;
   Result.Name = RouteName(In.name);
@@ -133,7 +151,24 @@
   return Result;
 }
 
-std::optional<Publication> fromWire(const wire::Publication &In) {
+ConfigurationDelta fromWire(const wire::ConfigurationDelta &In) {
+  Configuration Changes = fromWire(In.changes);
+  ConfigurationDelta Result;
+  Result.BaseVersion = static_cast<std::uint64_t>(In.baseVersion);
+  Result.Version = Changes.Version;
+  Result.ChangedRoutes = std::move(Changes.Routes);
+  for (const std::string &Each : In.removedRoutes) {
+    Result.RemovedRoutes.emplace_back(Each);
+  }
+  Result.Services = std::move(Changes.Services);
+  Result.Limits = Changes.Limits;
+  return Result;
+}
+
+std::optional<Publication> fromWire(const wire::Publication &In, const Configuration *Base) {
+  if (In.__isset.configurationDelta) {
+    return Base ? applyDelta(*Base, fromWire(In.configurationDelta)) : std::nullopt;
+  }
   if (In.__isset.configuration) {
     return fromWire(In.configuration);
   }
@@ -151,14 +186,17 @@
 
 } // namespace
 
-std::string writeBatch(const PublicationBatch &Batch) {
+std::string writeBatch(const PublicationBatch &Batch,
+                       const std::optional<ConfigurationDelta> &Delta) {
   wire::PublicationBatch Out;
   Out.complete = Batch.IsSnapshot;
   Out.since = Batch.Since;
   Out.revision = Batch.Revision;
   Out.removalsWaitMicroseconds = Batch.RemovalDelay.count();
   for (const Publication &Each : Batch.Changes) {
-    Out.changes.push_back(toWire(Each));
+    const auto *Newer = std::get_if<Configuration>(&Each);
+    const bool IsReplaced = Newer && Delta && Delta->Version == Newer->Version;
+    Out.changes.push_back(IsReplaced ? toWire(*Delta) : toWire(Each));
   }
   for (const RevisionGap &Each : Batch.Gaps) {
     wire::RevisionGap Part;
@@ -170,7 +208,7 @@
   return writeThrift(Out);
 }
 
-std::optional<PublicationBatch> readBatch(std::string_view Text) {
+std::optional<PublicationBatch> readBatch(std::string_view Text, const Configuration *Base) {
   try {
     wire::PublicationBatch In;
     readThrift(Text, In);
@@ -180,7 +218,7 @@
       Result.Gaps.push_back({Each.first, Each.last});
     }
     for (const wire::Publication &Each : In.changes) {
-      const auto Change = fromWire(Each);
+      const auto Change = fromWire(Each, Base);
       if (!Change) {
         return std::nullopt;
       }
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -1368,6 +1368,164 @@
 }
 
 
+ConfigurationDelta::~ConfigurationDelta() noexcept {
+}
+
+
+void ConfigurationDelta::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void ConfigurationDelta::__set_changes(const Configuration& val) {
+  this->changes = val;
+}
+
+void ConfigurationDelta::__set_removedRoutes(const std::vector<std::string> & val) {
+  this->removedRoutes = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationDelta& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigurationDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_baseVersion = false;
+  bool isset_changes = false;
+  bool isset_removedRoutes = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          isset_baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->changes.read(iprot);
+          isset_changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removedRoutes.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->removedRoutes.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += iprot->readString(this->removedRoutes[_i72]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_removedRoutes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_baseVersion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_changes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_removedRoutes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ConfigurationDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationDelta");
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->changes.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removedRoutes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedRoutes.size()));
+    std::vector<std::string> ::const_iterator _iter73;
+    for (_iter73 = this->removedRoutes.begin(); _iter73 != this->removedRoutes.end(); ++_iter73)
+    {
+      xfer += oprot->writeString((*_iter73));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationDelta &a, ConfigurationDelta &b) {
+  using ::std::swap;
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.changes, b.changes);
+  swap(a.removedRoutes, b.removedRoutes);
+}
+
+ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other74) {
+  baseVersion = other74.baseVersion;
+  changes = other74.changes;
+  removedRoutes = other74.removedRoutes;
+}
+ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other75) {
+  baseVersion = other75.baseVersion;
+  changes = other75.changes;
+  removedRoutes = other75.removedRoutes;
+  return *this;
+}
+void ConfigurationDelta::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationDelta(";
+  out << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "changes=" << to_string(changes);
+  out << ", " << "removedRoutes=" << to_string(removedRoutes);
+  out << ")";
+}
+
+
 Target::~Target() noexcept {
 }
 
@@ -1605,27 +1763,27 @@
   swap(a.startedUnixMilliseconds, b.startedUnixMilliseconds);
 }
 
-Target::Target(const Target& other68) {
-  name = other68.name;
-  serviceName = other68.serviceName;
-  address = other68.address;
-  port = other68.port;
-  domain = other68.domain;
-  slots = other68.slots;
-  draining = other68.draining;
-  coldMicroseconds = other68.coldMicroseconds;
-  startedUnixMilliseconds = other68.startedUnixMilliseconds;
-}
-Target& Target::operator=(const Target& other69) {
-  name = other69.name;
-  serviceName = other69.serviceName;
-  address = other69.address;
-  port = other69.port;
-  domain = other69.domain;
-  slots = other69.slots;
-  draining = other69.draining;
-  coldMicroseconds = other69.coldMicroseconds;
-  startedUnixMilliseconds = other69.startedUnixMilliseconds;
+Target::Target(const Target& other76) {
+  name = other76.name;
+  serviceName = other76.serviceName;
+  address = other76.address;
+  port = other76.port;
+  domain = other76.domain;
+  slots = other76.slots;
+  draining = other76.draining;
+  coldMicroseconds = other76.coldMicroseconds;
+  startedUnixMilliseconds = other76.startedUnixMilliseconds;
+}
+Target& Target::operator=(const Target& other77) {
+  name = other77.name;
+  serviceName = other77.serviceName;
+  address = other77.address;
+  port = other77.port;
+  domain = other77.domain;
+  slots = other77.slots;
+  draining = other77.draining;
+  coldMicroseconds = other77.coldMicroseconds;
+  startedUnixMilliseconds = other77.startedUnixMilliseconds;
   return *this;
 }
 void Target::printTo(std::ostream& out) const {
@@ -1741,13 +1899,13 @@
   swap(a.active, b.active);
 }
 
-Evacuation::Evacuation(const Evacuation& other70) {
-  domain = other70.domain;
-  active = other70.active;
+Evacuation::Evacuation(const Evacuation& other78) {
+  domain = other78.domain;
+  active = other78.active;
 }
-Evacuation& Evacuation::operator=(const Evacuation& other71) {
-  domain = other71.domain;
-  active = other71.active;
+Evacuation& Evacuation::operator=(const Evacuation& other79) {
+  domain = other79.domain;
+  active = other79.active;
   return *this;
 }
 void Evacuation::printTo(std::ostream& out) const {
@@ -1782,6 +1940,11 @@
   this->evacuation = val;
 __isset.evacuation = true;
 }
+
+void Publication::__set_configurationDelta(const ConfigurationDelta& val) {
+  this->configurationDelta = val;
+__isset.configurationDelta = true;
+}
 std::ostream& operator<<(std::ostream& out, const Publication& obj)
 {
   obj.printTo(out);
@@ -1842,6 +2005,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configurationDelta.read(iprot);
+          this->__isset.configurationDelta = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1879,6 +2050,11 @@
     xfer += this->evacuation.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configurationDelta) {
+    xfer += oprot->writeFieldBegin("configurationDelta", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->configurationDelta.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1890,22 +2066,25 @@
   swap(a.registered, b.registered);
   swap(a.removed, b.removed);
   swap(a.evacuation, b.evacuation);
+  swap(a.configurationDelta, b.configurationDelta);
   swap(a.__isset, b.__isset);
 }
 
-Publication::Publication(const Publication& other72) {
-  configuration = other72.configuration;
-  registered = other72.registered;
-  removed = other72.removed;
-  evacuation = other72.evacuation;
-  __isset = other72.__isset;
-}
-Publication& Publication::operator=(const Publication& other73) {
-  configuration = other73.configuration;
-  registered = other73.registered;
-  removed = other73.removed;
-  evacuation = other73.evacuation;
-  __isset = other73.__isset;
+Publication::Publication(const Publication& other80) {
+  configuration = other80.configuration;
+  registered = other80.registered;
+  removed = other80.removed;
+  evacuation = other80.evacuation;
+  configurationDelta = other80.configurationDelta;
+  __isset = other80.__isset;
+}
+Publication& Publication::operator=(const Publication& other81) {
+  configuration = other81.configuration;
+  registered = other81.registered;
+  removed = other81.removed;
+  evacuation = other81.evacuation;
+  configurationDelta = other81.configurationDelta;
+  __isset = other81.__isset;
   return *this;
 }
 void Publication::printTo(std::ostream& out) const {
@@ -1915,6 +2094,7 @@
   out << ", " << "registered="; (__isset.registered ? (out << to_string(registered)) : (out << "<null>"));
   out << ", " << "removed="; (__isset.removed ? (out << to_string(removed)) : (out << "<null>"));
   out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
+  out << ", " << "configurationDelta="; (__isset.configurationDelta ? (out << to_string(configurationDelta)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2016,13 +2196,13 @@
   swap(a.last, b.last);
 }
 
-RevisionGap::RevisionGap(const RevisionGap& other74) noexcept {
-  first = other74.first;
-  last = other74.last;
+RevisionGap::RevisionGap(const RevisionGap& other82) noexcept {
+  first = other82.first;
+  last = other82.last;
 }
-RevisionGap& RevisionGap::operator=(const RevisionGap& other75) noexcept {
-  first = other75.first;
-  last = other75.last;
+RevisionGap& RevisionGap::operator=(const RevisionGap& other83) noexcept {
+  first = other83.first;
+  last = other83.last;
   return *this;
 }
 void RevisionGap::printTo(std::ostream& out) const {
@@ -2131,14 +2311,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->changes.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->changes.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->changes[_i80].read(iprot);
+              xfer += this->changes[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2151,14 +2331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gaps.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->gaps.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->gaps.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->gaps[_i85].read(iprot);
+              xfer += this->gaps[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2213,10 +2393,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Publication> ::const_iterator _iter86;
-    for (_iter86 = this->changes.begin(); _iter86 != this->changes.end(); ++_iter86)
+    std::vector<Publication> ::const_iterator _iter94;
+    for (_iter94 = this->changes.begin(); _iter94 != this->changes.end(); ++_iter94)
     {
-      xfer += (*_iter86).write(oprot);
+      xfer += (*_iter94).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2226,10 +2406,10 @@
     xfer += oprot->writeFieldBegin("gaps", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gaps.size()));
-      std::vector<RevisionGap> ::const_iterator _iter87;
-      for (_iter87 = this->gaps.begin(); _iter87 != this->gaps.end(); ++_iter87)
+      std::vector<RevisionGap> ::const_iterator _iter95;
+      for (_iter95 = this->gaps.begin(); _iter95 != this->gaps.end(); ++_iter95)
       {
-        xfer += (*_iter87).write(oprot);
+        xfer += (*_iter95).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2251,23 +2431,23 @@
   swap(a.__isset, b.__isset);
 }
 
-PublicationBatch::PublicationBatch(const PublicationBatch& other88) {
-  complete = other88.complete;
-  since = other88.since;
-  revision = other88.revision;
-  removalsWaitMicroseconds = other88.removalsWaitMicroseconds;
-  changes = other88.changes;
-  gaps = other88.gaps;
-  __isset = other88.__isset;
-}
-PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other89) {
-  complete = other89.complete;
-  since = other89.since;
-  revision = other89.revision;
-  removalsWaitMicroseconds = other89.removalsWaitMicroseconds;
-  changes = other89.changes;
-  gaps = other89.gaps;
-  __isset = other89.__isset;
+PublicationBatch::PublicationBatch(const PublicationBatch& other96) {
+  complete = other96.complete;
+  since = other96.since;
+  revision = other96.revision;
+  removalsWaitMicroseconds = other96.removalsWaitMicroseconds;
+  changes = other96.changes;
+  gaps = other96.gaps;
+  __isset = other96.__isset;
+}
+PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other97) {
+  complete = other97.complete;
+  since = other97.since;
+  revision = other97.revision;
+  removalsWaitMicroseconds = other97.removalsWaitMicroseconds;
+  changes = other97.changes;
+  gaps = other97.gaps;
+  __isset = other97.__isset;
   return *this;
 }
 void PublicationBatch::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -35,6 +35,8 @@
 
 class Configuration;
 
+class ConfigurationDelta;
+
 class Target;
 
 class Evacuation;
@@ -443,6 +445,53 @@
 std::ostream& operator<<(std::ostream& out, const Configuration& obj);
 
 
+class ConfigurationDelta : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationDelta(const ConfigurationDelta&);
+  ConfigurationDelta& operator=(const ConfigurationDelta&);
+  ConfigurationDelta() noexcept
+                     : baseVersion(0) {
+  }
+
+  virtual ~ConfigurationDelta() noexcept;
+  int64_t baseVersion;
+  Configuration changes;
+  std::vector<std::string>  removedRoutes;
+
+  void __set_baseVersion(const int64_t val);
+
+  void __set_changes(const Configuration& val);
+
+  void __set_removedRoutes(const std::vector<std::string> & val);
+
+  bool operator == (const ConfigurationDelta & rhs) const
+  {
+    if (!(baseVersion == rhs.baseVersion))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    if (!(removedRoutes == rhs.removedRoutes))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationDelta &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationDelta & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationDelta &a, ConfigurationDelta &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationDelta& obj);
+
+
 class Target : public virtual ::apache::thrift::TBase {
  public:
 
@@ -571,11 +620,12 @@
 std::ostream& operator<<(std::ostream& out, const Evacuation& obj);
 
 typedef struct _Publication__isset {
-  _Publication__isset() : configuration(false), registered(false), removed(false), evacuation(false) {}
+  _Publication__isset() : configuration(false), registered(false), removed(false), evacuation(false), configurationDelta(false) {}
   bool configuration :1;
   bool registered :1;
   bool removed :1;
   bool evacuation :1;
+  bool configurationDelta :1;
 } _Publication__isset;
 
 class Publication : public virtual ::apache::thrift::TBase {
@@ -592,6 +642,7 @@
   Target registered;
   std::string removed;
   Evacuation evacuation;
+  ConfigurationDelta configurationDelta;
 
   _Publication__isset __isset;
 
@@ -603,6 +654,8 @@
 
   void __set_evacuation(const Evacuation& val);
 
+  void __set_configurationDelta(const ConfigurationDelta& val);
+
   bool operator == (const Publication & rhs) const
   {
     if (__isset.configuration != rhs.__isset.configuration)
@@ -621,6 +674,10 @@
       return false;
     else if (__isset.evacuation && !(evacuation == rhs.evacuation))
       return false;
+    if (__isset.configurationDelta != rhs.__isset.configurationDelta)
+      return false;
+    else if (__isset.configurationDelta && !(configurationDelta == rhs.configurationDelta))
+      return false;
     return true;
   }
   bool operator != (const Publication &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -64,6 +64,14 @@
   7: required i64 idleTimeoutMicroseconds
 }
 
+// Difference of a configuration to an earlier version.
+struct ConfigurationDelta {
+  1: required i64 baseVersion
+  // The newer version, with the routes only that are new or have changed.
+  2: required Configuration changes
+  3: required list<string> removedRoutes
+}
+
 struct Target {
   1: required string name
   2: required string serviceName
@@ -87,6 +95,8 @@
   2: Target registered
   3: string removed
   4: Evacuation evacuation
+  // Only in responses to entries that name the version of their configuration.
+  5: ConfigurationDelta configurationDelta
 }
 
 struct RevisionGap {
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -93,6 +93,7 @@
              logEvent(LogLevel::Info, "fetch_failed", {{"reason", Reason}});
              this->Distributor.onFetchFailed(this->now());
            },
+           [this] { return this->Proxy.configuration(); },
            [this] { return this->RequestDispatcher.targets().removalDelay(this->now()); }}),
       Proxy({this->RequestDispatcher, this->Connections, Deps.Protocol, this->EntryMetrics,
              Deps.Time, Deps.Random, [this] { this->applyEffects(); }}),
@@ -351,6 +352,7 @@
   for (HttpServer *Each : {&this->CallerServer, &this->ForwardServer, &this->DirectoryServer}) {
     Each->setLimits(Newer.Limits);
   }
+  this->PublicationTransfer.onConfiguration(Current, Newer);
   this->Proxy.setConfiguration(Newer);
 }
 
--- a/src/libs/transport/PublicationExchange.cpp
+++ b/src/libs/transport/PublicationExchange.cpp
@@ -1,5 +1,6 @@
 #include "transport/PublicationExchange.h"
 
+#include "protocol/Compression.h"
 #include "protocol/HttpMessage.h"
 #include "protocol/PublicationCodec.h"
 #include "transport/Clock.h"
@@ -19,6 +20,27 @@
 /// this is retried at another entry.
 constexpr Duration FetchTimeout = 600ms;
 constexpr int StatusOk = 200;
+constexpr const char *EncodingHeader = "Content-Encoding";
+/// Content coding of HTTP for the zlib format.
+constexpr const char *DeflateEncoding = "deflate";
+/// Far more than the publications of a fleet of ten times the design size.
+constexpr std::size_t MaxBatchBytes = std::size_t{64} << 20;
+
+template <typename Number>
+std::optional<Number> numberParameter(const RequestHead &Head, std::string_view Name) {
+  const std::string Text = queryParameter(Head.RequestTarget, Name);
+  Number Result = 0;
+  const auto Parsed = std::from_chars(Text.data(), Text.data() + Text.size(), Result);
+  return Parsed.ec == std::errc() ? std::optional(Result) : std::nullopt;
+}
+
+/// Returns the body without its content coding; nothing if it can't be decompressed.
+std::optional<std::string> decodedBody(const HttpFetch::Result &Response) {
+  if (findField(Response.Fields, EncodingHeader) != DeflateEncoding) {
+    return Response.Body;
+  }
+  return decompress(Response.Body, MaxBatchBytes);
+}
 
 } // namespace
 
@@ -33,9 +55,12 @@
   ++this->Traffic.Fetches;
   this->FetchedEntry = Entry;
   this->FetchStart = this->Time.now();
-  this->Fetch.start(
-      Entry, std::string(PublicationsPath) + "?after=" + std::to_string(this->Log.revision()),
-      FetchTimeout);
+  const Configuration *Current = this->Handlers.CurrentConfiguration();
+  this->Fetch.start(Entry,
+                    std::string(PublicationsPath) +
+                        "?after=" + std::to_string(this->Log.revision()) +
+                        "&configuration=" + std::to_string(Current ? Current->Version : 0),
+                    FetchTimeout);
 }
 
 void PublicationExchange::onFetched(const std::optional<HttpFetch::Result> &Response,
@@ -46,7 +71,8 @@
     return;
   }
   this->Traffic.BytesIn += Response->Body.size();
-  const auto Batch = readBatch(Response->Body);
+  const auto Body = decodedBody(*Response);
+  const auto Batch = Body ? readBatch(*Body, this->Handlers.CurrentConfiguration()) : std::nullopt;
   if (!Batch) {
     ++this->Traffic.FailedFetches;
     this->Handlers.OnFailure("the publications cannot be decoded");
@@ -56,13 +82,26 @@
                                   this->Time.now() - this->FetchStart});
 }
 
-const std::string &PublicationExchange::encodedBatchSince(std::int64_t Revision) {
-  if (this->CachedSince != Revision || this->CachedRevision != this->Log.revision()) {
+std::optional<ConfigurationDelta>
+PublicationExchange::deltaSince(std::optional<std::uint64_t> KnownVersion) const {
+  const Configuration *Current = this->Handlers.CurrentConfiguration();
+  return Current && KnownVersion ? this->History.deltaSince(*KnownVersion, *Current) : std::nullopt;
+}
+
+const std::string &
+PublicationExchange::encodedBatchSince(std::int64_t Revision,
+                                       std::optional<std::uint64_t> KnownVersion) {
+  if (this->CachedSince != Revision || this->CachedRevision != this->Log.revision() ||
+      this->CachedKnownVersion != KnownVersion) {
     PublicationBatch Batch = this->Log.batchSince(Revision);
     Batch.RemovalDelay = this->Handlers.RemovalDelay();
-    this->CachedBatch = writeBatch(Batch);
+    this->CachedBatch = writeBatch(Batch, this->deltaSince(KnownVersion));
+    if (KnownVersion) {
+      this->CachedBatch = compress(this->CachedBatch);
+    }
     this->IsCachedSnapshot = Batch.IsSnapshot;
     this->CachedSince = Revision;
+    this->CachedKnownVersion = KnownVersion;
     this->CachedRevision = this->Log.revision();
   }
   ++(this->IsCachedSnapshot ? this->Traffic.SnapshotsOut : this->Traffic.ChangesOut);
@@ -75,10 +114,17 @@
     Exchange.respondText(404, "text/plain", "no such page\n");
     return;
   }
-  const std::string AfterText = queryParameter(Exchange.head().RequestTarget, "after");
-  std::int64_t Revision = 0;
-  std::from_chars(AfterText.data(), AfterText.data() + AfterText.size(), Revision);
-  Exchange.respondText(StatusOk, "application/octet-stream", this->encodedBatchSince(Revision));
+  const auto Revision = numberParameter<std::int64_t>(Exchange.head(), "after").value_or(0);
+  // Entries of earlier versions don't name their version and don't decompress responses.
+  const auto KnownVersion = numberParameter<std::uint64_t>(Exchange.head(), "configuration");
+  ResponseHead Head;
+  Head.Status = StatusOk;
+  Head.Reason = reasonPhrase(StatusOk);
+  Head.Fields = {{"Content-Type", "application/octet-stream"}};
+  if (KnownVersion) {
+    Head.Fields.emplace_back(EncodingHeader, DeflateEncoding);
+  }
+  Exchange.respond(std::move(Head), this->encodedBatchSince(Revision, KnownVersion));
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/PublicationExchange.h
+++ b/src/libs/transport/PublicationExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/ConfigurationHistory.h"
 #include "coordination/PublicationLog.h"
 #include "protocol/PublicationTraffic.h"
 #include "state/Endpoint.h"
@@ -29,12 +30,15 @@
 };
 
 /// Serves publications to other entries and fetches them from other entries, at
-/// `/publications?after=REVISION`. Not thread-safe.
+/// `/publications?after=REVISION&configuration=VERSION`. An entry that names the version of its
+/// configuration gets a compressed response with the difference to that version. Not thread-safe.
 class PublicationExchange final : public HttpHandler {
 public:
   struct Callbacks {
     std::function<void(const PublicationBatch &, const FetchDetails &)> OnBatch;
     std::function<void(const std::string &Reason)> OnFailure;
+    /// Returns the configuration in force; null if there is none yet.
+    std::function<const Configuration *()> CurrentConfiguration;
     /// Returns the time for which this entry still delays removals after an outage of the source.
     std::function<Duration()> RemovalDelay;
   };
@@ -43,6 +47,12 @@
   PublicationExchange(const PublicationLog &Log, ConnectionPool &Connections, const Clock &Time,
                       Callbacks Handlers);
 
+  /// Records that a configuration comes into force. Must be called before it replaces `Old`, which
+  /// is null if there is none yet.
+  void onConfiguration(const Configuration *Old, const Configuration &Newer) {
+    this->History.onConfiguration(Old, Newer);
+  }
+
   /// Fetches the publications after this entry's revision from another entry.
   void fetch(const Endpoint &Entry);
   const PublicationTraffic &traffic() const { return this->Traffic; }
@@ -52,9 +62,12 @@
 
 private:
   void onFetched(const std::optional<HttpFetch::Result> &Response, const std::string &Reason);
-  const std::string &encodedBatchSince(std::int64_t Revision);
+  const std::string &encodedBatchSince(std::int64_t Revision,
+                                       std::optional<std::uint64_t> KnownVersion);
+  std::optional<ConfigurationDelta> deltaSince(std::optional<std::uint64_t> KnownVersion) const;
 
   const PublicationLog &Log;
+  ConfigurationHistory History;
   const Clock &Time;
   Callbacks Handlers;
   HttpFetch Fetch;
@@ -65,6 +78,7 @@
   /// revision.
   std::int64_t CachedSince = -1;
   std::int64_t CachedRevision = -1;
+  std::optional<std::uint64_t> CachedKnownVersion;
   bool IsCachedSnapshot = false;
   std::string CachedBatch;
 };
--- a/tests/auto/libs/transport/tst_publicationexchange.cpp
+++ b/tests/auto/libs/transport/tst_publicationexchange.cpp
@@ -19,18 +19,29 @@
       : Connections(Time), Exchange(Log, Connections, Time,
                                     {[this](const PublicationBatch &Batch, const FetchDetails &) {
                                        this->ReceivedRemovalDelay = Batch.RemovalDelay;
-                                       this->Log.apply(Batch);
+                                       this->apply(Batch);
                                        ++this->FetchCount;
                                      },
                                      [this](const std::string &Reason) {
                                        this->Failure = Reason;
                                        ++this->FetchCount;
                                      },
+                                     [this] { return this->Current ? &*this->Current : nullptr; },
                                      [] { return Duration(700ms); }}),
         Server(Exchange, Time, 10) {
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Server.listen({"127.0.0.1", 0}));
   }
 
+  void apply(const PublicationBatch &Batch) {
+    this->Log.apply(Batch);
+    for (const Publication &Each : Batch.Changes) {
+      if (const auto *Newer = std::get_if<Configuration>(&Each)) {
+        this->Exchange.onConfiguration(this->Current ? &*this->Current : nullptr, *Newer);
+        this->Current = *Newer;
+      }
+    }
+  }
+
   bool fetch(std::uint16_t Port) {
     const int Before = this->FetchCount;
     this->Exchange.fetch({"127.0.0.1", Port});
@@ -42,6 +53,7 @@
   ConnectionPool Connections;
   PublicationExchange Exchange;
   HttpServer Server;
+  std::optional<Configuration> Current;
   Duration ReceivedRemovalDelay{0};
   std::string Failure;
   int FetchCount = 0;
@@ -58,6 +70,7 @@
 class PublicationExchangeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublicationExchangeTest);
   CPPUNIT_TEST(changesAreFetched);
+  CPPUNIT_TEST(smallChangesOfLargeConfigurations);
   CPPUNIT_TEST(failuresAreReported);
   CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +94,38 @@
     CPPUNIT_ASSERT_EQUAL(Served.BytesOut, Fetched.BytesIn);
   }
 
+  /// Guards against a link that is filled by unchanged routes: a change of one route once sent all
+  /// of them to each entry.
+  void smallChangesOfLargeConfigurations() {
+    constexpr int RouteCount = 1400;
+    constexpr std::uint64_t MaxBytesOfOneRoute = 512;
+    Entry Reader;
+    Entry Follower;
+    Configuration Newer;
+    Newer.Version = 1;
+    for (int Index = 0; Index < RouteCount; ++Index) {
+      Route Added;
+      Added.Name = RouteName("r-" + std::to_string(Index * 7919));
+      Added.Host = "press-" + std::to_string(Index) + ".example";
+      Added.PathPrefix = "/lot" + std::to_string(Index) + "/";
+      Added.Services = {{ServiceName("board"), 1}};
+      Newer.Routes.push_back(std::move(Added));
+    }
+    Reader.apply(batch(true, {Newer}, 0, 5));
+    CPPUNIT_ASSERT(Follower.fetch(Reader.Server.port()));
+    CPPUNIT_ASSERT(Follower.Current == Newer);
+    const std::uint64_t BytesBefore = Follower.Exchange.traffic().BytesIn;
+    Newer.Version = 4;
+    Newer.Routes[700].Timeout = 3s;
+    Reader.apply(batch(false, {Newer}, 5, 6));
+    CPPUNIT_ASSERT(Follower.fetch(Reader.Server.port()));
+    CPPUNIT_ASSERT(Follower.Current == Newer);
+    CPPUNIT_ASSERT(Follower.Exchange.traffic().BytesIn - BytesBefore < MaxBytesOfOneRoute);
+    Entry Latecomer;
+    CPPUNIT_ASSERT(Latecomer.fetch(Reader.Server.port()));
+    CPPUNIT_ASSERT(Latecomer.Current == Newer);
+  }
+
   /// Guards against failed fetches that are not reported, or that change the log.
   void failuresAreReported() {
     struct Case {
