Continue a fetch of publications while its bytes arrive

A fetch that took longer than 0.6 s was cancelled and started over, also while its bytes arrived. When many entries fetch a large version from one reader, all of them exceed that time, and what the reader has sent is wasted: its link stays full until the requests happen to spread. The timeout now counts from the last bytes that arrived, with 3 s for the whole fetch. A dead or silent reader is still left after 0.6 s.

--- a/src/libs/transport/HttpFetch.cpp
+++ b/src/libs/transport/HttpFetch.cpp
@@ -19,7 +19,8 @@
 
 HttpFetch::~HttpFetch() { this->cancel(); }
 
-void HttpFetch::start(const Endpoint &Server, const std::string &Path, Duration Timeout) {
+void HttpFetch::start(const Endpoint &Server, const std::string &Path, Duration Timeout,
+                      Duration MaxIdle) {
   this->cancel();
   this->Partial = {};
   RequestHead Head;
@@ -35,13 +36,32 @@
   this->Call->send();
   const std::int64_t TimeoutMilliseconds = toMilliseconds(Timeout);
   this->Timer = g_timeout_add(static_cast<guint>(TimeoutMilliseconds), onTimeout, this);
+  this->IdleTimeout = MaxIdle;
+  this->restartIdleTimer();
 }
 
 void HttpFetch::cancel() {
   g_clear_handle_id(&this->Timer, g_source_remove);
+  g_clear_handle_id(&this->IdleTimer, g_source_remove);
   this->Call.reset();
 }
 
+void HttpFetch::restartIdleTimer() {
+  g_clear_handle_id(&this->IdleTimer, g_source_remove);
+  if (this->IdleTimeout == Duration::max()) {
+    return;
+  }
+  const std::int64_t TimeoutMilliseconds = toMilliseconds(this->IdleTimeout);
+  this->IdleTimer = g_timeout_add(static_cast<guint>(TimeoutMilliseconds), onIdleTimeout, this);
+}
+
+gboolean HttpFetch::onIdleTimeout(gpointer Data) {
+  auto &Self = *static_cast<HttpFetch *>(Data);
+  Self.IdleTimer = 0;
+  Self.finish(std::nullopt, "no bytes of the response arrive");
+  return G_SOURCE_REMOVE;
+}
+
 gboolean HttpFetch::onTimeout(gpointer Data) {
   auto &Self = *static_cast<HttpFetch *>(Data);
   Self.Timer = 0;
@@ -57,11 +77,13 @@
 void HttpFetch::onResponseHead(const ResponseHead &Head) {
   this->Partial.Status = Head.Status;
   this->Partial.Fields = Head.Fields;
+  this->restartIdleTimer();
   this->Call->readMore();
 }
 
 void HttpFetch::onResponseBody(std::string Bytes, bool IsEnd) {
   this->Partial.Body += Bytes;
+  this->restartIdleTimer();
   if (this->Partial.Body.size() > MaxBodyBytes) {
     this->finish(std::nullopt, "the response is too large");
     return;
--- a/src/libs/transport/HttpFetch.h
+++ b/src/libs/transport/HttpFetch.h
@@ -31,8 +31,10 @@
   HttpFetch(ConnectionPool &Pool, Callback OnEnd);
   ~HttpFetch() override;
 
-  /// Cancels a fetch that is still running.
-  void start(const Endpoint &Server, const std::string &Path, Duration Timeout);
+  /// Cancels a fetch that is still running. The fetch fails if no bytes of the response arrive for
+  /// `IdleTimeout`, and if it is not complete after `Timeout`.
+  void start(const Endpoint &Server, const std::string &Path, Duration Timeout,
+             Duration IdleTimeout = Duration::max());
   /// Cancels a running fetch without calling the callback.
   void cancel();
 
@@ -42,13 +44,17 @@
 
 private:
   static gboolean onTimeout(gpointer Data);
+  static gboolean onIdleTimeout(gpointer Data);
 
+  void restartIdleTimer();
   void finish(const std::optional<Result> &Response, const std::string &Reason);
 
   ConnectionPool &Pool;
   Callback OnEnd;
   std::unique_ptr<HttpCall> Call;
   guint Timer = 0;
+  guint IdleTimer = 0;
+  Duration IdleTimeout{0};
   Result Partial;
 };
 
--- a/src/libs/transport/PublicationExchange.cpp
+++ b/src/libs/transport/PublicationExchange.cpp
@@ -16,9 +16,12 @@
 using namespace std::chrono_literals;
 
 constexpr std::string_view PublicationsPath = "/publications";
-/// The latency between entries of a region is about a millisecond. A fetch that takes longer than
-/// this is retried at another entry.
-constexpr Duration FetchTimeout = 600ms;
+/// The latency between entries of a region is about a millisecond. A fetch that gets no bytes for
+/// this time is retried at another entry.
+constexpr Duration FetchIdleTimeout = 600ms;
+/// While bytes arrive, a fetch continues: starting over would add load to a link that is already
+/// full.
+constexpr Duration FetchTimeout = 3s;
 constexpr int StatusOk = 200;
 constexpr const char *EncodingHeader = "Content-Encoding";
 /// Content coding of HTTP for the zlib format.
@@ -60,7 +63,7 @@
                     std::string(PublicationsPath) +
                         "?after=" + std::to_string(this->Log.revision()) +
                         "&configuration=" + std::to_string(Current ? Current->Version : 0),
-                    FetchTimeout);
+                    FetchTimeout, FetchIdleTimeout);
 }
 
 void PublicationExchange::onFetched(const std::optional<HttpFetch::Result> &Response,
