--- a/src/libs/coordination/PublicationDistributor.cpp
+++ b/src/libs/coordination/PublicationDistributor.cpp
@@ -45,10 +45,10 @@
   });
 }
 
-void PublicationDistributor::onSourceResponse(std::int64_t KnownRevision, TimePoint Now) {
-  const bool HasChanged = KnownRevision > this->Revision || !this->IsSourceAvailable;
+void PublicationDistributor::onSourceResponse(const SourcePosition &Known, TimePoint Now) {
+  const bool HasChanged = Known > this->Position || !this->IsSourceAvailable;
   this->IsSourceAvailable = true;
-  this->Revision = std::max(this->Revision, KnownRevision);
+  this->Position = std::max(this->Position, Known);
   if (this->IsReading && HasChanged) {
     this->sendNotice(Now);
   }
@@ -57,7 +57,7 @@
 void PublicationDistributor::sendNotice(TimePoint Now) {
   this->LastNoticeSent = Now;
   SendNotice Result;
-  Result.Notice.Revision = this->Revision;
+  Result.Notice.Position = this->Position;
   for (const EntryRecord &Each : this->Entries) {
     if (Each.Address != this->Self &&
         this->FleetTopology.regionOf(Each.Domain) == this->FleetTopology.OwnRegion) {
@@ -75,17 +75,19 @@
   if (this->hasPrecedence(Sender)) {
     this->LastPrecedingNotice = Now;
   }
-  if (Notice.Revision > std::max(this->Revision, this->AheadRevision) || !this->IsFetching) {
+  if (Notice.Position > std::max(this->Position, this->AheadPosition) || !this->IsFetching) {
     this->AheadEntry = Sender;
-    this->AheadRevision = Notice.Revision;
+    this->AheadPosition = Notice.Position;
   }
   this->fetchIfBehind(Now);
 }
 
 void PublicationDistributor::fetchIfBehind(TimePoint Now) {
-  // A reader receives the same changes from the source.
-  const bool IsReadingSource = this->IsReading && this->IsSourceAvailable;
-  if (this->IsFetching || IsReadingSource || this->AheadRevision <= this->Revision ||
+  // A reader receives the same changes from the source, unless it has not reached the source since
+  // the source entered a newer epoch.
+  const bool IsReadingEpoch = this->IsReading && this->IsSourceAvailable &&
+                              this->AheadPosition.Epoch <= this->Position.Epoch;
+  if (this->IsFetching || IsReadingEpoch || this->AheadPosition <= this->Position ||
       Now < this->NextFetchTime) {
     return;
   }
@@ -93,15 +95,15 @@
   this->Effects.emplace_back(FetchPublications{this->AheadEntry});
 }
 
-void PublicationDistributor::onFetched(std::int64_t KnownRevision, TimePoint Now) {
+void PublicationDistributor::onFetched(const SourcePosition &Known, TimePoint Now) {
   this->IsFetching = false;
-  this->Revision = std::max(this->Revision, KnownRevision);
+  this->Position = std::max(this->Position, Known);
   this->fetchIfBehind(Now);
 }
 
 void PublicationDistributor::onFetchFailed(TimePoint Now) {
   this->IsFetching = false;
-  this->AheadRevision = 0;
+  this->AheadPosition = {};
   this->NextFetchTime = Now + FetchRetryDelay;
 }
 
--- a/src/libs/coordination/PublicationDistributor.h
+++ b/src/libs/coordination/PublicationDistributor.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "coordination/Membership.h"
+#include "state/SourcePosition.h"
 #include "state/Time.h"
 #include "state/Topology.h"
 
 #include <compare>
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -14,9 +14,10 @@
 
 namespace anvilsaddle {
 
-/// Message of an entry that reads the source: the revision up to which it has read. Value type.
+/// Message of an entry that reads the source: the position up to which it has read. Value
+/// type.
 struct RevisionNotice {
-  std::int64_t Revision = 0;
+  SourcePosition Position;
 
   auto operator<=>(const RevisionNotice &) const = default;
 };
@@ -36,7 +37,7 @@
   auto operator<=>(const SendNotice &) const = default;
 };
 
-/// Fetch the publications after this entry's revision from another entry.
+/// Fetch the publications after this entry's position from another entry.
 struct FetchPublications {
   std::string Entry;
 
@@ -47,7 +48,7 @@
 
 /// Decides which entries read the source of publications, and distributes what they read.
 ///
-/// In each failure domain one live entry reads the source. It sends a notice with its revision to
+/// In each failure domain one live entry reads the source. It sends a notice with its position to
 /// all other entries of the region at each change and about three times per second, and the others
 /// fetch the changes that they lack from it. An entry that receives no notices, for example after
 /// its start, reads the source itself. Dead readers and readers that the source rejects are thus
@@ -67,12 +68,12 @@
 
   /// Sets the live entries of the fleet, including this one.
   void setEntries(std::vector<EntryRecord> Live) { this->Entries = std::move(Live); }
-  /// The source responded; this entry has all publications up to the revision.
-  void onSourceResponse(std::int64_t Revision, TimePoint Now);
+  /// The source responded; this entry has all publications up to the position.
+  void onSourceResponse(const SourcePosition &Known, TimePoint Now);
   void onSourceUnavailable() { this->IsSourceAvailable = false; }
   void onNotice(const std::string &Sender, const RevisionNotice &Notice, TimePoint Now);
-  /// A fetch succeeded; `Revision` is the revision of this entry afterwards.
-  void onFetched(std::int64_t Revision, TimePoint Now);
+  /// A fetch succeeded; `Known` is the position of this entry afterwards.
+  void onFetched(const SourcePosition &Known, TimePoint Now);
   void onFetchFailed(TimePoint Now);
   void onTick(TimePoint Now);
 
@@ -91,7 +92,7 @@
   Topology FleetTopology;
   TimePoint StartTime;
   std::vector<EntryRecord> Entries;
-  std::int64_t Revision = 0;
+  SourcePosition Position;
   bool IsReading = false;
   /// False once this entry has stopped reading the source for the first time.
   bool IsInitialReading = true;
@@ -101,9 +102,9 @@
   std::optional<TimePoint> LastNoticeReceived;
   /// Time of the last notice of an entry that has precedence over this one.
   TimePoint LastPrecedingNotice{};
-  /// Entry with a higher revision than this one, and that revision.
+  /// Entry with a newer position than this one, and that position.
   std::string AheadEntry;
-  std::int64_t AheadRevision = 0;
+  SourcePosition AheadPosition;
   bool IsFetching = false;
   TimePoint NextFetchTime{};
   std::vector<DistributionEffect> Effects;
--- a/src/libs/coordination/PublicationLog.cpp
+++ b/src/libs/coordination/PublicationLog.cpp
@@ -6,15 +6,29 @@
 
 namespace anvilsaddle {
 
+bool PublicationLog::isAcceptable(const PublicationBatch &Batch) const {
+  if (Batch.position() < this->Position) {
+    return false;
+  }
+  const bool IsSameEpoch = Batch.Epoch == this->Position.Epoch;
+  return Batch.IsSnapshot || (IsSameEpoch && Batch.Since <= this->Position.Revision);
+}
+
+bool PublicationLog::isRestoredBy(const PublicationBatch &Batch) const {
+  return Batch.IsSnapshot && this->Position.isValid() && Batch.Epoch > this->Position.Epoch;
+}
+
 bool PublicationLog::apply(const PublicationBatch &Batch) {
-  if (Batch.Revision < this->Revision || (!Batch.IsSnapshot && Batch.Since > this->Revision)) {
+  if (!this->isAcceptable(Batch)) {
     return false;
   }
-  if (Batch.IsSnapshot && this->Revision == 0) {
-    this->CompactedRevision = Batch.Revision;
-  } else if (Batch.IsSnapshot) {
-    this->addGap({this->Revision, Batch.Revision});
-    this->removeUnlisted(Batch);
+  if (Batch.IsSnapshot) {
+    if (Batch.Epoch > this->Position.Epoch || !this->Position.isValid()) {
+      this->startEpoch(Batch);
+    } else {
+      this->addGap({this->Position.Revision, Batch.Revision});
+      this->removeUnlisted(Batch);
+    }
   }
   for (const RevisionGap &Each : Batch.Gaps) {
     this->addGap(Each);
@@ -24,11 +38,22 @@
       this->applyChange(Each, Batch.Revision);
     }
   }
-  this->Revision = Batch.Revision;
+  this->Position = Batch.position();
   this->dropOldRemovals();
   return true;
 }
 
+void PublicationLog::startEpoch(const PublicationBatch &Snapshot) {
+  this->CompactedRevision = Snapshot.Revision;
+  this->Gaps.clear();
+  this->Targets.clear();
+  this->RemovedTargets.clear();
+  this->Evacuations.clear();
+  if (this->CurrentConfiguration) {
+    this->CurrentConfiguration->ChangedAt = Snapshot.Revision;
+  }
+}
+
 void PublicationLog::addGap(const RevisionGap &Added) {
   const bool HasInside = Added.isInside(Added.First + 1);
   if (!HasInside || std::find(this->Gaps.begin(), this->Gaps.end(), Added) != this->Gaps.end()) {
@@ -109,12 +134,13 @@
   }
 }
 
-PublicationBatch PublicationLog::batchSince(std::int64_t KnownRevision) const {
+PublicationBatch PublicationLog::batchSince(const SourcePosition &Known) const {
   PublicationBatch Result;
-  Result.Revision = this->Revision;
-  Result.IsSnapshot =
-      KnownRevision <= 0 || KnownRevision < this->CompactedRevision || this->isInGap(KnownRevision);
-  Result.Since = Result.IsSnapshot ? 0 : KnownRevision;
+  Result.Epoch = this->Position.Epoch;
+  Result.Revision = this->Position.Revision;
+  Result.IsSnapshot = !Known.isValid() || Known.Epoch != this->Position.Epoch ||
+                      Known.Revision < this->CompactedRevision || this->isInGap(Known.Revision);
+  Result.Since = Result.IsSnapshot ? 0 : Known.Revision;
   if (this->CurrentConfiguration && this->CurrentConfiguration->ChangedAt > Result.Since) {
     Result.Changes.emplace_back(this->CurrentConfiguration->Value);
   }
@@ -132,7 +158,7 @@
     return Result;
   }
   std::copy_if(this->Gaps.begin(), this->Gaps.end(), std::back_inserter(Result.Gaps),
-               [KnownRevision](const RevisionGap &Each) { return Each.Last > KnownRevision; });
+               [&Known](const RevisionGap &Each) { return Each.Last > Known.Revision; });
   for (const auto &[Name, RemovedAt] : this->RemovedTargets) {
     if (RemovedAt > Result.Since) {
       Result.Changes.emplace_back(TargetRemoved{Name});
--- a/src/libs/coordination/PublicationSource.h
+++ b/src/libs/coordination/PublicationSource.h
@@ -2,8 +2,8 @@
 
 #include "state/Diagnostic.h"
 #include "state/Publication.h"
+#include "state/SourcePosition.h"
 
-#include <cstdint>
 #include <string>
 
 namespace anvilsaddle {
@@ -14,8 +14,8 @@
   virtual ~PublicationListener() = default;
 
   virtual void onPublications(const PublicationBatch &Batch) = 0;
-  /// The source has responded, and this entry now knows everything up to this revision.
-  virtual void onSourceUpToDate(std::int64_t Revision) = 0;
+  /// The source has responded, and this entry now knows everything up to this position.
+  virtual void onSourceUpToDate(const SourcePosition &Position) = 0;
   /// An item is invalid and was skipped.
   virtual void onInvalidPublication(const Diagnostic &Problem) = 0;
   /// The source does not respond. Everything published before remains in effect.
@@ -29,9 +29,10 @@
 public:
   virtual ~PublicationSource() = default;
 
-  /// Starts following the changes after a revision; with 0, a snapshot of all publications comes
-  /// first. Precondition: the listener outlives the source, and the source is not active.
-  virtual void activate(PublicationListener &Listener, std::int64_t Since) = 0;
+  /// Starts following the changes after a position. A snapshot of all publications comes first if
+  /// the position is not valid, and each time the source has entered a newer epoch. Precondition:
+  /// the listener outlives the source, and the source is not active.
+  virtual void activate(PublicationListener &Listener, const SourcePosition &Since) = 0;
   /// Stops. The listener is not called until the next activate().
   virtual void deactivate() = 0;
 };
--- a/src/libs/coordination/TargetTable.cpp
+++ b/src/libs/coordination/TargetTable.cpp
@@ -18,38 +18,160 @@
 } // namespace
 
 void TargetTable::apply(const PublicationBatch &Batch, TimePoint Now) {
-  std::set<TargetName> ListedTargets;
-  std::set<FailureDomainName> ListedDomains;
+  if (Batch.IsSnapshot) {
+    this->applySnapshot(Batch, Now);
+  } else {
+    this->applyChanges(Batch, Now);
+  }
+}
+
+void TargetTable::applyChanges(const PublicationBatch &Batch, TimePoint Now) {
   for (const Publication &Each : Batch.Changes) {
     if (const auto *Registered = std::get_if<TargetRegistered>(&Each)) {
-      ListedTargets.insert(Registered->Registration.Name);
       this->add(Registered->Registration, Now);
     } else if (const auto *Removed = std::get_if<TargetRemoved>(&Each)) {
+      this->rememberRemoval(Removed->Name, Now);
       this->remove(Removed->Name, Now);
+    } else if (const auto *Evacuation = std::get_if<DomainEvacuation>(&Each)) {
+      this->setEvacuated(Evacuation->Domain, Evacuation->Active);
+    }
+  }
+}
+
+void TargetTable::applySnapshot(const PublicationBatch &Snapshot, TimePoint Now) {
+  const bool IsRestored = this->HasSnapshot && Snapshot.Epoch > this->Epoch;
+  this->HasSnapshot = true;
+  this->Epoch = Snapshot.Epoch;
+  std::set<TargetName> ListedTargets;
+  std::set<FailureDomainName> ListedDomains;
+  for (const Publication &Each : Snapshot.Changes) {
+    if (const auto *Registered = std::get_if<TargetRegistered>(&Each)) {
+      ListedTargets.insert(Registered->Registration.Name);
+      this->applyListedTarget(Registered->Registration, Snapshot, Now);
     } else if (const auto *Evacuation = std::get_if<DomainEvacuation>(&Each)) {
       if (Evacuation->Active) {
-        this->EvacuatedDomains.insert(Evacuation->Domain);
         ListedDomains.insert(Evacuation->Domain);
-      } else {
-        this->EvacuatedDomains.erase(Evacuation->Domain);
       }
     }
   }
-  if (!Batch.IsSnapshot) {
-    return;
-  }
-  this->EvacuatedDomains = std::move(ListedDomains);
+  this->applyListedEvacuations(ListedDomains, IsRestored, Now);
+  std::erase_if(this->PostponedTargets,
+                [&](const auto &Each) { return !ListedTargets.contains(Each.first); });
   std::vector<TargetName> Unlisted;
-  for (const auto &[Name, State] : this->Targets) {
+  for (auto &[Name, State] : this->Targets) {
     if (!ListedTargets.contains(Name)) {
       Unlisted.push_back(Name);
     }
   }
   for (const TargetName &Name : Unlisted) {
+    const bool IsRemovalKnown = this->RemovedTargets.contains(Name);
+    if (!IsRestored && !IsRemovalKnown) {
+      this->rememberRemoval(Name, Now);
+    } else if (IsRestored && !IsRemovalKnown) {
+      // The delay starts over with each restore.
+      this->Targets.at(Name).RemoveAt.reset();
+    }
     this->remove(Name, Now);
   }
 }
 
+void TargetTable::applyListedTarget(const Target &Listed, const PublicationBatch &Snapshot,
+                                    TimePoint Now) {
+  const auto IsSuperseded = [&](std::int64_t KnownEpoch, const Target &Known) {
+    return KnownEpoch < Snapshot.Epoch && Known.isAtLeastAsNewAs(Listed);
+  };
+  const auto Removed = this->RemovedTargets.find(Listed.Name);
+  const bool WasRemoved = Removed != this->RemovedTargets.end() &&
+                          IsSuperseded(Removed->second.Epoch, Removed->second.Registration);
+  if (WasRemoved && Removed->second.Registration.Draining) {
+    return;
+  }
+  const auto Known = this->Targets.find(Listed.Name);
+  if (Known != this->Targets.end() &&
+      IsSuperseded(Known->second.Epoch, Known->second.Registration)) {
+    Known->second.RemoveAt.reset();
+    this->RemovedTargets.erase(Listed.Name);
+    return;
+  }
+  // A target that did not announce its shutdown may be alive: its registration may have expired.
+  if (WasRemoved && Now < this->RemovalsDeferredUntil) {
+    this->PostponedTargets[Listed.Name] = {Listed, this->RemovalsDeferredUntil};
+    return;
+  }
+  this->add(Listed, Now);
+}
+
+void TargetTable::applyListedEvacuations(const std::set<FailureDomainName> &Listed, bool IsRestored,
+                                         TimePoint Now) {
+  const bool IsPostponing = IsRestored && Now < this->RemovalsDeferredUntil;
+  const auto ApplyOrPostpone = [&](const FailureDomainName &Domain, bool Active) {
+    if (IsPostponing) {
+      this->PostponedEvacuations[Domain] = {Active, this->RemovalsDeferredUntil};
+    } else if (!this->PostponedEvacuations.contains(Domain)) {
+      this->setEvacuated(Domain, Active);
+    }
+  };
+  // The source lists the state in effect, so that nothing is left to postpone.
+  std::erase_if(this->PostponedEvacuations, [&](const auto &Each) {
+    return Listed.contains(Each.first) == this->EvacuatedDomains.contains(Each.first);
+  });
+  for (const FailureDomainName &Domain : Listed) {
+    if (this->EvacuatedDomains.contains(Domain)) {
+      continue;
+    }
+    if (this->ReturnedDomains.contains(Domain)) {
+      ApplyOrPostpone(Domain, true);
+    } else {
+      this->setEvacuated(Domain, true);
+    }
+  }
+  for (const FailureDomainName &Domain : std::set<FailureDomainName>(this->EvacuatedDomains)) {
+    if (!Listed.contains(Domain)) {
+      ApplyOrPostpone(Domain, false);
+    }
+  }
+}
+
+void TargetTable::setEvacuated(const FailureDomainName &Domain, bool Active) {
+  this->PostponedEvacuations.erase(Domain);
+  if (Active) {
+    this->EvacuatedDomains.insert(Domain);
+    this->ReturnedDomains.erase(Domain);
+  } else if (this->EvacuatedDomains.erase(Domain) > 0) {
+    this->ReturnedDomains.insert(Domain);
+  }
+}
+
+void TargetTable::rememberRemoval(const TargetName &Name, TimePoint Now) {
+  const auto Found = this->Targets.find(Name);
+  this->PostponedTargets.erase(Name);
+  if (Found == this->Targets.end()) {
+    return;
+  }
+  this->RemovedTargets[Name] = {Found->second.Registration, this->Epoch, Now};
+  if (this->RemovedTargets.size() > MaxRetainedRemovals) {
+    this->RemovedTargets.erase(std::min_element(
+        this->RemovedTargets.begin(), this->RemovedTargets.end(),
+        [](const auto &Left, const auto &Right) { return Left.second.Time < Right.second.Time; }));
+  }
+}
+
+std::size_t TargetTable::retainedCount() const {
+  const auto Targets = std::count_if(this->Targets.begin(), this->Targets.end(),
+                                     [](const auto &Each) { return Each.second.RemoveAt; });
+  const auto Evacuations =
+      std::count_if(this->PostponedEvacuations.begin(), this->PostponedEvacuations.end(),
+                    [](const auto &Each) { return !Each.second.Active; });
+  return static_cast<std::size_t>(Targets + Evacuations);
+}
+
+std::size_t TargetTable::postponedCount() const {
+  const auto Evacuations =
+      std::count_if(this->PostponedEvacuations.begin(), this->PostponedEvacuations.end(),
+                    [](const auto &Each) { return Each.second.Active; });
+  return this->PostponedTargets.size() + static_cast<std::size_t>(Evacuations);
+}
+
 void TargetTable::deferRemovals(Duration Delay, TimePoint Now) {
   this->RemovalsDeferredUntil = std::max(this->RemovalsDeferredUntil, Now + Delay);
 }
@@ -68,9 +190,29 @@
   for (const TargetName &Name : Due) {
     this->erase(Name);
   }
+  std::vector<Target> DueTargets;
+  for (const auto &[Name, Each] : this->PostponedTargets) {
+    if (Each.Due <= Now) {
+      DueTargets.push_back(Each.Registration);
+    }
+  }
+  for (const Target &Each : DueTargets) {
+    this->add(Each, Now);
+  }
+  std::vector<DomainEvacuation> DueEvacuations;
+  for (const auto &[Domain, Each] : this->PostponedEvacuations) {
+    if (Each.Due <= Now) {
+      DueEvacuations.push_back({Domain, Each.Active});
+    }
+  }
+  for (const DomainEvacuation &Each : DueEvacuations) {
+    this->setEvacuated(Each.Domain, Each.Active);
+  }
 }
 
 void TargetTable::add(const Target &Value, TimePoint Now) {
+  this->RemovedTargets.erase(Value.Name);
+  this->PostponedTargets.erase(Value.Name);
   const auto Found = this->Targets.find(Value.Name);
   const bool IsSameStart =
       Found != this->Targets.end() &&
@@ -80,6 +222,7 @@
     TargetState State;
     State.Registration = Value;
     State.ColdUntil = Now + Value.RemainingColdTime;
+    State.Epoch = this->Epoch;
     this->Targets.emplace(Value.Name, std::move(State));
     this->Services[Value.Service].insert(Value.Name);
     return;
@@ -90,6 +233,7 @@
     this->Services[Value.Service].insert(Value.Name);
   }
   State.Registration = Value;
+  State.Epoch = this->Epoch;
   State.RemoveAt.reset();
   if (Value.RemainingColdTime > Duration(0)) {
     State.ColdUntil = std::max(State.ColdUntil, Now + Value.RemainingColdTime);
--- a/src/libs/coordination/TargetTable.h
+++ b/src/libs/coordination/TargetTable.h
@@ -40,11 +40,21 @@
   /// Set when the registration disappeared while the source of publications may have lost it in an
   /// outage.
   std::optional<TimePoint> RemoveAt;
+  /// Epoch of the source in which the registration was received.
+  std::int64_t Epoch = 0;
 
   bool isCold(TimePoint Now) const { return Now < this->ColdUntil; }
 };
 
 /// The published targets of all services, with the state that this entry has recorded for each.
+///
+/// When the source of publications returns from an older copy, its snapshot of the new epoch lacks
+/// what was published since, until operators and targets publish it again. Until the removal delay
+/// is over, the table therefore keeps the targets and evacuations that the snapshot lacks, and
+/// postpones evacuations and targets that had ended before. A registration that the target itself
+/// had replaced does not return, nor does a target that was removed after it had announced its
+/// shutdown.
+///
 /// Performs no I/O and reads no clock; times must not decrease. Not thread-safe.
 class TargetTable {
 public:
@@ -52,13 +62,16 @@
   /// the source recovers, if the target is alive.
   static constexpr Duration ReregistrationTimeout = std::chrono::seconds(2);
 
+  /// Number of removed targets that are remembered to recognize their registrations in a copy.
+  static constexpr std::size_t MaxRetainedRemovals = 512;
+
   /// Applies published changes in order; ignores configurations.
   void apply(const PublicationBatch &Batch, TimePoint Now);
   /// Delays removals until `Delay` has passed, because the source of publications had an outage.
   void deferRemovals(Duration Delay, TimePoint Now);
   /// Time for which removals are still delayed.
   Duration removalDelay(TimePoint Now) const;
-  /// Performs the removals that are due.
+  /// Performs the removals and the changes after a restore of the source that are due.
   void onTick(TimePoint Now);
 
   /// Targets of a service that may get new requests: registered, not draining, and not in a failure
@@ -69,6 +82,10 @@
   bool isUsable(const TargetName &Name) const;
   /// Returns null if the target is not registered.
   TargetState *find(const TargetName &Name);
+  /// Number of targets and evacuations that are in effect although the source does not list them.
+  std::size_t retainedCount() const;
+  /// Number of targets and evacuations that the source lists and that are postponed.
+  std::size_t postponedCount() const;
   /// Number of targets that demand a request limit.
   std::size_t limitedCount() const;
   const std::map<TargetName, TargetState> &all() const { return this->Targets; }
@@ -93,6 +110,30 @@
   static double decayedFailureScore(const TargetState &State, TimePoint Now);
 
 private:
+  /// Target that was removed, and the epoch of the source in which that happened.
+  struct RemovedTarget {
+    Target Registration;
+    std::int64_t Epoch = 0;
+    TimePoint Time{};
+  };
+  /// Registration that the source lists, and the time at which it takes effect.
+  struct PostponedTarget {
+    Target Registration;
+    TimePoint Due{};
+  };
+  /// State that the source lists for a failure domain, and the time at which it takes effect.
+  struct PostponedEvacuation {
+    bool Active = false;
+    TimePoint Due{};
+  };
+
+  void applyChanges(const PublicationBatch &Batch, TimePoint Now);
+  void applySnapshot(const PublicationBatch &Snapshot, TimePoint Now);
+  void applyListedTarget(const Target &Listed, const PublicationBatch &Snapshot, TimePoint Now);
+  void applyListedEvacuations(const std::set<FailureDomainName> &Listed, bool IsRestored,
+                              TimePoint Now);
+  void setEvacuated(const FailureDomainName &Domain, bool Active);
+  void rememberRemoval(const TargetName &Name, TimePoint Now);
   void add(const Target &Value, TimePoint Now);
   void remove(const TargetName &Name, TimePoint Now);
   void erase(const TargetName &Name);
@@ -102,6 +143,14 @@
   std::map<TargetName, TargetState> Targets;
   std::map<ServiceName, std::set<TargetName>> Services;
   std::set<FailureDomainName> EvacuatedDomains;
+  /// Failure domains that were returned to service.
+  std::set<FailureDomainName> ReturnedDomains;
+  /// Epoch of the source from which the last batch came.
+  std::int64_t Epoch = 0;
+  bool HasSnapshot = false;
+  std::map<TargetName, RemovedTarget> RemovedTargets;
+  std::map<TargetName, PostponedTarget> PostponedTargets;
+  std::map<FailureDomainName, PostponedEvacuation> PostponedEvacuations;
   TimePoint RemovalsDeferredUntil{};
   std::set<TargetName> ChangedConditions;
 };
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -196,6 +196,12 @@
                         this->CurrentGauges.LimitedTargets);
   Out.writeSingleSample("configuration_version", "gauge", "Version of the active configuration.",
                         this->CurrentGauges.ConfigurationVersion);
+  Out.writeSingleSample("store_epoch", "gauge",
+                        "Epoch of the store from which the publications are.",
+                        this->CurrentGauges.KnownPosition.Epoch);
+  Out.writeSingleSample("store_revision", "gauge",
+                        "Revision of the store in its epoch up to which publications are known.",
+                        this->CurrentGauges.KnownPosition.Revision);
 }
 
 void Metrics::writePeers(Writer &Out) const {
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -5,6 +5,7 @@
 #include "protocol/PeerTraffic.h"
 #include "protocol/PublicationTraffic.h"
 #include "state/Identifiers.h"
+#include "state/SourcePosition.h"
 #include "state/Time.h"
 
 #include <array>
@@ -37,6 +38,7 @@
     std::size_t Targets = 0;
     std::uint64_t ConfigurationVersion = 0;
     std::size_t LimitedTargets = 0;
+    SourcePosition KnownPosition;
   };
 
   /// A response of a target was delivered to the caller. `Latency` is measured from the arrival of
--- a/src/libs/protocol/PeerCodec.cpp
+++ b/src/libs/protocol/PeerCodec.cpp
@@ -144,7 +144,7 @@
 
 PeerMessage fromWire(const wire::PeerMessage &In) {
   if (In.__isset.notice) {
-    return RevisionNotice{In.notice.revision};
+    return RevisionNotice{{In.notice.__isset.epoch ? In.notice.epoch : 0, In.notice.revision}};
   }
   if (In.__isset.gossip) {
     return fromWire(In.gossip);
@@ -166,7 +166,8 @@
   if (const auto *Notice = std::get_if<RevisionNotice>(&Message)) {
     wire::PeerMessage Out;
     wire::RevisionNotice Content;
-    Content.revision = Notice->Revision;
+    Content.revision = Notice->Position.Revision;
+    Content.__set_epoch(Notice->Position.Epoch);
     Out.__set_notice(Content);
     return {writeThrift(Out)};
   }
--- a/src/libs/protocol/PublicationCodec.cpp
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -63,6 +63,7 @@
   Result.draining = Value.Draining;
   Result.coldMicroseconds = Value.RemainingColdTime.count();
   Result.startedUnixMilliseconds = Value.StartedUnixMilliseconds;
+  Result.__set_sequence(Value.Sequence);
   return Result;
 }
 
@@ -130,6 +131,7 @@
   Result.Draining = In.draining;
   Result.RemainingColdTime = Duration(In.coldMicroseconds);
   Result.StartedUnixMilliseconds = In.startedUnixMilliseconds;
+  Result.Sequence = In.__isset.sequence ? In.sequence : 0;
   return Result;
 }
 
@@ -156,6 +158,7 @@
   Out.complete = Batch.IsSnapshot;
   Out.since = Batch.Since;
   Out.revision = Batch.Revision;
+  Out.__set_epoch(Batch.Epoch);
   Out.removalsWaitMicroseconds = Batch.RemovalDelay.count();
   for (const Publication &Each : Batch.Changes) {
     Out.changes.push_back(toWire(Each));
@@ -176,6 +179,7 @@
     readThrift(Text, In);
     PublicationBatch Result{
         In.complete, In.since, In.revision, Duration(In.removalsWaitMicroseconds), {}, {}};
+    Result.Epoch = In.__isset.epoch ? In.epoch : 0;
     for (const wire::RevisionGap &Each : In.gaps) {
       Result.Gaps.push_back({Each.first, Each.last});
     }
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -305,6 +305,11 @@
 void RevisionNotice::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void RevisionNotice::__set_epoch(const int64_t val) {
+  this->epoch = val;
+__isset.epoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
 {
   obj.printTo(out);
@@ -342,6 +347,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -365,6 +378,11 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.epoch) {
+    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->epoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -373,19 +391,26 @@
 void swap(RevisionNotice &a, RevisionNotice &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
+  swap(a.epoch, b.epoch);
+  swap(a.__isset, b.__isset);
 }
 
 RevisionNotice::RevisionNotice(const RevisionNotice& other32) noexcept {
   revision = other32.revision;
+  epoch = other32.epoch;
+  __isset = other32.__isset;
 }
 RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other33) noexcept {
   revision = other33.revision;
+  epoch = other33.epoch;
+  __isset = other33.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "RevisionNotice(";
   out << "revision=" << to_string(revision);
+  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1407,6 +1432,11 @@
 void Target::__set_startedUnixMilliseconds(const int64_t val) {
   this->startedUnixMilliseconds = val;
 }
+
+void Target::__set_sequence(const int64_t val) {
+  this->sequence = val;
+__isset.sequence = true;
+}
 std::ostream& operator<<(std::ostream& out, const Target& obj)
 {
   obj.printTo(out);
@@ -1516,6 +1546,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1587,6 +1625,11 @@
   xfer += oprot->writeI64(this->startedUnixMilliseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.sequence) {
+    xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->sequence);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1603,6 +1646,8 @@
   swap(a.draining, b.draining);
   swap(a.coldMicroseconds, b.coldMicroseconds);
   swap(a.startedUnixMilliseconds, b.startedUnixMilliseconds);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
 }
 
 Target::Target(const Target& other68) {
@@ -1615,6 +1660,8 @@
   draining = other68.draining;
   coldMicroseconds = other68.coldMicroseconds;
   startedUnixMilliseconds = other68.startedUnixMilliseconds;
+  sequence = other68.sequence;
+  __isset = other68.__isset;
 }
 Target& Target::operator=(const Target& other69) {
   name = other69.name;
@@ -1626,6 +1673,8 @@
   draining = other69.draining;
   coldMicroseconds = other69.coldMicroseconds;
   startedUnixMilliseconds = other69.startedUnixMilliseconds;
+  sequence = other69.sequence;
+  __isset = other69.__isset;
   return *this;
 }
 void Target::printTo(std::ostream& out) const {
@@ -1640,6 +1689,7 @@
   out << ", " << "draining=" << to_string(draining);
   out << ", " << "coldMicroseconds=" << to_string(coldMicroseconds);
   out << ", " << "startedUnixMilliseconds=" << to_string(startedUnixMilliseconds);
+  out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2062,6 +2112,11 @@
   this->gaps = val;
 __isset.gaps = true;
 }
+
+void PublicationBatch::__set_epoch(const int64_t val) {
+  this->epoch = val;
+__isset.epoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const PublicationBatch& obj)
 {
   obj.printTo(out);
@@ -2167,6 +2222,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2235,6 +2298,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.epoch) {
+    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->epoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2248,6 +2316,7 @@
   swap(a.removalsWaitMicroseconds, b.removalsWaitMicroseconds);
   swap(a.changes, b.changes);
   swap(a.gaps, b.gaps);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -2258,6 +2327,7 @@
   removalsWaitMicroseconds = other88.removalsWaitMicroseconds;
   changes = other88.changes;
   gaps = other88.gaps;
+  epoch = other88.epoch;
   __isset = other88.__isset;
 }
 PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other89) {
@@ -2267,6 +2337,7 @@
   removalsWaitMicroseconds = other89.removalsWaitMicroseconds;
   changes = other89.changes;
   gaps = other89.gaps;
+  epoch = other89.epoch;
   __isset = other89.__isset;
   return *this;
 }
@@ -2279,6 +2350,7 @@
   out << ", " << "removalsWaitMicroseconds=" << to_string(removalsWaitMicroseconds);
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "gaps="; (__isset.gaps ? (out << to_string(gaps)) : (out << "<null>"));
+  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -101,6 +101,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
+typedef struct _RevisionNotice__isset {
+  _RevisionNotice__isset() : epoch(false) {}
+  bool epoch :1;
+} _RevisionNotice__isset;
 
 class RevisionNotice : public virtual ::apache::thrift::TBase {
  public:
@@ -108,18 +112,28 @@
   RevisionNotice(const RevisionNotice&) noexcept;
   RevisionNotice& operator=(const RevisionNotice&) noexcept;
   RevisionNotice() noexcept
-                 : revision(0) {
+                 : revision(0),
+                   epoch(0) {
   }
 
   virtual ~RevisionNotice() noexcept;
   int64_t revision;
+  int64_t epoch;
+
+  _RevisionNotice__isset __isset;
 
   void __set_revision(const int64_t val);
 
+  void __set_epoch(const int64_t val);
+
   bool operator == (const RevisionNotice & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
+    if (__isset.epoch != rhs.__isset.epoch)
+      return false;
+    else if (__isset.epoch && !(epoch == rhs.epoch))
+      return false;
     return true;
   }
   bool operator != (const RevisionNotice &rhs) const {
@@ -442,6 +456,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Configuration& obj);
 
+typedef struct _Target__isset {
+  _Target__isset() : sequence(false) {}
+  bool sequence :1;
+} _Target__isset;
 
 class Target : public virtual ::apache::thrift::TBase {
  public:
@@ -457,7 +475,8 @@
            slots(0),
            draining(0),
            coldMicroseconds(0),
-           startedUnixMilliseconds(0) {
+           startedUnixMilliseconds(0),
+           sequence(0) {
   }
 
   virtual ~Target() noexcept;
@@ -470,6 +489,9 @@
   bool draining;
   int64_t coldMicroseconds;
   int64_t startedUnixMilliseconds;
+  int64_t sequence;
+
+  _Target__isset __isset;
 
   void __set_name(const std::string& val);
 
@@ -489,6 +511,8 @@
 
   void __set_startedUnixMilliseconds(const int64_t val);
 
+  void __set_sequence(const int64_t val);
+
   bool operator == (const Target & rhs) const
   {
     if (!(name == rhs.name))
@@ -509,6 +533,10 @@
       return false;
     if (!(startedUnixMilliseconds == rhs.startedUnixMilliseconds))
       return false;
+    if (__isset.sequence != rhs.__isset.sequence)
+      return false;
+    else if (__isset.sequence && !(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const Target &rhs) const {
@@ -683,8 +711,9 @@
 std::ostream& operator<<(std::ostream& out, const RevisionGap& obj);
 
 typedef struct _PublicationBatch__isset {
-  _PublicationBatch__isset() : gaps(false) {}
+  _PublicationBatch__isset() : gaps(false), epoch(false) {}
   bool gaps :1;
+  bool epoch :1;
 } _PublicationBatch__isset;
 
 class PublicationBatch : public virtual ::apache::thrift::TBase {
@@ -696,7 +725,8 @@
                    : complete(0),
                      since(0),
                      revision(0),
-                     removalsWaitMicroseconds(0) {
+                     removalsWaitMicroseconds(0),
+                     epoch(0) {
   }
 
   virtual ~PublicationBatch() noexcept;
@@ -706,6 +736,7 @@
   int64_t removalsWaitMicroseconds;
   std::vector<Publication>  changes;
   std::vector<RevisionGap>  gaps;
+  int64_t epoch;
 
   _PublicationBatch__isset __isset;
 
@@ -721,6 +752,8 @@
 
   void __set_gaps(const std::vector<RevisionGap> & val);
 
+  void __set_epoch(const int64_t val);
+
   bool operator == (const PublicationBatch & rhs) const
   {
     if (!(complete == rhs.complete))
@@ -737,6 +770,10 @@
       return false;
     else if (__isset.gaps && !(gaps == rhs.gaps))
       return false;
+    if (__isset.epoch != rhs.__isset.epoch)
+      return false;
+    else if (__isset.epoch && !(epoch == rhs.epoch))
+      return false;
     return true;
   }
   bool operator != (const PublicationBatch &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -22,6 +22,8 @@
 
 struct RevisionNotice {
   1: required i64 revision
+  // Epoch of the source to which the revision belongs; 0 if it is missing.
+  2: optional i64 epoch
 }
 
 // Exactly one field is set.
@@ -74,6 +76,7 @@
   7: required bool draining
   8: required i64 coldMicroseconds
   9: required i64 startedUnixMilliseconds
+  10: optional i64 sequence
 }
 
 struct Evacuation {
@@ -102,4 +105,6 @@
   4: required i64 removalsWaitMicroseconds
   5: required list<Publication> changes
   6: optional list<RevisionGap> gaps
+  // Epoch of the source to which all revisions belong; 0 if it is missing.
+  7: optional i64 epoch
 }
--- a/src/libs/state/Publication.h
+++ b/src/libs/state/Publication.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/Configuration.h"
+#include "state/SourcePosition.h"
 #include "state/Target.h"
 #include "state/Time.h"
 
@@ -38,8 +39,8 @@
 /// configuration, target or failure domain.
 using Publication = std::variant<Configuration, TargetRegistered, TargetRemoved, DomainEvacuation>;
 
-/// Range of revisions about which it is only known what changed from its first to its last one, but
-/// not what changed in between and changed back. Value type.
+/// Range of revisions of one epoch about which it is only known what changed from its first to its
+/// last one, but not what changed in between and changed back. Value type.
 struct RevisionGap {
   std::int64_t First = 0;
   std::int64_t Last = 0;
@@ -51,7 +52,8 @@
   auto operator<=>(const RevisionGap &) const = default;
 };
 
-/// Publications in the order of their revision. Value type.
+/// Publications in the order of their revision. All revisions are of the same epoch of the source.
+/// Value type.
 struct PublicationBatch {
   /// True if the batch contains everything that is published, so that anything missing was removed.
   /// Otherwise it contains all changes after the revision Since.
@@ -66,6 +68,10 @@
   std::vector<Publication> Changes;
   /// Gaps of the sender that end after Since.
   std::vector<RevisionGap> Gaps;
+  /// Epoch of the source to which the revisions belong.
+  std::int64_t Epoch = 0;
+
+  SourcePosition position() const { return {this->Epoch, this->Revision}; }
 
   auto operator<=>(const PublicationBatch &) const = default;
 };
--- a/src/libs/state/Target.h
+++ b/src/libs/state/Target.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace anvilsaddle {
 
@@ -25,6 +26,19 @@
   /// Start time of the process in milliseconds since 1970. It reveals a restart under the same
   /// name.
   std::int64_t StartedUnixMilliseconds = 0;
+  /// Number of this registration since the start of the process; 0 if unknown. It increases each
+  /// time the target registers.
+  std::int64_t Sequence = 0;
+
+  /// True if the other registration of this name was not made after this one. False if the start
+  /// time of either is unknown.
+  bool isAtLeastAsNewAs(const Target &Other) const {
+    if (this->StartedUnixMilliseconds == 0 || Other.StartedUnixMilliseconds == 0) {
+      return false;
+    }
+    return std::tie(this->StartedUnixMilliseconds, this->Sequence) >=
+           std::tie(Other.StartedUnixMilliseconds, Other.Sequence);
+  }
 
   auto operator<=>(const Target &) const = default;
 };
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -46,6 +46,7 @@
   logEvent(LogLevel::Info, "publications_fetched",
            {{"entry", Details.Entry},
             {"content", Batch.IsSnapshot ? "snapshot" : "changes"},
+            {"epoch", std::to_string(Batch.Epoch)},
             {"revision", std::to_string(Batch.Revision)},
             {"changes", std::to_string(Batch.Changes.size())},
             {"bytes", std::to_string(Details.Bytes)},
@@ -86,7 +87,7 @@
           {[this](const PublicationBatch &Batch, const FetchDetails &Details) {
              logFetched(Batch, Details);
              this->applyBatch(Batch, Details.Entry);
-             this->Distributor.onFetched(this->Publications.revision(), this->now());
+             this->Distributor.onFetched(this->Publications.position(), this->now());
              this->applyDistributionEffects();
            },
            [this](const std::string &Reason) {
@@ -219,7 +220,8 @@
   Self.EntryMetrics.setGauges(
       {Self.Proxy.size(), Self.RequestDispatcher.queueLength(), Self.CallerServer.connectionCount(),
        Self.LastLiveMembers.size(), Self.RequestDispatcher.targets().all().size(),
-       Current ? Current->Version : 0, Self.RequestDispatcher.targets().limitedCount()});
+       Current ? Current->Version : 0, Self.RequestDispatcher.targets().limitedCount(),
+       Self.Publications.position()});
   Self.RequestDispatcher.onTick(Self.now());
   Self.applyEffects();
   flushLog();
@@ -253,9 +255,10 @@
     if (const auto *Reading = std::get_if<SetSourceReading>(&Each)) {
       logEvent(LogLevel::Info,
                Reading->IsEnabled ? "store_reading_started" : "store_reading_stopped",
-               {{"revision", std::to_string(this->Publications.revision())}});
+               {{"epoch", std::to_string(this->Publications.position().Epoch)},
+                {"revision", std::to_string(this->Publications.position().Revision)}});
       if (Reading->IsEnabled) {
-        this->Deps.Source.activate(*this, this->Publications.revision());
+        this->Deps.Source.activate(*this, this->Publications.position());
       } else {
         this->Deps.Source.deactivate();
       }
@@ -306,21 +309,29 @@
 // Publications
 
 void EntryRuntime::onPublications(const PublicationBatch &Batch) {
+  if (this->Publications.isRestoredBy(Batch)) {
+    this->RequestDispatcher.targets().deferRemovals(TargetTable::ReregistrationTimeout,
+                                                    this->now());
+  }
   this->applyBatch(Batch, "store");
-  this->onSourceUpToDate(this->Publications.revision());
+  this->onSourceUpToDate(this->Publications.position());
 }
 
-void EntryRuntime::onSourceUpToDate(std::int64_t Revision) {
-  this->Distributor.onSourceResponse(Revision, this->now());
+void EntryRuntime::onSourceUpToDate(const SourcePosition &Position) {
+  this->Distributor.onSourceResponse(Position, this->now());
   this->applyDistributionEffects();
 }
 
 void EntryRuntime::applyBatch(const PublicationBatch &Batch, const std::string &Source) {
+  const bool IsRestored = this->Publications.isRestoredBy(Batch);
+  const SourcePosition Before = this->Publications.position();
   if (!this->Publications.apply(Batch)) {
     logEvent(LogLevel::Info, "publications_passed_over",
              {{"since", std::to_string(Batch.Since)},
+              {"epoch", std::to_string(Batch.Epoch)},
               {"revision", std::to_string(Batch.Revision)},
-              {"known", std::to_string(this->Publications.revision())}});
+              {"known_epoch", std::to_string(Before.Epoch)},
+              {"known", std::to_string(Before.Revision)}});
     return;
   }
   if (Batch.RemovalDelay > Duration(0)) {
@@ -334,10 +345,26 @@
     }
   }
   this->RequestDispatcher.targets().apply(Batch, this->now());
+  if (IsRestored) {
+    this->logRestore(Before, Source);
+  }
   this->HasSnapshot = this->HasSnapshot || Batch.IsSnapshot;
   this->updateReadiness();
 }
 
+void EntryRuntime::logRestore(const SourcePosition &Before, const std::string &Source) {
+  const TargetTable &Targets = this->RequestDispatcher.targets();
+  const SourcePosition &Now = this->Publications.position();
+  logEvent(LogLevel::Warning, "store_restored",
+           {{"source", Source},
+            {"known_epoch", std::to_string(Before.Epoch)},
+            {"known", std::to_string(Before.Revision)},
+            {"epoch", std::to_string(Now.Epoch)},
+            {"revision", std::to_string(Now.Revision)},
+            {"retained", std::to_string(Targets.retainedCount())},
+            {"postponed", std::to_string(Targets.postponedCount())}});
+}
+
 void EntryRuntime::applyConfiguration(const Configuration &Newer, const std::string &Source) {
   const Configuration *Current = this->Proxy.configuration();
   const std::string CurrentVersion = Current ? std::to_string(Current->Version) : "none";
@@ -375,7 +402,9 @@
 }
 
 void EntryRuntime::onSourceRecovered() {
-  logEvent(LogLevel::Info, "store_returned");
+  logEvent(LogLevel::Info, "store_returned",
+           {{"known_epoch", std::to_string(this->Publications.position().Epoch)},
+            {"known", std::to_string(this->Publications.position().Revision)}});
   this->RequestDispatcher.targets().deferRemovals(TargetTable::ReregistrationTimeout, this->now());
 }
 
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -62,7 +62,7 @@
   void stop(std::function<void()> OnStopped);
 
   void onPublications(const PublicationBatch &Batch) override;
-  void onSourceUpToDate(std::int64_t Revision) override;
+  void onSourceUpToDate(const SourcePosition &Position) override;
   void onInvalidPublication(const Diagnostic &Problem) override;
   void onSourceUnavailable(const std::string &Reason) override;
   void onSourceRecovered() override;
@@ -83,6 +83,7 @@
   void applyDistributionEffects();
   /// `Source` is the origin of the publications, for the log: an entry's address, or the store.
   void applyBatch(const PublicationBatch &Batch, const std::string &Source);
+  void logRestore(const SourcePosition &Before, const std::string &Source);
   void applyConfiguration(const Configuration &Newer, const std::string &Source);
   void updateReadiness();
   void updateLiveMembers();
--- a/src/libs/transport/HttpFetch.cpp
+++ b/src/libs/transport/HttpFetch.cpp
@@ -1,6 +1,5 @@
 #include "transport/HttpFetch.h"
 
-#include "protocol/HttpMessage.h"
 #include "transport/ConnectionPool.h"
 
 #include <chrono>
@@ -57,6 +56,7 @@
 
 void HttpFetch::onResponseHead(const ResponseHead &Head) {
   this->Partial.Status = Head.Status;
+  this->Partial.Fields = Head.Fields;
   this->Call->readMore();
 }
 
--- a/src/libs/transport/HttpFetch.h
+++ b/src/libs/transport/HttpFetch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/HttpMessage.h"
 #include "state/Endpoint.h"
 #include "state/Time.h"
 #include "transport/HttpCall.h"
@@ -21,6 +22,7 @@
   struct Result {
     int Status = 0;
     std::string Body;
+    FieldList Fields;
   };
   /// Receives the result, or nothing and the reason of the failure. May start the next fetch.
   using Callback = std::function<void(const std::optional<Result> &, const std::string &Reason)>;
--- a/src/libs/transport/PublicationExchange.cpp
+++ b/src/libs/transport/PublicationExchange.cpp
@@ -6,6 +6,7 @@
 
 #include <charconv>
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace anvilsaddle {
@@ -20,6 +21,14 @@
 constexpr Duration FetchTimeout = 600ms;
 constexpr int StatusOk = 200;
 
+/// Returns 0 if the parameter is missing or not a number.
+std::int64_t numericParameter(const std::string &RequestTarget, std::string_view Name) {
+  const std::string Text = queryParameter(RequestTarget, Name);
+  std::int64_t Result = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Result);
+  return Result;
+}
+
 } // namespace
 
 PublicationExchange::PublicationExchange(const PublicationLog &Log, ConnectionPool &Connections,
@@ -33,9 +42,11 @@
   ++this->Traffic.Fetches;
   this->FetchedEntry = Entry;
   this->FetchStart = this->Time.now();
-  this->Fetch.start(
-      Entry, std::string(PublicationsPath) + "?after=" + std::to_string(this->Log.revision()),
-      FetchTimeout);
+  const SourcePosition &Known = this->Log.position();
+  this->Fetch.start(Entry,
+                    std::string(PublicationsPath) + "?after=" + std::to_string(Known.Revision) +
+                        "&epoch=" + std::to_string(Known.Epoch),
+                    FetchTimeout);
 }
 
 void PublicationExchange::onFetched(const std::optional<HttpFetch::Result> &Response,
@@ -56,14 +67,14 @@
                                   this->Time.now() - this->FetchStart});
 }
 
-const std::string &PublicationExchange::encodedBatchSince(std::int64_t Revision) {
-  if (this->CachedSince != Revision || this->CachedRevision != this->Log.revision()) {
-    PublicationBatch Batch = this->Log.batchSince(Revision);
+const std::string &PublicationExchange::encodedBatchSince(const SourcePosition &Known) {
+  if (this->CachedSince != Known || this->CachedPosition != this->Log.position()) {
+    PublicationBatch Batch = this->Log.batchSince(Known);
     Batch.RemovalDelay = this->Handlers.RemovalDelay();
     this->CachedBatch = writeBatch(Batch);
     this->IsCachedSnapshot = Batch.IsSnapshot;
-    this->CachedSince = Revision;
-    this->CachedRevision = this->Log.revision();
+    this->CachedSince = Known;
+    this->CachedPosition = this->Log.position();
   }
   ++(this->IsCachedSnapshot ? this->Traffic.SnapshotsOut : this->Traffic.ChangesOut);
   this->Traffic.BytesOut += this->CachedBatch.size();
@@ -75,10 +86,10 @@
     Exchange.respondText(404, "text/plain", "no such page\n");
     return;
   }
-  const std::string AfterText = queryParameter(Exchange.head().RequestTarget, "after");
-  std::int64_t Revision = 0;
-  std::from_chars(AfterText.data(), AfterText.data() + AfterText.size(), Revision);
-  Exchange.respondText(StatusOk, "application/octet-stream", this->encodedBatchSince(Revision));
+  // Entries of earlier versions send no epoch.
+  const SourcePosition Known{numericParameter(Exchange.head().RequestTarget, "epoch"),
+                             numericParameter(Exchange.head().RequestTarget, "after")};
+  Exchange.respondText(StatusOk, "application/octet-stream", this->encodedBatchSince(Known));
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/PublicationExchange.h
+++ b/src/libs/transport/PublicationExchange.h
@@ -3,13 +3,13 @@
 #include "coordination/PublicationLog.h"
 #include "protocol/PublicationTraffic.h"
 #include "state/Endpoint.h"
+#include "state/SourcePosition.h"
 #include "state/Time.h"
 #include "transport/HttpExchange.h"
 #include "transport/HttpFetch.h"
 
 #include <compare>
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -29,7 +29,7 @@
 };
 
 /// Serves publications to other entries and fetches them from other entries, at
-/// `/publications?after=REVISION`. Not thread-safe.
+/// `/publications?after=REVISION&epoch=EPOCH`. Not thread-safe.
 class PublicationExchange final : public HttpHandler {
 public:
   struct Callbacks {
@@ -43,7 +43,7 @@
   PublicationExchange(const PublicationLog &Log, ConnectionPool &Connections, const Clock &Time,
                       Callbacks Handlers);
 
-  /// Fetches the publications after this entry's revision from another entry.
+  /// Fetches the publications after this entry's position from another entry.
   void fetch(const Endpoint &Entry);
   const PublicationTraffic &traffic() const { return this->Traffic; }
 
@@ -52,7 +52,7 @@
 
 private:
   void onFetched(const std::optional<HttpFetch::Result> &Response, const std::string &Reason);
-  const std::string &encodedBatchSince(std::int64_t Revision);
+  const std::string &encodedBatchSince(const SourcePosition &Known);
 
   const PublicationLog &Log;
   const Clock &Time;
@@ -63,8 +63,8 @@
   PublicationTraffic Traffic;
   /// Last response body. It is cached because many entries fetch the same changes after each
   /// revision.
-  std::int64_t CachedSince = -1;
-  std::int64_t CachedRevision = -1;
+  std::optional<SourcePosition> CachedSince;
+  SourcePosition CachedPosition;
   bool IsCachedSnapshot = false;
   std::string CachedBatch;
 };
--- a/tests/auto/libs/coordination/tst_publicationdistributor.cpp
+++ b/tests/auto/libs/coordination/tst_publicationdistributor.cpp
@@ -100,7 +100,7 @@
     } else if (Each.IsReading) {
       this->ReadCount += Each.Revision < this->SourceRevision ? 1 : 0;
       Each.Revision = this->SourceRevision;
-      Each.Distributor->onSourceResponse(Each.Revision, this->Now);
+      Each.Distributor->onSourceResponse({0, Each.Revision}, this->Now);
     }
     for (const DistributionEffect &Effect : Each.Distributor->takeEffects()) {
       this->applyEffect(Address, Each, Effect);
@@ -124,7 +124,7 @@
         return;
       }
       Each.Revision = std::max(Each.Revision, From->second.Revision);
-      Each.Distributor->onFetched(Each.Revision, this->Now);
+      Each.Distributor->onFetched({0, Each.Revision}, this->Now);
     }
   }
 
@@ -139,6 +139,7 @@
   CPPUNIT_TEST(deadReadersAreReplaced);
   CPPUNIT_TEST(rejectedReadersAreReplaced);
   CPPUNIT_TEST(outageRecovery);
+  CPPUNIT_TEST(readerOfOlderEpochFetches);
   CPPUNIT_TEST(simultaneousStartReadsImmediately);
   CPPUNIT_TEST(surplusReadersStopAfterStart);
   CPPUNIT_TEST_SUITE_END();
@@ -216,6 +217,42 @@
     }
   }
 
+  /// Guards against a reader that keeps the state of an older epoch because it reached the source
+  /// last before the source returned from a copy, and whose revision counts as the newest.
+  void readerOfOlderEpochFetches() {
+    Topology FleetTopology;
+    FleetTopology.RegionByDomain = {{FailureDomainName("a1"), RegionName("a")}};
+    FleetTopology.OwnDomain = FailureDomainName("a1");
+    FleetTopology.OwnRegion = RegionName("a");
+    struct Case {
+      const char *Name;
+      SourcePosition Known;
+      SourcePosition Noticed;
+      bool IsFetching;
+    };
+    const Case Table[] = {
+        {"newer epoch, lower revision", {1, 90}, {2, 40}, true},
+        {"older epoch, higher revision", {2, 40}, {1, 90}, false},
+        {"same epoch: the source sends the same changes", {2, 40}, {2, 50}, false},
+    };
+    for (const Case &Each : Table) {
+      PublicationDistributor Reader(Region::address(0), FleetTopology, TimePoint(10s));
+      Reader.onTick(TimePoint(10s));
+      Reader.onSourceResponse(Each.Known, TimePoint(10s));
+      Reader.takeEffects();
+      Reader.onNotice(Region::address(1), {Each.Noticed}, TimePoint(10s));
+      const std::vector<DistributionEffect> Effects = Reader.takeEffects();
+      const bool IsFetching =
+          Effects == std::vector<DistributionEffect>{FetchPublications{Region::address(1)}};
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsFetching, IsFetching);
+      Reader.onFetchFailed(TimePoint(10s));
+      Reader.onSourceUnavailable();
+      Reader.onNotice(Region::address(1), {Each.Noticed}, TimePoint(11s));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Noticed > Each.Known,
+                                   !Reader.takeEffects().empty());
+    }
+  }
+
   /// Guards against a fleet that does not recover from an outage of the source.
   void outageRecovery() {
     Region TestRegion(18);
--- a/tests/auto/libs/coordination/tst_publicationlog.cpp
+++ b/tests/auto/libs/coordination/tst_publicationlog.cpp
@@ -67,7 +67,7 @@
 
 /// Snapshot of a log without its revision, so that the content of two logs can be compared.
 PublicationBatch contentOf(const PublicationLog &Log) {
-  PublicationBatch Result = Log.batchSince(0);
+  PublicationBatch Result = Log.batchSince({0, 0});
   Result.Revision = 0;
   return Result;
 }
@@ -78,6 +78,8 @@
   CPPUNIT_TEST_SUITE(PublicationLogTest);
   CPPUNIT_TEST(batchesAreAppliedInOrder);
   CPPUNIT_TEST(snapshotsAreFetchedAsChanges);
+  CPPUNIT_TEST(otherEpochsGetSnapshots);
+  CPPUNIT_TEST(entriesAgreeAfterRestores);
   CPPUNIT_TEST(followersConverge);
   CPPUNIT_TEST(entriesHaveTheStateOfTheirRevision);
   CPPUNIT_TEST_SUITE_END();
@@ -90,6 +92,7 @@
       PublicationBatch Batch;
       bool IsApplied;
       std::int64_t Revision;
+      std::int64_t KnownEpoch = 0;
     };
     const Case Table[] = {
         {"next", batch(false, {makeRegistration(2)}, 10, 12), true, 12},
@@ -98,23 +101,108 @@
         {"older", batch(false, {makeRegistration(2)}, 1, 9), false, 10},
         {"newer snapshot", batch(true, {}, 0, 20), true, 20},
         {"older snapshot", batch(true, {}, 0, 9), false, 10},
+        {"snapshot of a newer epoch", batch(true, {}, 0, 4, 2), true, 4},
+        {"changes of a newer epoch", batch(false, {makeRegistration(2)}, 10, 12, 2), false, 10},
+        {"snapshot of an older epoch", batch(true, {}, 0, 99, 0), false, 10, 1},
+        {"changes of an older epoch", batch(false, {makeRegistration(2)}, 10, 12, 0), false, 10, 1},
     };
     for (const Case &Each : Table) {
       PublicationLog Log;
-      CPPUNIT_ASSERT(Log.apply(batch(true, {makeRegistration(1), makeConfiguration(7)}, 0, 10)));
+      CPPUNIT_ASSERT(Log.apply(
+          batch(true, {makeRegistration(1), makeConfiguration(7)}, 0, 10, Each.KnownEpoch)));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsApplied, Log.apply(Each.Batch));
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Revision, Log.revision());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Revision, Log.position().Revision);
     }
     PublicationLog Log;
     CPPUNIT_ASSERT(Log.apply(batch(true, {makeConfiguration(7)}, 0, 10)));
     CPPUNIT_ASSERT(Log.apply(batch(false, {makeConfiguration(5)}, 10, 11)));
-    CPPUNIT_ASSERT_MESSAGE("an older version is ignored",
-                           std::get<Configuration>(Log.batchSince(0).Changes.front()).Version == 7);
-    CPPUNIT_ASSERT(!Log.batchSince(10).IsSnapshot && Log.batchSince(10).Changes.empty());
+    CPPUNIT_ASSERT_MESSAGE(
+        "an older version is ignored",
+        std::get<Configuration>(Log.batchSince({0, 0}).Changes.front()).Version == 7);
+    CPPUNIT_ASSERT(!Log.batchSince({0, 10}).IsSnapshot && Log.batchSince({0, 10}).Changes.empty());
     CPPUNIT_ASSERT(Log.apply(batch(false, {makeRegistration(1)}, 11, 12)));
-    CPPUNIT_ASSERT(!Log.batchSince(10).IsSnapshot && Log.batchSince(10).Changes.size() == 1);
-    CPPUNIT_ASSERT(!Log.batchSince(11).IsSnapshot && Log.batchSince(11).Changes.size() == 1);
-    CPPUNIT_ASSERT(Log.batchSince(12).Changes.empty() && Log.batchSince(9).IsSnapshot);
+    CPPUNIT_ASSERT(!Log.batchSince({0, 10}).IsSnapshot &&
+                   Log.batchSince({0, 10}).Changes.size() == 1);
+    CPPUNIT_ASSERT(!Log.batchSince({0, 11}).IsSnapshot &&
+                   Log.batchSince({0, 11}).Changes.size() == 1);
+    CPPUNIT_ASSERT(Log.batchSince({0, 12}).Changes.empty() && Log.batchSince({0, 9}).IsSnapshot);
+  }
+
+  /// Guards against an entry that fetches the changes after a revision that belongs to another
+  /// epoch of the source, and against the return of an older configuration.
+  void otherEpochsGetSnapshots() {
+    PublicationLog Log;
+    Log.apply(batch(true, {makeConfiguration(7), makeRegistration(1)}, 0, 10, 1));
+    Log.apply(batch(false, {makeRegistration(2), TargetRemoved{TargetName("t1")}}, 10, 12, 1));
+    CPPUNIT_ASSERT(Log.apply(batch(true, {makeConfiguration(5), makeRegistration(1)}, 0, 9, 2)));
+    const PublicationBatch Expected =
+        batch(true, {makeConfiguration(7), makeRegistration(1)}, 0, 9, 2);
+    CPPUNIT_ASSERT(Log.batchSince({1, 9}) == Expected);
+    CPPUNIT_ASSERT(Log.batchSince({1, 12}) == Expected);
+    CPPUNIT_ASSERT(Log.batchSince({3, 9}) == Expected);
+    CPPUNIT_ASSERT_MESSAGE("before the snapshot", Log.batchSince({2, 8}).IsSnapshot);
+    CPPUNIT_ASSERT(Log.batchSince({2, 9}) == batch(false, {}, 9, 9, 2));
+    CPPUNIT_ASSERT(Log.apply(batch(false, {makeRegistration(3)}, 9, 10, 2)));
+    CPPUNIT_ASSERT(Log.batchSince({2, 9}) == batch(false, {makeRegistration(3)}, 9, 10, 2));
+  }
+
+  /// Guards against entries that disagree, or whose configuration gets older, after a source has
+  /// returned from older copies while some entries did not reach it.
+  void entriesAgreeAfterRestores() {
+    checkProperty("entries agree with a source that returns from copies", [] {
+      PublicationLog Store;
+      Store.apply(batch(true, {makeConfiguration(1), makeRegistration(0)}, 0, 1, 1));
+      PublicationBatch Copy = Store.batchSince({});
+      std::uint64_t Version = 1;
+      std::array<PublicationLog, 4> Entries;
+      std::array<std::uint64_t, 4> Versions{};
+      const auto Exchange = [&](std::size_t To, const PublicationBatch &Batch) {
+        Entries.at(To).apply(Batch);
+        for (const Publication &Each : Entries.at(To).batchSince({}).Changes) {
+          if (const auto *Current = std::get_if<Configuration>(&Each)) {
+            RC_ASSERT(Current->Version >= Versions.at(To));
+            Versions.at(To) = Current->Version;
+          }
+        }
+      };
+      const int StepCount = *rc::gen::inRange(1, 150);
+      for (int Step = 0; Step < StepCount; ++Step) {
+        const int RandomNumber = *rc::gen::inRange(0, 60);
+        const std::size_t To = static_cast<std::size_t>(RandomNumber) % 4;
+        const SourcePosition Position = Store.position();
+        if (RandomNumber < 25) {
+          const Publication Change = *randomChange(static_cast<std::int64_t>(Version));
+          Version += std::holds_alternative<Configuration>(Change) ? 1 : 0;
+          Store.apply(
+              batch(false, {Change}, Position.Revision, Position.Revision + 1, Position.Epoch));
+        } else if (RandomNumber < 28) {
+          Copy = Store.batchSince({});
+        } else if (RandomNumber < 32) {
+          Copy.Epoch = Position.Epoch + 1;
+          Store = {};
+          Store.apply(Copy);
+        } else if (RandomNumber < 45) {
+          // What the store client does: it continues in the same epoch and lists a newer one.
+          Exchange(To, Store.batchSince(Entries.at(To).position()));
+        } else {
+          const PublicationLog &From = Entries.at(static_cast<std::size_t>(RandomNumber) / 4 % 4);
+          if (From.position() > Entries.at(To).position()) {
+            Exchange(To, From.batchSince(Entries.at(To).position()));
+          }
+        }
+      }
+      // The operator publishes again what the store has lost.
+      const SourcePosition Position = Store.position();
+      Store.apply(batch(false, {makeConfiguration(Version + 1)}, Position.Revision,
+                        Position.Revision + 1, Position.Epoch));
+      Exchange(0, Store.batchSince(Entries[0].position()));
+      for (std::size_t Index = 1; Index < Entries.size(); ++Index) {
+        Exchange(Index, Entries[Index - 1].batchSince(Entries.at(Index).position()));
+      }
+      for (const PublicationLog &Each : Entries) {
+        RC_ASSERT(Each.batchSince({}) == Store.batchSince({}));
+      }
+    });
   }
 
   /// Guards against an entry that fetches everything because its source has listed the store again.
@@ -136,11 +224,11 @@
                TargetRemoved{TargetName("t3")}},
               10, 20);
     Expected.Gaps = {{10, 20}};
-    CPPUNIT_ASSERT(Log.batchSince(10) == Expected);
-    CPPUNIT_ASSERT_MESSAGE("an entry inside the gap", Log.batchSince(15).IsSnapshot);
-    CPPUNIT_ASSERT(Log.batchSince(20) == batch(false, {}, 20, 20));
-    CPPUNIT_ASSERT(Log.batchSince(9).IsSnapshot);
-    CPPUNIT_ASSERT(Log.batchSince(0) ==
+    CPPUNIT_ASSERT(Log.batchSince({0, 10}) == Expected);
+    CPPUNIT_ASSERT_MESSAGE("an entry inside the gap", Log.batchSince({0, 15}).IsSnapshot);
+    CPPUNIT_ASSERT(Log.batchSince({0, 20}) == batch(false, {}, 20, 20));
+    CPPUNIT_ASSERT(Log.batchSince({0, 9}).IsSnapshot);
+    CPPUNIT_ASSERT(Log.batchSince({0, 0}) ==
                    batch(true,
                          {makeConfiguration(7), makeRegistration(1), makeRegistration(2, 5),
                           DomainEvacuation{West, true}},
@@ -170,20 +258,20 @@
         }
         if (RandomNumber >= 50 && RandomNumber < 55) {
           PublicationLog Listed;
-          Listed.apply(batch(true, Source.batchSince(0).Changes, 0, Revision));
+          Listed.apply(batch(true, Source.batchSince({0, 0}).Changes, 0, Revision));
           Listed.apply(batch(false, {Change}, Revision, NextRevision));
-          RC_ASSERT(Source.apply(Listed.batchSince(0)));
+          RC_ASSERT(Source.apply(Listed.batchSince({0, 0})));
         } else {
           RC_ASSERT(Source.apply(batch(false, {Change}, Revision, NextRevision)));
         }
         Revision = NextRevision;
         if (RandomNumber > 95) {
-          RC_ASSERT(hasEachSubjectOnce(Source.batchSince(Follower.revision())));
-          RC_ASSERT(Follower.apply(Source.batchSince(Follower.revision())));
+          RC_ASSERT(hasEachSubjectOnce(Source.batchSince(Follower.position())));
+          RC_ASSERT(Follower.apply(Source.batchSince(Follower.position())));
           RC_ASSERT(contentOf(Follower) == contentOf(Source));
         }
       }
-      RC_ASSERT(Follower.apply(Source.batchSince(Follower.revision())));
+      RC_ASSERT(Follower.apply(Source.batchSince(Follower.position())));
       RC_ASSERT(contentOf(Follower) == contentOf(Source));
     });
   }
@@ -202,25 +290,26 @@
       for (int Step = 0; Step < StepCount; ++Step) {
         const int RandomNumber = *rc::gen::inRange(0, 60);
         PublicationLog &Entry = Entries.at(static_cast<std::size_t>(RandomNumber) % 4);
-        const std::int64_t Revision = Truth.revision();
+        const std::int64_t Revision = Truth.position().Revision;
         if (RandomNumber < 20) {
           History.push_back(*randomChange(Revision));
           Truth.apply(batch(false, {History.back()}, Revision, Revision + 1));
-          States.push_back(Truth.batchSince(0));
+          States.push_back(Truth.batchSince({0, 0}));
         } else if (RandomNumber < 25) {
           RC_ASSERT(Entry.apply(States.back()));
-        } else if (RandomNumber < 35 && Entry.revision() > 0) {
-          std::vector<Publication> Missed(History.begin() + Entry.revision() - 1, History.end());
-          RC_ASSERT(Entry.apply(batch(false, Missed, Entry.revision(), Revision)));
+        } else if (RandomNumber < 35 && Entry.position().Revision > 0) {
+          std::vector<Publication> Missed(History.begin() + Entry.position().Revision - 1,
+                                          History.end());
+          RC_ASSERT(Entry.apply(batch(false, Missed, Entry.position().Revision, Revision)));
         } else {
           const PublicationLog &From = Entries.at(static_cast<std::size_t>(RandomNumber) / 4 % 4);
-          if (From.revision() > Entry.revision()) {
-            RC_ASSERT(Entry.apply(From.batchSince(Entry.revision())));
+          if (From.position().Revision > Entry.position().Revision) {
+            RC_ASSERT(Entry.apply(From.batchSince(Entry.position())));
           }
         }
-        if (Entry.revision() > 0) {
-          const auto Index = static_cast<std::size_t>(Entry.revision()) - 1;
-          RC_ASSERT(Entry.batchSince(0) == States.at(Index));
+        if (Entry.position().Revision > 0) {
+          const auto Index = static_cast<std::size_t>(Entry.position().Revision) - 1;
+          RC_ASSERT(Entry.batchSince({0, 0}) == States.at(Index));
         }
       }
     });
--- a/tests/auto/libs/coordination/tst_targettable.cpp
+++ b/tests/auto/libs/coordination/tst_targettable.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST_SUITE(TargetTableTest);
   CPPUNIT_TEST(publications);
   CPPUNIT_TEST(removalsAfterOutage);
+  CPPUNIT_TEST(restoredSource);
+  CPPUNIT_TEST(restoredTwice);
   CPPUNIT_TEST(restartWithSameName);
   CPPUNIT_TEST(probes);
   CPPUNIT_TEST(failuresDecay);
@@ -111,6 +113,126 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("long after the outage", std::string(), usableNames(Targets));
   }
 
+  /// Guards against targets and evacuations that are lost, or that return, because the source of
+  /// publications returned from an older copy and lists the state of then.
+  void restoredSource() {
+    using Publications = std::vector<Publication>;
+    const auto Registered = [](const char *Name, std::int64_t Sequence, bool IsDraining = false) {
+      Target Value = makeTarget(Name);
+      Value.Sequence = Sequence;
+      Value.Draining = IsDraining;
+      return TargetRegistered{Value};
+    };
+    const auto Removed = [](const char *Name) { return TargetRemoved{TargetName(Name)}; };
+    const DomainEvacuation Evacuated{FailureDomainName("d1"), true};
+    const DomainEvacuation Returned{FailureDomainName("d1"), false};
+    Target Restarted = makeTarget("a", "d1", 2);
+    Restarted.Sequence = 1;
+    struct Case {
+      const char *Name;
+      /// Changes before the restore, and what the copy lists.
+      Publications Before;
+      Publications Copy;
+      /// Changes during the removal delay.
+      Publications Later;
+      const char *UsableAtOnce;
+      const char *UsableAtEnd;
+    };
+    const Case Table[] = {
+        {"missing target", {Registered("a", 1)}, {}, {}, "a", ""},
+        {"missing target registers", {Registered("a", 1)}, {}, {Registered("a", 1)}, "a", "a"},
+        {"announced shutdown", {Registered("a", 9, true)}, {Registered("a", 1)}, {}, "", ""},
+        {"written again",
+         {Registered("a", 9, true)},
+         {Registered("a", 1)},
+         {Registered("a", 10)},
+         "",
+         "a"},
+        {"newer registration", {Registered("a", 9, true)}, {Registered("a", 12)}, {}, "a", "a"},
+        {"restarted before the restore",
+         {Registered("a", 9, true), TargetRegistered{Restarted}},
+         {Registered("a", 9, true)},
+         {},
+         "a",
+         "a"},
+        {"restarted after the copy",
+         {Registered("a", 9, true), Removed("a")},
+         {TargetRegistered{Restarted}},
+         {},
+         "a",
+         "a"},
+        {"left", {Registered("a", 9, true), Removed("a")}, {Registered("a", 1)}, {}, "", ""},
+        {"expired", {Registered("a", 1), Removed("a")}, {Registered("a", 1)}, {}, "", "a"},
+        {"expired and removed again",
+         {Registered("a", 1), Removed("a")},
+         {Registered("a", 1)},
+         {Removed("a")},
+         "",
+         ""},
+        {"missing evacuation", {Registered("a", 1), Evacuated}, {Registered("a", 1)}, {}, "", "a"},
+        {"missing evacuation is published again",
+         {Registered("a", 1), Evacuated},
+         {Registered("a", 1)},
+         {Evacuated},
+         "",
+         ""},
+        {"ended evacuation",
+         {Registered("a", 1), Evacuated, Returned},
+         {Registered("a", 1), Evacuated},
+         {Returned},
+         "a",
+         "a"},
+        {"ended evacuation is still listed",
+         {Registered("a", 1), Evacuated, Returned},
+         {Registered("a", 1), Evacuated},
+         {},
+         "a",
+         ""},
+        {"unknown evacuation", {Registered("a", 1)}, {Registered("a", 1), Evacuated}, {}, "", ""},
+    };
+    for (const Case &Each : Table) {
+      TargetTable Targets;
+      Targets.apply(batch(true, {}, 0, 10, 1), Start);
+      for (const Publication &Change : Each.Before) {
+        Targets.apply(batch(false, {Change}, 10, 11, 1), Start);
+      }
+      const TimePoint Restore = Start + 5s;
+      Targets.deferRemovals(TargetTable::ReregistrationTimeout, Restore);
+      Targets.apply(batch(true, Each.Copy, 0, 9, 2), Restore);
+      Targets.onTick(Restore + 100ms);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.UsableAtOnce), usableNames(Targets));
+      Targets.apply(batch(true, Each.Copy, 0, 9, 2), Restore + 500ms);
+      Targets.onTick(Restore + 500ms);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(Each.Name) + ", listed twice",
+                                   std::string(Each.UsableAtOnce), usableNames(Targets));
+      Targets.apply(batch(false, Each.Later, 9, 10, 2), Restore + 1s);
+      Targets.onTick(Restore + TargetTable::ReregistrationTimeout);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.UsableAtEnd), usableNames(Targets));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{0},
+                                   Targets.retainedCount() + Targets.postponedCount());
+    }
+  }
+
+  /// Guards against targets that are dropped or kept too long when the source returns from older
+  /// copies several times in quick succession.
+  void restoredTwice() {
+    TargetTable Targets;
+    Targets.apply(batch(true, {TargetRegistered{makeTarget("a")}}, 0, 10, 1), Start);
+    for (const std::int64_t Epoch : {2, 3}) {
+      const TimePoint Restore = Start + std::chrono::seconds(Epoch);
+      Targets.deferRemovals(TargetTable::ReregistrationTimeout, Restore);
+      Targets.apply(batch(true, {}, 0, 9, Epoch), Restore);
+    }
+    Targets.onTick(Start + 4900ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), usableNames(Targets));
+    Targets.onTick(Start + 5s);
+    CPPUNIT_ASSERT_EQUAL(std::string(), usableNames(Targets));
+    Targets.deferRemovals(TargetTable::ReregistrationTimeout, Start + 6s);
+    Targets.apply(batch(true, {TargetRegistered{makeTarget("a")}}, 0, 9, 4), Start + 6s);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("it was only missing in a copy", std::string("a"),
+                                 usableNames(Targets));
+  }
+
   /// Guards against load, failures and cold state of an earlier start that are taken for those of a
   /// restarted target.
   void restartWithSameName() {
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -43,7 +43,7 @@
     Counters.onAttemptEnd(Board, AttemptOutcome::Interrupted);
     Counters.onProbe(true);
     Counters.onCallerDisconnected();
-    Counters.setGauges({1, 2, 3, 4, 5, 6, 13});
+    Counters.setGauges({1, 2, 3, 4, 5, 6, 13, {3, 41}});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
     const char *const Table[] = {
@@ -62,6 +62,8 @@
         "anvilsaddle_callers_gone_total 1\n",
         "anvilsaddle_queued_requests 2\n",
         "anvilsaddle_configuration_version 6\n",
+        "anvilsaddle_store_epoch 3\n",
+        "anvilsaddle_store_revision 41\n",
         "anvilsaddle_limited_targets 13\n",
         "anvilsaddle_publications_served_total{content=\"snapshot\"} 7\n",
         "anvilsaddle_publications_served_total{content=\"changes\"} 8\n",
--- a/tests/auto/libs/protocol/tst_publicationcodec.cpp
+++ b/tests/auto/libs/protocol/tst_publicationcodec.cpp
@@ -15,9 +15,15 @@
   Settings.Routes = {RouteValue};
   Settings.Services = {{ServiceName("s"), {ServiceName("s"), "/health", 4.5}}};
   Settings.Limits = {100, 200, 3s, 4s};
-  const Target TargetValue{
-      TargetName("t1"), ServiceName("s"), {"10.0.0.1", 80}, FailureDomainName("d"), 3, true, 5s,
-      1'700'000'000'000};
+  const Target TargetValue{TargetName("t1"),
+                           ServiceName("s"),
+                           {"10.0.0.1", 80},
+                           FailureDomainName("d"),
+                           3,
+                           true,
+                           5s,
+                           1'700'000'000'000,
+                           12};
   PublicationBatch Result =
       batch(true,
             {Settings, TargetRegistered{TargetValue}, TargetRemoved{TargetName("t2")},
@@ -25,6 +31,7 @@
             3, 99);
   Result.RemovalDelay = 1500ms;
   Result.Gaps = {{2, 40}, {55, 99}};
+  Result.Epoch = 4;
   return Result;
 }
 
--- a/tests/auto/libs/protocol/tst_publicationspread.cpp
+++ b/tests/auto/libs/protocol/tst_publicationspread.cpp
@@ -74,7 +74,7 @@
     const std::int64_t Kept =
         this->Changes.empty() ? this->Revision + 1 : this->Changes.front().first;
     if (Since == 0 || (Since + 1 < Kept && Since < this->Revision)) {
-      return this->Current.batchSince(0);
+      return this->Current.batchSince({});
     }
     PublicationBatch Result{false, Since, this->Revision, Duration(0), {}, {}};
     for (const auto &[ChangeRevision, Change] : this->Changes) {
@@ -175,12 +175,12 @@
     if (!Reader.IsReading || this->Now < Reader.NextRead) {
       return;
     }
-    const PublicationBatch Batch = this->Store.read(Reader.Log.revision());
+    const PublicationBatch Batch = this->Store.read(Reader.Log.position().Revision);
     if (!Batch.Changes.empty()) {
       this->apply(Reader, Batch);
       Reader.NextRead = this->Now + WatchBatchDelay;
     }
-    Reader.Distributor->onSourceResponse(Reader.Log.revision(), this->Now);
+    Reader.Distributor->onSourceResponse(Reader.Log.position(), this->Now);
   }
 
   void applyEffects(std::size_t Index) {
@@ -193,7 +193,7 @@
         }
       } else {
         Entry &Sender = this->find(std::get<FetchPublications>(Effect).Entry);
-        PublicationBatch Batch = Sender.Log.batchSince(this->Entries[Index].Log.revision());
+        PublicationBatch Batch = Sender.Log.batchSince(this->Entries[Index].Log.position());
         const auto Bytes = static_cast<double>(writeBatch(Batch).size());
         Sender.Sending.push_back({Index, std::move(Batch), Bytes, this->Now + FetchTimeout});
       }
@@ -210,7 +210,7 @@
         PublicationDistributor &Receiver = *this->Entries[Each.Receiver].Distributor;
         if (Each.BytesLeft <= 0) {
           this->apply(this->Entries[Each.Receiver], Each.Batch);
-          Receiver.onFetched(this->Entries[Each.Receiver].Log.revision(), this->Now);
+          Receiver.onFetched(this->Entries[Each.Receiver].Log.position(), this->Now);
         } else if (this->Now >= Each.Deadline) {
           ++this->FailedFetches;
           Receiver.onFetchFailed(this->Now);
--- a/tests/auto/libs/transport/tst_publicationexchange.cpp
+++ b/tests/auto/libs/transport/tst_publicationexchange.cpp
@@ -58,6 +58,7 @@
 class PublicationExchangeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublicationExchangeTest);
   CPPUNIT_TEST(changesAreFetched);
+  CPPUNIT_TEST(epochsAreFetched);
   CPPUNIT_TEST(failuresAreReported);
   CPPUNIT_TEST_SUITE_END();
 
@@ -68,11 +69,11 @@
     Entry Follower;
     Reader.Log.apply(batch(true, {makeRegistration("a")}, 0, 5));
     CPPUNIT_ASSERT(Follower.fetch(Reader.Server.port()));
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, Follower.Log.revision());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, Follower.Log.position().Revision);
     CPPUNIT_ASSERT(Follower.ReceivedRemovalDelay == 700ms);
     Reader.Log.apply(batch(false, {makeRegistration("b"), TargetRemoved{TargetName("a")}}, 5, 8));
     CPPUNIT_ASSERT(Follower.fetch(Reader.Server.port()));
-    CPPUNIT_ASSERT(Follower.Log.batchSince(0) == Reader.Log.batchSince(0));
+    CPPUNIT_ASSERT(Follower.Log.batchSince({}) == Reader.Log.batchSince({}));
     CPPUNIT_ASSERT_EQUAL(std::string(), Follower.Failure);
     const PublicationTraffic Served = Reader.Exchange.traffic();
     const PublicationTraffic Fetched = Follower.Exchange.traffic();
@@ -81,6 +82,21 @@
     CPPUNIT_ASSERT_EQUAL(Served.BytesOut, Fetched.BytesIn);
   }
 
+  /// Guards against a cached response of an older epoch of the source, in which the same revisions
+  /// mean other publications.
+  void epochsAreFetched() {
+    Entry Reader;
+    Entry Follower;
+    Reader.Log.apply(batch(true, {makeRegistration("a")}, 0, 5, 1));
+    CPPUNIT_ASSERT(Follower.fetch(Reader.Server.port()));
+    CPPUNIT_ASSERT(Follower.fetch(Reader.Server.port()));
+    Reader.Log.apply(batch(true, {makeRegistration("b")}, 0, 5, 2));
+    CPPUNIT_ASSERT(Follower.fetch(Reader.Server.port()));
+    CPPUNIT_ASSERT(Follower.Log.position() == (SourcePosition{2, 5}));
+    CPPUNIT_ASSERT(Follower.Log.batchSince({}) == Reader.Log.batchSince({}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Reader.Exchange.traffic().SnapshotsOut);
+  }
+
   /// Guards against failed fetches that are not reported, or that change the log.
   void failuresAreReported() {
     struct Case {
@@ -103,7 +119,7 @@
       });
       CPPUNIT_ASSERT_MESSAGE(Each.Name, Follower.fetch(Server.Port));
       CPPUNIT_ASSERT_MESSAGE(Each.Name, !Follower.Failure.empty());
-      CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, Follower.Log.revision());
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, Follower.Log.position().Revision);
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Follower.Exchange.traffic().FailedFetches);
     }
   }
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -18,6 +18,11 @@
          Body;
 }
 
+/// Adds the header field that names the epoch of the store.
+std::string inEpoch(int Epoch, std::string Response) {
+  return Response.insert(Response.find("\r\n") + 2, "Store-Era: " + std::to_string(Epoch) + "\r\n");
+}
+
 /// Returns an item whose value is an empty JSON object.
 std::string item(const std::string &Key) {
   return R"({"key":")" + Key + R"(","value":"e30=","revision":1,"created":1,"lease":0})";
@@ -76,10 +81,10 @@
   void onPublications(const PublicationBatch &Batch) override {
     this->Text += Batch.IsSnapshot ? "all" : "since " + std::to_string(Batch.Since);
     this->Text +=
-        " to " + std::to_string(Batch.Revision) + ":" + std::to_string(Batch.Changes.size()) + ";";
+        " to " + text(Batch.position()) + ":" + std::to_string(Batch.Changes.size()) + ";";
   }
-  void onSourceUpToDate(std::int64_t Revision) override {
-    this->Text += "unchanged " + std::to_string(Revision) + ";";
+  void onSourceUpToDate(const SourcePosition &Position) override {
+    this->Text += "unchanged " + text(Position) + ";";
   }
   void onInvalidPublication(const Diagnostic &Error) override {
     this->Text += "bad " + Error.Path + ";";
@@ -88,6 +93,13 @@
   void onSourceRecovered() override { this->Text += "back;"; }
 
   std::string Text;
+
+private:
+  /// The epoch is left out if it is 0.
+  static std::string text(const SourcePosition &Position) {
+    const std::string Revision = std::to_string(Position.Revision);
+    return Position.Epoch == 0 ? Revision : Revision + "@" + std::to_string(Position.Epoch);
+  }
 };
 
 } // namespace
@@ -95,6 +107,8 @@
 class StoreClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreClientTest);
   CPPUNIT_TEST(scenarios);
+  CPPUNIT_TEST(newerEpochIsListed);
+  CPPUNIT_TEST(checkEndsWatchOfOlderEpoch);
   CPPUNIT_TEST(requestTargets);
   CPPUNIT_TEST(freshListingAfterGoneHistory);
   CPPUNIT_TEST(resumesAndStops);
@@ -145,12 +159,82 @@
       RecordingListener Listener;
       FakeStore Store(Each.Script);
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-      Client.activate(Listener, 0);
+      Client.activate(Listener, {});
+      runUntil([&] { return Listener.Text.size() >= Each.Expected.size(); });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Listener.Text);
+    }
+  }
+
+  /// Guards against a watch that goes on after the store has returned from an older copy, in which
+  /// the revision of the watch may exist again, and against items of two epochs that are mixed.
+  void newerEpochIsListed() {
+    const std::string Evacuation = item("op/evacuate/a");
+    const std::string Gone = response("", "410 Gone");
+    const std::string Busy = response("", "503 Busy");
+    struct Case {
+      const char *Name;
+      std::vector<std::string> Script;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {"revision exists again",
+         {inEpoch(1, range(Evacuation, 7)), inEpoch(2, events(Evacuation, 9)),
+          inEpoch(2, range("", 8)), inEpoch(2, events(Evacuation, 9))},
+         "all to 7@1:1;all to 8@2:0;since 8 to 9@2:1;"},
+        {"silent watch",
+         {inEpoch(1, range(Evacuation, 7)), inEpoch(2, events("", 7)), inEpoch(2, range("", 7))},
+         "all to 7@1:1;all to 7@2:0;"},
+        {"revision does not exist",
+         {inEpoch(1, range(Evacuation, 7)), inEpoch(2, Gone), inEpoch(2, range("", 5))},
+         "all to 7@1:1;all to 5@2:0;"},
+        {"rejected",
+         {inEpoch(1, range(Evacuation, 7)), inEpoch(2, Busy), inEpoch(2, range("", 5))},
+         "all to 7@1:1;lost;back;all to 5@2:0;"},
+        {"between two pages",
+         {inEpoch(1, range(Evacuation, 7, true)), inEpoch(2, range(item("op/evacuate/b"), 5)),
+          inEpoch(2, range(Evacuation, 5))},
+         "all to 5@2:1;"},
+        {"response of an older epoch",
+         {inEpoch(2, range(Evacuation, 7)), inEpoch(1, events(Evacuation, 9)),
+          inEpoch(2, events(Evacuation, 8))},
+         "all to 7@2:1;lost;back;since 7 to 8@2:1;"},
+        {"two restores",
+         {inEpoch(1, range(Evacuation, 7)), inEpoch(2, events(Evacuation, 9)),
+          inEpoch(3, range("", 4))},
+         "all to 7@1:1;all to 4@3:0;"},
+    };
+    for (const Case &Each : Table) {
+      const SystemClock Time;
+      SeededRandom Random(1);
+      RecordingListener Listener;
+      FakeStore Store(Each.Script);
+      StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
+      Client.activate(Listener, {});
       runUntil([&] { return Listener.Text.size() >= Each.Expected.size(); });
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Listener.Text);
     }
   }
 
+  /// Guards against a waiting watch of an older epoch that returns nothing until its timeout.
+  void checkEndsWatchOfOlderEpoch() {
+    const SystemClock Time;
+    SeededRandom Random(1);
+    RecordingListener Listener;
+    FakeStore Store({inEpoch(1, range("", 7))});
+    StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
+    Client.activate(Listener, {});
+    CPPUNIT_ASSERT(runUntil([&] { return Store.CheckCount == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("all to 7@1:0;"), Listener.Text);
+    const std::size_t Before = Store.ReceivedRequests.size();
+    Store.Script.resize(Before);
+    Store.Script.push_back(inEpoch(2, range("", 5)));
+    Store.CheckResponse = inEpoch(2, response("", "404 Not Found"));
+    CPPUNIT_ASSERT(runUntil([&] { return Listener.Text == "all to 7@1:0;all to 5@2:0;"; }));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("a stale listing may be of the older epoch",
+                                 std::string("GET /-/kv-range?pathPrefix="),
+                                 Store.requestLine(Before));
+  }
+
   /// Guards against requests that deviate from the protocol of the platform.
   void requestTargets() {
     const SystemClock Time;
@@ -158,7 +242,7 @@
     RecordingListener Listener;
     FakeStore Store({range(item("op/a b"), 7, true), range(item("op/c"), 8), events("", 9)});
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, 0);
+    Client.activate(Listener, {});
     CPPUNIT_ASSERT(runUntil([&] { return Store.ReceivedRequests.size() == 4; }));
     CPPUNIT_ASSERT_EQUAL(std::string("GET /-/kv-range?pathPrefix=&allowStale=1"),
                          Store.requestLine(0));
@@ -178,7 +262,7 @@
     RecordingListener Listener;
     FakeStore Store({range("", 7), response("", "410 Gone"), range("", 20), events("", 20)});
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, 0);
+    Client.activate(Listener, {});
     CPPUNIT_ASSERT(runUntil([&] { return Store.ReceivedRequests.size() >= 4; }));
     CPPUNIT_ASSERT_EQUAL(std::string("GET /-/kv-range?pathPrefix="), Store.requestLine(2));
   }
@@ -191,7 +275,7 @@
     RecordingListener Listener;
     FakeStore Store({events(item("op/evacuate/a"), 50)});
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, 42);
+    Client.activate(Listener, {0, 42});
     CPPUNIT_ASSERT(runUntil([&] { return !Listener.Text.empty(); }));
     CPPUNIT_ASSERT_EQUAL(std::string("since 42 to 50:1;"), Listener.Text);
     Client.deactivate();
@@ -200,7 +284,7 @@
     const std::size_t Before = Store.ReceivedRequests.size();
     Store.Script.resize(Before, response("", "503 Busy"));
     Store.Script.push_back(events("", 60));
-    Client.activate(Listener, 55);
+    Client.activate(Listener, {0, 55});
     CPPUNIT_ASSERT(runUntil([&] { return Store.ReceivedRequests.size() > Before + 1; }));
     CPPUNIT_ASSERT_EQUAL(std::string("since 42 to 50:1;unchanged 60;"), Listener.Text);
   }
@@ -214,7 +298,7 @@
     RecordingListener Listener;
     FakeStore Store({});
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, 42);
+    Client.activate(Listener, {0, 42});
     // The store does not respond to the first request, but responds to the second.
     CPPUNIT_ASSERT(runUntil([&] { return Store.ReceivedRequests.size() == 1; }));
     Store.Script = {"", events(item("op/evacuate/a"), 50)};
@@ -231,7 +315,7 @@
       RecordingListener Listener;
       FakeStore Store({range("", 7)});
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-      Client.activate(Listener, 0);
+      Client.activate(Listener, {});
       CPPUNIT_ASSERT(runUntil([&] { return Store.CheckCount == 1; }));
       CPPUNIT_ASSERT_EQUAL(std::string("all to 7:0;"), Listener.Text);
       Store.CheckResponse = Bad;
--- a/tests/auto/platform/tst_storedecoder.cpp
+++ b/tests/auto/platform/tst_storedecoder.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(pages);
   CPPUNIT_TEST(validTargets);
   CPPUNIT_TEST(invalidTargets);
+  CPPUNIT_TEST(sequencesOfTargets);
   CPPUNIT_TEST(configurations);
   CPPUNIT_TEST(otherItems);
   CPPUNIT_TEST(arbitraryBytesAreHandled);
@@ -57,7 +58,8 @@
                                     3,
                                     false,
                                     1500ms,
-                                    1700000000123}));
+                                    1700000000123,
+                                    4}));
     const auto Removed = readItem({"servers/i-7f", std::nullopt});
     CPPUNIT_ASSERT(std::get<TargetRemoved>(std::get<Publication>(Removed)).Name ==
                    TargetName("i-7f"));
@@ -91,6 +93,27 @@
     CPPUNIT_ASSERT(std::holds_alternative<Diagnostic>(readItem({"servers/", GoodTarget})));
   }
 
+  /// Guards against a registration that is rejected, or compared by a wrong number, because of a
+  /// field that was added for stores that return from a copy.
+  void sequencesOfTargets() {
+    const std::pair<std::string, std::int64_t> Table[] = {
+        {R"("sequence":4)", 4},
+        {R"("sequence":9223372036854775807)", INT64_MAX},
+        {R"("sequence":9223372036854775808)", 0},
+        {R"("sequence":-4)", 0},
+        {R"("sequence":1.5)", 0},
+        {R"("sequence":"4")", 0},
+        {R"("unknown":4)", 0},
+    };
+    for (const auto &[Field, Expected] : Table) {
+      std::string Text = GoodTarget;
+      Text.replace(Text.find(R"("sequence":4)"), 12, Field);
+      const auto Decoded = readItem({"servers/i-7f", Text});
+      const auto &Registered = std::get<TargetRegistered>(std::get<Publication>(Decoded));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Field, Expected, Registered.Registration.Sequence);
+    }
+  }
+
   void configurations() {
     const auto Decoded = readItem({"op/config", GoodConfiguration});
     const auto &Settings = std::get<Configuration>(std::get<Publication>(Decoded));
