--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -305,6 +305,11 @@
 void RevisionNotice::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void RevisionNotice::__set_epoch(const int64_t val) {
+  this->epoch = val;
+__isset.epoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
 {
   obj.printTo(out);
@@ -342,6 +347,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -365,6 +378,11 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.epoch) {
+    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->epoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -373,19 +391,26 @@
 void swap(RevisionNotice &a, RevisionNotice &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
+  swap(a.epoch, b.epoch);
+  swap(a.__isset, b.__isset);
 }
 
 RevisionNotice::RevisionNotice(const RevisionNotice& other32) noexcept {
   revision = other32.revision;
+  epoch = other32.epoch;
+  __isset = other32.__isset;
 }
 RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other33) noexcept {
   revision = other33.revision;
+  epoch = other33.epoch;
+  __isset = other33.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "RevisionNotice(";
   out << "revision=" << to_string(revision);
+  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1565,6 +1590,11 @@
 void Target::__set_startedUnixMilliseconds(const int64_t val) {
   this->startedUnixMilliseconds = val;
 }
+
+void Target::__set_sequence(const int64_t val) {
+  this->sequence = val;
+__isset.sequence = true;
+}
 std::ostream& operator<<(std::ostream& out, const Target& obj)
 {
   obj.printTo(out);
@@ -1674,6 +1704,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1745,6 +1783,11 @@
   xfer += oprot->writeI64(this->startedUnixMilliseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.sequence) {
+    xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->sequence);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1761,6 +1804,8 @@
   swap(a.draining, b.draining);
   swap(a.coldMicroseconds, b.coldMicroseconds);
   swap(a.startedUnixMilliseconds, b.startedUnixMilliseconds);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
 }
 
 Target::Target(const Target& other76) {
@@ -1773,6 +1818,8 @@
   draining = other76.draining;
   coldMicroseconds = other76.coldMicroseconds;
   startedUnixMilliseconds = other76.startedUnixMilliseconds;
+  sequence = other76.sequence;
+  __isset = other76.__isset;
 }
 Target& Target::operator=(const Target& other77) {
   name = other77.name;
@@ -1784,6 +1831,8 @@
   draining = other77.draining;
   coldMicroseconds = other77.coldMicroseconds;
   startedUnixMilliseconds = other77.startedUnixMilliseconds;
+  sequence = other77.sequence;
+  __isset = other77.__isset;
   return *this;
 }
 void Target::printTo(std::ostream& out) const {
@@ -1798,6 +1847,7 @@
   out << ", " << "draining=" << to_string(draining);
   out << ", " << "coldMicroseconds=" << to_string(coldMicroseconds);
   out << ", " << "startedUnixMilliseconds=" << to_string(startedUnixMilliseconds);
+  out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2242,6 +2292,11 @@
   this->gaps = val;
 __isset.gaps = true;
 }
+
+void PublicationBatch::__set_epoch(const int64_t val) {
+  this->epoch = val;
+__isset.epoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const PublicationBatch& obj)
 {
   obj.printTo(out);
@@ -2347,6 +2402,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2415,6 +2478,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.epoch) {
+    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->epoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2428,6 +2496,7 @@
   swap(a.removalsWaitMicroseconds, b.removalsWaitMicroseconds);
   swap(a.changes, b.changes);
   swap(a.gaps, b.gaps);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -2438,6 +2507,7 @@
   removalsWaitMicroseconds = other96.removalsWaitMicroseconds;
   changes = other96.changes;
   gaps = other96.gaps;
+  epoch = other96.epoch;
   __isset = other96.__isset;
 }
 PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other97) {
@@ -2447,6 +2517,7 @@
   removalsWaitMicroseconds = other97.removalsWaitMicroseconds;
   changes = other97.changes;
   gaps = other97.gaps;
+  epoch = other97.epoch;
   __isset = other97.__isset;
   return *this;
 }
@@ -2459,6 +2530,7 @@
   out << ", " << "removalsWaitMicroseconds=" << to_string(removalsWaitMicroseconds);
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "gaps="; (__isset.gaps ? (out << to_string(gaps)) : (out << "<null>"));
+  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/transport/PublicationExchange.cpp
+++ b/src/libs/transport/PublicationExchange.cpp
@@ -7,6 +7,7 @@
 
 #include <charconv>
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace anvilsaddle {
@@ -58,10 +59,11 @@
   ++this->Traffic.Fetches;
   this->FetchedEntry = Entry;
   this->FetchStart = this->Time.now();
+  const SourcePosition &Known = this->Log.position();
   const Configuration *Current = this->Handlers.CurrentConfiguration();
   this->Fetch.start(Entry,
-                    std::string(PublicationsPath) +
-                        "?after=" + std::to_string(this->Log.revision()) +
+                    std::string(PublicationsPath) + "?after=" + std::to_string(Known.Revision) +
+                        "&epoch=" + std::to_string(Known.Epoch) +
                         "&configuration=" + std::to_string(Current ? Current->Version : 0),
                     FetchTimeout, FetchIdleTimeout);
 }
@@ -91,21 +93,17 @@
   return Current && KnownVersion ? this->History.deltaSince(*KnownVersion, *Current) : std::nullopt;
 }
 
-const std::string &
-PublicationExchange::encodedBatchSince(std::int64_t Revision,
-                                       std::optional<std::uint64_t> KnownVersion) {
-  if (this->CachedSince != Revision || this->CachedRevision != this->Log.revision() ||
-      this->CachedKnownVersion != KnownVersion) {
-    PublicationBatch Batch = this->Log.batchSince(Revision);
+const std::string &PublicationExchange::encodedBatchSince(const KnownState &Known) {
+  if (this->CachedSince != Known || this->CachedPosition != this->Log.position()) {
+    PublicationBatch Batch = this->Log.batchSince(Known.Position);
     Batch.RemovalDelay = this->Handlers.RemovalDelay();
-    this->CachedBatch = writeBatch(Batch, this->deltaSince(KnownVersion));
-    if (KnownVersion) {
+    this->CachedBatch = writeBatch(Batch, this->deltaSince(Known.ConfigurationVersion));
+    if (Known.ConfigurationVersion) {
       this->CachedBatch = compress(this->CachedBatch);
     }
     this->IsCachedSnapshot = Batch.IsSnapshot;
-    this->CachedSince = Revision;
-    this->CachedKnownVersion = KnownVersion;
-    this->CachedRevision = this->Log.revision();
+    this->CachedSince = Known;
+    this->CachedPosition = this->Log.position();
   }
   ++(this->IsCachedSnapshot ? this->Traffic.SnapshotsOut : this->Traffic.ChangesOut);
   this->Traffic.BytesOut += this->CachedBatch.size();
@@ -117,17 +115,19 @@
     Exchange.respondText(404, "text/plain", "no such page\n");
     return;
   }
-  const auto Revision = numberParameter<std::int64_t>(Exchange.head(), "after").value_or(0);
-  // Entries of earlier versions don't name their version and don't decompress responses.
-  const auto KnownVersion = numberParameter<std::uint64_t>(Exchange.head(), "configuration");
+  KnownState Known;
+  // Entries of earlier versions send no epoch.
+  Known.Position = {numberParameter<std::int64_t>(Exchange.head(), "epoch").value_or(0),
+                    numberParameter<std::int64_t>(Exchange.head(), "after").value_or(0)};
+  Known.ConfigurationVersion = numberParameter<std::uint64_t>(Exchange.head(), "configuration");
   ResponseHead Head;
   Head.Status = StatusOk;
   Head.Reason = reasonPhrase(StatusOk);
   Head.Fields = {{"Content-Type", "application/octet-stream"}};
-  if (KnownVersion) {
+  if (Known.ConfigurationVersion) {
     Head.Fields.emplace_back(EncodingHeader, DeflateEncoding);
   }
-  Exchange.respond(std::move(Head), this->encodedBatchSince(Revision, KnownVersion));
+  Exchange.respond(std::move(Head), this->encodedBatchSince(Known));
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/PublicationExchange.h
+++ b/src/libs/transport/PublicationExchange.h
@@ -4,6 +4,7 @@
 #include "coordination/PublicationLog.h"
 #include "protocol/PublicationTraffic.h"
 #include "state/Endpoint.h"
+#include "state/SourcePosition.h"
 #include "state/Time.h"
 #include "transport/HttpExchange.h"
 #include "transport/HttpFetch.h"
@@ -30,8 +31,9 @@
 };
 
 /// Serves publications to other entries and fetches them from other entries, at
-/// `/publications?after=REVISION&configuration=VERSION`. An entry that names the version of its
-/// configuration gets a compressed response with the difference to that version. Not thread-safe.
+/// `/publications?after=REVISION&epoch=EPOCH&configuration=VERSION`. An entry that names the
+/// version of its configuration gets a compressed response with the difference to that version. Not
+/// thread-safe.
 class PublicationExchange final : public HttpHandler {
 public:
   struct Callbacks {
@@ -53,7 +55,7 @@
     this->History.onConfiguration(Old, Newer);
   }
 
-  /// Fetches the publications after this entry's revision from another entry.
+  /// Fetches the publications after this entry's position from another entry.
   void fetch(const Endpoint &Entry);
   const PublicationTraffic &traffic() const { return this->Traffic; }
 
@@ -62,8 +64,17 @@
 
 private:
   void onFetched(const std::optional<HttpFetch::Result> &Response, const std::string &Reason);
-  const std::string &encodedBatchSince(std::int64_t Revision,
-                                       std::optional<std::uint64_t> KnownVersion);
+  /// What an entry that fetches publications has already.
+  struct KnownState {
+    SourcePosition Position;
+    /// Absent for entries of earlier versions, which understand neither the difference to a
+    /// configuration nor a compressed response.
+    std::optional<std::uint64_t> ConfigurationVersion;
+
+    auto operator<=>(const KnownState &) const = default;
+  };
+
+  const std::string &encodedBatchSince(const KnownState &Known);
   std::optional<ConfigurationDelta> deltaSince(std::optional<std::uint64_t> KnownVersion) const;
 
   const PublicationLog &Log;
@@ -76,9 +87,8 @@
   PublicationTraffic Traffic;
   /// Last response body. It is cached because many entries fetch the same changes after each
   /// revision.
-  std::int64_t CachedSince = -1;
-  std::int64_t CachedRevision = -1;
-  std::optional<std::uint64_t> CachedKnownVersion;
+  std::optional<KnownState> CachedSince;
+  SourcePosition CachedPosition;
   bool IsCachedSnapshot = false;
   std::string CachedBatch;
 };
