Answer requests that arrived before an idle connection is closed

Callers of a leaving entry saw connections close with no answer although their request had already arrived: closing idle connections looked only at bytes that the process had read, and closing the listener reset established connections that had not been accepted. The lingering close then read and discarded the request, so a caller could not tell that it was not executed.

An idle connection now reads what has arrived before it is closed, after a planned stop, an idle timeout and the connection limit, and the listener accepts its queue first.

The test failed in each of its three cases before the change (connection kept, in the listen queue, behind a response that had begun) and passes now.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -193,8 +193,8 @@
   if (this->Exchanges.empty()) {
     // Process requests that had to wait for the response to an unsafe one.
     this->parse();
-    if (this->isIdle() && this->Server.isKeepAliveDisabled()) {
-      this->startLingering();
+    if (this->Server.isKeepAliveDisabled()) {
+      this->closeIfIdle();
     }
   }
   return true;
@@ -229,6 +229,11 @@
 }
 
 void HttpConnection::closeIfIdle() {
+  if (!this->isIdle()) {
+    return;
+  }
+  // A request that has arrived but was not read yet still gets its response.
+  this->onReady(G_IO_IN);
   if (this->isIdle()) {
     this->startLingering();
   }
@@ -267,7 +272,7 @@
   }
   if (this->isIdle()) {
     if (Now - this->LastActivity > this->Server.limits().IdleTimeout) {
-      this->startLingering();
+      this->closeIfIdle();
     }
     return;
   }
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -34,7 +34,8 @@
   /// Applies the timeouts of idle connections, of requests that arrive too slowly and of lingering
   /// closes.
   void checkTimeouts(TimePoint Now);
-  /// Closes the connection gracefully if it is idle.
+  /// Closes the connection gracefully if it is idle and no request has arrived. May remove the
+  /// connection from its server.
   void closeIfIdle();
 
 private:
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -54,14 +54,16 @@
       g_socket_get_local_address(this->Listener.get(), nullptr));
   this->BoundPort = Bound ? g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(Bound.get()))
                           : ListenAddress.Port;
-  this->Watch = std::make_unique<SocketWatch>(g_socket_get_fd(this->Listener.get()),
-                                              [this](GIOCondition) { this->acceptPending(); });
+  this->Watch =
+      std::make_unique<SocketWatch>(g_socket_get_fd(this->Listener.get()), [this](GIOCondition) {
+        this->acceptPending(MaxAcceptsPerWakeup);
+      });
   this->Watch->setConditions(G_IO_IN);
   return {};
 }
 
-void HttpServer::acceptPending() {
-  for (int Count = 0; Count < MaxAcceptsPerWakeup && this->acceptOne(); ++Count) {
+void HttpServer::acceptPending(int MaxCount) {
+  for (int Count = 0; Count < MaxCount && this->acceptOne(); ++Count) {
   }
 }
 
@@ -101,13 +103,24 @@
 void HttpServer::stopListening() {
   this->Watch.reset();
   if (this->Listener) {
+    // Closing the listener resets the connections that have not been accepted.
+    this->acceptPending(ListenBacklog);
     g_socket_close(this->Listener.get(), nullptr);
   }
-  for (const auto &Each : this->Connections) {
+  for (HttpConnection *Each : this->connections()) {
     Each->closeIfIdle();
   }
 }
 
+std::vector<HttpConnection *> HttpServer::connections() const {
+  std::vector<HttpConnection *> Result;
+  Result.reserve(this->Connections.size());
+  for (const auto &Each : this->Connections) {
+    Result.push_back(Each.get());
+  }
+  return Result;
+}
+
 void HttpServer::remove(HttpConnection &Connection) {
   const auto Found =
       std::find_if(this->Connections.begin(), this->Connections.end(),
@@ -121,12 +134,7 @@
 gboolean HttpServer::onTimeoutTimer(gpointer Data) {
   auto &Self = *static_cast<HttpServer *>(Data);
   const TimePoint Now = Self.now();
-  std::vector<HttpConnection *> All;
-  All.reserve(Self.Connections.size());
-  for (const auto &Each : Self.Connections) {
-    All.push_back(Each.get());
-  }
-  for (HttpConnection *Each : All) {
+  for (HttpConnection *Each : Self.connections()) {
     Each->checkTimeouts(Now);
   }
   return G_SOURCE_CONTINUE;
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <gio/gio.h>
 
@@ -37,7 +38,8 @@
   void setLimits(const CallerLimits &Limits) { this->ConnectionLimits = Limits; }
   /// From now on each connection is closed after the response to its last request.
   void disableKeepAlive() { this->KeepAliveDisabled = true; }
-  /// Stops accepting connections and closes the idle ones.
+  /// Accepts the connections that are already established, then stops accepting and closes the idle
+  /// ones. Requests that have already arrived are read first.
   void stopListening();
   std::size_t connectionCount() const { return this->Connections.size(); }
 
@@ -50,9 +52,12 @@
   HttpHandler &handler() { return this->Handler; }
   bool isKeepAliveDisabled() const { return this->KeepAliveDisabled; }
   TimePoint now() const;
-  void acceptPending();
+  void acceptPending(int MaxCount);
   bool acceptOne();
   void enforceConnectionLimit();
+  /// The connections at the time of the call; a later removal does not invalidate the pointers
+  /// before control returns to the main loop.
+  std::vector<HttpConnection *> connections() const;
   void remove(HttpConnection &Connection);
 
   HttpHandler &Handler;
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(badRequests);
   CPPUNIT_TEST(disconnectingCallers);
   CPPUNIT_TEST(keepAliveDisabled);
+  CPPUNIT_TEST(requestsInTheSocketAreAnsweredBeforeClosing);
   CPPUNIT_TEST(streamedBodies);
   CPPUNIT_TEST(abortedResponsesLookIncomplete);
   CPPUNIT_TEST(slowReaders);
@@ -177,6 +178,47 @@
     CPPUNIT_ASSERT(Test.Handler.Disconnected.empty());
   }
 
+  /// Guards against a planned shutdown that closes a connection with no answer to a request that
+  /// has arrived but was not read yet.
+  void requestsInTheSocketAreAnsweredBeforeClosing() {
+    struct Case {
+      const char *Name;
+      bool IsAccepted;
+      bool HasUnfinishedResponse;
+    };
+    const Case Table[] = {{"kept connection", true, false},
+                          {"connection in the listen queue", false, false},
+                          {"behind a response that began before the shutdown", true, true}};
+    for (const Case &Each : Table) {
+      Fixture Test;
+      if (Each.IsAccepted) {
+        CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 1; }));
+      }
+      HttpExchange *Unfinished = nullptr;
+      if (Each.HasUnfinishedResponse) {
+        Test.Caller->send(getRequest("/first"));
+        CPPUNIT_ASSERT(runUntil([&] { return !Test.Handler.Pending.empty(); }));
+        Unfinished = Test.Handler.Pending.extract("/first").mapped();
+        ResponseHead Head;
+        Head.Status = 200;
+        Head.Framing = BodyFraming::Chunked;
+        Unfinished->begin(Head);
+      }
+      Test.Handler.RespondImmediately = true;
+      Test.Caller->send(getRequest("/late"));
+      Test.Server.disableKeepAlive();
+      Test.Server.stopListening();
+      if (Unfinished) {
+        Unfinished->end();
+      }
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Test.received("response to /late"));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Test.Caller->Closed; }));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, !Test.Caller->Reset);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{1},
+                                   countOccurrences(Test.Caller->Received, "Connection: close"));
+    }
+  }
+
   /// Guards against bodies whose end the caller can't detect.
   void streamedBodies() {
     struct Case {
