Tell callers which requests did not run when an entry ends

At the end of a planned stop every request without a response got status 504, also those that waited in the queue or for probes and had reached no target. 504 promises nothing, so callers could not repeat requests that are not idempotent although these had not been executed.

The dispatcher now limits the deadlines of its requests to the time of the final responses and ends them as at any deadline: status 503 with Retry-After if no target executed the request, the error response of a target if there is one, else 504. Requests that can no longer be served leave the queue at once.

tst_proxyhandler requestsThatDidNotRunCanBeRepeatedAfterShutdown failed before (504 in place of 503 for a queued request) and passes now.

--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -19,6 +19,7 @@
 /// A request can't be served in time if less than this fraction of the usual processing time is
 /// left until its deadline.
 constexpr double MinProcessingTimeFraction = 0.5;
+constexpr const char *ShutdownReason = "the entry ends";
 constexpr Duration HedgeRecheckInterval = 60ms;
 constexpr Duration MinRetryAfter = 50ms;
 constexpr Duration MaxRetryAfter = 2s;
@@ -56,10 +57,28 @@
   return {Request.Attributes, Request.usedTargetNames(), this->estimate(Request, Now)};
 }
 
+void Dispatcher::beginShutdown(TimePoint FinalResponseTime, TimePoint Now) {
+  this->ShutdownTime = std::min(this->ShutdownTime.value_or(FinalResponseTime), FinalResponseTime);
+  for (auto &[Number, Request] : this->Requests) {
+    Request.Attributes.Deadline = std::min(Request.Attributes.Deadline, *this->ShutdownTime);
+    this->updateTimer(Number, Request);
+  }
+  for (auto &[Name, Queue] : this->Queues) {
+    this->refuseUnservableRequests(Queue.Requests, Now);
+  }
+}
+
+bool Dispatcher::isLimitedByShutdown(const RequestAttributes &Attributes) const {
+  return this->ShutdownTime && Attributes.Deadline >= *this->ShutdownTime;
+}
+
 void Dispatcher::onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now) {
   this->Retries.onRequest(Attributes.Service, Now);
   DispatchRequest &Request = this->Requests[Number];
   Request.Attributes = std::move(Attributes);
+  if (this->ShutdownTime) {
+    Request.Attributes.Deadline = std::min(Request.Attributes.Deadline, *this->ShutdownTime);
+  }
   this->updateTimer(Number, Request);
   ServiceQueue &Queue = this->Queues[Request.Attributes.Service];
   if (!Queue.Requests.empty()) {
@@ -351,6 +370,10 @@
 }
 
 Duration Dispatcher::retryAfter(const DispatchRequest &Request, TimePoint Now) {
+  if (this->isLimitedByShutdown(Request.Attributes)) {
+    // Another entry can take the request at once.
+    return MinRetryAfter;
+  }
   const Duration ProcessingTime = this->estimate(Request, Now).ProcessingTime;
   const Duration Wait = this->Queues[Request.Attributes.Service]
                             .Requests.expectedWait(Request.Attributes, ProcessingTime, Now)
@@ -549,7 +572,9 @@
 void Dispatcher::onRequestTimer(RequestNumber Number, TimePoint Now) {
   DispatchRequest &Request = this->Requests.at(Number);
   if (Now >= Request.Attributes.Deadline) {
-    this->deliverErrorOrRefuse(Number, "the time of the request is over", Now);
+    const bool IsShutdown = this->isLimitedByShutdown(Request.Attributes);
+    this->deliverErrorOrRefuse(
+        Number, IsShutdown ? ShutdownReason : "the time of the request is over", Now);
     return;
   }
   if (Request.HedgeAt && *Request.HedgeAt <= Now) {
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -65,6 +65,9 @@
     this->EntriesOfOtherRegions.setReadyEntries(std::move(Ready));
   }
 
+  /// Called when the entry shuts down. From now on, each request gets its final response by the
+  /// given time at the latest. Later calls may only shorten the time.
+  void beginShutdown(TimePoint FinalResponseTime, TimePoint Now);
   /// Precondition: the number has not been used before.
   void onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now);
   /// Cancels the attempts of the request and removes it.
@@ -89,6 +92,8 @@
   std::size_t queueLength() const;
 
 private:
+  /// True if the shutdown ends the request before its own deadline.
+  bool isLimitedByShutdown(const RequestAttributes &Attributes) const;
   ProcessingTimeEstimator::Estimate estimate(const DispatchRequest &Request, TimePoint Now) const;
   SearchContext searchContext(const DispatchRequest &Request, TimePoint Now) const;
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
@@ -147,6 +152,8 @@
   /// Next timer of each request.
   std::set<std::pair<TimePoint, RequestNumber>> Timers;
   std::vector<Effect> Effects;
+  /// Time of the final responses; set once the entry shuts down.
+  std::optional<TimePoint> ShutdownTime;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -305,20 +305,9 @@
 }
 
 void ProxyHandler::failPendingRequests() {
-  std::vector<RequestNumber> PendingNumbers;
-  for (const auto &[Number, Request] : this->Requests) {
-    PendingNumbers.push_back(Number);
-  }
-  for (const RequestNumber Number : PendingNumbers) {
-    ActiveRequest *Request = this->find(Number);
-    if (!Request || Request->isCommitted()) {
-      continue;
-    }
-    this->Deps.RequestMetrics.onRefused("the entry ends", GatewayTimeout);
-    logEvent(LogLevel::Warning, "refused", {{"request", Request->id()}, {"reason", "entry ends"}});
-    Request->reject(localResponse(GatewayTimeout, Duration(0)), "the entry ends\n");
-    this->Deps.RequestDispatcher.onCallerDisconnected(Number, this->Deps.Time.now());
-  }
+  const TimePoint Now = this->Deps.Time.now();
+  this->Deps.RequestDispatcher.beginShutdown(Now, Now);
+  this->Deps.RequestDispatcher.onTick(Now);
   this->Deps.ApplyEffects();
 }
 
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -54,8 +54,8 @@
   /// Called when the entry shuts down: from now on, new requests get status 503, which tells the
   /// caller that they did not run.
   void rejectNewRequests() { this->RejectsNewRequests = true; }
-  /// Called when the entry shuts down: responds with status 504 to all requests in progress whose
-  /// response has not started.
+  /// Called when the entry shuts down: responds to all requests in progress whose response has not
+  /// started. Those that no target has executed get status 503, so that callers may repeat them.
   void failPendingRequests();
   std::size_t size() const { return this->Requests.size(); }
 
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -12,6 +12,7 @@
 #include "transport/ProxyHandler.h"
 #include "transport/SystemClock.h"
 
+#include <optional>
 #include <string>
 
 using namespace anvilsaddle;
@@ -161,6 +162,7 @@
   CPPUNIT_TEST(slowCallersPauseDownloads);
   CPPUNIT_TEST(disconnectingCallersCancelAttempts);
   CPPUNIT_TEST(shutdown);
+  CPPUNIT_TEST(requestsThatDidNotRunCanBeRepeatedAfterShutdown);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -417,6 +419,48 @@
     CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 504 "), PendingCaller->Received.substr(0, 13));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.RequestDispatcher.requestCount());
   }
+
+  /// Guards against status 504 at the end of a shutdown for a request that no target has executed:
+  /// its caller can't repeat it if it is not idempotent.
+  void requestsThatDidNotRunCanBeRepeatedAfterShutdown() {
+    struct Case {
+      const char *Name;
+      std::string Request;
+      /// Nothing if no target exists, so that the request is queued.
+      std::optional<std::string> TargetResponse;
+      std::string Expected;
+    };
+    const std::string NotExecuted = "HTTP/1.1 503 ";
+    const std::string Unknown = "HTTP/1.1 504 ";
+    const Case Table[] = {
+        {"queued", makeRequest("GET", "/safe/1"), std::nullopt, NotExecuted},
+        {"queued, not idempotent", makeRequest("POST", "/unsafe/1"), std::nullopt, NotExecuted},
+        {"at a target", makeRequest("GET", "/safe/1"), "", Unknown},
+        {"at a target, not idempotent", makeRequest("POST", "/unsafe/1"), "", Unknown},
+    };
+    for (const Case &Each : Table) {
+      TestEntry Entry;
+      Entry.configure();
+      FakeTarget Target(Each.TargetResponse.value_or(""));
+      if (Each.TargetResponse) {
+        Entry.addTarget("t1", Target.Server.Port);
+      }
+      const auto Caller = RawConnection::connect(Entry.Server.port());
+      Caller->send(Each.Request);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] {
+                               return Each.TargetResponse
+                                          ? Target.Requests == 1
+                                          : Entry.RequestDispatcher.queueLength() == 1;
+                             }));
+      Entry.Proxy.rejectNewRequests();
+      Entry.Proxy.failPendingRequests();
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return !Caller->Received.empty(); }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Caller->Received.substr(0, 13));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{0},
+                                   Entry.RequestDispatcher.requestCount());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{0}, Entry.Proxy.size());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProxyHandlerTest);
