Move the times of a planned stop into a class of their own

EntryRuntime computed the phases of a shutdown from constants in its own file. ShutdownSchedule holds them now, without a clock or I/O, so that they can be tested. No change of behaviour.

--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -15,14 +15,6 @@
 using namespace std::chrono_literals;
 
 constexpr guint HousekeepingIntervalMs = 100;
-/// Time during which the entry serves requests as usual after the shutdown has begun. Callers need
-/// between one and three lifetimes of a directory response to learn that it shuts down.
-constexpr Duration ServeWhileLeavingTime = 2500ms;
-/// Requests that are still in progress get their final response this long before the process is
-/// killed.
-constexpr Duration FinalResponseLeadTime = 900ms;
-/// Time for sending the final responses before the process ends.
-constexpr Duration FlushTime = 200ms;
 /// Limit for each of the servers that serve readiness checks, the directory, other entries and
 /// operators.
 constexpr std::size_t MaxInternalConnections = 256;
@@ -223,7 +215,7 @@
   Self.RequestDispatcher.onTick(Self.now());
   Self.applyEffects();
   flushLog();
-  if (Self.ShutdownStartTime) {
+  if (Self.Shutdown) {
     Self.advanceShutdown();
   }
   return G_SOURCE_CONTINUE;
@@ -383,7 +375,7 @@
 
 void EntryRuntime::stop(std::function<void()> Callback) {
   this->OnStopped = std::move(Callback);
-  this->ShutdownStartTime = this->now();
+  this->Shutdown.emplace(this->now(), this->Settings.StopGracePeriod);
   this->Members.setState(EntryState::Leaving);
   this->sendGossip(this->Members.makeAnnouncements());
   this->CallerServer.disableKeepAlive();
@@ -392,8 +384,8 @@
 }
 
 void EntryRuntime::advanceShutdown() {
-  const Duration Elapsed = this->now() - *this->ShutdownStartTime;
-  if (Elapsed < ServeWhileLeavingTime) {
+  const TimePoint Now = this->now();
+  if (Now < this->Shutdown->serveUntil()) {
     return;
   }
   if (std::exchange(this->IsListening, false)) {
@@ -401,11 +393,10 @@
     this->CallerServer.stopListening();
     this->ForwardServer.stopListening();
   }
-  if (Elapsed >= this->Settings.StopGracePeriod - FinalResponseLeadTime) {
+  if (Now >= this->Shutdown->finalResponseTime()) {
     this->Proxy.failPendingRequests();
   }
-  const bool IsFlushTimeOver =
-      Elapsed >= this->Settings.StopGracePeriod - FinalResponseLeadTime + FlushTime;
+  const bool IsFlushTimeOver = Now >= this->Shutdown->endTime();
   const bool IsIdle = this->Proxy.size() == 0 && this->CallerServer.connectionCount() == 0 &&
                       this->ForwardServer.connectionCount() == 0;
   if ((IsFlushTimeOver || IsIdle) && this->OnStopped) {
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -6,6 +6,7 @@
 #include "coordination/PublicationDistributor.h"
 #include "coordination/PublicationLog.h"
 #include "coordination/PublicationSource.h"
+#include "coordination/ShutdownSchedule.h"
 #include "protocol/DaemonSettings.h"
 #include "protocol/GlibMessageAuthenticator.h"
 #include "protocol/Metrics.h"
@@ -121,7 +122,8 @@
   bool HasSnapshot = false;
   bool IsListening = true;
   std::vector<EntryRecord> LastLiveMembers;
-  std::optional<TimePoint> ShutdownStartTime;
+  /// Set once the shutdown has begun.
+  std::optional<ShutdownSchedule> Shutdown;
   std::function<void()> OnStopped;
 };
 
