Refuse late requests that a leaving entry can't be expected to finish

A leaving entry took every request until it stopped serving, also when the service was slow, retried and queued as if it had until the request's own deadline, and told targets that time. At the end of the grace period such requests were broken off while a target worked, which callers of requests that are not idempotent can't repair.

From the signal on, deadlines end at the time of the final responses. A new request whose own deadline is later is refused at once (503 with Retry-After 50 ms) unless twice the usual processing time is left, four times if it is not idempotent. Queue, retries, hedges and the remaining time sent to targets follow the limited deadline.

tst_dispatcher lateRequestsOfAShutdown failed before (a request that can't be repeated was taken with too little time left) and passes now; requestsInProgressAtAShutdown guards the deadlines of requests already in progress.

--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -19,6 +19,10 @@
 /// A request can't be served in time if less than this fraction of the usual processing time is
 /// left until its deadline.
 constexpr double MinProcessingTimeFraction = 0.5;
+/// An entry that shuts down takes a request only if so many times the usual processing time is
+/// left. The margin is larger for requests that can't be repeated after they were broken off.
+constexpr double IdempotentShutdownMargin = 2;
+constexpr double NonIdempotentShutdownMargin = 4;
 constexpr const char *ShutdownReason = "the entry ends";
 constexpr Duration HedgeRecheckInterval = 60ms;
 constexpr Duration MinRetryAfter = 50ms;
@@ -72,10 +76,23 @@
   return this->ShutdownTime && Attributes.Deadline >= *this->ShutdownTime;
 }
 
+bool Dispatcher::canEndBeforeShutdown(const DispatchRequest &Request, TimePoint Now) const {
+  if (!this->isLimitedByShutdown(Request.Attributes)) {
+    return true;
+  }
+  const double Margin =
+      Request.Attributes.Idempotent ? IdempotentShutdownMargin : NonIdempotentShutdownMargin;
+  return Now + scaled(this->estimate(Request, Now).ProcessingTime, Margin) < *this->ShutdownTime;
+}
+
 void Dispatcher::onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now) {
   this->Retries.onRequest(Attributes.Service, Now);
   DispatchRequest &Request = this->Requests[Number];
   Request.Attributes = std::move(Attributes);
+  if (!this->canEndBeforeShutdown(Request, Now)) {
+    this->refuse(Number, RefusalKind::NotExecuted, ShutdownReason, MinRetryAfter, Now);
+    return;
+  }
   if (this->ShutdownTime) {
     Request.Attributes.Deadline = std::min(Request.Attributes.Deadline, *this->ShutdownTime);
   }
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -66,7 +66,8 @@
   }
 
   /// Called when the entry shuts down. From now on, each request gets its final response by the
-  /// given time at the latest. Later calls may only shorten the time.
+  /// given time at the latest, and requests that can't be expected to end by then are refused.
+  /// Later calls may only shorten the time.
   void beginShutdown(TimePoint FinalResponseTime, TimePoint Now);
   /// Precondition: the number has not been used before.
   void onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now);
@@ -94,6 +95,9 @@
 private:
   /// True if the shutdown ends the request before its own deadline.
   bool isLimitedByShutdown(const RequestAttributes &Attributes) const;
+  /// True if a new request probably ends before the shutdown does, or has no other chance because
+  /// its own deadline comes first.
+  bool canEndBeforeShutdown(const DispatchRequest &Request, TimePoint Now) const;
   ProcessingTimeEstimator::Estimate estimate(const DispatchRequest &Request, TimePoint Now) const;
   SearchContext searchContext(const DispatchRequest &Request, TimePoint Now) const;
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -381,6 +381,8 @@
   this->CallerServer.disableKeepAlive();
   this->ForwardServer.disableKeepAlive();
   logEvent(LogLevel::Info, "leaving", {{"requests", std::to_string(this->Proxy.size())}});
+  this->RequestDispatcher.beginShutdown(this->Shutdown->finalResponseTime(), this->now());
+  this->applyEffects();
 }
 
 void EntryRuntime::advanceShutdown() {
--- a/tests/auto/libs/coordination/tst_dispatcher.cpp
+++ b/tests/auto/libs/coordination/tst_dispatcher.cpp
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(refusesUnservableRequests);
   CPPUNIT_TEST(disconnectedCallers);
   CPPUNIT_TEST(timeouts);
+  CPPUNIT_TEST(lateRequestsOfAShutdown);
+  CPPUNIT_TEST(requestsInProgressAtAShutdown);
   CPPUNIT_TEST(budgetLimitsRetries);
   CPPUNIT_TEST_SUITE_END();
 
@@ -494,6 +496,107 @@
     }
   }
 
+  /// Guards against requests that an entry takes late in its shutdown and breaks off at the end,
+  /// among them those that can't be repeated, and against refusing what would have been served.
+  void lateRequestsOfAShutdown() {
+    struct Case {
+      const char *Name;
+      /// Without earlier responses, the usual processing time is 100 ms.
+      Duration TimeLeft;
+      bool Idempotent;
+      /// Time that the caller grants.
+      Duration OwnTime;
+      bool IsTaken;
+    };
+    const Case Table[] = {
+        {"much time left", 1s, true, 2s, true},
+        {"much time left, not idempotent", 1s, false, 2s, true},
+        {"enough for an idempotent request", 300ms, true, 2s, true},
+        {"too little for one that can't be repeated", 300ms, false, 2s, false},
+        {"too little for any", 150ms, true, 2s, false},
+        {"too little for any, not idempotent", 150ms, false, 2s, false},
+        {"over", -10ms, true, 2s, false},
+        {"the caller's time ends first", 300ms, false, 250ms, true},
+    };
+    for (const Case &Each : Table) {
+      DispatcherHarness Harness;
+      Harness.addTarget("x", "a1");
+      const TimePoint End = Harness.Now + Each.TimeLeft;
+      Harness.TestedDispatcher.beginShutdown(End, Harness.Now);
+      RequestAttributes Attributes = Harness.attributes(Each.Idempotent);
+      Attributes.Deadline = Harness.Now + Each.OwnTime;
+      const TimePoint Arrival = Harness.Now;
+      const RequestNumber Number = Harness.request(Attributes);
+      Harness.run(3s);
+      const DispatcherHarness::Completion *Completion = Harness.completionOf(Number);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Completion && Harness.Violations.empty());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsTaken,
+                                   Completion->DeliveredAttempt.has_value());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsTaken, !Harness.sentOf(Number).empty());
+      for (const auto &Sent : Harness.sentOf(Number)) {
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Sent.Send.Deadline <= End);
+      }
+      if (!Each.IsTaken) {
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Completion->Time == Arrival);
+        CPPUNIT_ASSERT(Completion->Refusal->Kind == RefusalKind::NotExecuted);
+        CPPUNIT_ASSERT(Completion->Refusal->RetryAfter > 0s &&
+                       Completion->Refusal->RetryAfter <= 100ms);
+      }
+    }
+  }
+
+  /// Guards against a request that still waits or is retried when the entry ends, and against a
+  /// wrong statement that a request was not executed.
+  void requestsInProgressAtAShutdown() {
+    struct Case {
+      const char *Name;
+      bool HasTarget;
+      Behavior First;
+      std::optional<RefusalKind> ExpectedRefusal;
+      std::size_t ExpectedAttempts;
+    };
+    const Case Table[] = {
+        {"never sent", false, {}, RefusalKind::NotExecuted, 0},
+        {"at work", true, {10s, AttemptOutcome::Succeeded}, RefusalKind::TimedOut, 1},
+        {"ends in time", true, {700ms, AttemptOutcome::Succeeded}, std::nullopt, 1},
+        {"rejected too late for a retry",
+         true,
+         {780ms, AttemptOutcome::NotExecuted},
+         RefusalKind::NotExecuted,
+         1},
+        {"rejected in time for a retry",
+         true,
+         {100ms, AttemptOutcome::NotExecuted},
+         std::nullopt,
+         2},
+    };
+    for (const Case &Each : Table) {
+      DispatcherHarness Harness;
+      if (Each.HasTarget) {
+        Harness.addTarget("x", "a1");
+        Harness.addTarget("y", "a1");
+      }
+      Harness.OnSend = [&Each](const SendAttempt &Send) {
+        return Send.Attempt == 0 ? Each.First : Behavior{};
+      };
+      const RequestNumber Number = Harness.request(Harness.attributes(false));
+      Harness.run(10ms);
+      const TimePoint End = Harness.Now + 800ms;
+      Harness.TestedDispatcher.beginShutdown(End, Harness.Now);
+      Harness.run(3s);
+      const DispatcherHarness::Completion *Completion = Harness.completionOf(Number);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Completion && Harness.Violations.empty());
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Completion->Time <= End + 1ms);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.ExpectedAttempts, Harness.sentOf(Number).size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.ExpectedRefusal.has_value(),
+                                   Completion->Refusal.has_value());
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, !Each.ExpectedRefusal ||
+                                            Completion->Refusal->Kind == *Each.ExpectedRefusal);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{0},
+                                   Harness.TestedDispatcher.requestCount());
+    }
+  }
+
   /// Guards against retries beyond this entry's share of the fleet's budget.
   void budgetLimitsRetries() {
     DispatcherHarness Harness;
