--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -64,6 +64,10 @@
     this->EntriesOfOtherRegions.setReadyEntries(std::move(Ready));
   }
 
+  /// Called when the entry shuts down. From now on, each request gets its final response by the
+  /// given time at the latest, and requests that can't be expected to end by then are refused.
+  /// Later calls may only shorten the time.
+  void beginShutdown(TimePoint FinalResponseTime, TimePoint Now);
   /// Precondition: the number has not been used before.
   void onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now);
   /// Cancels the attempts of the request and removes it.
@@ -88,6 +92,11 @@
   std::size_t queueLength() const;
 
 private:
+  /// True if the shutdown ends the request before its own deadline.
+  bool isLimitedByShutdown(const RequestAttributes &Attributes) const;
+  /// True if a new request probably ends before the shutdown does, or has no other chance because
+  /// its own deadline comes first.
+  bool canEndBeforeShutdown(const DispatchRequest &Request, TimePoint Now) const;
   SearchContext searchContext(const DispatchRequest &Request, TimePoint Now) const;
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
                        AttemptOutcome Outcome, TimePoint Now);
@@ -141,6 +150,8 @@
   std::map<RequestNumber, DispatchRequest> Requests;
   RequestTimers Timers;
   std::vector<Effect> Effects;
+  /// Time of the final responses; set once the entry shuts down.
+  std::optional<TimePoint> ShutdownTime;
 };
 
 } // namespace anvilsaddle
