Reject items from the store with invalid fields

A target from another writer was used although it had a field of another type or out of range, or lacked one: coldRemainingS 1e300 became us through an undefined conversion, which overflows when it is added to the current time; born became -1; slots 2.7 became 2; coldRemainingS "x" or null became 0; version and sequence were not read at all. A key with CR LF became the name that is sent as a header field to the target, and an address with a zero byte was accepted. The numbers of a configuration were converted the same way, and a version that is not hexadecimal was read as 0. Ports out of range and unreadable states were rejected before.

The names have a maximum length, since they are part of the messages to other entries. `born` stays optional; numbers such as 3.0 count as whole. The fake targets of the soak test now have the field `version`, as those of the platform do.

--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -157,7 +157,8 @@
         await self.store.put(f"servers/{target.name}", {
             "service": target.service,
             "address": f"{self.network.target_proxy(target.index)}:{TARGET_PORT}",
-            "zone": target.domain, "slots": target.slots, "state": state,
+            "zone": target.domain, "version": "v1", "slots": target.slots,
+            "state": state,
             "coldRemainingS": max(0.0, target.cold_until - now), "sequence": 1, "born": 1})
 
     async def unregister(self, target):
--- a/tests/auto/platform/tst_invaliditems.cpp
+++ b/tests/auto/platform/tst_invaliditems.cpp
@@ -1,6 +1,10 @@
 #include "Property.h"
 #include "platform/StoreDecoder.h"
 
+#include <string>
+#include <utility>
+#include <vector>
+
 using namespace anvilsaddle;
 using namespace anvilsaddle::platform;
 
@@ -43,6 +47,10 @@
 class InvalidItemsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(InvalidItemsTest);
   CPPUNIT_TEST(deeplyNestedItemsAreRejected);
+  CPPUNIT_TEST(invalidTargetFieldsAreRejected);
+  CPPUNIT_TEST(invalidTargetNamesAreRejected);
+  CPPUNIT_TEST(unusualTargetsAreAccepted);
+  CPPUNIT_TEST(invalidConfigurationsAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,11 +71,102 @@
         {"op/config", replaced(GoodConfiguration, R"("weight":90)", R"("weight":)" + Deep)},
     };
     for (const auto &[Key, Text] : Table) {
-      const auto Decoded = readItem({Key, Text});
-      CPPUNIT_ASSERT_MESSAGE(Text.substr(0, 200), std::holds_alternative<Diagnostic>(Decoded));
-      CPPUNIT_ASSERT_EQUAL(std::string(Key), std::get<Diagnostic>(Decoded).Path);
+      checkInvalid(Key, Text);
+    }
+  }
+
+  /// Guards against a target with wrong data, and against undefined conversions, when another
+  /// writer omits a field or gives it another type or a value out of range.
+  void invalidTargetFieldsAreRejected() {
+    struct Case {
+      std::string Old;
+      std::vector<std::string> Values;
+    };
+    const std::string TooLong = '"' + std::string(300, 'a') + '"';
+    const Case Table[] = {
+        {R"("coldRemainingS":1.5)", {"1e300", "-1e300", "1e18", "-5", R"("x")", "true", "null"}},
+        {R"("slots":3)",
+         {"0", "-1", "2.7", "100001", "4294967297", "18446744073709551615", "1e300", R"("3")",
+          "null", "true"}},
+        {R"("born":1700000000123)",
+         {"-1", "1.5", "1e300", "9223372036854775808", "99999999999999999999", R"("x")", "null"}},
+        {R"("sequence":4)", {"-1", "1.5", "1e300", "18446744073709551615", R"("4")", "null"}},
+        {R"("version":"v1")", {"1", "null", "{}"}},
+        {R"("zone":"kaskelen")", {"1", "null", R"("")", R"("a\r\nb")", TooLong}},
+        {R"("service":"huvo11a")", {"1", "[]", R"("")", R"("a\u0000b")", TooLong}},
+        {R"("state":"ready")", {"1", R"("")", R"("Ready")", R"("gone")"}},
+        {R"("address":"10.128.0.9:8080")",
+         {R"("10.128.0.9:0")", R"("10.128.0.9:65536")", R"("10.128.0.9:-1")",
+          R"("10.128.0.9:99999999999")", R"("10.128.0.9")", R"("10.128.0.9\u0000x:8080")", "8080",
+          R"({"host":"10.128.0.9"})"}},
+    };
+    for (const auto &[Old, Values] : Table) {
+      const std::string Name = Old.substr(0, Old.find(':') + 1);
+      for (const std::string &Value : Values) {
+        checkInvalid("servers/i", replaced(GoodTarget, Old, Name + Value));
+      }
+      if (Name != R"("born":)") {
+        checkInvalid("servers/i", replaced(GoodTarget, Old, R"("other":1)"));
+      }
     }
   }
+
+  /// Guards against a key that adds header fields to the requests to a target.
+  void invalidTargetNamesAreRejected() {
+    for (const std::string &Name :
+         {std::string(), std::string("i\r\nX: y"), std::string("i\0", 2), std::string(256, 'i')}) {
+      checkInvalid("servers/" + Name, GoodTarget);
+    }
+  }
+
+  /// Guards against the rejection of targets that another writer describes in a valid way.
+  void unusualTargetsAreAccepted() {
+    const std::pair<std::string, std::string> Table[] = {
+        {"1.5", "0"},
+        {"1.5", "3600"},
+        {R"("slots":3)", R"("slots":3.0)"},
+        {R"("born":1700000000123)", R"("other":1)"},
+        {R"("born")", R"("other":)" + deepArray(5) + R"(,"born")"},
+    };
+    for (const auto &[Old, New] : Table) {
+      const std::string Text = replaced(GoodTarget, Old, New);
+      CPPUNIT_ASSERT_MESSAGE(Text,
+                             std::holds_alternative<Publication>(readItem({"servers/i", Text})));
+    }
+  }
+
+  /// Guards against an invalid configuration that replaces the one in force.
+  void invalidConfigurationsAreRejected() {
+    const std::pair<std::string, std::string> Table[] = {
+        {R"("0000001f")", "31"},
+        {R"("0000001f")", R"("newest")"},
+        {R"("0000001f")", R"("11111111111111111")"},
+        {R"("unsafe",2.5)", R"("unsafe",1e300)"},
+        {R"("unsafe",2.5)", R"("unsafe","2")"},
+        {R"(0.5,1,)", R"(-0.5,1,)"},
+        {R"(0.5,1,)", R"(0.5,-1,)"},
+        {R"("wuno96b",2)", R"("wuno96b",1e30)"},
+        {R"("weight":90)", R"("weight":-90)"},
+        {R"("weight":90)", R"("weight":1e300)"},
+        {R"(4.0)", R"("4")"},
+        {R"(4.0)", R"(-4)"},
+        {R"("headerBytes":16384)", R"("headerBytes":-1)"},
+        {R"("bodyBytes":1000)", R"("bodyBytes":1e300)"},
+        {R"("headerTimeoutS":3)", R"("headerTimeoutS":1e300)"},
+        {R"("idleTimeoutS":15)", R"("idleTimeoutS":null)"},
+    };
+    for (const auto &[Old, New] : Table) {
+      checkInvalid("op/config", replaced(GoodConfiguration, Old, New));
+    }
+  }
+
+private:
+  static void checkInvalid(const std::string &Key, const std::string &Text) {
+    const auto Decoded = readItem({Key, Text});
+    CPPUNIT_ASSERT_MESSAGE(Key + " " + Text.substr(0, 400),
+                           std::holds_alternative<Diagnostic>(Decoded));
+    CPPUNIT_ASSERT_EQUAL(Key, std::get<Diagnostic>(Decoded).Path);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(InvalidItemsTest);
