Keep the other items of a store page if one is invalid

One element of a page without a key, or with a key or value of another type, made the whole page unreadable.

An element without a readable key is left out and reported; one whose value can't be read becomes an item with an empty value, which is invalid under its key. Base64 is checked, because GLib's decoder skips foreign characters. Invalid UTF-8 in a key no longer makes the page unreadable.

The new test invalidElementsLeaveTheOthersOfThePage demands for each invalid element that the others hold.

--- a/tests/auto/platform/tst_invaliditems.cpp
+++ b/tests/auto/platform/tst_invaliditems.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(invalidTargetNamesAreRejected);
   CPPUNIT_TEST(unusualTargetsAreAccepted);
   CPPUNIT_TEST(invalidConfigurationsAreRejected);
+  CPPUNIT_TEST(invalidElementsLeaveTheOthersOfThePage);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -160,6 +161,55 @@
     }
   }
 
+  /// Guards against a client that reads the same page again and again, and no longer follows the
+  /// store, because one element of the page is invalid.
+  void invalidElementsLeaveTheOthersOfThePage() {
+    struct Case {
+      std::string Element;
+      std::vector<StoreItem> Items;
+      std::size_t Problems;
+    };
+    const std::vector<StoreItem> Unreadable = {{"servers/i", ""}};
+    const Case Table[] = {
+        {"7", {}, 1},
+        {"null", {}, 1},
+        {"[]", {}, 1},
+        {"{}", {}, 1},
+        {R"({"key":1,"value":"e30="})", {}, 1},
+        {R"({"key":null,"value":"e30="})", {}, 1},
+        {R"({"value":"e30="})", {}, 1},
+        {"{\"key\":\"servers/\xff\xfe\",\"value\":\"e30=\"}", {}, 1},
+        {R"({"key":"servers/\ufffd","value":"e30="})", {}, 1},
+        {R"({"key":)" + deepArray() + "}", {}, 1},
+        {R"({"key":"servers/i"})", Unreadable, 0},
+        {R"({"key":"servers/i","value":7})", Unreadable, 0},
+        {R"({"key":"servers/i","value":null})", Unreadable, 0},
+        {R"({"key":"servers/i","value":"?e30="})", Unreadable, 0},
+        {R"({"key":"servers/i","value":"e3"})", Unreadable, 0},
+        {R"({"key":"servers/i","value":"e==="})", Unreadable, 0},
+        {R"({"key":"servers/i","value":"e30=","removed":"yes"})", {{"servers/i", "{}"}}, 0},
+        {R"({"key":"servers/i","value":)" + deepArray() + "}", Unreadable, 0},
+        {R"({"key":"servers/i","value":"e30=","lease":)" + deepArray() + "}",
+         {{"servers/i", "{}"}},
+         0},
+    };
+    for (const Case &Each : Table) {
+      for (const char *List : {"items", "events"}) {
+        const std::string Text = std::string("{\"") + List + R"(":[{"key":"a","value":"eHk="},)" +
+                                 Each.Element + R"(,{"key":"b","removed":true}],"at":9})";
+        std::vector<StoreItem> Expected = Each.Items;
+        Expected.insert(Expected.begin(), {"a", "xy"});
+        Expected.push_back({"b", std::nullopt});
+        const auto Decoded = readPage(Text);
+        const auto *Page = std::get_if<StorePage>(&Decoded);
+        CPPUNIT_ASSERT_MESSAGE(Text.substr(0, 200), Page);
+        CPPUNIT_ASSERT_MESSAGE(Text.substr(0, 200), Page->Items == Expected);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Text.substr(0, 200), Each.Problems, Page->Problems.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, Page->Revision);
+      }
+    }
+  }
+
 private:
   static void checkInvalid(const std::string &Key, const std::string &Text) {
     const auto Decoded = readItem({Key, Text});
