Stop using a target whose entry becomes invalid

When a valid entry of a target was overwritten with an invalid one, the change of the watch was skipped and the target stayed in use under its old data. An invalid change of a registration is now its removal. A configuration in force stays.

--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -76,7 +76,13 @@
   void onPublications(const PublicationBatch &Batch) override {
     this->Text += Batch.IsSnapshot ? "all" : "since " + std::to_string(Batch.Since);
     this->Text +=
-        " to " + std::to_string(Batch.Revision) + ":" + std::to_string(Batch.Changes.size()) + ";";
+        " to " + std::to_string(Batch.Revision) + ":" + std::to_string(Batch.Changes.size());
+    for (const Publication &Each : Batch.Changes) {
+      if (const auto *Removed = std::get_if<TargetRemoved>(&Each)) {
+        this->Text += " -" + Removed->Name.str();
+      }
+    }
+    this->Text += ";";
   }
   void onSourceUpToDate(std::int64_t Revision) override {
     this->Text += "unchanged " + std::to_string(Revision) + ";";
@@ -135,6 +141,12 @@
         {"invalid item",
          {range(Evacuation + "," + item("servers/x"), 7)},
          "bad servers/x;all to 7:1;"},
+        {"target that becomes invalid",
+         {range(Evacuation, 7), events(item("servers/x"), 9)},
+         "all to 7:1;bad servers/x;since 7 to 9:1 -x;"},
+        {"configuration that becomes invalid",
+         {range(Evacuation, 7), events(item("op/config"), 9)},
+         "all to 7:1;bad op/config;since 7 to 9:0;"},
         {"items without a key",
          {range(Evacuation + ",7", 7), events("{}," + Evacuation, 9)},
          "bad store;all to 7:1;bad store;since 7 to 9:1;"},
