--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -101,6 +101,7 @@
 class StoreClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreClientTest);
   CPPUNIT_TEST(scenarios);
+  CPPUNIT_TEST(invalidItemsAreReportedOnce);
   CPPUNIT_TEST(requestTargets);
   CPPUNIT_TEST(freshListingAfterGoneHistory);
   CPPUNIT_TEST(resumesAndStops);
@@ -166,6 +167,48 @@
     }
   }
 
+  /// Guards against an invalid item that fills the log, because it is written again and again, or
+  /// listed again and again, or has a long key.
+  void invalidItemsAreReportedOnce() {
+    const std::string Invalid = item("servers/x");
+    const std::string Removed = R"({"key":"servers/x","revision":1,"removed":true})";
+    const std::string Long(100'000, 'x');
+    const std::string Gone = response("", "410 Gone");
+    struct Case {
+      const char *Name;
+      std::vector<std::string> Script;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {"written again",
+         {range(Invalid, 7), events(Invalid + "," + Invalid, 9), events(Invalid, 11)},
+         "bad servers/x;all to 7:0;since 7 to 9:2 -x -x;since 9 to 11:1 -x;"},
+        {"listed again",
+         {range(Invalid, 7), Gone, range(Invalid, 20), Gone, range(Invalid, 30)},
+         "bad servers/x;all to 7:0;all to 20:0;all to 30:0;"},
+        {"removed and written again",
+         {range(Invalid, 7), events(Removed, 9), events(Invalid, 11)},
+         "bad servers/x;all to 7:0;since 7 to 9:1 -x;bad servers/x;since 9 to 11:1 -x;"},
+        {"missing in a listing and written again",
+         {range(Invalid, 7), Gone, range("", 9), events(Invalid, 11)},
+         "bad servers/x;all to 7:0;all to 9:0;bad servers/x;since 9 to 11:1 -x;"},
+        {"many elements without a key", {range("7,8,9", 7)}, "bad store;all to 7:0;"},
+        {"long key",
+         {range(item("servers/" + Long), 7)},
+         "bad servers/" + Long.substr(0, 248) + ";all to 7:0;"},
+    };
+    for (const Case &Each : Table) {
+      const SystemClock Time;
+      SeededRandom Random(1);
+      RecordingListener Listener;
+      FakeStore Store(Each.Script);
+      StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
+      Client.activate(Listener, 0);
+      runUntil([&] { return Listener.Text.size() >= Each.Expected.size(); });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Listener.Text);
+    }
+  }
+
   /// Guards against requests that deviate from the protocol of the platform.
   void requestTargets() {
     const SystemClock Time;
