Check targets and durations in the publications of other entries

The decoder of the publications cast ports and slots without a check and accepted any duration.

An invalid registration now counts as the removal of its target, and the other publications of the batch hold.

invalidTargetsAreRemoved and extremeDurationsAreLimited failed before the change and pass now. deeplyNestedTextsAreRejected passed before as well: Thrift limits the depth of skipped fields to 64.

--- a/src/libs/protocol/PublicationCodec.cpp
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -2,7 +2,12 @@
 
 #include "protocol/ThriftBytes.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
+#include <limits>
+#include <string>
+#include <utility>
 
 #include <peer_types.h>
 
@@ -10,6 +15,9 @@
 
 namespace {
 
+/// No duration in a publication is longer, and sums of such durations do not overflow.
+constexpr Duration MaxDuration = std::chrono::hours(24);
+
 wire::Route toWire(const Route &Value) {
   wire::Route Result;
   Result.name = Value.Name.str();
@@ -83,16 +91,24 @@
   return Result;
 }
 
+Duration readDuration(std::int64_t Microseconds) {
+  return std::clamp(Duration(Microseconds), Duration(0), MaxDuration);
+}
+
+std::uint32_t readCount(std::int32_t Count) {
+  return static_cast<std::uint32_t>(std::max(Count, 0));
+}
+
 Route fromWire(const wire::Route &In) {
   Route Result;
   Result.Name = RouteName(In.name);
   Result.Host = In.host;
   Result.PathPrefix = In.prefix;
   Result.Idempotent = In.idempotent;
-  Result.Timeout = Duration(In.timeoutMicroseconds);
-  Result.LatencyObjective = Duration(In.objectiveMicroseconds);
-  Result.Priority = static_cast<std::uint32_t>(In.priority);
-  Result.MaxTargets = static_cast<std::uint32_t>(In.maxTargets);
+  Result.Timeout = readDuration(In.timeoutMicroseconds);
+  Result.LatencyObjective = readDuration(In.objectiveMicroseconds);
+  Result.Priority = readCount(In.priority);
+  Result.MaxTargets = readCount(In.maxTargets);
   for (const wire::WeightedService &Each : In.services) {
     Result.Services.push_back({ServiceName(Each.serviceName), Each.weight});
   }
@@ -116,11 +132,23 @@
                                                Each.coldRate};
   }
   Result.Limits = {static_cast<std::size_t>(In.headBytes), static_cast<std::size_t>(In.bodyBytes),
-                   Duration(In.headTimeoutMicroseconds), Duration(In.idleTimeoutMicroseconds)};
+                   readDuration(In.headTimeoutMicroseconds),
+                   readDuration(In.idleTimeoutMicroseconds)};
   return Result;
 }
 
-Target fromWire(const wire::Target &In) {
+bool isValid(const wire::Target &In) {
+  const bool IsPort = In.port > 0 && In.port <= std::numeric_limits<std::uint16_t>::max();
+  return IsPort && In.slots > 0 && In.coldMicroseconds >= 0 &&
+         In.coldMicroseconds <= MaxDuration.count() && In.startedUnixMilliseconds >= 0 &&
+         parseEndpoint(In.address + ":" + std::to_string(In.port)).has_value();
+}
+
+/// An invalid registration names no target, and replaces an earlier one of the same name.
+Publication fromWire(const wire::Target &In) {
+  if (!isValid(In)) {
+    return TargetRemoved{TargetName(In.name)};
+  }
   Target Result;
   Result.Name = TargetName(In.name);
   Result.Service = ServiceName(In.serviceName);
@@ -130,7 +158,7 @@
   Result.Draining = In.draining;
   Result.RemainingColdTime = Duration(In.coldMicroseconds);
   Result.StartedUnixMilliseconds = In.startedUnixMilliseconds;
-  return Result;
+  return TargetRegistered{std::move(Result)};
 }
 
 std::optional<Publication> fromWire(const wire::Publication &In) {
@@ -138,7 +166,7 @@
     return fromWire(In.configuration);
   }
   if (In.__isset.registered) {
-    return TargetRegistered{fromWire(In.registered)};
+    return fromWire(In.registered);
   }
   if (In.__isset.removed) {
     return TargetRemoved{TargetName(In.removed)};
@@ -175,7 +203,7 @@
     wire::PublicationBatch In;
     readThrift(Text, In);
     PublicationBatch Result{
-        In.complete, In.since, In.revision, Duration(In.removalsWaitMicroseconds), {}, {}};
+        In.complete, In.since, In.revision, readDuration(In.removalsWaitMicroseconds), {}, {}};
     for (const wire::RevisionGap &Each : In.gaps) {
       Result.Gaps.push_back({Each.first, Each.last});
     }
--- a/tests/auto/libs/protocol/tst_publicationcodec.cpp
+++ b/tests/auto/libs/protocol/tst_publicationcodec.cpp
@@ -2,6 +2,10 @@
 #include "Property.h"
 #include "protocol/PublicationCodec.h"
 
+#include <functional>
+#include <string>
+#include <utility>
+
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
 
@@ -34,6 +38,9 @@
   CPPUNIT_TEST_SUITE(PublicationCodecTest);
   CPPUNIT_TEST(roundTrip);
   CPPUNIT_TEST(invalidTexts);
+  CPPUNIT_TEST(invalidTargetsAreRemoved);
+  CPPUNIT_TEST(extremeDurationsAreLimited);
+  CPPUNIT_TEST(deeplyNestedTextsAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +63,66 @@
       readBatch(Changed);
     });
   }
+
+  /// Guards against an invalid registration that an older entry has accepted from the store and
+  /// passes on: the target must not be used, and the other publications must hold.
+  void invalidTargetsAreRemoved() {
+    const Target Good{TargetName("t"),
+                      ServiceName("s"),
+                      {"10.0.0.1", 80},
+                      FailureDomainName("d"),
+                      3,
+                      false,
+                      5s,
+                      1};
+    const std::pair<const char *, std::function<void(Target &)>> Table[] = {
+        {"port", [](Target &Value) { Value.Address.Port = 0; }},
+        {"address", [](Target &Value) { Value.Address.Address = "nowhere"; }},
+        {"no slots", [](Target &Value) { Value.Slots = 0; }},
+        {"negative slots", [](Target &Value) { Value.Slots = 4'294'967'295; }},
+        {"negative cold time", [](Target &Value) { Value.RemainingColdTime = -1us; }},
+        {"shortest cold time", [](Target &Value) { Value.RemainingColdTime = Duration::min(); }},
+        {"longest cold time", [](Target &Value) { Value.RemainingColdTime = Duration::max(); }},
+        {"start time", [](Target &Value) { Value.StartedUnixMilliseconds = -1; }},
+    };
+    const TargetRemoved Other{TargetName("o")};
+    for (const auto &[Name, Change] : Table) {
+      Target Changed = Good;
+      Change(Changed);
+      const auto Read = readBatch(writeBatch(
+          batch(false, {TargetRegistered{Good}, TargetRegistered{Changed}, Other}, 3, 99)));
+      const PublicationBatch Expected =
+          batch(false, {TargetRegistered{Good}, TargetRemoved{Good.Name}, Other}, 3, 99);
+      CPPUNIT_ASSERT_MESSAGE(Name, Read == Expected);
+    }
+  }
+
+  /// Guards against durations that overflow when they are added to a time.
+  void extremeDurationsAreLimited() {
+    const std::pair<Duration, Duration> Table[] = {
+        {Duration::max(), 24h}, {Duration::min(), 0s}, {-1us, 0s}, {24h, 24h}};
+    for (const auto &[Sent, Expected] : Table) {
+      PublicationBatch Batch = batchOfAllTypes();
+      Batch.RemovalDelay = Sent;
+      auto &Settings = std::get<Configuration>(Batch.Changes.front());
+      Settings.Limits.IdleTimeout = Sent;
+      Settings.Routes.front().Timeout = Sent;
+      const auto Read = readBatch(writeBatch(Batch));
+      CPPUNIT_ASSERT(Read && Read->RemovalDelay == Expected);
+      const auto &ReadSettings = std::get<Configuration>(Read->Changes.front());
+      CPPUNIT_ASSERT(ReadSettings.Limits.IdleTimeout == Expected);
+      CPPUNIT_ASSERT(ReadSettings.Routes.front().Timeout == Expected);
+    }
+  }
+
+  /// Guards against a stack overflow by unknown fields that are nested deeply.
+  void deeplyNestedTextsAreRejected() {
+    constexpr std::size_t Levels = 1'000'000;
+    // Compact protocol: the upper half is a field number or a length of 1, the lower half the type.
+    for (const char Container : {'\x1c', '\x19', '\x1a', '\x1b'}) {
+      CPPUNIT_ASSERT(!readBatch(std::string(Levels, Container)));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PublicationCodecTest);
