Check the range of the numbers in the responses of targets

The load header "3,0,4294967296" was read as 0 slots, and "4294967297,0,8" as one running request, since the numbers were cast to 32 bits.

--- a/tests/auto/platform/tst_platformprotocol.cpp
+++ b/tests/auto/platform/tst_platformprotocol.cpp
@@ -48,6 +48,7 @@
     }
   }
 
+  /// Guards against numbers that wrap around, so that a target with a long queue seems to be idle.
   void loadReports() {
     const std::pair<const char *, std::optional<LoadReport>> Table[] = {
         {"3,0,8", LoadReport{3, 0, 8, 1}},
@@ -59,6 +60,12 @@
         {"a,b,c", {}},
         {"", {}},
         {"3,,8", {}},
+        {"1000000,1000000,1000000", LoadReport{1'000'000, 1'000'000, 1'000'000, 1}},
+        {"3,0,4294967296", {}},
+        {"4294967297,0,8", {}},
+        {"3,9223372036854775807,8", {}},
+        {"3,99999999999999999999,8", {}},
+        {"3,0,8,9223372036854775807", {}},
     };
     for (const auto &[Text, Expected] : Table) {
       const auto Metadata = Protocol.readResponse(headWithField("X-Anvilsaddle-Server-Load", Text));
@@ -102,6 +109,11 @@
     }
     CPPUNIT_ASSERT(Protocol.readResponse(headWithField("X-Anvilsaddle-Cold-Milliseconds", "2500"))
                        .RemainingColdTime == 2500ms);
+    // A duration of this length must not overflow.
+    CPPUNIT_ASSERT(
+        Protocol
+            .readResponse(headWithField("X-Anvilsaddle-Cold-Milliseconds", "9223372036854775807"))
+            .RemainingColdTime == 24h);
     CPPUNIT_ASSERT(
         Protocol.readResponse(headWithField("X-Anvilsaddle-Instance-Id", "i-8")).Instance ==
         TargetName("i-8"));
