Feed arbitrary items to the decoder of the store

Two properties change fields and bytes of valid items and nest arbitrary values: nothing may throw or crash, the other items of a page must hold, and an accepted target must have valid data.

--- a/tests/auto/platform/tst_invaliditems.cpp
+++ b/tests/auto/platform/tst_invaliditems.cpp
@@ -5,8 +5,11 @@
 #include <utility>
 #include <vector>
 
+#include <glib.h>
+
 using namespace anvilsaddle;
 using namespace anvilsaddle::platform;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -42,6 +45,53 @@
   return Text.replace(Text.find(Old), Old.size(), New);
 }
 
+/// Returns a JSON string with the Base64 encoding of a text.
+std::string encoded(const std::string &Text) {
+  gchar *Encoded = g_base64_encode(reinterpret_cast<const guchar *>(Text.data()), Text.size());
+  std::string Result = std::string("\"") + Encoded + "\"";
+  g_free(Encoded);
+  return Result;
+}
+
+/// Returns a valid JSON value with at most the given number of levels. Call it inside a property.
+std::string arbitraryJson(int MaxLevels) {
+  const std::string Scalar = *rc::gen::element<std::string>(
+      "null", "true", "0", "-0.0", "-1", "65536", "1e300", "-1e300", "1.5", "9223372036854775808",
+      "18446744073709551616", R"("")", R"("ready")", R"("10.0.0.1:65536")", R"("\u0000\r\n")",
+      "\"\xff\xfe\"", R"("servers/i")");
+  if (MaxLevels <= 1) {
+    return Scalar;
+  }
+  switch (*rc::gen::inRange(0, 4)) {
+  case 0:
+    return "[" + arbitraryJson(MaxLevels - 1) + "," + Scalar + "]";
+  case 1:
+    return R"({"key":)" + arbitraryJson(MaxLevels - 1) + R"(,"removed":)" + Scalar + "}";
+  case 2:
+    return deepArray(static_cast<std::size_t>(*rc::gen::inRange(0, 100)));
+  default:
+    return Scalar;
+  }
+}
+
+/// Replaces the value of a field of a valid item, or some of its bytes. Call it inside a property.
+std::string arbitraryItemText() {
+  std::string Text = *rc::gen::element(GoodTarget, GoodConfiguration);
+  if (*rc::gen::arbitrary<bool>()) {
+    const std::string Value = *rc::gen::element<std::string>(
+        "1.5", "3", "4", "1700000000123", R"("ready")", R"("v1")", R"("huvo11a")", "16384", "90");
+    if (Text.find(Value) != std::string::npos) {
+      Text = replaced(Text, Value, arbitraryJson(40));
+    }
+    return Text;
+  }
+  for (int Change = *rc::gen::inRange(1, 4); Change > 0; --Change) {
+    const auto Position = *rc::gen::inRange<std::size_t>(0, Text.size());
+    Text[Position] = *rc::gen::arbitrary<char>();
+  }
+  return Text;
+}
+
 } // namespace
 
 class InvalidItemsTest : public CppUnit::TestFixture {
@@ -52,6 +102,8 @@
   CPPUNIT_TEST(unusualTargetsAreAccepted);
   CPPUNIT_TEST(invalidConfigurationsAreRejected);
   CPPUNIT_TEST(invalidElementsLeaveTheOthersOfThePage);
+  CPPUNIT_TEST(arbitraryItemsAreHandled);
+  CPPUNIT_TEST(arbitraryElementsLeaveTheOthersOfThePage);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,6 +262,45 @@
     }
   }
 
+  /// Guards against crashes and against targets with invalid data.
+  void arbitraryItemsAreHandled() {
+    checkProperty("an item is rejected or yields valid data", [] {
+      const std::string Text = arbitraryItemText();
+      readItem({"op/config", Text});
+      readItem({"op/evacuate/a", Text});
+      const auto Decoded = readItem({"servers/i", Text});
+      if (const auto *Change = std::get_if<Publication>(&Decoded)) {
+        const Target &Value = std::get<TargetRegistered>(*Change).Registration;
+        RC_ASSERT(parseEndpoint(toString(Value.Address)) == Value.Address);
+        RC_ASSERT(Value.Slots >= 1U && Value.Slots <= 100'000U);
+        RC_ASSERT(Value.RemainingColdTime >= 0s && Value.RemainingColdTime <= 24h);
+        RC_ASSERT(Value.StartedUnixMilliseconds >= 0);
+      }
+    });
+  }
+
+  /// Guards against an element that makes its page unreadable.
+  void arbitraryElementsLeaveTheOthersOfThePage() {
+    checkProperty("the other items of a page hold", [] {
+      const std::string Key = *rc::gen::element<std::string>(
+          R"("servers/i")", R"("op/config")", R"("servers/")", R"("")", arbitraryJson(4));
+      const std::string Value =
+          *rc::gen::element(encoded(arbitraryItemText()), arbitraryJson(4), arbitraryJson(40));
+      const std::string Element =
+          *rc::gen::element(R"({"key":)" + Key + R"(,"value":)" + Value + "}", arbitraryJson(4));
+      const std::string Good = R"({"key":"servers/good","value":)" + encoded(GoodTarget) + "}";
+      const auto Decoded =
+          readPage(R"({"items":[)" + Good + "," + Element + "," + Good + R"(],"at":9})");
+      const auto &Page = std::get<StorePage>(Decoded);
+      RC_ASSERT(Page.Items.size() + Page.Problems.size() == 3U);
+      RC_ASSERT(Page.Items.front() == (StoreItem{"servers/good", GoodTarget}));
+      RC_ASSERT(Page.Items.back() == Page.Items.front());
+      for (const StoreItem &Item : Page.Items) {
+        readItem(Item);
+      }
+    });
+  }
+
 private:
   static void checkInvalid(const std::string &Key, const std::string &Text) {
     const auto Decoded = readItem({Key, Text});
