Generate only valid JSON in the property of the store pages

The generator returned an empty text for an array without levels, so that a page in the property arbitraryElementsLeaveTheOthersOfThePage was not JSON; found with max_success=10000.

--- a/tests/auto/platform/tst_invaliditems.cpp
+++ b/tests/auto/platform/tst_invaliditems.cpp
@@ -55,7 +55,7 @@
 
 /// Returns a valid JSON value with at most the given number of levels. Call it inside a property.
 std::string arbitraryJson(int MaxLevels) {
-  const std::string Scalar = *rc::gen::element<std::string>(
+  std::string Scalar = *rc::gen::element<std::string>(
       "null", "true", "0", "-0.0", "-1", "65536", "1e300", "-1e300", "1.5", "9223372036854775808",
       "18446744073709551616", R"("")", R"("ready")", R"("10.0.0.1:65536")", R"("\u0000\r\n")",
       "\"\xff\xfe\"", R"("servers/i")");
@@ -68,7 +68,7 @@
   case 1:
     return R"({"key":)" + arbitraryJson(MaxLevels - 1) + R"(,"removed":)" + Scalar + "}";
   case 2:
-    return deepArray(static_cast<std::size_t>(*rc::gen::inRange(0, 100)));
+    return deepArray(static_cast<std::size_t>(*rc::gen::inRange(1, 100)));
   default:
     return Scalar;
   }
