Give the targets of the publication exchange test an address

changesAreFetched failed since targets without an address and port count as removed when they come from another entry. The targets of the test had none, which no registration from the store can have. The assertions are unchanged; the test passes again.

--- a/tests/auto/libs/transport/tst_publicationexchange.cpp
+++ b/tests/auto/libs/transport/tst_publicationexchange.cpp
@@ -50,6 +50,7 @@
 TargetRegistered makeRegistration(const char *Name) {
   Target Value;
   Value.Name = TargetName(Name);
+  Value.Address = {"10.0.0.1", 80};
   return {Value};
 }
 
