Don't read or drop requests on connections that are closed as idle

Callers saw a connection closed with a request unanswered, without a restart of the entry or a failed target. An entry that closed an idle connection shut down its sending side and read on for a second: a request that crossed the close was read and dropped. The close looked only at the time of the last activity, not at the socket, so on an entry that is late (0.1 cores) a request that had already arrived was dropped as well. On a full link the end of the stream reaches the caller seconds later.

A connection with unread bytes is no longer taken for idle (idle timeout, connection limit, shutdown, last response written during a shutdown). An idle connection whose last response is a second old is closed at once, so that a request that crosses the close stays unread and is reset: the caller knows that it did not run.

tst_httpserver: requestsThatWaitInTheSocketAreServed and requestsThatCrossAnIdleCloseStayUnread failed on the code before, in their first row (idle timeout). The rows of unansweredRequestsAreReported for an idle close and a shutdown now have a response just before, since without one nothing is read any more.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -172,6 +172,7 @@
         return;
       }
       this->LastActivity = this->Server.now();
+      this->LastWrite = this->LastActivity;
       Front.Output.erase(0, static_cast<std::size_t>(Count));
       continue;
     }
@@ -198,7 +199,7 @@
   if (this->Exchanges.empty()) {
     // Process requests that had to wait for the response to an unsafe one.
     this->parse();
-    if (this->isIdle() && this->Server.isKeepAliveDisabled()) {
+    if (this->isIdle() && this->Server.isKeepAliveDisabled() && !this->hasUnreadBytes()) {
       this->startLingering(CloseReason::Shutdown);
     }
   }
@@ -231,9 +232,22 @@
 }
 
 void HttpConnection::closeIfIdle(CloseReason Reason) {
-  if (this->isIdle()) {
+  // A request that a busy entry has not read yet may wait in the socket.
+  if (!this->isIdle() || this->hasUnreadBytes()) {
+    return;
+  }
+  if (this->LastWrite && this->Server.now() - *this->LastWrite < LingerTimeout) {
     this->startLingering(Reason);
+    return;
   }
+  // The caller has the last response, so nothing is read any more: a request that arrives after
+  // this causes a reset, which tells the caller that it did not run.
+  this->close(Reason);
+}
+
+bool HttpConnection::hasUnreadBytes() const {
+  char Byte = 0;
+  return recv(g_socket_get_fd(this->Socket.get()), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void HttpConnection::reset() {
@@ -276,7 +290,7 @@
   if (this->Parser.isStarted()) {
     this->report(Reason, RequestStage::Incomplete, {});
   }
-  if (this->CurrentState == State::Closed && g_socket_get_available_bytes(this->Socket.get()) > 0) {
+  if (this->CurrentState == State::Closed && this->hasUnreadBytes()) {
     this->reportUnreadBytes(Reason);
   }
 }
@@ -316,7 +330,7 @@
   }
   if (this->isIdle()) {
     if (Now - this->LastActivity > this->Server.limits().IdleTimeout) {
-      this->startLingering(CloseReason::IdleTimeout);
+      this->closeIfIdle(CloseReason::IdleTimeout);
     }
     return;
   }
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -36,7 +36,8 @@
   /// Applies the timeouts of idle connections, of requests that arrive too slowly and of lingering
   /// closes.
   void checkTimeouts(TimePoint Now);
-  /// Closes the connection gracefully if it is idle.
+  /// Closes the connection if it is idle and no request waits in its socket. May remove the
+  /// connection from the server.
   void closeIfIdle(CloseReason Reason);
 
 private:
@@ -69,6 +70,7 @@
   void reportUnanswered(CloseReason Reason);
   void report(CloseReason Reason, RequestStage Stage, const RequestHead &Head);
   void reportUnreadBytes(CloseReason Reason);
+  bool hasUnreadBytes() const;
   std::string callerAddress() const;
 
   HttpServer &Server;
@@ -77,6 +79,8 @@
   RequestParser Parser;
   std::deque<std::unique_ptr<HttpExchange>> Exchanges;
   TimePoint LastActivity;
+  /// Time at which bytes of a response were sent; nothing before the first response.
+  std::optional<TimePoint> LastWrite;
   /// Arrival of the first byte of the request that is being received.
   TimePoint RequestStarted{};
   State CurrentState = State::Open;
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -103,11 +103,20 @@
   if (this->Listener) {
     g_socket_close(this->Listener.get(), nullptr);
   }
-  for (const auto &Each : this->Connections) {
+  for (HttpConnection *Each : this->listConnections()) {
     Each->closeIfIdle(CloseReason::Shutdown);
   }
 }
 
+std::vector<HttpConnection *> HttpServer::listConnections() const {
+  std::vector<HttpConnection *> Result;
+  Result.reserve(this->Connections.size());
+  for (const auto &Each : this->Connections) {
+    Result.push_back(Each.get());
+  }
+  return Result;
+}
+
 void HttpServer::remove(HttpConnection &Connection) {
   const auto Found =
       std::find_if(this->Connections.begin(), this->Connections.end(),
@@ -121,12 +130,7 @@
 gboolean HttpServer::onTimeoutTimer(gpointer Data) {
   auto &Self = *static_cast<HttpServer *>(Data);
   const TimePoint Now = Self.now();
-  std::vector<HttpConnection *> All;
-  All.reserve(Self.Connections.size());
-  for (const auto &Each : Self.Connections) {
-    All.push_back(Each.get());
-  }
-  for (HttpConnection *Each : All) {
+  for (HttpConnection *Each : Self.listConnections()) {
     Each->checkTimeouts(Now);
   }
   return G_SOURCE_CONTINUE;
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <gio/gio.h>
 
@@ -60,6 +61,8 @@
   bool acceptOne();
   void enforceConnectionLimit();
   void remove(HttpConnection &Connection);
+  /// The connections in a list that stays valid while connections are removed.
+  std::vector<HttpConnection *> listConnections() const;
 
   HttpHandler &Handler;
   const Clock &Time;
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -50,6 +50,18 @@
   return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n" + Fields + "\r\n";
 }
 
+/// Runs ahead of the system clock by a duration that the test sets.
+class AdvancedClock final : public Clock {
+public:
+  TimePoint now() const override { return this->Base.now() + this->Advance; }
+  std::int64_t unixMilliseconds() const override { return this->Base.unixMilliseconds(); }
+
+  Duration Advance{0};
+
+private:
+  SystemClock Base;
+};
+
 std::size_t countOccurrences(const std::string &Text, const std::string &Part) {
   std::size_t Result = 0;
   for (std::size_t Position = Text.find(Part); Position != std::string::npos;
@@ -60,7 +72,7 @@
 }
 
 struct Fixture {
-  Fixture() : Server(Handler, Time, 100) {
+  explicit Fixture(std::size_t MaxConnections = 100) : Server(Handler, Time, MaxConnections) {
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Server.listen({"127.0.0.1", 0}));
     this->Caller = RawConnection::connect(this->Server.port());
   }
@@ -68,7 +80,7 @@
     return runUntil([&] { return this->Caller->Received.find(Part) != std::string::npos; });
   }
 
-  SystemClock Time;
+  AdvancedClock Time;
   RecordingHandler Handler;
   HttpServer Server;
   std::unique_ptr<RawConnection> Caller;
@@ -88,6 +100,8 @@
   CPPUNIT_TEST(slowReaders);
   CPPUNIT_TEST(slowSendersAndIdleConnections);
   CPPUNIT_TEST(connectionsAreBounded);
+  CPPUNIT_TEST(requestsThatWaitInTheSocketAreServed);
+  CPPUNIT_TEST(requestsThatCrossAnIdleCloseStayUnread);
   CPPUNIT_TEST(unansweredRequestsAreReported);
   CPPUNIT_TEST(idleConnectionsEndWithoutReport);
   CPPUNIT_TEST_SUITE_END();
@@ -302,6 +316,52 @@
     CPPUNIT_ASSERT(!Callers[5]->Closed);
   }
 
+  /// Guards against closing a connection as idle while a request waits unread in its socket: a busy
+  /// entry dropped such requests without a response.
+  void requestsThatWaitInTheSocketAreServed() {
+    std::unique_ptr<RawConnection> Second;
+    const std::pair<const char *, std::function<void(Fixture &)>> Table[] = {
+        {"idle timeout",
+         [](Fixture &Test) {
+           Test.Time.Advance = 2 * CallerLimits().IdleTimeout;
+           // Makes the timeout timer due together with the socket.
+           g_usleep(300'000);
+         }},
+        {"connection limit",
+         [&](Fixture &Test) { Second = RawConnection::connect(Test.Server.port()); }},
+        {"shutdown", [](Fixture &Test) { Test.Server.stopListening(); }},
+    };
+    for (const auto &[Name, Close] : Table) {
+      Fixture Test(1);
+      Test.Handler.RespondImmediately = true;
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 1; }));
+      Test.Caller->send(getRequest("/a"));
+      Close(Test);
+      CPPUNIT_ASSERT_MESSAGE(Name, Test.received("response to /a"));
+    }
+  }
+
+  /// Guards against reading a request that arrives after an idle connection was closed: the caller
+  /// can repeat it only if it knows that the request was not read.
+  void requestsThatCrossAnIdleCloseStayUnread() {
+    std::unique_ptr<RawConnection> Second;
+    const std::pair<const char *, std::function<void(Fixture &)>> Table[] = {
+        {"idle timeout", [](Fixture &Test) { Test.Time.Advance = 2 * CallerLimits().IdleTimeout; }},
+        {"connection limit",
+         [&](Fixture &Test) { Second = RawConnection::connect(Test.Server.port()); }},
+        {"shutdown", [](Fixture &Test) { Test.Server.stopListening(); }},
+    };
+    for (const auto &[Name, Close] : Table) {
+      Fixture Test(1);
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 1; }));
+      Close(Test);
+      CPPUNIT_ASSERT_MESSAGE(Name, runUntil([&] { return Test.Caller->Closed; }));
+      Test.Caller->send(getRequest("/a"));
+      runPending();
+      CPPUNIT_ASSERT_MESSAGE(Name, Test.Server.unanswered() == UnansweredCounts());
+    }
+  }
+
   /// Guards against a connection that ends without a trace although a request on it has no complete
   /// response.
   void unansweredRequestsAreReported() {
@@ -378,19 +438,24 @@
          CloseReason::LastResponse, RequestStage::Unread, " last_response;"},
         {"the request crosses the close of an idle connection",
          [](Fixture &Test) {
+           Test.Handler.RespondImmediately = true;
+           Test.Caller->send(getRequest("/a"));
+           CPPUNIT_ASSERT(Test.received("response to /a"));
            CallerLimits Limits;
            Limits.IdleTimeout = 10ms;
            Test.Server.setLimits(Limits);
            CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
-           Test.Caller->send(getRequest("/a"));
+           Test.Caller->send(getRequest("/b"));
          },
          CloseReason::IdleTimeout, RequestStage::Unread, " idle_timeout;"},
         {"the request crosses a shutdown",
          [](Fixture &Test) {
-           CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 1; }));
+           Test.Handler.RespondImmediately = true;
+           Test.Caller->send(getRequest("/a"));
+           CPPUNIT_ASSERT(Test.received("response to /a"));
            Test.Server.stopListening();
            CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
-           Test.Caller->send(getRequest("/a"));
+           Test.Caller->send(getRequest("/b"));
          },
          CloseReason::Shutdown, RequestStage::Unread, " shutdown;"},
     };
