Announce to callers how long they may reuse an idle connection

Callers that reused a connection at the moment at which the entry closed it as idle found it closed ("cut, no answer") and had to send the request again. They learnt the idle timeout nowhere; these callers respect the time of a Keep-Alive header. Responses that keep the connection open now have `Keep-Alive: timeout=N` with four fifths of the idle timeout, in whole seconds, so that requests don't cross the close even if the caller's link is slow by seconds.

tst_httpserver keepAliveTimeIsAnnounced fails without the change: no response had the header. tst_proxyhandler compares a complete response, so it now expects the header; that a target's own Keep-Alive (timeout=5) is removed is still checked.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t MaxReadAheadBytes = std::size_t{64} * 1024;
 constexpr std::size_t MaxPipelinedRequests = 16;
 constexpr Duration LingerTimeout = 1s;
+/// Callers are told to reuse a connection for this share of its idle timeout only, so that their
+/// requests don't cross its close, not even on a full link.
+constexpr double ReuseTimeShare = 0.8;
 
 bool isSafeMethod(const std::string &Method) {
   return Method == "GET" || Method == "HEAD" || Method == "OPTIONS";
@@ -49,6 +52,11 @@
   return this->Server.isKeepAliveDisabled() && IsLast;
 }
 
+std::chrono::seconds HttpConnection::reuseTime() const {
+  return std::chrono::duration_cast<std::chrono::seconds>(this->Server.limits().IdleTimeout *
+                                                          ReuseTimeShare);
+}
+
 void HttpConnection::onReady(GIOCondition Condition) {
   if ((Condition & G_IO_OUT) != 0) {
     this->flush();
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -7,6 +7,7 @@
 #include "transport/HttpExchange.h"
 #include "transport/SocketWatch.h"
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <memory>
@@ -52,6 +53,8 @@
   };
 
   bool shouldCloseAfter(const HttpExchange &Exchange) const;
+  /// Time for which a caller may reuse the connection while it is idle.
+  std::chrono::seconds reuseTime() const;
   void flush();
   void reset();
 
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -100,6 +100,7 @@
   CPPUNIT_TEST(slowReaders);
   CPPUNIT_TEST(slowSendersAndIdleConnections);
   CPPUNIT_TEST(connectionsAreBounded);
+  CPPUNIT_TEST(keepAliveTimeIsAnnounced);
   CPPUNIT_TEST(requestsThatWaitInTheSocketAreServed);
   CPPUNIT_TEST(requestsThatCrossAnIdleCloseStayUnread);
   CPPUNIT_TEST(unansweredRequestsAreReported);
@@ -316,6 +317,34 @@
     CPPUNIT_ASSERT(!Callers[5]->Closed);
   }
 
+  /// Guards against callers that reuse a connection at the moment at which the entry closes it as
+  /// idle, because they don't know its timeout.
+  void keepAliveTimeIsAnnounced() {
+    struct Case {
+      Duration IdleTimeout;
+      std::string Fields;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {15s, "", "Keep-Alive: timeout=12\r\n"},
+        {1250ms, "", "Keep-Alive: timeout=1\r\n"},
+        {1200ms, "", ""},
+        {15s, "Connection: close\r\n", ""},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test;
+      CallerLimits Limits;
+      Limits.IdleTimeout = Each.IdleTimeout;
+      Test.Server.setLimits(Limits);
+      Test.Handler.RespondImmediately = true;
+      Test.Caller->send(getRequest("/a", Each.Fields));
+      CPPUNIT_ASSERT(Test.received("response to /a"));
+      const std::size_t Expected = Each.Expected.empty() ? 0 : 1;
+      CPPUNIT_ASSERT_EQUAL(Expected, countOccurrences(Test.Caller->Received, "Keep-Alive"));
+      CPPUNIT_ASSERT(Test.Caller->Received.find(Each.Expected) != std::string::npos);
+    }
+  }
+
   /// Guards against closing a connection as idle while a request waits unread in its socket: a busy
   /// entry dropped such requests without a response.
   void requestsThatWaitInTheSocketAreServed() {
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -180,7 +180,8 @@
     };
     const Case Table[] = {
         {"complete", makeRequest("GET", "/safe/1"), SuccessResponse,
-         "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nX-Extra: kept\r\nContent-Length: 4\r\n\r\ngood",
+         "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nX-Extra: kept\r\nKeep-Alive: timeout=12\r\n"
+         "Content-Length: 4\r\n\r\ngood",
          1},
         {"unsafe", makeRequest("POST", "/unsafe/1"), SuccessResponse, "HTTP/1.1 200 OK\r\n", 1},
         {"unsafe load shed", makeRequest("POST", "/unsafe/1"),
