--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t MaxReadAheadBytes = std::size_t{64} * 1024;
 constexpr std::size_t MaxPipelinedRequests = 16;
 constexpr Duration LingerTimeout = 1s;
+/// Callers are told to reuse a connection for this share of its idle timeout only, so that their
+/// requests don't cross its close, not even on a full link.
+constexpr double ReuseTimeShare = 0.8;
 
 bool isSafeMethod(const std::string &Method) {
   return Method == "GET" || Method == "HEAD" || Method == "OPTIONS";
@@ -49,6 +52,11 @@
   return this->Server.isKeepAliveDisabled() && IsLast;
 }
 
+std::chrono::seconds HttpConnection::reuseTime() const {
+  return std::chrono::duration_cast<std::chrono::seconds>(this->Server.limits().IdleTimeout *
+                                                          ReuseTimeShare);
+}
+
 void HttpConnection::onReady(GIOCondition Condition) {
   if ((Condition & G_IO_OUT) != 0) {
     this->flush();
@@ -56,8 +64,8 @@
   if (this->CurrentState == State::Closed || (Condition & ~G_IO_OUT) == 0) {
     return;
   }
-  if (!this->readAvailable()) {
-    this->close();
+  if (const auto Reason = this->readAvailable()) {
+    this->close(*Reason);
     return;
   }
   if (this->CurrentState == State::Open) {
@@ -66,7 +74,7 @@
   }
 }
 
-bool HttpConnection::readAvailable() {
+std::optional<CloseReason> HttpConnection::readAvailable() {
   std::array<char, ReadBufferBytes> Buffer;
   // Read everything that has arrived first: if the caller has already disconnected, the requests
   // before that must not be passed to the handler.
@@ -76,10 +84,15 @@
         g_socket_receive(this->Socket.get(), Buffer.data(), Buffer.size(), nullptr, &Error);
     const GErrorPointer Failure(Error);
     if (Count < 0) {
-      return g_error_matches(Failure.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+      return g_error_matches(Failure.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)
+                 ? std::nullopt
+                 : std::optional(CloseReason::ReadFailed);
     }
     if (Count == 0) {
-      return false;
+      return CloseReason::CallerClosed;
+    }
+    if (this->CurrentState == State::Lingering) {
+      this->reportUnreadBytes(this->LingeringReason);
     }
     if (this->CurrentState != State::Open || this->IsRejected) {
       continue;
@@ -91,10 +104,10 @@
     this->Parser.add({Buffer.data(), static_cast<std::size_t>(Count)});
     Total += static_cast<std::size_t>(Count);
     if (static_cast<std::size_t>(Count) < Buffer.size()) {
-      return true;
+      return std::nullopt;
     }
   }
-  return true;
+  return std::nullopt;
 }
 
 void HttpConnection::parse() {
@@ -162,11 +175,12 @@
       const GErrorPointer Failure(Error);
       if (Count < 0) {
         if (!g_error_matches(Failure.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-          this->close();
+          this->close(CloseReason::WriteFailed);
         }
         return;
       }
       this->LastActivity = this->Server.now();
+      this->LastWrite = this->LastActivity;
       Front.Output.erase(0, static_cast<std::size_t>(Count));
       continue;
     }
@@ -187,14 +201,14 @@
   const bool CloseNow = Front.CloseAfter;
   this->Exchanges.pop_front();
   if (CloseNow) {
-    this->startLingering();
+    this->startLingering(CloseReason::LastResponse);
     return false;
   }
   if (this->Exchanges.empty()) {
     // Process requests that had to wait for the response to an unsafe one.
     this->parse();
     if (this->Server.isKeepAliveDisabled()) {
-      this->closeIfIdle();
+      this->closeIfIdle(CloseReason::Shutdown);
     }
   }
   return true;
@@ -215,55 +229,111 @@
   this->Watch.setConditions(Conditions);
 }
 
-void HttpConnection::startLingering() {
+void HttpConnection::startLingering(CloseReason Reason) {
   this->CurrentState = State::Lingering;
+  this->LingeringReason = Reason;
   this->LastActivity = this->Server.now();
   g_socket_shutdown(this->Socket.get(), FALSE, TRUE, nullptr);
-  for (const auto &Each : this->Exchanges) {
-    if (Each->Pending) {
-      this->Server.handler().onCallerDisconnected(*Each);
-    }
-  }
+  this->reportUnanswered(Reason);
   this->Exchanges.clear();
   this->Watch.setConditions(G_IO_IN);
 }
 
-void HttpConnection::closeIfIdle() {
+void HttpConnection::closeIfIdle(CloseReason Reason) {
   if (!this->isIdle()) {
     return;
   }
   // A request that has arrived but was not read yet still gets its response.
   this->onReady(G_IO_IN);
-  if (this->isIdle()) {
-    this->startLingering();
+  if (!this->isIdle()) {
+    return;
   }
+  if (this->LastWrite && this->Server.now() - *this->LastWrite < LingerTimeout) {
+    this->startLingering(Reason);
+    return;
+  }
+  // The caller has the last response, so nothing is read any more: a request that arrives after
+  // this causes a reset, which tells the caller that it did not run.
+  this->close(Reason);
+}
+
+bool HttpConnection::hasUnreadBytes() const {
+  char Byte = 0;
+  return recv(g_socket_get_fd(this->Socket.get()), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void HttpConnection::reset() {
   const linger ZeroLinger = {1, 0};
   setsockopt(g_socket_get_fd(this->Socket.get()), SOL_SOCKET, SO_LINGER, &ZeroLinger,
              sizeof(ZeroLinger));
-  this->close();
+  this->close(CloseReason::TruncatedResponse);
 }
 
-void HttpConnection::close() {
-  if (std::exchange(this->CurrentState, State::Closed) == State::Closed) {
+void HttpConnection::close(CloseReason Reason) {
+  const State Previous = std::exchange(this->CurrentState, State::Closed);
+  if (Previous == State::Closed) {
     return;
   }
-  for (const auto &Each : this->Exchanges) {
-    if (std::exchange(Each->Pending, false)) {
-      this->Server.handler().onCallerDisconnected(*Each);
-    }
+  if (Previous == State::Open) {
+    this->reportUnanswered(Reason);
   }
   this->Watch.setConditions(static_cast<GIOCondition>(0));
   g_socket_close(this->Socket.get(), nullptr);
   this->Server.remove(*this);
 }
 
+void HttpConnection::reportUnanswered(CloseReason Reason) {
+  for (const auto &Each : this->Exchanges) {
+    if (std::exchange(Each->Pending, false)) {
+      this->Server.countUnanswered(Reason, RequestStage::InProgress);
+      this->Server.handler().onCallerDisconnected(*Each, Reason);
+    } else {
+      this->report(Reason, Each->Complete ? RequestStage::Unsent : RequestStage::InProgress,
+                   Each->Request);
+    }
+  }
+  if (this->IsRejected) {
+    return;
+  }
+  while (this->Parser.parse() == RequestParser::State::Complete) {
+    this->report(Reason, RequestStage::Unprocessed, this->Parser.head());
+    this->Parser.next();
+  }
+  if (this->Parser.isStarted()) {
+    this->report(Reason, RequestStage::Incomplete, {});
+  }
+  if (this->CurrentState == State::Closed && this->hasUnreadBytes()) {
+    this->reportUnreadBytes(Reason);
+  }
+}
+
+void HttpConnection::report(CloseReason Reason, RequestStage Stage, const RequestHead &Head) {
+  this->Server.countUnanswered(Reason, Stage);
+  this->Server.handler().onUnanswered({Reason, Stage, Head, this->callerAddress()});
+}
+
+void HttpConnection::reportUnreadBytes(CloseReason Reason) {
+  if (!std::exchange(this->HasReportedUnread, true)) {
+    this->report(Reason, RequestStage::Unread, {});
+  }
+}
+
+std::string HttpConnection::callerAddress() const {
+  const GObjectPointer<GSocketAddress> Remote(
+      g_socket_get_remote_address(this->Socket.get(), nullptr));
+  if (!Remote) {
+    return {};
+  }
+  auto *const Internet = G_INET_SOCKET_ADDRESS(Remote.get());
+  const std::unique_ptr<char, GFree> Address(
+      g_inet_address_to_string(g_inet_socket_address_get_address(Internet)));
+  return toString(Endpoint{Address.get(), g_inet_socket_address_get_port(Internet)});
+}
+
 void HttpConnection::checkTimeouts(TimePoint Now) {
   if (this->CurrentState == State::Lingering) {
     if (Now - this->LastActivity > LingerTimeout) {
-      this->close();
+      this->close(this->LingeringReason);
     }
     return;
   }
@@ -272,7 +342,7 @@
   }
   if (this->isIdle()) {
     if (Now - this->LastActivity > this->Server.limits().IdleTimeout) {
-      this->closeIfIdle();
+      this->closeIfIdle(CloseReason::IdleTimeout);
     }
     return;
   }
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "protocol/RequestParser.h"
+#include "protocol/UnansweredRequest.h"
 #include "state/Time.h"
 #include "transport/GlibPointers.h"
 #include "transport/HttpExchange.h"
 #include "transport/SocketWatch.h"
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <gio/gio.h>
@@ -34,9 +37,9 @@
   /// Applies the timeouts of idle connections, of requests that arrive too slowly and of lingering
   /// closes.
   void checkTimeouts(TimePoint Now);
-  /// Closes the connection gracefully if it is idle and no request has arrived. May remove the
-  /// connection from its server.
-  void closeIfIdle();
+  /// Closes the connection if it is idle and no request has arrived. May remove the connection from
+  /// its server.
+  void closeIfIdle(CloseReason Reason);
 
 private:
   friend class HttpExchange;
@@ -50,20 +53,28 @@
   };
 
   bool shouldCloseAfter(const HttpExchange &Exchange) const;
+  /// Time for which a caller may reuse the connection while it is idle.
+  std::chrono::seconds reuseTime() const;
   void flush();
   void reset();
 
   void onReady(GIOCondition Condition);
-  /// Returns false if the caller disconnected.
-  bool readAvailable();
+  /// Returns the reason if the caller disconnected.
+  std::optional<CloseReason> readAvailable();
   void parse();
   void rejectRequest(int Status, const std::string &Text);
   void write();
   /// Returns true if there may be more to write.
   bool onFrontWritten();
   void updateWatch();
-  void startLingering();
-  void close();
+  void startLingering(CloseReason Reason);
+  void close(CloseReason Reason);
+  /// Reports all requests that the end of the connection leaves without a complete response.
+  void reportUnanswered(CloseReason Reason);
+  void report(CloseReason Reason, RequestStage Stage, const RequestHead &Head);
+  void reportUnreadBytes(CloseReason Reason);
+  bool hasUnreadBytes() const;
+  std::string callerAddress() const;
 
   HttpServer &Server;
   GObjectPointer<GSocket> Socket;
@@ -71,9 +82,14 @@
   RequestParser Parser;
   std::deque<std::unique_ptr<HttpExchange>> Exchanges;
   TimePoint LastActivity;
+  /// Time at which bytes of a response were sent; nothing before the first response.
+  std::optional<TimePoint> LastWrite;
   /// Arrival of the first byte of the request that is being received.
   TimePoint RequestStarted{};
   State CurrentState = State::Open;
+  /// Valid in state Lingering.
+  CloseReason LingeringReason = CloseReason::CallerClosed;
+  bool HasReportedUnread = false;
   /// A request was malformed or too slow; the connection reads no further ones.
   bool IsRejected = false;
   bool IsFlushing = false;
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -96,7 +96,7 @@
     }
   }
   if (Oldest) {
-    Oldest->closeIfIdle();
+    Oldest->closeIfIdle(CloseReason::ConnectionLimit);
   }
 }
 
@@ -108,7 +108,7 @@
     g_socket_close(this->Listener.get(), nullptr);
   }
   for (HttpConnection *Each : this->connections()) {
-    Each->closeIfIdle();
+    Each->closeIfIdle(CloseReason::Shutdown);
   }
 }
 
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -3,6 +3,7 @@
 #include "transport/HttpServer.h"
 #include "transport/SystemClock.h"
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -22,10 +23,14 @@
       this->respond(Exchange.head().RequestTarget);
     }
   }
-  void onCallerDisconnected(HttpExchange &Exchange) override {
+  void onCallerDisconnected(HttpExchange &Exchange, CloseReason Reason) override {
     this->Disconnected += Exchange.head().RequestTarget + ";";
+    this->Unanswered += Exchange.head().RequestTarget + " " + toString(Reason) + ";";
     this->Pending.erase(Exchange.head().RequestTarget);
   }
+  void onUnanswered(const UnansweredRequest &Request) override {
+    this->Unanswered += Request.Head.RequestTarget + " " + toString(Request.Reason) + ";";
+  }
   void respond(const std::string &Target, int Status = 200) {
     HttpExchange *Exchange = this->Pending.extract(Target).mapped();
     ResponseHead Head;
@@ -37,6 +42,7 @@
   std::map<std::string, HttpExchange *> Pending;
   std::string Received;
   std::string Disconnected;
+  std::string Unanswered;
   bool RespondImmediately = false;
 };
 
@@ -44,6 +50,18 @@
   return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n" + Fields + "\r\n";
 }
 
+/// Runs ahead of the system clock by a duration that the test sets.
+class AdvancedClock final : public Clock {
+public:
+  TimePoint now() const override { return this->Base.now() + this->Advance; }
+  std::int64_t unixMilliseconds() const override { return this->Base.unixMilliseconds(); }
+
+  Duration Advance{0};
+
+private:
+  SystemClock Base;
+};
+
 std::size_t countOccurrences(const std::string &Text, const std::string &Part) {
   std::size_t Result = 0;
   for (std::size_t Position = Text.find(Part); Position != std::string::npos;
@@ -54,7 +72,7 @@
 }
 
 struct Fixture {
-  Fixture() : Server(Handler, Time, 100) {
+  explicit Fixture(std::size_t MaxConnections = 100) : Server(Handler, Time, MaxConnections) {
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Server.listen({"127.0.0.1", 0}));
     this->Caller = RawConnection::connect(this->Server.port());
   }
@@ -62,7 +80,7 @@
     return runUntil([&] { return this->Caller->Received.find(Part) != std::string::npos; });
   }
 
-  SystemClock Time;
+  AdvancedClock Time;
   RecordingHandler Handler;
   HttpServer Server;
   std::unique_ptr<RawConnection> Caller;
@@ -83,6 +101,11 @@
   CPPUNIT_TEST(slowReaders);
   CPPUNIT_TEST(slowSendersAndIdleConnections);
   CPPUNIT_TEST(connectionsAreBounded);
+  CPPUNIT_TEST(keepAliveTimeIsAnnounced);
+  CPPUNIT_TEST(requestsThatWaitInTheSocketAreServed);
+  CPPUNIT_TEST(requestsThatCrossAnIdleCloseStayUnread);
+  CPPUNIT_TEST(unansweredRequestsAreReported);
+  CPPUNIT_TEST(idleConnectionsEndWithoutReport);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -335,6 +358,197 @@
     CPPUNIT_ASSERT(runUntil([&] { return Callers[0]->Closed && Callers[2]->Closed; }));
     CPPUNIT_ASSERT(!Callers[5]->Closed);
   }
+
+  /// Guards against callers that reuse a connection at the moment at which the entry closes it as
+  /// idle, because they don't know its timeout.
+  void keepAliveTimeIsAnnounced() {
+    struct Case {
+      Duration IdleTimeout;
+      std::string Fields;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {15s, "", "Keep-Alive: timeout=12\r\n"},
+        {1250ms, "", "Keep-Alive: timeout=1\r\n"},
+        {1200ms, "", ""},
+        {15s, "Connection: close\r\n", ""},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test;
+      CallerLimits Limits;
+      Limits.IdleTimeout = Each.IdleTimeout;
+      Test.Server.setLimits(Limits);
+      Test.Handler.RespondImmediately = true;
+      Test.Caller->send(getRequest("/a", Each.Fields));
+      CPPUNIT_ASSERT(Test.received("response to /a"));
+      const std::size_t Expected = Each.Expected.empty() ? 0 : 1;
+      CPPUNIT_ASSERT_EQUAL(Expected, countOccurrences(Test.Caller->Received, "Keep-Alive"));
+      CPPUNIT_ASSERT(Test.Caller->Received.find(Each.Expected) != std::string::npos);
+    }
+  }
+
+  /// Guards against closing a connection as idle while a request waits unread in its socket: a busy
+  /// entry dropped such requests without a response.
+  void requestsThatWaitInTheSocketAreServed() {
+    std::unique_ptr<RawConnection> Second;
+    const std::pair<const char *, std::function<void(Fixture &)>> Table[] = {
+        {"idle timeout",
+         [](Fixture &Test) {
+           Test.Time.Advance = 2 * CallerLimits().IdleTimeout;
+           // Makes the timeout timer due together with the socket.
+           g_usleep(300'000);
+         }},
+        {"connection limit",
+         [&](Fixture &Test) { Second = RawConnection::connect(Test.Server.port()); }},
+        {"shutdown", [](Fixture &Test) { Test.Server.stopListening(); }},
+    };
+    for (const auto &[Name, Close] : Table) {
+      Fixture Test(1);
+      Test.Handler.RespondImmediately = true;
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 1; }));
+      Test.Caller->send(getRequest("/a"));
+      Close(Test);
+      CPPUNIT_ASSERT_MESSAGE(Name, Test.received("response to /a"));
+    }
+  }
+
+  /// Guards against reading a request that arrives after an idle connection was closed: the caller
+  /// can repeat it only if it knows that the request was not read.
+  void requestsThatCrossAnIdleCloseStayUnread() {
+    std::unique_ptr<RawConnection> Second;
+    const std::pair<const char *, std::function<void(Fixture &)>> Table[] = {
+        {"idle timeout", [](Fixture &Test) { Test.Time.Advance = 2 * CallerLimits().IdleTimeout; }},
+        {"connection limit",
+         [&](Fixture &Test) { Second = RawConnection::connect(Test.Server.port()); }},
+        {"shutdown", [](Fixture &Test) { Test.Server.stopListening(); }},
+    };
+    for (const auto &[Name, Close] : Table) {
+      Fixture Test(1);
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 1; }));
+      Close(Test);
+      CPPUNIT_ASSERT_MESSAGE(Name, runUntil([&] { return Test.Caller->Closed; }));
+      Test.Caller->send(getRequest("/a"));
+      runPending();
+      CPPUNIT_ASSERT_MESSAGE(Name, Test.Server.unanswered() == UnansweredCounts());
+    }
+  }
+
+  /// Guards against a connection that ends without a trace although a request on it has no complete
+  /// response.
+  void unansweredRequestsAreReported() {
+    struct Case {
+      const char *Name;
+      std::function<void(Fixture &)> Act;
+      CloseReason Reason;
+      RequestStage Stage;
+      std::string Expected;
+    };
+    const auto ReceiveTwo = [](Fixture &Test) {
+      Test.Caller->send(getRequest("/a") + getRequest("/b"));
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Handler.Pending.size() == 2; }));
+    };
+    const Case Table[] = {
+        {"the caller closes",
+         [&](Fixture &Test) {
+           ReceiveTwo(Test);
+           Test.Caller->close();
+         },
+         CloseReason::CallerClosed, RequestStage::InProgress, "/a caller_closed;/b caller_closed;"},
+        {"the caller resets",
+         [&](Fixture &Test) {
+           ReceiveTwo(Test);
+           Test.Caller->reset();
+         },
+         CloseReason::ReadFailed, RequestStage::InProgress, "/a read_failed;/b read_failed;"},
+        {"the caller closes before its request is complete",
+         [](Fixture &Test) {
+           Test.Caller->send("GET /a HTTP/1.1\r\n");
+           runPending();
+           Test.Caller->close();
+         },
+         CloseReason::CallerClosed, RequestStage::Incomplete, " caller_closed;"},
+        {"the caller closes while its request waits for the one before",
+         [](Fixture &Test) {
+           Test.Caller->send("POST /u HTTP/1.1\r\nContent-Length: 0\r\n\r\n" + getRequest("/a"));
+           CPPUNIT_ASSERT(runUntil([&] { return !Test.Handler.Pending.empty(); }));
+           Test.Caller->close();
+         },
+         CloseReason::CallerClosed, RequestStage::Unprocessed,
+         "/u caller_closed;/a caller_closed;"},
+        {"the response waits for the one before",
+         [&](Fixture &Test) {
+           ReceiveTwo(Test);
+           Test.Handler.respond("/b");
+           Test.Caller->close();
+         },
+         CloseReason::CallerClosed, RequestStage::Unsent, "/a caller_closed;/b caller_closed;"},
+        {"the response can't be written",
+         [&](Fixture &Test) {
+           Test.Caller->send(getRequest("/a"));
+           CPPUNIT_ASSERT(runUntil([&] { return !Test.Handler.Pending.empty(); }));
+           Test.Caller->reset();
+           Test.Handler.respond("/a");
+         },
+         CloseReason::WriteFailed, RequestStage::Unsent, "/a write_failed;"},
+        {"the response before is truncated",
+         [&](Fixture &Test) {
+           ReceiveTwo(Test);
+           HttpExchange &Exchange = *Test.Handler.Pending.extract("/a").mapped();
+           Exchange.begin({});
+           Exchange.abort();
+         },
+         CloseReason::TruncatedResponse, RequestStage::InProgress,
+         "/a truncated_response;/b truncated_response;"},
+        {"the request follows the last response",
+         [](Fixture &Test) {
+           Test.Handler.RespondImmediately = true;
+           Test.Caller->send(getRequest("/a", "Connection: close\r\n"));
+           CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
+           Test.Caller->send(getRequest("/b"));
+         },
+         CloseReason::LastResponse, RequestStage::Unread, " last_response;"},
+        {"the request crosses the close of an idle connection",
+         [](Fixture &Test) {
+           Test.Handler.RespondImmediately = true;
+           Test.Caller->send(getRequest("/a"));
+           CPPUNIT_ASSERT(Test.received("response to /a"));
+           CallerLimits Limits;
+           Limits.IdleTimeout = 10ms;
+           Test.Server.setLimits(Limits);
+           CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
+           Test.Caller->send(getRequest("/b"));
+         },
+         CloseReason::IdleTimeout, RequestStage::Unread, " idle_timeout;"},
+        {"the request crosses a shutdown",
+         [](Fixture &Test) {
+           Test.Handler.RespondImmediately = true;
+           Test.Caller->send(getRequest("/a"));
+           CPPUNIT_ASSERT(Test.received("response to /a"));
+           Test.Server.stopListening();
+           CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
+           Test.Caller->send(getRequest("/b"));
+         },
+         CloseReason::Shutdown, RequestStage::Unread, " shutdown;"},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test;
+      Each.Act(Test);
+      const auto Count = [&] { return Test.Server.unanswered().count(Each.Reason, Each.Stage); };
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Count() > 0; }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Test.Handler.Unanswered);
+    }
+  }
+
+  /// Guards against reports of connections that end while nothing is left to answer.
+  void idleConnectionsEndWithoutReport() {
+    Fixture Test;
+    Test.Handler.RespondImmediately = true;
+    Test.Caller->send(getRequest("/a"));
+    CPPUNIT_ASSERT(Test.received("response to /a"));
+    Test.Caller->close();
+    CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 0; }));
+    CPPUNIT_ASSERT(Test.Server.unanswered() == UnansweredCounts());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
