--- a/src/libs/coordination/PublicationLog.cpp
+++ b/src/libs/coordination/PublicationLog.cpp
@@ -6,36 +6,43 @@
 
 namespace anvilsaddle {
 
+namespace {
+
+template <typename GapList> bool isInGap(const GapList &Gaps, const SourcePosition &Position) {
+  return std::any_of(Gaps.begin(), Gaps.end(),
+                     [&Position](const PublicationGap &Each) { return Each.isInside(Position); });
+}
+
+} // namespace
+
 bool PublicationLog::isAcceptable(const PublicationBatch &Batch) const {
   if (Batch.position() < this->Position) {
     return false;
   }
-  const bool IsSameEpoch = Batch.Epoch == this->Position.Epoch;
-  return Batch.IsSnapshot || (IsSameEpoch && Batch.Since <= this->Position.Revision);
+  return Batch.IsSnapshot ||
+         (Batch.since() <= this->Position && !isInGap(Batch.Gaps, this->Position));
 }
 
 bool PublicationLog::isRestoredBy(const PublicationBatch &Batch) const {
-  return Batch.IsSnapshot && this->Position.isValid() && Batch.Epoch > this->Position.Epoch;
+  return this->Position.isValid() && Batch.Epoch > this->Position.Epoch;
 }
 
 bool PublicationLog::apply(const PublicationBatch &Batch) {
   if (!this->isAcceptable(Batch)) {
     return false;
   }
-  if (Batch.IsSnapshot) {
-    if (Batch.Epoch > this->Position.Epoch || !this->Position.isValid()) {
-      this->startEpoch(Batch);
-    } else {
-      this->addGap({this->Position.Revision, Batch.Revision});
-      this->removeUnlisted(Batch);
-    }
+  if (Batch.IsSnapshot && !this->Position.isValid()) {
+    this->CompactedPosition = Batch.position();
+  } else if (Batch.IsSnapshot) {
+    this->addGap({this->Position, Batch.position()});
+    this->removeUnlisted(Batch);
   }
-  for (const RevisionGap &Each : Batch.Gaps) {
+  for (const PublicationGap &Each : Batch.Gaps) {
     this->addGap(Each);
   }
   for (const Publication &Each : Batch.Changes) {
     if (!Batch.IsSnapshot || !this->isKnown(Each)) {
-      this->applyChange(Each, Batch.Revision);
+      this->applyChange(Each, Batch.position());
     }
   }
   this->Position = Batch.position();
@@ -43,35 +50,18 @@
   return true;
 }
 
-void PublicationLog::startEpoch(const PublicationBatch &Snapshot) {
-  this->CompactedRevision = Snapshot.Revision;
-  this->Gaps.clear();
-  this->Targets.clear();
-  this->RemovedTargets.clear();
-  this->Evacuations.clear();
-  if (this->CurrentConfiguration) {
-    this->CurrentConfiguration->ChangedAt = Snapshot.Revision;
-  }
-}
-
-void PublicationLog::addGap(const RevisionGap &Added) {
-  const bool HasInside = Added.isInside(Added.First + 1);
-  if (!HasInside || std::find(this->Gaps.begin(), this->Gaps.end(), Added) != this->Gaps.end()) {
+void PublicationLog::addGap(const PublicationGap &Added) {
+  if (Added.isEmpty() ||
+      std::find(this->Gaps.begin(), this->Gaps.end(), Added) != this->Gaps.end()) {
     return;
   }
   this->Gaps.push_back(Added);
   if (this->Gaps.size() > MaxRetainedGaps) {
-    this->CompactedRevision = std::max(this->CompactedRevision, this->Gaps.front().Last);
+    this->CompactedPosition = std::max(this->CompactedPosition, this->Gaps.front().Last);
     this->Gaps.pop_front();
   }
 }
 
-bool PublicationLog::isInGap(std::int64_t KnownRevision) const {
-  return std::any_of(
-      this->Gaps.begin(), this->Gaps.end(),
-      [KnownRevision](const RevisionGap &Each) { return Each.isInside(KnownRevision); });
-}
-
 bool PublicationLog::isKnown(const Publication &Change) const {
   if (const auto *Registered = std::get_if<TargetRegistered>(&Change)) {
     const auto Known = this->Targets.find(Registered->Registration.Name);
@@ -97,18 +87,18 @@
   std::erase_if(this->Targets, [&](const auto &Each) {
     const bool IsRemoved = !ListedTargets.contains(Each.first);
     if (IsRemoved) {
-      this->RemovedTargets[Each.first] = Snapshot.Revision;
+      this->RemovedTargets[Each.first] = Snapshot.position();
     }
     return IsRemoved;
   });
   for (auto &[Domain, Each] : this->Evacuations) {
     if (Each.Value && !ListedDomains.contains(Domain)) {
-      Each = {Snapshot.Revision, false};
+      Each = {Snapshot.position(), false};
     }
   }
 }
 
-void PublicationLog::applyChange(const Publication &Change, std::int64_t ChangedAt) {
+void PublicationLog::applyChange(const Publication &Change, const SourcePosition &ChangedAt) {
   if (const auto *Newer = std::get_if<Configuration>(&Change)) {
     if (!this->CurrentConfiguration || this->CurrentConfiguration->Value.Version < Newer->Version) {
       this->CurrentConfiguration = {ChangedAt, *Newer};
@@ -129,7 +119,7 @@
     const auto Oldest = std::min_element(
         this->RemovedTargets.begin(), this->RemovedTargets.end(),
         [](const auto &Left, const auto &Right) { return Left.second < Right.second; });
-    this->CompactedRevision = std::max(this->CompactedRevision, Oldest->second);
+    this->CompactedPosition = std::max(this->CompactedPosition, Oldest->second);
     this->RemovedTargets.erase(Oldest);
   }
 }
@@ -138,19 +128,21 @@
   PublicationBatch Result;
   Result.Epoch = this->Position.Epoch;
   Result.Revision = this->Position.Revision;
-  Result.IsSnapshot = !Known.isValid() || Known.Epoch != this->Position.Epoch ||
-                      Known.Revision < this->CompactedRevision || this->isInGap(Known.Revision);
-  Result.Since = Result.IsSnapshot ? 0 : Known.Revision;
-  if (this->CurrentConfiguration && this->CurrentConfiguration->ChangedAt > Result.Since) {
+  Result.IsSnapshot =
+      !Known.isValid() || Known < this->CompactedPosition || isInGap(this->Gaps, Known);
+  const SourcePosition Since = Result.IsSnapshot ? SourcePosition() : Known;
+  Result.Since = Since.Revision;
+  Result.SinceEpoch = Since.Epoch;
+  if (this->CurrentConfiguration && this->CurrentConfiguration->ChangedAt > Since) {
     Result.Changes.emplace_back(this->CurrentConfiguration->Value);
   }
   for (const auto &[Name, Each] : this->Targets) {
-    if (Each.ChangedAt > Result.Since) {
+    if (Each.ChangedAt > Since) {
       Result.Changes.emplace_back(TargetRegistered{Each.Value});
     }
   }
   for (const auto &[Domain, Each] : this->Evacuations) {
-    if (Each.ChangedAt > Result.Since && (Each.Value || !Result.IsSnapshot)) {
+    if (Each.ChangedAt > Since && (Each.Value || !Result.IsSnapshot)) {
       Result.Changes.emplace_back(DomainEvacuation{Domain, Each.Value});
     }
   }
@@ -158,9 +150,9 @@
     return Result;
   }
   std::copy_if(this->Gaps.begin(), this->Gaps.end(), std::back_inserter(Result.Gaps),
-               [&Known](const RevisionGap &Each) { return Each.Last > Known.Revision; });
+               [&Known](const PublicationGap &Each) { return Each.Last > Known; });
   for (const auto &[Name, RemovedAt] : this->RemovedTargets) {
-    if (RemovedAt > Result.Since) {
+    if (RemovedAt > Known) {
       Result.Changes.emplace_back(TargetRemoved{Name});
     }
   }
--- a/src/libs/coordination/TargetTable.cpp
+++ b/src/libs/coordination/TargetTable.cpp
@@ -18,8 +18,11 @@
 } // namespace
 
 void TargetTable::apply(const PublicationBatch &Batch, TimePoint Now) {
-  if (Batch.IsSnapshot) {
-    this->applySnapshot(Batch, Now);
+  const bool IsRestored = this->HasSnapshot && Batch.Epoch > this->Epoch;
+  this->HasSnapshot = this->HasSnapshot || Batch.IsSnapshot;
+  this->Epoch = Batch.Epoch;
+  if (Batch.IsSnapshot || IsRestored) {
+    this->applyState(Batch, IsRestored, Now);
   } else {
     this->applyChanges(Batch, Now);
   }
@@ -38,47 +41,48 @@
   }
 }
 
-void TargetTable::applySnapshot(const PublicationBatch &Snapshot, TimePoint Now) {
-  const bool IsRestored = this->HasSnapshot && Snapshot.Epoch > this->Epoch;
-  this->HasSnapshot = true;
-  this->Epoch = Snapshot.Epoch;
+void TargetTable::applyState(const PublicationBatch &Batch, bool IsRestored, TimePoint Now) {
   std::set<TargetName> ListedTargets;
   std::set<FailureDomainName> ListedDomains;
-  for (const Publication &Each : Snapshot.Changes) {
+  for (const Publication &Each : Batch.Changes) {
     if (const auto *Registered = std::get_if<TargetRegistered>(&Each)) {
       ListedTargets.insert(Registered->Registration.Name);
-      this->applyListedTarget(Registered->Registration, Snapshot, Now);
+      this->applyListedTarget(Registered->Registration, Now);
+    } else if (const auto *Removed = std::get_if<TargetRemoved>(&Each)) {
+      this->applyUnlistedTarget(Removed->Name, IsRestored, Now);
     } else if (const auto *Evacuation = std::get_if<DomainEvacuation>(&Each)) {
-      if (Evacuation->Active) {
-        ListedDomains.insert(Evacuation->Domain);
-      }
+      ListedDomains.insert(Evacuation->Domain);
+      this->applyListedEvacuation(*Evacuation, IsRestored, Now);
     }
   }
-  this->applyListedEvacuations(ListedDomains, IsRestored, Now);
-  std::erase_if(this->PostponedTargets,
-                [&](const auto &Each) { return !ListedTargets.contains(Each.first); });
-  std::vector<TargetName> Unlisted;
-  for (auto &[Name, State] : this->Targets) {
-    if (!ListedTargets.contains(Name)) {
-      Unlisted.push_back(Name);
-    }
+  if (!Batch.IsSnapshot) {
+    return;
+  }
+  std::set<TargetName> Unlisted;
+  for (const auto &[Name, State] : this->Targets) {
+    Unlisted.insert(Name);
   }
+  for (const auto &[Name, Postponed] : this->PostponedTargets) {
+    Unlisted.insert(Name);
+  }
+  std::erase_if(Unlisted, [&](const TargetName &Name) { return ListedTargets.contains(Name); });
   for (const TargetName &Name : Unlisted) {
-    const bool IsRemovalKnown = this->RemovedTargets.contains(Name);
-    if (!IsRestored && !IsRemovalKnown) {
-      this->rememberRemoval(Name, Now);
-    } else if (IsRestored && !IsRemovalKnown) {
-      // The delay starts over with each restore.
-      this->Targets.at(Name).RemoveAt.reset();
+    this->applyUnlistedTarget(Name, IsRestored, Now);
+  }
+  std::set<FailureDomainName> Domains = this->EvacuatedDomains;
+  for (const auto &[Domain, Postponed] : this->PostponedEvacuations) {
+    Domains.insert(Domain);
+  }
+  for (const FailureDomainName &Domain : Domains) {
+    if (!ListedDomains.contains(Domain)) {
+      this->applyListedEvacuation({Domain, false}, IsRestored, Now);
     }
-    this->remove(Name, Now);
   }
 }
 
-void TargetTable::applyListedTarget(const Target &Listed, const PublicationBatch &Snapshot,
-                                    TimePoint Now) {
+void TargetTable::applyListedTarget(const Target &Listed, TimePoint Now) {
   const auto IsSuperseded = [&](std::int64_t KnownEpoch, const Target &Known) {
-    return KnownEpoch < Snapshot.Epoch && Known.isAtLeastAsNewAs(Listed);
+    return KnownEpoch < this->Epoch && Known.isAtLeastAsNewAs(Listed);
   };
   const auto Removed = this->RemovedTargets.find(Listed.Name);
   const bool WasRemoved = Removed != this->RemovedTargets.end() &&
@@ -101,34 +105,33 @@
   this->add(Listed, Now);
 }
 
-void TargetTable::applyListedEvacuations(const std::set<FailureDomainName> &Listed, bool IsRestored,
-                                         TimePoint Now) {
-  const bool IsPostponing = IsRestored && Now < this->RemovalsDeferredUntil;
-  const auto ApplyOrPostpone = [&](const FailureDomainName &Domain, bool Active) {
-    if (IsPostponing) {
-      this->PostponedEvacuations[Domain] = {Active, this->RemovalsDeferredUntil};
-    } else if (!this->PostponedEvacuations.contains(Domain)) {
-      this->setEvacuated(Domain, Active);
-    }
-  };
-  // The source lists the state in effect, so that nothing is left to postpone.
-  std::erase_if(this->PostponedEvacuations, [&](const auto &Each) {
-    return Listed.contains(Each.first) == this->EvacuatedDomains.contains(Each.first);
-  });
-  for (const FailureDomainName &Domain : Listed) {
-    if (this->EvacuatedDomains.contains(Domain)) {
-      continue;
-    }
-    if (this->ReturnedDomains.contains(Domain)) {
-      ApplyOrPostpone(Domain, true);
-    } else {
-      this->setEvacuated(Domain, true);
-    }
+void TargetTable::applyUnlistedTarget(const TargetName &Name, bool IsRestored, TimePoint Now) {
+  this->PostponedTargets.erase(Name);
+  const auto Found = this->Targets.find(Name);
+  if (Found == this->Targets.end()) {
+    return;
   }
-  for (const FailureDomainName &Domain : std::set<FailureDomainName>(this->EvacuatedDomains)) {
-    if (!Listed.contains(Domain)) {
-      ApplyOrPostpone(Domain, false);
-    }
+  const bool IsRemovalKnown = this->RemovedTargets.contains(Name);
+  if (!IsRestored && !IsRemovalKnown && !Found->second.RemoveAt) {
+    this->rememberRemoval(Name, Now);
+  } else if (IsRestored && !IsRemovalKnown) {
+    // The delay starts over with each restore.
+    Found->second.RemoveAt.reset();
+  }
+  this->remove(Name, Now);
+}
+
+void TargetTable::applyListedEvacuation(const DomainEvacuation &Listed, bool IsRestored,
+                                        TimePoint Now) {
+  if (this->EvacuatedDomains.contains(Listed.Domain) == Listed.Active) {
+    this->PostponedEvacuations.erase(Listed.Domain);
+    return;
+  }
+  const bool IsKnownOtherwise = !Listed.Active || this->ReturnedDomains.contains(Listed.Domain);
+  if (IsRestored && IsKnownOtherwise && Now < this->RemovalsDeferredUntil) {
+    this->PostponedEvacuations[Listed.Domain] = {Listed.Active, this->RemovalsDeferredUntil};
+  } else if (!this->PostponedEvacuations.contains(Listed.Domain)) {
+    this->setEvacuated(Listed.Domain, Listed.Active);
   }
 }
 
--- a/src/libs/coordination/TargetTable.h
+++ b/src/libs/coordination/TargetTable.h
@@ -128,10 +128,11 @@
   };
 
   void applyChanges(const PublicationBatch &Batch, TimePoint Now);
-  void applySnapshot(const PublicationBatch &Snapshot, TimePoint Now);
-  void applyListedTarget(const Target &Listed, const PublicationBatch &Snapshot, TimePoint Now);
-  void applyListedEvacuations(const std::set<FailureDomainName> &Listed, bool IsRestored,
-                              TimePoint Now);
+  /// Applies a snapshot, or the differences from the state before a restore of the source.
+  void applyState(const PublicationBatch &Batch, bool IsRestored, TimePoint Now);
+  void applyListedTarget(const Target &Listed, TimePoint Now);
+  void applyUnlistedTarget(const TargetName &Name, bool IsRestored, TimePoint Now);
+  void applyListedEvacuation(const DomainEvacuation &Listed, bool IsRestored, TimePoint Now);
   void setEvacuated(const FailureDomainName &Domain, bool Active);
   void rememberRemoval(const TargetName &Name, TimePoint Now);
   void add(const Target &Value, TimePoint Now);
--- a/src/libs/protocol/PublicationCodec.cpp
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -159,14 +159,17 @@
   Out.since = Batch.Since;
   Out.revision = Batch.Revision;
   Out.__set_epoch(Batch.Epoch);
+  Out.__set_sinceEpoch(Batch.SinceEpoch);
   Out.removalsWaitMicroseconds = Batch.RemovalDelay.count();
   for (const Publication &Each : Batch.Changes) {
     Out.changes.push_back(toWire(Each));
   }
-  for (const RevisionGap &Each : Batch.Gaps) {
+  for (const PublicationGap &Each : Batch.Gaps) {
     wire::RevisionGap Part;
-    Part.first = Each.First;
-    Part.last = Each.Last;
+    Part.first = Each.First.Revision;
+    Part.last = Each.Last.Revision;
+    Part.__set_firstEpoch(Each.First.Epoch);
+    Part.__set_lastEpoch(Each.Last.Epoch);
     Out.gaps.push_back(Part);
   }
   Out.__isset.gaps = !Out.gaps.empty();
@@ -180,8 +183,10 @@
     PublicationBatch Result{
         In.complete, In.since, In.revision, Duration(In.removalsWaitMicroseconds), {}, {}};
     Result.Epoch = In.__isset.epoch ? In.epoch : 0;
+    Result.SinceEpoch = In.__isset.sinceEpoch ? In.sinceEpoch : 0;
     for (const wire::RevisionGap &Each : In.gaps) {
-      Result.Gaps.push_back({Each.first, Each.last});
+      Result.Gaps.push_back({{Each.__isset.firstEpoch ? Each.firstEpoch : 0, Each.first},
+                             {Each.__isset.lastEpoch ? Each.lastEpoch : 0, Each.last}});
     }
     for (const wire::Publication &Each : In.changes) {
       const auto Change = fromWire(Each);
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -1980,6 +1980,16 @@
 void RevisionGap::__set_last(const int64_t val) {
   this->last = val;
 }
+
+void RevisionGap::__set_firstEpoch(const int64_t val) {
+  this->firstEpoch = val;
+__isset.firstEpoch = true;
+}
+
+void RevisionGap::__set_lastEpoch(const int64_t val) {
+  this->lastEpoch = val;
+__isset.lastEpoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionGap& obj)
 {
   obj.printTo(out);
@@ -2026,6 +2036,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->firstEpoch);
+          this->__isset.firstEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastEpoch);
+          this->__isset.lastEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2055,6 +2081,16 @@
   xfer += oprot->writeI64(this->last);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.firstEpoch) {
+    xfer += oprot->writeFieldBegin("firstEpoch", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->firstEpoch);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lastEpoch) {
+    xfer += oprot->writeFieldBegin("lastEpoch", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->lastEpoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2064,15 +2100,24 @@
   using ::std::swap;
   swap(a.first, b.first);
   swap(a.last, b.last);
+  swap(a.firstEpoch, b.firstEpoch);
+  swap(a.lastEpoch, b.lastEpoch);
+  swap(a.__isset, b.__isset);
 }
 
 RevisionGap::RevisionGap(const RevisionGap& other74) noexcept {
   first = other74.first;
   last = other74.last;
+  firstEpoch = other74.firstEpoch;
+  lastEpoch = other74.lastEpoch;
+  __isset = other74.__isset;
 }
 RevisionGap& RevisionGap::operator=(const RevisionGap& other75) noexcept {
   first = other75.first;
   last = other75.last;
+  firstEpoch = other75.firstEpoch;
+  lastEpoch = other75.lastEpoch;
+  __isset = other75.__isset;
   return *this;
 }
 void RevisionGap::printTo(std::ostream& out) const {
@@ -2080,6 +2125,8 @@
   out << "RevisionGap(";
   out << "first=" << to_string(first);
   out << ", " << "last=" << to_string(last);
+  out << ", " << "firstEpoch="; (__isset.firstEpoch ? (out << to_string(firstEpoch)) : (out << "<null>"));
+  out << ", " << "lastEpoch="; (__isset.lastEpoch ? (out << to_string(lastEpoch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2117,6 +2164,11 @@
   this->epoch = val;
 __isset.epoch = true;
 }
+
+void PublicationBatch::__set_sinceEpoch(const int64_t val) {
+  this->sinceEpoch = val;
+__isset.sinceEpoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const PublicationBatch& obj)
 {
   obj.printTo(out);
@@ -2230,6 +2282,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sinceEpoch);
+          this->__isset.sinceEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2303,6 +2363,11 @@
     xfer += oprot->writeI64(this->epoch);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sinceEpoch) {
+    xfer += oprot->writeFieldBegin("sinceEpoch", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->sinceEpoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2317,6 +2382,7 @@
   swap(a.changes, b.changes);
   swap(a.gaps, b.gaps);
   swap(a.epoch, b.epoch);
+  swap(a.sinceEpoch, b.sinceEpoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -2328,6 +2394,7 @@
   changes = other88.changes;
   gaps = other88.gaps;
   epoch = other88.epoch;
+  sinceEpoch = other88.sinceEpoch;
   __isset = other88.__isset;
 }
 PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other89) {
@@ -2338,6 +2405,7 @@
   changes = other89.changes;
   gaps = other89.gaps;
   epoch = other89.epoch;
+  sinceEpoch = other89.sinceEpoch;
   __isset = other89.__isset;
   return *this;
 }
@@ -2351,6 +2419,7 @@
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "gaps="; (__isset.gaps ? (out << to_string(gaps)) : (out << "<null>"));
   out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
+  out << ", " << "sinceEpoch="; (__isset.sinceEpoch ? (out << to_string(sinceEpoch)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -667,6 +667,11 @@
 
 std::ostream& operator<<(std::ostream& out, const Publication& obj);
 
+typedef struct _RevisionGap__isset {
+  _RevisionGap__isset() : firstEpoch(false), lastEpoch(false) {}
+  bool firstEpoch :1;
+  bool lastEpoch :1;
+} _RevisionGap__isset;
 
 class RevisionGap : public virtual ::apache::thrift::TBase {
  public:
@@ -675,23 +680,41 @@
   RevisionGap& operator=(const RevisionGap&) noexcept;
   RevisionGap() noexcept
               : first(0),
-                last(0) {
+                last(0),
+                firstEpoch(0),
+                lastEpoch(0) {
   }
 
   virtual ~RevisionGap() noexcept;
   int64_t first;
   int64_t last;
+  int64_t firstEpoch;
+  int64_t lastEpoch;
+
+  _RevisionGap__isset __isset;
 
   void __set_first(const int64_t val);
 
   void __set_last(const int64_t val);
 
+  void __set_firstEpoch(const int64_t val);
+
+  void __set_lastEpoch(const int64_t val);
+
   bool operator == (const RevisionGap & rhs) const
   {
     if (!(first == rhs.first))
       return false;
     if (!(last == rhs.last))
       return false;
+    if (__isset.firstEpoch != rhs.__isset.firstEpoch)
+      return false;
+    else if (__isset.firstEpoch && !(firstEpoch == rhs.firstEpoch))
+      return false;
+    if (__isset.lastEpoch != rhs.__isset.lastEpoch)
+      return false;
+    else if (__isset.lastEpoch && !(lastEpoch == rhs.lastEpoch))
+      return false;
     return true;
   }
   bool operator != (const RevisionGap &rhs) const {
@@ -711,9 +734,10 @@
 std::ostream& operator<<(std::ostream& out, const RevisionGap& obj);
 
 typedef struct _PublicationBatch__isset {
-  _PublicationBatch__isset() : gaps(false), epoch(false) {}
+  _PublicationBatch__isset() : gaps(false), epoch(false), sinceEpoch(false) {}
   bool gaps :1;
   bool epoch :1;
+  bool sinceEpoch :1;
 } _PublicationBatch__isset;
 
 class PublicationBatch : public virtual ::apache::thrift::TBase {
@@ -726,7 +750,8 @@
                      since(0),
                      revision(0),
                      removalsWaitMicroseconds(0),
-                     epoch(0) {
+                     epoch(0),
+                     sinceEpoch(0) {
   }
 
   virtual ~PublicationBatch() noexcept;
@@ -737,6 +762,7 @@
   std::vector<Publication>  changes;
   std::vector<RevisionGap>  gaps;
   int64_t epoch;
+  int64_t sinceEpoch;
 
   _PublicationBatch__isset __isset;
 
@@ -754,6 +780,8 @@
 
   void __set_epoch(const int64_t val);
 
+  void __set_sinceEpoch(const int64_t val);
+
   bool operator == (const PublicationBatch & rhs) const
   {
     if (!(complete == rhs.complete))
@@ -774,6 +802,10 @@
       return false;
     else if (__isset.epoch && !(epoch == rhs.epoch))
       return false;
+    if (__isset.sinceEpoch != rhs.__isset.sinceEpoch)
+      return false;
+    else if (__isset.sinceEpoch && !(sinceEpoch == rhs.sinceEpoch))
+      return false;
     return true;
   }
   bool operator != (const PublicationBatch &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -95,6 +95,9 @@
 struct RevisionGap {
   1: required i64 first
   2: required i64 last
+  // Epochs to which the revisions belong; 0 if they are missing.
+  3: optional i64 firstEpoch
+  4: optional i64 lastEpoch
 }
 
 // Response to an entry that requests the publications after a revision.
@@ -105,6 +108,7 @@
   4: required i64 removalsWaitMicroseconds
   5: required list<Publication> changes
   6: optional list<RevisionGap> gaps
-  // Epoch of the source to which all revisions belong; 0 if it is missing.
+  // Epochs of the source to which revision and since belong; 0 if they are missing.
   7: optional i64 epoch
+  8: optional i64 sinceEpoch
 }
--- a/src/libs/state/Publication.h
+++ b/src/libs/state/Publication.h
@@ -39,21 +39,24 @@
 /// configuration, target or failure domain.
 using Publication = std::variant<Configuration, TargetRegistered, TargetRemoved, DomainEvacuation>;
 
-/// Range of revisions of one epoch about which it is only known what changed from its first to its
-/// last one, but not what changed in between and changed back. Value type.
-struct RevisionGap {
-  std::int64_t First = 0;
-  std::int64_t Last = 0;
-
-  bool isInside(std::int64_t Revision) const {
-    return this->First < Revision && Revision < this->Last;
+/// Range of positions about which it is only known what changed from its first to its last one, but
+/// not what changed in between and changed back. Value type.
+struct PublicationGap {
+  SourcePosition First;
+  SourcePosition Last;
+
+  bool isInside(const SourcePosition &Position) const {
+    return this->First < Position && Position < this->Last;
+  }
+  /// True if no position can be inside.
+  bool isEmpty() const {
+    return this->First.Epoch == this->Last.Epoch && this->First.Revision + 1 >= this->Last.Revision;
   }
 
-  auto operator<=>(const RevisionGap &) const = default;
+  auto operator<=>(const PublicationGap &) const = default;
 };
 
-/// Publications in the order of their revision. All revisions are of the same epoch of the source.
-/// Value type.
+/// Publications in the order of their position in the source. Value type.
 struct PublicationBatch {
   /// True if the batch contains everything that is published, so that anything missing was removed.
   /// Otherwise it contains all changes after the revision Since.
@@ -67,10 +70,13 @@
   Duration RemovalDelay{0};
   std::vector<Publication> Changes;
   /// Gaps of the sender that end after Since.
-  std::vector<RevisionGap> Gaps;
-  /// Epoch of the source to which the revisions belong.
+  std::vector<PublicationGap> Gaps;
+  /// Epoch of the source to which the revision belongs.
   std::int64_t Epoch = 0;
+  /// Epoch to which Since belongs; lower than Epoch if the source returned from a copy in between.
+  std::int64_t SinceEpoch = 0;
 
+  SourcePosition since() const { return {this->SinceEpoch, this->Since}; }
   SourcePosition position() const { return {this->Epoch, this->Revision}; }
 
   auto operator<=>(const PublicationBatch &) const = default;
--- a/tests/auto/Batches.h
+++ b/tests/auto/Batches.h
@@ -18,6 +18,7 @@
   Result.Revision = Revision;
   Result.Changes = std::move(Changes);
   Result.Epoch = Epoch;
+  Result.SinceEpoch = IsSnapshot ? 0 : Epoch;
   return Result;
 }
 
