Keep what a restored store lacks also if the sender knows no restore

An entry that started after a restore of the store knows no removal delay. An entry of the older epoch that fetched from it dropped at once the targets and evacuations that the copy lacked. TargetTable now starts the delay itself whenever a batch leads it to a newer epoch, in the one place that merges the copy.

restoredSource and restoredTwice of tst_targettable, without a delay set from outside, failed before at "missing target" and after the second restore.

--- a/src/libs/coordination/TargetTable.cpp
+++ b/src/libs/coordination/TargetTable.cpp
@@ -21,6 +21,11 @@
   const bool IsRestored = this->HasSnapshot && Batch.Epoch > this->Epoch;
   this->HasSnapshot = this->HasSnapshot || Batch.IsSnapshot;
   this->Epoch = Batch.Epoch;
+  if (IsRestored) {
+    // Also without a noticed outage, and if the entry that sent the batch started after the
+    // restore.
+    this->deferRemovals(ReregistrationTimeout, Now);
+  }
   if (Batch.IsSnapshot || IsRestored) {
     this->applyState(Batch, IsRestored, Now);
   } else {
--- a/src/libs/coordination/TargetTable.h
+++ b/src/libs/coordination/TargetTable.h
@@ -49,11 +49,11 @@
 /// The published targets of all services, with the state that this entry has recorded for each.
 ///
 /// When the source of publications returns from an older copy, its snapshot of the new epoch lacks
-/// what was published since, until operators and targets publish it again. Until the removal delay
-/// is over, the table therefore keeps the targets and evacuations that the snapshot lacks, and
-/// postpones evacuations and targets that had ended before. A registration that the target itself
-/// had replaced does not return, nor does a target that was removed after it had announced its
-/// shutdown.
+/// what was published since, until operators and targets publish it again. For
+/// ReregistrationTimeout the table therefore keeps the targets and evacuations that the snapshot
+/// lacks, and postpones evacuations and targets that had ended before. A registration that the
+/// target itself had replaced does not return, nor does a target that was removed after it had
+/// announced its shutdown.
 ///
 /// Performs no I/O and reads no clock; times must not decrease. Not thread-safe.
 class TargetTable {
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -309,10 +309,6 @@
 // Publications
 
 void EntryRuntime::onPublications(const PublicationBatch &Batch) {
-  if (this->Publications.isRestoredBy(Batch)) {
-    this->RequestDispatcher.targets().deferRemovals(TargetTable::ReregistrationTimeout,
-                                                    this->now());
-  }
   this->applyBatch(Batch, "store");
   this->onSourceUpToDate(this->Publications.position());
 }
--- a/tests/auto/libs/coordination/tst_targettable.cpp
+++ b/tests/auto/libs/coordination/tst_targettable.cpp
@@ -207,7 +207,6 @@
           Apply(batch(false, {Change}, Revision, Revision + 1, 1), Start);
         }
         const TimePoint Restore = Start + 5s;
-        Targets.deferRemovals(TargetTable::ReregistrationTimeout, Restore);
         Apply(batch(true, Each.Copy, 0, 9, 2), Restore);
         Targets.onTick(Restore + 100ms);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.UsableAtOnce),
@@ -233,14 +232,12 @@
     Targets.apply(batch(true, {TargetRegistered{makeTarget("a")}}, 0, 10, 1), Start);
     for (const std::int64_t Epoch : {2, 3}) {
       const TimePoint Restore = Start + std::chrono::seconds(Epoch);
-      Targets.deferRemovals(TargetTable::ReregistrationTimeout, Restore);
       Targets.apply(batch(true, {}, 0, 9, Epoch), Restore);
     }
     Targets.onTick(Start + 4900ms);
     CPPUNIT_ASSERT_EQUAL(std::string("a"), usableNames(Targets));
     Targets.onTick(Start + 5s);
     CPPUNIT_ASSERT_EQUAL(std::string(), usableNames(Targets));
-    Targets.deferRemovals(TargetTable::ReregistrationTimeout, Start + 6s);
     Targets.apply(batch(true, {TargetRegistered{makeTarget("a")}}, 0, 9, 4), Start + 6s);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("it was only missing in a copy", std::string("a"),
                                  usableNames(Targets));
