--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -2160,6 +2160,16 @@
 void RevisionGap::__set_last(const int64_t val) {
   this->last = val;
 }
+
+void RevisionGap::__set_firstEpoch(const int64_t val) {
+  this->firstEpoch = val;
+__isset.firstEpoch = true;
+}
+
+void RevisionGap::__set_lastEpoch(const int64_t val) {
+  this->lastEpoch = val;
+__isset.lastEpoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionGap& obj)
 {
   obj.printTo(out);
@@ -2206,6 +2216,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->firstEpoch);
+          this->__isset.firstEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastEpoch);
+          this->__isset.lastEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2235,6 +2261,16 @@
   xfer += oprot->writeI64(this->last);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.firstEpoch) {
+    xfer += oprot->writeFieldBegin("firstEpoch", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->firstEpoch);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lastEpoch) {
+    xfer += oprot->writeFieldBegin("lastEpoch", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->lastEpoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2244,15 +2280,24 @@
   using ::std::swap;
   swap(a.first, b.first);
   swap(a.last, b.last);
+  swap(a.firstEpoch, b.firstEpoch);
+  swap(a.lastEpoch, b.lastEpoch);
+  swap(a.__isset, b.__isset);
 }
 
 RevisionGap::RevisionGap(const RevisionGap& other82) noexcept {
   first = other82.first;
   last = other82.last;
+  firstEpoch = other82.firstEpoch;
+  lastEpoch = other82.lastEpoch;
+  __isset = other82.__isset;
 }
 RevisionGap& RevisionGap::operator=(const RevisionGap& other83) noexcept {
   first = other83.first;
   last = other83.last;
+  firstEpoch = other83.firstEpoch;
+  lastEpoch = other83.lastEpoch;
+  __isset = other83.__isset;
   return *this;
 }
 void RevisionGap::printTo(std::ostream& out) const {
@@ -2260,6 +2305,8 @@
   out << "RevisionGap(";
   out << "first=" << to_string(first);
   out << ", " << "last=" << to_string(last);
+  out << ", " << "firstEpoch="; (__isset.firstEpoch ? (out << to_string(firstEpoch)) : (out << "<null>"));
+  out << ", " << "lastEpoch="; (__isset.lastEpoch ? (out << to_string(lastEpoch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2297,6 +2344,11 @@
   this->epoch = val;
 __isset.epoch = true;
 }
+
+void PublicationBatch::__set_sinceEpoch(const int64_t val) {
+  this->sinceEpoch = val;
+__isset.sinceEpoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const PublicationBatch& obj)
 {
   obj.printTo(out);
@@ -2410,6 +2462,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sinceEpoch);
+          this->__isset.sinceEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2483,6 +2543,11 @@
     xfer += oprot->writeI64(this->epoch);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sinceEpoch) {
+    xfer += oprot->writeFieldBegin("sinceEpoch", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->sinceEpoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2497,6 +2562,7 @@
   swap(a.changes, b.changes);
   swap(a.gaps, b.gaps);
   swap(a.epoch, b.epoch);
+  swap(a.sinceEpoch, b.sinceEpoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -2508,6 +2574,7 @@
   changes = other96.changes;
   gaps = other96.gaps;
   epoch = other96.epoch;
+  sinceEpoch = other96.sinceEpoch;
   __isset = other96.__isset;
 }
 PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other97) {
@@ -2518,6 +2585,7 @@
   changes = other97.changes;
   gaps = other97.gaps;
   epoch = other97.epoch;
+  sinceEpoch = other97.sinceEpoch;
   __isset = other97.__isset;
   return *this;
 }
@@ -2531,6 +2599,7 @@
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "gaps="; (__isset.gaps ? (out << to_string(gaps)) : (out << "<null>"));
   out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
+  out << ", " << "sinceEpoch="; (__isset.sinceEpoch ? (out << to_string(sinceEpoch)) : (out << "<null>"));
   out << ")";
 }
 
