Count the outcome of every call in the soak and check for lost requests

Cause: the summary counted only the calls of callers. Those of the version probe and of the readiness check were in "calls" but not in "outcomes". No call was without an outcome at the checker, so no caller was cancelled or ended early.

Change: the summary counts each call. "failed" is split into not_connected, connect_timeout, unanswered, malformed and timeout. A call without exactly one outcome is a violation. A new invariant reports a request that was sent completely and got no answer from an entry that was not killed or paused in the 4 s before; only a request that was not executed and whose connection ended within 0.2 s may have crossed with the close. Three in 100 callers leave early, and callers no longer send on a connection that they know to be closed.

--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -5,12 +5,13 @@
 import json
 
 from fleet import CALLERS, DIRECTORY
-from invariants import Call
+from invariants import Call, Ending
 from fakes import read_head
 
 DEADLINE_MS = 2000
 RESPONSE_TIMEOUT_S = 8
 CONNECT_TIMEOUT_S = 1
+LEAVE_EARLY_SHARE, MEAN_STAY_S = 0.03, 0.02
 # An entry still responds to requests that arrive within this time after its planned stop began.
 STOP_SERVING_S = 1.5
 RequestTemplate = collections.namedtuple("RequestTemplate",
@@ -29,7 +30,6 @@
         self.random = random_source
         self.seed = seed
         self.call_count = 0
-        self.outcomes = []
 
     def start(self, until, caller_count):
         tasks = [self.run_caller(until) for _ in range(caller_count)]
@@ -38,29 +38,49 @@
 
     # One call
 
-    async def call(self, entry, template, connection=None):
+    async def call(self, entry, template, connection=None, patience_s=RESPONSE_TIMEOUT_S):
         """Returns the request id, the outcome, and the connection if it can be reused."""
         self.call_count += 1
         request = f"{self.seed}-{self.call_count}"
         self.checker.calls[request] = Call(entry.index, template.service, template.unsafe,
                                            template.home_region)
-        body = "receipt" if template.unsafe else ""
-        outcome, reusable = "failed", None
+        reusable = None
         try:
             connection = connection or await asyncio.wait_for(
                 asyncio.open_connection(entry.ip, CALLERS), CONNECT_TIMEOUT_S)
-            connection[1].write(self.request_bytes(request, template, body))
+        except asyncio.TimeoutError:
+            outcome = "connect_timeout"
+        except OSError:
+            outcome = "not_connected"
+        else:
+            outcome, reusable = await self.exchange(connection, request, template, patience_s)
+        self.checker.on_outcome(request, outcome)
+        return request, outcome, reusable
+
+    async def exchange(self, connection, request, template, patience_s):
+        """Sends the request and reads the response. Returns the outcome, and the connection if it
+        can be reused."""
+        loop = asyncio.get_running_loop()
+        reader, writer = connection
+        body = "receipt" if template.unsafe else ""
+        sent_at = loop.time()
+        try:
+            writer.write(self.request_bytes(request, template, body))
             status, signature, response_body, is_persistent = await asyncio.wait_for(
-                self.read_response(connection[0]), RESPONSE_TIMEOUT_S)
-            outcome = str(status)
+                self.read_response(reader), patience_s)
             self.checker.on_response(request, status, signature, response_body, body)
-            reusable = connection if is_persistent else None
-        except REQUEST_ERRORS as error:
-            outcome = "timeout" if isinstance(error, asyncio.TimeoutError) else "failed"
-        if connection is not None and reusable is None:
-            connection[1].close()
-        self.checker.outcomes[request] = outcome
-        return request, outcome, reusable
+            if is_persistent:
+                return str(status), connection
+            outcome = str(status)
+        except asyncio.TimeoutError:
+            outcome = "timeout" if patience_s == RESPONSE_TIMEOUT_S else "left"
+        except (OSError, asyncio.IncompleteReadError):
+            outcome = "unanswered"
+        except (ValueError, KeyError):
+            outcome = "malformed"
+        self.checker.endings[request] = Ending(sent_at, loop.time())
+        writer.close()
+        return outcome, None
 
     @staticmethod
     def request_bytes(request, template, body):
@@ -74,7 +94,7 @@
     async def read_response(reader):
         head = await read_head(reader)
         if head is None:
-            raise ValueError("connection closed before a response")
+            raise asyncio.IncompleteReadError(b"", None)
         line, headers = head
         body = await reader.readexactly(int(headers["content-length"]))
         return (int(line.split(" ")[1]), headers.get("x-anvilsaddle-response-signature"),
@@ -86,19 +106,26 @@
         loop = asyncio.get_running_loop()
         reusable, entry = None, None
         while loop.time() < until:
+            # An idle connection that the entry has closed is known to be unusable.
+            if reusable is not None and reusable[0].at_eof():
+                reusable[1].close()
+                reusable = None
             reused = reusable is not None
             entry = entry if reused else self.random.choice(self.fleet.entries)
             sent_at = loop.time()
+            leaves_early = self.random.random() < LEAVE_EARLY_SHARE
+            patience_s = (self.random.expovariate(1 / MEAN_STAY_S) if leaves_early
+                          else RESPONSE_TIMEOUT_S)
             request, outcome, reusable = await self.call(
-                entry, self.random.choice(REQUEST_TEMPLATES), reusable)
-            self.outcomes.append(outcome)
+                entry, self.random.choice(REQUEST_TEMPLATES), reusable, patience_s)
             self.check_planned_stop(entry, sent_at, request, outcome, reused)
             await asyncio.sleep(self.random.expovariate(12))
 
     def check_planned_stop(self, entry, sent_at, request, outcome, reused):
         # A request on a reused connection may cross with the close of the connection.
         stop_at = entry.stop_requested_at
-        if stop_at and sent_at <= stop_at + STOP_SERVING_S and outcome == "timeout" and not reused:
+        if stop_at and sent_at <= stop_at + STOP_SERVING_S and not reused and (
+                outcome in ("connect_timeout", "timeout")):
             self.checker.report_violation(
                 f"graceful shutdown violated: {request} got no response from entry {entry.index} "
                 f"during its planned stop")
--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 
 PROXY_MODES = ["reset", "silence", "delay", "one_way", "refuse"]
+UNPLANNED_ENTRY_FAULTS = ["kill", "pause", "gone"]
 STORE_FAULTS = ["slow", "busy", "too_many", "history", "cut", "cut_some"]
 
 
@@ -39,7 +40,14 @@
         kind = self.random.choice(["kill", "pause", "stop", "stop", "hup", "gone"])
         if not entry.is_running():
             return
-        interval = self.begin_fault(f"entry {entry.index}")
+        intervals = [self.begin_fault(f"entry {entry.index}")]
+        if kind in UNPLANNED_ENTRY_FAULTS:
+            intervals.append(self.begin_fault(f"unplanned {entry.index}"))
+        await self.inject_entry_fault(entry, kind)
+        for interval in intervals:
+            self.end_fault(interval)
+
+    async def inject_entry_fault(self, entry, kind):
         if kind == "hup":
             entry.send_signal(signal.SIGHUP)
         elif kind == "pause":
@@ -49,7 +57,6 @@
         else:
             downtime_s = self.random.uniform(7, 9) if kind == "gone" else self.random.uniform(0, 1)
             await self.terminate_entry(entry, "stop" if kind == "stop" else "kill", downtime_s)
-        self.end_fault(interval)
 
     async def terminate_entry(self, entry, kind, downtime_s):
         loop = asyncio.get_running_loop()
--- a/scripts/soak/invariants.py
+++ b/scripts/soak/invariants.py
@@ -17,8 +17,12 @@
 # If timers of this process fire later than this, the host is too busy to check time bounds.
 MAX_TIMER_LAG_S = 0.25
 NOT_EXECUTED_STATUSES = ("408", "421", "429", "503")
+# A connection that ends this soon after a request was sent may have been closed before it arrived.
+CLOSE_CROSSING_S = 0.2
 
 Call = collections.namedtuple("Call", "entry service unsafe home_region")
+# When the request was sent on an open connection, and when its exchange ended.
+Ending = collections.namedtuple("Ending", "sent ended")
 Execution = collections.namedtuple("Execution", "time target service domain cold")
 
 
@@ -44,6 +48,8 @@
         self.region_of = region_of
         self.calls = {}
         self.outcomes = {}
+        # Of the exchanges after which the connection was closed.
+        self.endings = {}
         self.executions = collections.defaultdict(list)
         self.drain_starts = {}
         # By target: start, end or None, and requests per second.
@@ -65,6 +71,15 @@
         self.executions[request].append(
             Execution(now, target.name, target.service, target.domain, target.is_cold()))
 
+    def on_outcome(self, request, outcome):
+        if request in self.outcomes:
+            self.report_violation(f"call accounting violated: {request} ended twice, with "
+                                  f"{self.outcomes[request]} and {outcome}")
+        self.outcomes[request] = outcome
+        if outcome == "malformed":
+            self.report_violation(
+                f"response integrity violated: {request} got a malformed response")
+
     def on_response(self, request, status, signature, response_body, request_body):
         call = self.calls[request]
         expected = f"{call.service}:{request}:{request_body}"
@@ -119,6 +134,28 @@
             return False
         return True
 
+    def check_outcomes(self):
+        """Each call ends in one outcome, and no request is lost by an entry that keeps running."""
+        for request, call in self.calls.items():
+            outcome = self.outcomes.get(request)
+            if outcome is None:
+                self.report_violation(f"call accounting violated: {request} has no outcome")
+            elif outcome in ("unanswered", "timeout"):
+                self.check_lost(request, call, outcome, self.endings[request])
+
+    def check_lost(self, request, call, outcome, ending):
+        executions = self.executions.get(request, [])
+        may_have_crossed = outcome == "unanswered" and not executions and (
+            ending.ended - ending.sent <= CLOSE_CROSSING_S or
+            not self.fault_intervals.is_unaffected("host", ending.sent, ending.ended))
+        if may_have_crossed or not self.fault_intervals.is_unaffected(
+                f"unplanned {call.entry}", ending.sent - FAULT_RECOVERY_S, ending.ended):
+            return
+        self.report_violation(
+            f"request loss: {request} ({call.service}) ended {outcome} "
+            f"{ending.ended - ending.sent:.2f} s after it was sent to entry {call.entry}, "
+            f"executions: {executions}")
+
     def check_executions(self):
         for request, executions in self.executions.items():
             call = self.calls.get(request)
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -57,6 +57,7 @@
             self.checker.report_violation(
                 "liveness violated: the fleet did not recover from the faults")
         self.checker.check_executions()
+        self.checker.check_outcomes()
         self.fleet.check_processes()
         lag_task.cancel()
         # Connections that are still open are closed with the event loop; ignore their errors.
@@ -66,7 +67,7 @@
     def report(self):
         return {"seed": self.options.seed, "entries": self.options.entries,
                 "calls": self.callers.call_count, "logs": self.log_directory,
-                "outcomes": dict(collections.Counter(self.callers.outcomes)),
+                "outcomes": dict(collections.Counter(self.checker.outcomes.values())),
                 "excused": self.checker.skipped_checks,
                 "largest_lag_s": round(self.max_timer_lag_s, 3),
                 "violations": self.checker.violations}
