Let the store of the soak come back from an older copy

Cause: no test restored the store. The users' drill takes it away for a moment and brings it back some seconds older.

The store is away for 0.1 to 3 s and returns with the items, the revision and the history of a copy 2 to 10 s old; Store-Era in all responses rises. A watch from a revision that the store lacks gets 410. The time bounds count from the repeated write; an entry that knew of a drain in time keeps to it through a later store fault; an entry that served the current version must not stop serving it.

The items of targets were wrong: sequence and born were always 1. Now born is the start in Unix milliseconds, sequence counts up from 1 for each incarnation, heartbeats write when more than sequence changed, and some targets are removed without a report that they drain.

--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -4,7 +4,7 @@
 import collections
 import json
 
-from fleet import CALLERS, DIRECTORY
+from fleet import CALLERS, DIRECTORY, REGIONS
 from invariants import Call, Ending
 from fakes import read_head
 
@@ -30,10 +30,11 @@
         self.random = random_source
         self.seed = seed
         self.call_count = 0
+        self.ends_at = float("inf")
 
-    def start(self, until, caller_count):
-        tasks = [self.run_caller(until) for _ in range(caller_count)]
-        tasks += [self.probe_versions(until), self.probe_directory(until)]
+    def start(self, caller_count):
+        tasks = [self.run_caller() for _ in range(caller_count)]
+        tasks += [self.probe_versions(), self.probe_directory()]
         return [asyncio.create_task(task) for task in tasks]
 
     # One call
@@ -42,8 +43,8 @@
         """Returns the request id, the outcome, and the connection if it can be reused."""
         self.call_count += 1
         request = f"{self.seed}-{self.call_count}"
-        self.checker.calls[request] = Call(entry.index, template.service, template.unsafe,
-                                           template.home_region)
+        self.checker.calls[request] = Call(entry.index, REGIONS[entry.domain], template.service,
+                                           template.unsafe, template.home_region)
         reusable = None
         try:
             connection = connection or await asyncio.wait_for(
@@ -102,10 +103,10 @@
 
     # Callers and probes
 
-    async def run_caller(self, until):
+    async def run_caller(self):
         loop = asyncio.get_running_loop()
         reusable, entry = None, None
-        while loop.time() < until:
+        while loop.time() < self.ends_at:
             # An idle connection that the entry has closed is known to be unusable.
             if reusable is not None and reusable[0].at_eof():
                 reusable[1].close()
@@ -130,10 +131,10 @@
                 f"graceful shutdown violated: {request} got no response from entry {entry.index} "
                 f"during its planned stop")
 
-    async def probe_versions(self, until):
+    async def probe_versions(self):
         """Requests routes that exist only in one version of the configuration."""
         loop = asyncio.get_running_loop()
-        while loop.time() < until:
+        while loop.time() < self.ends_at:
             await asyncio.sleep(self.random.uniform(0.02, 0.1))
             entry = self.random.choice(self.fleet.entries)
             version = self.random.choice(list(self.checker.publication_times)[-3:])
@@ -146,9 +147,9 @@
                 self.checker.on_version_probe(entry.index, process_start, version, int(outcome),
                                               sent, loop.time())
 
-    async def probe_directory(self, until):
+    async def probe_directory(self):
         loop = asyncio.get_running_loop()
-        while loop.time() < until:
+        while loop.time() < self.ends_at:
             await asyncio.sleep(self.random.uniform(0.05, 0.3))
             entry = self.random.choice(self.fleet.entries)
             try:
--- a/scripts/soak/fakes.py
+++ b/scripts/soak/fakes.py
@@ -2,11 +2,16 @@
 
 import asyncio
 import base64
+import collections
 import json
 import random
+import time
 from urllib.parse import unquote
 
 PAGE_SIZE = 20
+COPY_INTERVAL_S, MAX_COPY_AGE_S = 0.5, 10
+StoreCopy = collections.namedtuple("StoreCopy", "time items events revision compacted_revision")
+
 
 async def read_head(reader):
     """Reads the first line and the headers (names in lower case); None if the connection ends."""
@@ -30,21 +35,32 @@
     return target.split("?")[0], dict(pair.split("=", 1) for pair in pairs)
 
 
+def unix_milliseconds():
+    return int(time.time() * 1000)
+
+
 class FakeStore:
     """In-memory store with revisions. It serves range and watch requests as the platform documents
-    them, and can respond slowly, reject requests and compact its history."""
+    them. It can respond slowly, reject requests, compact its history, and be away for a moment and
+    come back from an older copy of itself."""
 
     def __init__(self):
         self.items = {}
         self.events = []
         self.revision = 1
         self.compacted_revision = 0
-        self.change_condition = asyncio.Condition()
+        self.changed = asyncio.Event()
+        self.available = asyncio.Event()
+        self.available.set()
+        self.writers = set()
+        self.era = 1
+        self.copies = []
         self.delay_s = 0.0
         self.error_status = None
 
-    async def put(self, key, value):
-        """Writes an item, or removes it if the value is None."""
+    def put(self, key, value):
+        """Writes an item, or removes it if the value is None. The store must be available."""
+        self.add_copy_if_due()
         self.revision += 1
         event = {"key": key, "revision": self.revision}
         if value is None:
@@ -54,33 +70,75 @@
             event["value"] = base64.b64encode(json.dumps(value).encode()).decode()
             self.items[key] = event
         self.events.append(event)
-        async with self.change_condition:
-            self.change_condition.notify_all()
+        self.notify_watches()
+
+    def get(self, key):
+        """Returns the value of an item, or None if there is no such item."""
+        item = self.items.get(key)
+        return json.loads(base64.b64decode(item["value"])) if item else None
 
-    async def compact_history(self):
+    def compact_history(self):
         """Ends pending watches; clients behind this revision must list all items again."""
         self.compacted_revision = self.revision
         self.events.clear()
-        async with self.change_condition:
-            self.change_condition.notify_all()
+        self.notify_watches()
+
+    def notify_watches(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    # Copies
+
+    def add_copy_if_due(self):
+        now = asyncio.get_running_loop().time()
+        if self.copies and now < self.copies[-1].time + COPY_INTERVAL_S:
+            return
+        self.copies = [copy for copy in self.copies if copy.time >= now - MAX_COPY_AGE_S]
+        self.copies.append(StoreCopy(now, dict(self.items), list(self.events), self.revision,
+                                     self.compacted_revision))
+
+    def go_away(self):
+        """Ends all connections, and accepts none until the store is restored."""
+        self.available.clear()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def restore(self, copy):
+        """Comes back with the items, the revision and the history of the copy."""
+        self.items, self.events = dict(copy.items), list(copy.events)
+        self.revision, self.compacted_revision = copy.revision, copy.compacted_revision
+        self.era += 1
+        self.available.set()
+
+    # Requests
 
     async def serve(self, reader, writer):
+        if not self.available.is_set():
+            writer.transport.abort()
+            return
+        era = self.era
+        self.writers.add(writer)
         while head := await read_head(reader):
             await asyncio.sleep(self.delay_s)
-            writer.write(await self.handle_request(*parse_request_target(head[0])))
+            response = await self.handle_request(*parse_request_target(head[0]))
+            if era != self.era or not self.available.is_set():
+                break
+            writer.write(response)
+        self.writers.discard(writer)
         writer.close()
 
     async def handle_request(self, path, query):
         if self.error_status:
-            return make_response(self.error_status, {})
+            return self.respond(self.error_status)
         if path == "/-/kv-key":
-            return make_response("404 Not Found", {})
-        if path == "/-/kv-watch" and int(query["after"]) < self.compacted_revision:
-            return make_response("410 Gone", {})
+            return self.respond("404 Not Found")
         body = self.list_page(query) if path == "/-/kv-range" else await self.watch(query)
         if body is None:
-            return make_response("410 Gone", {})
-        return make_response("200 OK", {}, json.dumps(body).encode())
+            return self.respond("410 Gone")
+        return self.respond("200 OK", json.dumps(body).encode())
+
+    def respond(self, status, body=b""):
+        return make_response(status, {"Store-Era": self.era}, body)
 
     def list_page(self, query):
         """Returns one page. Pages are short, so that a list of all items needs several requests."""
@@ -89,23 +147,24 @@
         return {"items": page, "hasMore": len(keys) > PAGE_SIZE, "at": self.revision}
 
     async def watch(self, query):
+        """Returns the changes after a revision, or None if the store lacks that revision."""
         after = int(query["after"])
 
-        def new_events():
-            return [event for event in self.events if event["revision"] > after]
+        def has_history():
+            return self.compacted_revision <= after <= self.revision
 
-        def is_complete():
-            return new_events() or after < self.compacted_revision
+        async def wait_for_event():
+            while has_history() and after == self.revision:
+                await self.changed.wait()
 
-        async with self.change_condition:
-            try:
-                await asyncio.wait_for(self.change_condition.wait_for(is_complete),
-                                       int(query["waitMs"]) / 1000)
-            except asyncio.TimeoutError:
-                pass
-        if after < self.compacted_revision:
+        try:
+            await asyncio.wait_for(wait_for_event(), int(query["waitMs"]) / 1000)
+        except asyncio.TimeoutError:
+            pass
+        if not has_history():
             return None
-        return {"events": new_events(), "at": self.revision}
+        events = [event for event in self.events if event["revision"] > after]
+        return {"events": events, "at": self.revision}
 
 
 class FakeTarget:
@@ -118,12 +177,22 @@
         self.on_execution = on_execution
         self.mean_processing_time_s = mean_processing_time_s
         self.cold_until = 0.0
+        self.is_leaving = False
+        self.born = unix_milliseconds()
+        self.sequence = 0
         self.request_limit = None
         self.slots = 3
         self.running = 0
         self.slowdown = 1.0
         self.is_down = False
 
+    def restart(self, name):
+        """Continues as a new incarnation."""
+        self.name = name
+        self.born = unix_milliseconds()
+        self.sequence = 0
+        self.is_leaving = False
+
     def is_cold(self):
         return asyncio.get_running_loop().time() < self.cold_until
 
--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -3,6 +3,11 @@
 import asyncio
 import signal
 
+from fakes import MAX_COPY_AGE_S
+
+MIN_COPY_AGE_S = 2
+# Share of targets that leave without a report that they drain.
+UNREPORTED_LEAVE_SHARE = 0.3
 PROXY_MODES = ["reset", "silence", "delay", "one_way", "refuse"]
 UNPLANNED_ENTRY_FAULTS = ["kill", "pause", "gone"]
 STORE_FAULTS = ["slow", "busy", "too_many", "history", "cut", "cut_some"]
@@ -13,12 +18,16 @@
         self.fleet = fleet
         self.random = random_source
         self.checker = fleet.checker
+        self.restore_count = 0
 
-    async def inject(self, until):
+    async def inject(self, until, restores):
         loop = asyncio.get_running_loop()
         # A limit is checked from some seconds after its start, so one target has one all the time.
         limited = self.random.choice(self.fleet.targets)
         running = {asyncio.create_task(self.limit_requests(limited, until - loop.time()))}
+        for _ in range(restores):
+            delay_s = self.random.uniform(0, until - loop.time())
+            running.add(asyncio.create_task(self.restore_amid_changes(delay_s)))
         fault_kinds = [self.entry_fault, self.entry_fault, self.link_fault, self.store_fault,
                        self.target_fault, self.operator_change]
         while loop.time() < until:
@@ -97,7 +106,7 @@
         store = self.fleet.store
         duration_s = self.random.uniform(0.3, 4)
         if kind == "history":
-            await store.compact_history()
+            store.compact_history()
         elif kind == "slow":
             store.delay_s = 0.24
             await asyncio.sleep(duration_s)
@@ -114,6 +123,35 @@
             for entry in affected:
                 entry.store_proxy.set_mode("pass")
 
+    async def restore_store(self):
+        """The store is away for a moment and comes back from a copy that is some seconds old."""
+        store = self.fleet.store
+        now = asyncio.get_running_loop().time()
+        copies = [copy for copy in store.copies
+                  if MIN_COPY_AGE_S <= now - copy.time <= MAX_COPY_AGE_S]
+        if not copies or not store.available.is_set():
+            return
+        copy = self.random.choice(copies)
+        intervals = [self.begin_fault(f"store {entry.index}") for entry in self.fleet.entries]
+        store.go_away()
+        await asyncio.sleep(self.random.uniform(0.1, 3))
+        store.restore(copy)
+        for interval in intervals:
+            self.end_fault(interval)
+        self.restore_count += 1
+        await self.fleet.store_writer.repeat_lost_writes()
+
+    async def restore_amid_changes(self, delay_s):
+        """Restores the store after changes that a copy may lack, and publishes another version."""
+        await asyncio.sleep(delay_s)
+        changes = asyncio.gather(
+            self.publish_series(self.random.randint(1, 6)), self.operator_change(),
+            self.replace_target(self.random.choice(self.fleet.targets)))
+        await asyncio.sleep(self.random.uniform(MIN_COPY_AGE_S, 2 * MIN_COPY_AGE_S))
+        await self.restore_store()
+        await self.fleet.publish_configuration()
+        await changes
+
     # Targets and operators
 
     async def target_fault(self):
@@ -146,28 +184,34 @@
         target.request_limit = None
 
     async def replace_target(self, target):
-        """Drains and removes the target, then registers another one with the same address."""
+        """Drains and removes the target, then registers another one with the same address. Some
+        are removed first and continue serving meanwhile."""
         if target.is_leaving:
             return
         target.is_leaving = True
         old_name = target.name
-        await self.fleet.register(target, "draining")
-        self.checker.drain_starts[old_name] = asyncio.get_running_loop().time()
-        await asyncio.sleep(self.random.uniform(2, 4))
-        await self.fleet.unregister(target)
+        if self.random.random() < UNREPORTED_LEAVE_SHARE:
+            await self.fleet.unregister(target)
+            await asyncio.sleep(self.random.uniform(2, 4))
+        else:
+            await self.fleet.register(target, "draining")
+            await asyncio.sleep(self.random.uniform(2, 4))
+            await self.fleet.unregister(target)
         if target.request_limit is not None:
             self.checker.request_limits[old_name][-1][1] = asyncio.get_running_loop().time()
             target.request_limit = None
-        target.name = f"t{target.index}-{self.random.randrange(10**9)}"
+        target.restart(f"t{target.index}-{self.random.randrange(10**9)}")
         target.cold_until = asyncio.get_running_loop().time() + self.random.uniform(0, 3)
         await self.fleet.register(target)
-        target.is_leaving = False
+
+    async def publish_series(self, count):
+        for _ in range(count):
+            await self.fleet.publish_configuration()
+            await asyncio.sleep(self.random.uniform(0.05, 0.4))
 
     async def operator_change(self):
         if self.random.random() < 0.6:
-            for _ in range(self.random.choice([1, 1, 4])):
-                await self.fleet.publish_configuration()
-                await asyncio.sleep(self.random.uniform(0.05, 0.4))
+            await self.publish_series(self.random.choice([1, 1, 4]))
             return
         domain = self.random.choice(self.fleet.domain_names())
         if self.checker.evacuations[domain] and self.checker.evacuations[domain][-1][1] is None:
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -6,9 +6,11 @@
 import subprocess
 
 from fakes import FakeStore, FakeTarget, FaultProxy
+from storewriter import CONFIGURATION_KEY, StoreWriter, evacuation_key, target_key
 
 CALLERS, READINESS, DIRECTORY, CONTROL, OPERATORS, PEERS = 18080, 18081, 18082, 18083, 18084, 18090
 STORE_PORT, TARGET_PORT, STOP_GRACE_S, MEAN_PROCESSING_TIME_S = 18384, 19000, 3.0, 0.02
+HEARTBEAT_INTERVAL_S, HEARTBEAT_JITTER = 1.5, 0.1
 # Region of each failure domain. Entries and targets are assigned to the domains round-robin.
 REGIONS = {"a1": "a", "b1": "b", "a2": "a", "b2": "b"}
 SERVICES = ["board", "book"]
@@ -120,6 +122,9 @@
         self.random = random_source
         self.checker = checker
         self.store = FakeStore()
+        self.store_writer = StoreWriter(self.store, random_source,
+                                        checker.on_write_repeated)
+        self.heartbeats = []
         self.version = 0
         self.network = Network(options.network)
         self.entries = [Entry(index, self.network, options.binary, directory)
@@ -130,7 +135,6 @@
             target = FakeTarget(f"t{index}-0", SERVICES[index // len(REGIONS) % len(SERVICES)],
                                 domain_of(index), checker.on_execution, MEAN_PROCESSING_TIME_S)
             target.index = index
-            target.is_leaving = False
             self.targets.append(target)
             self.target_proxies.append(FaultProxy(
                 lambda index=index: (self.network.target(index), TARGET_PORT)))
@@ -146,25 +150,47 @@
             await asyncio.start_server(proxy.serve, network.target_proxy(target.index),
                                        TARGET_PORT)
             await self.register(target)
+            self.heartbeats.append(asyncio.create_task(self.send_heartbeats(target)))
         await self.publish_configuration()
         for entry in self.entries:
             await asyncio.start_server(entry.store_proxy.serve, network.store_proxy(entry.index),
                                        STORE_PORT)
             entry.start_process()
 
-    async def register(self, target, state="ready"):
+    def registration(self, target, state):
+        """Returns the target's item of the store; each is the target's next in sequence."""
         now = asyncio.get_running_loop().time()
-        await self.store.put(f"servers/{target.name}", {
+        target.sequence += 1
+        return {
             "service": target.service,
             "address": f"{self.network.target_proxy(target.index)}:{TARGET_PORT}",
             "zone": target.domain, "slots": target.slots, "state": state,
-            "coldRemainingS": max(0.0, target.cold_until - now), "sequence": 1, "born": 1})
+            "coldRemainingS": max(0.0, target.cold_until - now), "sequence": target.sequence,
+            "born": target.born}
+
+    async def register(self, target, state="ready"):
+        await self.store.available.wait()
+        await self.store_writer.write(target_key(target.name), self.registration(target, state))
+        if state == "draining":
+            self.checker.on_drain(target.name, asyncio.get_running_loop().time())
 
     async def unregister(self, target):
-        await self.store.put(f"servers/{target.name}", None)
+        await self.store_writer.write(target_key(target.name), None)
+        self.checker.on_drain(target.name, asyncio.get_running_loop().time())
+
+    async def send_heartbeats(self, target):
+        """The item changes only if more than its sequence changes."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S * self.random.uniform(
+                1 - HEARTBEAT_JITTER, 1 + HEARTBEAT_JITTER))
+            key = target_key(target.name)
+            latest = self.store_writer.latest.get(key)
+            if latest is not None:
+                self.store_writer.refresh(key, self.registration(target, latest["state"]))
 
     async def publish_configuration(self):
         """Publishes a new version with one route of its own, which shows whether it is active."""
+        await self.store.available.wait()
         previous = self.version
         self.version += self.random.randint(1, 5)
         columns = ["name", "host", "pathPrefix", "kind", "timeoutS", "targetLatencyS", "priority",
@@ -175,7 +201,7 @@
                 ["r-4", "h", f"/mark-{self.version}/", "safe", 2, 0.3, 2, "board", 2, [], None]]
         services = [[name, "/health", 4.0] for name in SERVICES]
         version = self.version
-        await self.store.put("op/config", {
+        await self.store_writer.write(CONFIGURATION_KEY, {
             "version": f"{version:08x}", "routes": {"columns": columns, "rows": rows},
             "services": {"columns": ["name", "healthCheckPath", "coldPerS"], "rows": services},
             "limits": {"headerBytes": 16384, "bodyBytes": 1000000, "headerTimeoutS": 3,
@@ -188,12 +214,13 @@
 
     async def evacuate(self, domain, duration_s):
         loop = asyncio.get_running_loop()
-        await self.store.put(f"op/evacuate/{domain}", {})
+        await self.store_writer.write(evacuation_key(domain), {})
         interval = [loop.time(), None]
         self.checker.evacuations[domain].append(interval)
         await asyncio.sleep(duration_s)
+        await self.store.available.wait()
         interval[1] = loop.time()
-        await self.store.put(f"op/evacuate/{domain}", None)
+        await self.store_writer.write(evacuation_key(domain), None)
 
     def check_processes(self):
         for entry in self.entries:
@@ -203,6 +230,8 @@
                     f"status {entry.process.poll()}")
 
     async def stop(self):
+        for heartbeat in self.heartbeats:
+            heartbeat.cancel()
         for entry in self.entries:
             entry.send_signal(signal.SIGTERM)
         for entry in self.entries:
--- a/scripts/soak/invariants.py
+++ b/scripts/soak/invariants.py
@@ -3,6 +3,8 @@
 import bisect
 import collections
 
+from storewriter import CONFIGURATION_KEY, evacuation_key, target_key
+
 # Upper bounds on the time until a change takes effect at entries that no fault affects.
 DRAIN_BOUND_S = 2.5
 EVACUATION_BOUND_S = 5.0
@@ -20,7 +22,7 @@
 # A connection that ends this soon after a request was sent may have been closed before it arrived.
 CLOSE_CROSSING_S = 0.2
 
-Call = collections.namedtuple("Call", "entry service unsafe home_region")
+Call = collections.namedtuple("Call", "entry region service unsafe home_region")
 # When the request was sent on an open connection, and when its exchange ended.
 Ending = collections.namedtuple("Ending", "sent ended")
 Execution = collections.namedtuple("Execution", "time target service domain cold")
@@ -51,12 +53,15 @@
         # Of the exchanges after which the connection was closed.
         self.endings = {}
         self.executions = collections.defaultdict(list)
+        # By name of the target: when its first report that it drains was accepted, or its removal.
         self.drain_starts = {}
         # By target: start, end or None, and requests per second.
         self.request_limits = collections.defaultdict(list)
         self.evacuations = collections.defaultdict(list)
         self.fault_intervals = FaultIntervals()
         self.publication_times = {}
+        # By key: when a write was repeated that the store had lost.
+        self.repeated_writes = collections.defaultdict(list)
         self.newest_versions = {}
         self.down_since = {}
         self.skipped_checks = 0
@@ -88,6 +93,18 @@
                 f"response integrity violated: {request} got signature {signature}, body "
                 f"{response_body[:80]}")
 
+    def on_drain(self, target, now):
+        """Records a report that the target drains, or its removal; the earlier of them counts."""
+        self.drain_starts.setdefault(target, now)
+
+    def on_write_repeated(self, key, now):
+        self.repeated_writes[key].append(now)
+
+    def acknowledged_at(self, key, first, time):
+        """Returns when the store acknowledged a write that was first acknowledged at `first`. After
+        the store has lost and restored it, the acknowledgement of the repeated write counts."""
+        return max([first] + [each for each in self.repeated_writes[key] if each <= time])
+
     def on_version_probe(self, entry, start, version, status, sent, now):
         """Records the status of a request on the route that exists only in this version."""
         key = (entry, start)
@@ -99,14 +116,21 @@
                     f"after {newest}")
             if version > newest:
                 self.newest_versions[key] = (version, now)
-        acknowledged, replaced = self.publication_times[version]
-        is_due = sent > acknowledged + CONFIGURATION_BOUND_S and (
-            replaced is None or now < replaced)
+        published, replaced = self.publication_times[version]
+        is_current = replaced is None or now < replaced
+        if status == 404 and is_current and version == newest and (
+                sent > first_seen + DOWNGRADE_TOLERANCE_S):
+            self.report_violation(
+                f"configuration monotonicity violated: entry {entry} no longer serves version "
+                f"{version}")
+        acknowledged = self.acknowledged_at(CONFIGURATION_KEY, published, sent)
+        is_due = is_current and sent > acknowledged + CONFIGURATION_BOUND_S
         if status == 404 and is_due and self.bound_applies(entry, sent, None):
             self.report_violation(
                 f"configuration propagation bound violated: entry {entry} lacks version {version} "
-                f"{sent - acknowledged:.1f} s after its publication")
-        is_over = replaced is not None and sent > replaced + CONFIGURATION_BOUND_S
+                f"{sent - published:.1f} s after its publication")
+        is_over = replaced is not None and sent > CONFIGURATION_BOUND_S + self.acknowledged_at(
+            CONFIGURATION_KEY, replaced, sent)
         if status == 200 and is_over and self.bound_applies(entry, sent, None):
             self.report_violation(
                 f"configuration propagation bound violated: entry {entry} still serves the "
@@ -134,6 +158,19 @@
             return False
         return True
 
+    def remains_bound(self, call, execution, link, due):
+        """True if the entry knew of a drain when it was due, and ran without a fault since then. It
+        then keeps to the drain, also if the store fails later. An entry sends only to targets of
+        its own region."""
+        if self.region_of(execution.domain) != call.region:
+            return False
+        entry, first = call.entry, due - FAULT_RECOVERY_S
+        is_unaffected = self.fault_intervals.is_unaffected
+        return (is_unaffected(f"store {entry}", first, due) and
+                is_unaffected(f"entry {entry}", first, execution.time) and
+                is_unaffected("host", first, execution.time) and
+                is_unaffected(f"target {link}", execution.time - FAULT_RECOVERY_S, execution.time))
+
     def check_outcomes(self):
         """Each call ends in one outcome, and no request is lost by an entry that keeps running."""
         for request, call in self.calls.items():
@@ -190,20 +227,29 @@
                 f"home region violated: {request} was executed in {execution.domain}, outside its "
                 f"home region {call.home_region}")
         link = execution.target.split("-")[0]
-        drain_start = self.drain_starts.get(execution.target)
-        if drain_start is not None and execution.time > drain_start + DRAIN_BOUND_S:
-            if self.bound_applies(call.entry, execution.time, link):
-                self.report_violation(
-                    f"drain bound violated: {request} was executed by {execution.target} "
-                    f"{execution.time - drain_start:.1f} s after it started to drain")
+        self.check_drain(request, call, execution, link)
         for begin, end in self.evacuations[execution.domain]:
-            is_inside = execution.time > begin + EVACUATION_BOUND_S and (
+            acknowledged = self.acknowledged_at(evacuation_key(execution.domain), begin,
+                                                execution.time)
+            is_inside = execution.time > acknowledged + EVACUATION_BOUND_S and (
                 end is None or execution.time < end)
             if is_inside and self.bound_applies(call.entry, execution.time, link):
                 self.report_violation(
                     f"evacuation bound violated: {request} was executed in {execution.domain}, "
                     f"which was evacuated {execution.time - begin:.1f} s before")
 
+    def check_drain(self, request, call, execution, link):
+        start = self.drain_starts.get(execution.target)
+        if start is None or execution.time <= start + DRAIN_BOUND_S:
+            return
+        acknowledged = self.acknowledged_at(target_key(execution.target), start, execution.time)
+        is_due = execution.time > acknowledged + DRAIN_BOUND_S and self.bound_applies(
+            call.entry, execution.time, link)
+        if is_due or self.remains_bound(call, execution, link, start + DRAIN_BOUND_S):
+            self.report_violation(
+                f"drain bound violated: {request} was executed by {execution.target} through entry "
+                f"{call.entry} {execution.time - start:.1f} s after it started to drain")
+
     def check_cold_start_rate(self):
         bound = COLD_RATE_PER_S * COLD_BURST_FACTOR + COLD_SLACK_REQUESTS
         times = collections.defaultdict(list)
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -14,9 +14,11 @@
 from callers import Callers
 from faults import FaultInjector
 from fleet import REGIONS, Fleet
-from invariants import MAX_TIMER_LAG_S, InvariantChecker
+from invariants import (CONFIGURATION_BOUND_S, FAULT_RECOVERY_S, MAX_TIMER_LAG_S,
+                        InvariantChecker)
 
 TIMER_INTERVAL_S = 0.05
+SETTLE_S = FAULT_RECOVERY_S + CONFIGURATION_BOUND_S + 1.5
 
 
 class SoakTest:
@@ -49,9 +51,13 @@
         if not await self.callers.wait_until_ready():
             self.checker.report_violation("liveness violated: the fleet did not become ready")
         until = loop.time() + self.options.seconds
-        caller_tasks = self.callers.start(until, self.options.callers)
+        if not self.options.restores:
+            self.callers.ends_at = until
+        caller_tasks = self.callers.start(self.options.callers)
         if not self.options.calm:
-            await self.fault_injector.inject(until - 1)
+            await self.fault_injector.inject(until - 1, self.options.restores)
+        if self.options.restores:
+            await self.restore_in_calm()
         await asyncio.gather(*caller_tasks)
         if not await self.callers.wait_until_ready():
             self.checker.report_violation(
@@ -64,10 +70,17 @@
         loop.set_exception_handler(lambda loop, context: None)
         await self.fleet.stop()
 
+    async def restore_in_calm(self):
+        """Restores the store once more, without other faults, and continues until all time bounds
+        apply again."""
+        await self.fault_injector.restore_amid_changes(0)
+        self.callers.ends_at = asyncio.get_running_loop().time() + SETTLE_S
+
     def report(self):
         return {"seed": self.options.seed, "entries": self.options.entries,
                 "calls": self.callers.call_count, "logs": self.log_directory,
                 "outcomes": dict(collections.Counter(self.checker.outcomes.values())),
+                "restores": self.fault_injector.restore_count,
                 "excused": self.checker.skipped_checks,
                 "largest_lag_s": round(self.max_timer_lag_s, 3),
                 "violations": self.checker.violations}
@@ -83,9 +96,14 @@
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--network", type=int, default=0,
                         help="N in addresses 127.N.x.x; use different numbers for parallel runs")
+    parser.add_argument("--restores", type=int, default=0,
+                        help="times that the store comes back from an older copy beside the other "
+                        "faults; once more follows after these (0: never)")
     parser.add_argument("--calm", action="store_true", help="inject no faults")
     parser.add_argument("--binary", default="build/src/anvilsaddled/anvilsaddled")
     options = parser.parse_args()
+    if options.calm and options.restores:
+        parser.error("--restores needs faults")
     if not 1 <= options.entries <= 200 or not len(REGIONS) * 2 <= options.targets <= 200:
         parser.error("need 1 to 200 entries and 8 to 200 targets")
     test = SoakTest(options)
