Check in the soak that routes of all versions are never missing

Cause: a 404 on a route that every version of the configuration has was counted among the outcomes, but no invariant looked at it. An entry that took an older or empty configuration was seen only by the version probe.

--- a/scripts/soak/callers.py
+++ b/scripts/soak/callers.py
@@ -43,8 +43,9 @@
         """Returns the request id, the outcome, and the connection if it can be reused."""
         self.call_count += 1
         request = f"{self.seed}-{self.call_count}"
-        self.checker.calls[request] = Call(entry.index, REGIONS[entry.domain], template.service,
-                                           template.unsafe, template.home_region)
+        self.checker.calls[request] = Call(
+            entry.index, REGIONS[entry.domain], template.service, template.unsafe,
+            template.home_region, template in REQUEST_TEMPLATES)
         reusable = None
         try:
             connection = connection or await asyncio.wait_for(
--- a/scripts/soak/invariants.py
+++ b/scripts/soak/invariants.py
@@ -22,7 +22,7 @@
 # A connection that ends this soon after a request was sent may have been closed before it arrived.
 CLOSE_CROSSING_S = 0.2
 
-Call = collections.namedtuple("Call", "entry region service unsafe home_region")
+Call = collections.namedtuple("Call", "entry region service unsafe home_region in_all_versions")
 # When the request was sent on an open connection, and when its exchange ended.
 Ending = collections.namedtuple("Ending", "sent ended")
 Execution = collections.namedtuple("Execution", "time target service domain cold")
@@ -172,11 +172,16 @@
                 is_unaffected(f"target {link}", execution.time - FAULT_RECOVERY_S, execution.time))
 
     def check_outcomes(self):
-        """Each call ends in one outcome, and no request is lost by an entry that keeps running."""
+        """Each call ends in one outcome, no route that all versions have is missing, and no request
+        is lost by an entry that keeps running."""
         for request, call in self.calls.items():
             outcome = self.outcomes.get(request)
             if outcome is None:
                 self.report_violation(f"call accounting violated: {request} has no outcome")
+            elif outcome == "404" and call.in_all_versions:
+                self.report_violation(
+                    f"route availability violated: entry {call.entry} has no route for {request}, "
+                    f"though all versions have one")
             elif outcome in ("unanswered", "timeout"):
                 self.check_lost(request, call, outcome, self.endings[request])
 
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -102,8 +102,8 @@
     parser.add_argument("--calm", action="store_true", help="inject no faults")
     parser.add_argument("--binary", default="build/src/anvilsaddled/anvilsaddled")
     options = parser.parse_args()
-    if options.calm and options.restores:
-        parser.error("--restores needs faults")
+    if options.calm:
+        options.restores = 0
     if not 1 <= options.entries <= 200 or not len(REGIONS) * 2 <= options.targets <= 200:
         parser.error("need 1 to 200 entries and 8 to 200 targets")
     test = SoakTest(options)
