--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -96,7 +96,7 @@
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--network", type=int, default=0,
                         help="N in addresses 127.N.x.x; use different numbers for parallel runs")
-    parser.add_argument("--restores", type=int, default=0,
+    parser.add_argument("--restores", type=int, default=2,
                         help="times that the store comes back from an older copy beside the other "
                         "faults; once more follows after these (0: never)")
     parser.add_argument("--calm", action="store_true", help="inject no faults")
