Keep connections for the idle timeout that was announced to their callers

A configuration with a shorter idle timeout applied to open connections at once, though their callers had been told to reuse them for longer: their next requests crossed the close. A connection now keeps the idle timeout of its last response.

In unansweredRequestsAreReported the row of the idle close sets its limit before the response, since a later one has no effect until the next response.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -36,7 +36,8 @@
     : Server(Server), Socket(std::move(Socket)),
       Watch(g_socket_get_fd(this->Socket.get()),
             [this](GIOCondition Condition) { this->onReady(Condition); }),
-      Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}), LastActivity(Now) {
+      Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}), LastActivity(Now),
+      IdleTimeout(Server.limits().IdleTimeout) {
   this->updateWatch();
 }
 
@@ -52,9 +53,9 @@
   return this->Server.isKeepAliveDisabled() && IsLast;
 }
 
-std::chrono::seconds HttpConnection::reuseTime() const {
-  return std::chrono::duration_cast<std::chrono::seconds>(this->Server.limits().IdleTimeout *
-                                                          ReuseTimeShare);
+std::chrono::seconds HttpConnection::renewReuseTime() {
+  this->IdleTimeout = this->Server.limits().IdleTimeout;
+  return std::chrono::duration_cast<std::chrono::seconds>(this->IdleTimeout * ReuseTimeShare);
 }
 
 void HttpConnection::onReady(GIOCondition Condition) {
@@ -337,7 +338,7 @@
     return;
   }
   if (this->isIdle()) {
-    if (Now - this->LastActivity > this->Server.limits().IdleTimeout) {
+    if (Now - this->LastActivity > this->IdleTimeout) {
       this->closeIfIdle(CloseReason::IdleTimeout);
     }
     return;
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -53,8 +53,9 @@
   };
 
   bool shouldCloseAfter(const HttpExchange &Exchange) const;
-  /// Time for which a caller may reuse the connection while it is idle.
-  std::chrono::seconds reuseTime() const;
+  /// Applies the current idle timeout and returns the time for which the caller may reuse the
+  /// connection while it is idle.
+  std::chrono::seconds renewReuseTime();
   void flush();
   void reset();
 
@@ -82,6 +83,8 @@
   RequestParser Parser;
   std::deque<std::unique_ptr<HttpExchange>> Exchanges;
   TimePoint LastActivity;
+  /// The idle timeout by which the last response announced how long the connection may be reused.
+  Duration IdleTimeout;
   /// Time at which bytes of a response were sent; nothing before the first response.
   std::optional<TimePoint> LastWrite;
   /// Arrival of the first byte of the request that is being received.
--- a/src/libs/transport/HttpExchange.cpp
+++ b/src/libs/transport/HttpExchange.cpp
@@ -47,7 +47,7 @@
   this->Framing = Head.Framing;
   this->CloseAfter = !this->Request.KeepAlive || Head.Framing == BodyFraming::UntilClose ||
                      this->Connection.shouldCloseAfter(*this);
-  const std::int64_t ReuseSeconds = this->Connection.reuseTime().count();
+  const std::int64_t ReuseSeconds = this->Connection.renewReuseTime().count();
   if (!this->CloseAfter && ReuseSeconds > 0) {
     Head.Fields.emplace_back("Keep-Alive", "timeout=" + std::to_string(ReuseSeconds));
   }
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -101,6 +101,7 @@
   CPPUNIT_TEST(slowSendersAndIdleConnections);
   CPPUNIT_TEST(connectionsAreBounded);
   CPPUNIT_TEST(keepAliveTimeIsAnnounced);
+  CPPUNIT_TEST(announcedKeepAliveTimeIsKept);
   CPPUNIT_TEST(requestsThatWaitInTheSocketAreServed);
   CPPUNIT_TEST(requestsThatCrossAnIdleCloseStayUnread);
   CPPUNIT_TEST(unansweredRequestsAreReported);
@@ -345,6 +346,27 @@
     }
   }
 
+  /// Guards against a configuration with a shorter idle timeout that closes connections which
+  /// callers were told to reuse for longer.
+  void announcedKeepAliveTimeIsKept() {
+    Fixture Test;
+    Test.Handler.RespondImmediately = true;
+    Test.Caller->send(getRequest("/a"));
+    CPPUNIT_ASSERT(Test.received("Keep-Alive: timeout=12\r\n"));
+    CallerLimits Limits;
+    Limits.IdleTimeout = 2s;
+    Test.Server.setLimits(Limits);
+    Test.Time.Advance += 12s;
+    // Makes the timeout timer due.
+    g_usleep(300'000);
+    runPending();
+    CPPUNIT_ASSERT(!Test.Caller->Closed);
+    Test.Caller->send(getRequest("/b"));
+    CPPUNIT_ASSERT(Test.received("Keep-Alive: timeout=1\r\n"));
+    Test.Time.Advance += 3s;
+    CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
+  }
+
   /// Guards against closing a connection as idle while a request waits unread in its socket: a busy
   /// entry dropped such requests without a response.
   void requestsThatWaitInTheSocketAreServed() {
@@ -467,12 +489,12 @@
          CloseReason::LastResponse, RequestStage::Unread, " last_response;"},
         {"the request crosses the close of an idle connection",
          [](Fixture &Test) {
-           Test.Handler.RespondImmediately = true;
-           Test.Caller->send(getRequest("/a"));
-           CPPUNIT_ASSERT(Test.received("response to /a"));
            CallerLimits Limits;
            Limits.IdleTimeout = 10ms;
            Test.Server.setLimits(Limits);
+           Test.Handler.RespondImmediately = true;
+           Test.Caller->send(getRequest("/a"));
+           CPPUNIT_ASSERT(Test.received("response to /a"));
            CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
            Test.Caller->send(getRequest("/b"));
          },
