--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -35,8 +35,8 @@
   std::string listen(const Endpoint &ListenAddress);
   /// The bound port; 0 before listen().
   std::uint16_t port() const { return this->BoundPort; }
-  /// Sets the limits. The sizes apply to connections that are accepted from now on, the idle timeout
-  /// to open ones from their next response on.
+  /// Sets the limits. The sizes apply to connections that are accepted from now on, the idle
+  /// timeout to open ones from their next response on.
   void setLimits(const CallerLimits &Limits) { this->ConnectionLimits = Limits; }
   /// From now on each connection is closed after the response to its last request.
   void disableKeepAlive() { this->KeepAliveDisabled = true; }
