Keep the index entry of a request whose exchange reuses an address

A caller that pipelined a request behind one that is not idempotent and then left could end the process: the connection deletes the first exchange and may create the next one at its address, so the end of the first request removed the second one from the index. It was not cancelled when the caller left, and its response was written to freed memory.

tst_proxyhandler callersLeaveDuringALaterRequest.

--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -262,7 +262,11 @@
 }
 
 void ProxyHandler::erase(ActiveRequest &Request) {
-  this->NumberByExchange.erase(&Request.exchange());
+  // The connection may have deleted the exchange and created the next one at its address.
+  const auto Number = this->NumberByExchange.find(&Request.exchange());
+  if (Number != this->NumberByExchange.end() && Number->second == Request.number()) {
+    this->NumberByExchange.erase(Number);
+  }
   const auto Found = this->Requests.find(Request.number());
   this->EndedRequests.add(std::move(Found->second));
   this->Requests.erase(Found);
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -163,6 +163,7 @@
   CPPUNIT_TEST(disconnectingCallersCancelAttempts);
   CPPUNIT_TEST(shutdown);
   CPPUNIT_TEST(requestsThatDidNotRunCanBeRepeatedAfterShutdown);
+  CPPUNIT_TEST(callersLeaveDuringALaterRequest);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -462,6 +463,28 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{0}, Entry.Proxy.size());
     }
   }
+
+  /// Guards against a request that outlives its connection: its exchange may be created at the
+  /// address of the exchange before, whose end then removed it from the index.
+  void callersLeaveDuringALaterRequest() {
+    TestEntry Entry;
+    Entry.configure();
+    FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+    Entry.addTarget("t1", Target.Server.Port);
+    auto Caller = RawConnection::connect(Entry.Server.port());
+    Caller->send(makeRequest("POST", "/unsafe/1") + makeRequest("GET", "/safe/2"));
+    CPPUNIT_ASSERT(runUntil([&] {
+      if (Target.Requests == 1) {
+        Target.Response = "";
+      }
+      return Target.Requests == 2;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Entry.Proxy.size());
+    Caller.reset();
+    CPPUNIT_ASSERT(runUntil([&] { return Entry.Server.connectionCount() == 0; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.Proxy.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.RequestDispatcher.requestCount());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProxyHandlerTest);
