Send the version that operators write again after a restore

An entry that had read the older copy itself, because it restarted or was cut off, was never sent the version that the others know from before: writing it again did not count as a change for them. The position of the configuration now follows the write.

--- a/src/libs/coordination/ConfigurationHistory.h
+++ b/src/libs/coordination/ConfigurationHistory.h
@@ -21,7 +21,8 @@
 
   /// Records that a version replaces another one; null if it is the first one.
   void onConfiguration(const Configuration *Old, const Configuration &Newer);
-  /// Returns what changed from a version to the current one; nothing if that is not known.
+  /// Returns what changed from a version to the current one, which is no route if both are the same
+  /// version; nothing if that is not known.
   /// Precondition: `Current` is the version that was recorded last.
   std::optional<ConfigurationDelta> deltaSince(std::uint64_t BaseVersion,
                                                const Configuration &Current) const;
--- a/src/libs/coordination/PublicationLog.cpp
+++ b/src/libs/coordination/PublicationLog.cpp
@@ -63,6 +63,10 @@
 }
 
 bool PublicationLog::isKnown(const Publication &Change) const {
+  if (const auto *Listed = std::get_if<Configuration>(&Change)) {
+    return this->CurrentConfiguration &&
+           this->CurrentConfiguration->Value.Version == Listed->Version;
+  }
   if (const auto *Registered = std::get_if<TargetRegistered>(&Change)) {
     const auto Known = this->Targets.find(Registered->Registration.Name);
     return Known != this->Targets.end() && Known->second.Value == Registered->Registration;
@@ -102,6 +106,10 @@
   if (const auto *Newer = std::get_if<Configuration>(&Change)) {
     if (!this->CurrentConfiguration || this->CurrentConfiguration->Value.Version < Newer->Version) {
       this->CurrentConfiguration = {ChangedAt, *Newer};
+    } else if (this->CurrentConfiguration->Value.Version == Newer->Version) {
+      // An entry that has read the source only since it returned from an older copy lacks the
+      // version that was written again.
+      this->CurrentConfiguration->ChangedAt = ChangedAt;
     }
   } else if (const auto *Registered = std::get_if<TargetRegistered>(&Change)) {
     this->RemovedTargets.erase(Registered->Registration.Name);
--- a/tests/auto/libs/coordination/tst_publicationlog.cpp
+++ b/tests/auto/libs/coordination/tst_publicationlog.cpp
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(entriesAgreeAfterRestores);
   CPPUNIT_TEST(followersConverge);
   CPPUNIT_TEST(entriesHaveTheStateOfTheirRevision);
+  CPPUNIT_TEST(configurationThatIsWrittenAgainIsSent);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -334,6 +335,19 @@
       }
     });
   }
+
+  /// Guards against an entry that has read the older copy only and is never sent the version that
+  /// the others know from before the restore.
+  void configurationThatIsWrittenAgainIsSent() {
+    PublicationLog Reader;
+    CPPUNIT_ASSERT(Reader.apply(batch(true, {makeConfiguration(12)}, 0, 45, 0)));
+    CPPUNIT_ASSERT(Reader.apply(batch(true, {makeConfiguration(10)}, 0, 44, 1)));
+    PublicationLog Restarted;
+    CPPUNIT_ASSERT(Restarted.apply(batch(true, {makeConfiguration(10)}, 0, 44, 1)));
+    CPPUNIT_ASSERT(Reader.apply(batch(false, {makeConfiguration(12)}, 44, 50, 1)));
+    CPPUNIT_ASSERT(Restarted.apply(Reader.batchSince(Restarted.position())));
+    CPPUNIT_ASSERT(Restarted.batchSince({}) == Reader.batchSince({}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PublicationLogTest);
