Pause before a fetch that follows one without progress

A reader announced such a position by itself after a change that has no readable key, since its log did not advance.

--- a/src/libs/coordination/PublicationDistributor.cpp
+++ b/src/libs/coordination/PublicationDistributor.cpp
@@ -97,6 +97,10 @@
 
 void PublicationDistributor::onFetched(const SourcePosition &Known, TimePoint Now) {
   this->IsFetching = false;
+  if (Known <= this->Position) {
+    // The other entry has announced more than it has now, for example before a restart.
+    this->NextFetchTime = Now + FetchRetryDelay;
+  }
   this->Position = std::max(this->Position, Known);
   this->fetchIfBehind(Now);
 }
--- a/tests/auto/libs/coordination/tst_publicationdistributor.cpp
+++ b/tests/auto/libs/coordination/tst_publicationdistributor.cpp
@@ -142,6 +142,7 @@
   CPPUNIT_TEST(readerOfOlderEpochFetches);
   CPPUNIT_TEST(simultaneousStartReadsImmediately);
   CPPUNIT_TEST(surplusReadersStopAfterStart);
+  CPPUNIT_TEST(fetchesWithoutProgressAreDelayed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -266,6 +267,35 @@
     TestRegion.run(20s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, TestRegion.readers().size());
   }
+
+  /// Guards against fetching without a pause from an entry that announced more than it has, which
+  /// happens when it restarts.
+  void fetchesWithoutProgressAreDelayed() {
+    const std::string Self = "10.0.0.1";
+    const std::string Other = "10.0.0.2";
+    const FailureDomainName Domain("a1");
+    Topology FleetTopology;
+    FleetTopology.RegionByDomain = {{Domain, RegionName("a")}};
+    FleetTopology.OwnDomain = Domain;
+    FleetTopology.OwnRegion = RegionName("a");
+    TimePoint Now{10s};
+    PublicationDistributor Distributor(Self, FleetTopology, Now);
+    Distributor.setEntries(
+        {{Self, Domain, 1, 1, EntryState::Ready}, {Other, Domain, 1, 1, EntryState::Ready}});
+    Distributor.onFetched({0, 48}, Now);
+    Distributor.onNotice(Other, {{0, 50}}, Now);
+    std::size_t FetchCount = 0;
+    for (const TimePoint End = Now + 1s; Now < End; Now += 1ms) {
+      for (const DistributionEffect &Each : Distributor.takeEffects()) {
+        if (std::holds_alternative<FetchPublications>(Each)) {
+          ++FetchCount;
+          Distributor.onFetched({0, 48}, Now);
+        }
+      }
+      Distributor.onTick(Now);
+    }
+    CPPUNIT_ASSERT(FetchCount > 1 && FetchCount <= 6);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PublicationDistributorTest);
