Look at the socket before every close of a caller's connection

Connections now stay open until the listener is closed, linger while written bytes are not acknowledged (10 s at most), and are read before the timeout of a request.

tst_httpserver responsesBegunBeforeShutdownKeepTheConnection, undeliveredResponsesAreNotReset, lateRequestsAreReadBeforeTheirTimeout.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -7,6 +7,8 @@
 #include <array>
 #include <utility>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace anvilsaddle {
@@ -22,8 +24,10 @@
 constexpr std::size_t MaxReadAheadBytes = std::size_t{64} * 1024;
 constexpr std::size_t MaxPipelinedRequests = 16;
 constexpr Duration LingerTimeout = 1s;
+/// A connection lingers longer while its last response is on its way over a full link.
+constexpr Duration MaxLingerTimeout = 10s;
 /// Callers are told to reuse a connection for this share of its idle timeout only, so that their
-/// requests don't cross its close, not even on a full link.
+/// requests don't cross its close.
 constexpr double ReuseTimeShare = 0.8;
 
 bool isSafeMethod(const std::string &Method) {
@@ -208,7 +212,7 @@
   if (this->Exchanges.empty()) {
     // Process requests that had to wait for the response to an unsafe one.
     this->parse();
-    if (this->Server.isKeepAliveDisabled()) {
+    if (this->Server.hasStoppedListening()) {
       this->closeIfIdle(CloseReason::Shutdown);
     }
   }
@@ -249,7 +253,9 @@
   if (!this->isIdle()) {
     return;
   }
-  if (this->LastWrite && this->Server.now() - *this->LastWrite < LingerTimeout) {
+  const bool HasRecentWrite =
+      this->LastWrite && this->Server.now() - *this->LastWrite < LingerTimeout;
+  if (HasRecentWrite || this->hasUndeliveredBytes()) {
     this->startLingering(Reason);
     return;
   }
@@ -258,6 +264,11 @@
   this->close(Reason);
 }
 
+bool HttpConnection::hasUndeliveredBytes() const {
+  int Bytes = 0;
+  return ioctl(g_socket_get_fd(this->Socket.get()), SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+}
+
 bool HttpConnection::hasUnreadBytes() const {
   char Byte = 0;
   return recv(g_socket_get_fd(this->Socket.get()), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
@@ -333,7 +344,8 @@
 
 void HttpConnection::checkTimeouts(TimePoint Now) {
   if (this->CurrentState == State::Lingering) {
-    if (Now - this->LastActivity > LingerTimeout) {
+    const Duration Elapsed = Now - this->LastActivity;
+    if (Elapsed > MaxLingerTimeout || (Elapsed > LingerTimeout && !this->hasUndeliveredBytes())) {
       this->close(this->LingeringReason);
     }
     return;
@@ -350,7 +362,8 @@
   const bool IsSlow =
       this->Exchanges.empty() && this->Parser.isStarted() &&
       Now - std::max(this->RequestStarted, this->LastActivity) > this->Server.limits().HeadTimeout;
-  if (IsSlow) {
+  // A busy entry may not have read the rest yet.
+  if (IsSlow && !this->hasUnreadBytes()) {
     this->rejectRequest(408, "the request arrives too slowly");
   }
 }
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -75,6 +75,8 @@
   void report(CloseReason Reason, RequestStage Stage, const RequestHead &Head);
   void reportUnreadBytes(CloseReason Reason);
   bool hasUnreadBytes() const;
+  /// True if the caller's host has not acknowledged all bytes that were written.
+  bool hasUndeliveredBytes() const;
   std::string callerAddress() const;
 
   HttpServer &Server;
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -101,6 +101,7 @@
 }
 
 void HttpServer::stopListening() {
+  this->StoppedListening = true;
   this->Watch.reset();
   if (this->Listener) {
     // Closing the listener resets the connections that have not been accepted.
@@ -132,12 +133,15 @@
 }
 
 gboolean HttpServer::onTimeoutTimer(gpointer Data) {
-  auto &Self = *static_cast<HttpServer *>(Data);
-  const TimePoint Now = Self.now();
-  for (HttpConnection *Each : Self.connections()) {
+  static_cast<HttpServer *>(Data)->checkTimeouts();
+  return G_SOURCE_CONTINUE;
+}
+
+void HttpServer::checkTimeouts() {
+  const TimePoint Now = this->now();
+  for (HttpConnection *Each : this->connections()) {
     Each->checkTimeouts(Now);
   }
-  return G_SOURCE_CONTINUE;
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -43,6 +43,8 @@
   /// Accepts the connections that are already established, then stops accepting and closes the idle
   /// ones. Requests that have already arrived are read first.
   void stopListening();
+  /// Applies the timeouts of all connections, which otherwise happens a few times per second.
+  void checkTimeouts();
   std::size_t connectionCount() const { return this->Connections.size(); }
   /// Requests whose connection ended before the response was complete.
   const UnansweredCounts &unanswered() const { return this->Unanswered; }
@@ -58,6 +60,7 @@
     this->Unanswered.add(Reason, Stage);
   }
   bool isKeepAliveDisabled() const { return this->KeepAliveDisabled; }
+  bool hasStoppedListening() const { return this->StoppedListening; }
   TimePoint now() const;
   void acceptPending(int MaxCount);
   bool acceptOne();
@@ -73,6 +76,7 @@
   CallerLimits ConnectionLimits;
   std::uint16_t BoundPort = 0;
   bool KeepAliveDisabled = false;
+  bool StoppedListening = false;
   UnansweredCounts Unanswered;
   GObjectPointer<GSocket> Listener;
   std::unique_ptr<SocketWatch> Watch;
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -3,10 +3,16 @@
 #include "transport/HttpServer.h"
 #include "transport/SystemClock.h"
 
+#include <array>
+#include <cerrno>
 #include <functional>
 #include <map>
 #include <string>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
 
@@ -107,6 +113,9 @@
   CPPUNIT_TEST(requestsThatCrossAnIdleCloseStayUnread);
   CPPUNIT_TEST(unansweredRequestsAreReported);
   CPPUNIT_TEST(idleConnectionsEndWithoutReport);
+  CPPUNIT_TEST(responsesBegunBeforeShutdownKeepTheConnection);
+  CPPUNIT_TEST(lateRequestsAreReadBeforeTheirTimeout);
+  CPPUNIT_TEST(undeliveredResponsesAreNotReset);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -571,6 +580,84 @@
     CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 0; }));
     CPPUNIT_ASSERT(Test.Server.unanswered() == UnansweredCounts());
   }
+
+  /// Guards against dropping a request after a response that began before the shutdown and so did
+  /// not announce the close of the connection.
+  void responsesBegunBeforeShutdownKeepTheConnection() {
+    Fixture Test;
+    Test.Caller->send(getRequest("/first"));
+    CPPUNIT_ASSERT(runUntil([&] { return !Test.Handler.Pending.empty(); }));
+    HttpExchange &First = *Test.Handler.Pending.extract("/first").mapped();
+    ResponseHead Head;
+    Head.Status = 200;
+    Head.Framing = BodyFraming::Chunked;
+    First.begin(Head);
+    Test.Handler.RespondImmediately = true;
+    Test.Server.disableKeepAlive();
+    First.addBody("x");
+    First.end();
+    Test.Caller->send(getRequest("/next"));
+    CPPUNIT_ASSERT(Test.received("response to /next"));
+    CPPUNIT_ASSERT(Test.received("Connection: close"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), Test.Handler.Unanswered);
+  }
+
+  /// Guards against rejecting a request as too slow although its end waits in the socket, which
+  /// happens after the process was stopped for seconds.
+  void lateRequestsAreReadBeforeTheirTimeout() {
+    Fixture Test;
+    Test.Handler.RespondImmediately = true;
+    Test.Caller->send("GET /slow HTTP/1.1\r\n");
+    // The response on a second connection shows that the first one was read.
+    const auto Second = RawConnection::connect(Test.Server.port());
+    Second->send(getRequest("/second"));
+    CPPUNIT_ASSERT(runUntil([&] { return !Second->Received.empty(); }));
+    Test.Time.Advance = 2 * CallerLimits().HeadTimeout;
+    Test.Caller->send("Host: h\r\n\r\n");
+    Test.Server.checkTimeouts();
+    CPPUNIT_ASSERT(Test.received("response to /slow"));
+  }
+
+  /// Guards against resetting a connection whose last response is still on its way over a full
+  /// link.
+  void undeliveredResponsesAreNotReset() {
+    constexpr std::size_t BodyBytes = 100'000;
+    constexpr int SmallBuffer = 4096;
+    Fixture Test;
+    const int Caller = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(Caller, SOL_SOCKET, SO_RCVBUF, &SmallBuffer, sizeof(SmallBuffer));
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(Test.Server.port());
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CPPUNIT_ASSERT_EQUAL(
+        0, connect(Caller, reinterpret_cast<const sockaddr *>(&Address), sizeof(Address)));
+    const auto Send = [Caller](const std::string &Text) {
+      return send(Caller, Text.data(), Text.size(), MSG_NOSIGNAL) > 0;
+    };
+    CPPUNIT_ASSERT(Send(getRequest("/a")));
+    CPPUNIT_ASSERT(runUntil([&] { return !Test.Handler.Pending.empty(); }));
+    ResponseHead Head;
+    Head.Status = 200;
+    Test.Handler.Pending.extract("/a").mapped()->respond(std::move(Head),
+                                                         std::string(BodyBytes, 'x'));
+    Test.Time.Advance = 2s;
+    Test.Server.disableKeepAlive();
+    Test.Server.stopListening();
+    CPPUNIT_ASSERT(Send(getRequest("/next")));
+    std::size_t Received = 0;
+    ssize_t Count = 0;
+    CPPUNIT_ASSERT(runUntil([&] {
+      std::array<char, SmallBuffer> Buffer;
+      while ((Count = recv(Caller, Buffer.data(), Buffer.size(), MSG_DONTWAIT)) > 0) {
+        Received += static_cast<std::size_t>(Count);
+      }
+      return Count == 0 || errno != EAGAIN;
+    }));
+    ::close(Caller);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("orderly end", ssize_t{0}, Count);
+    CPPUNIT_ASSERT(Received > BodyBytes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
