--- a/src/libs/transport/ActiveRequest.cpp
+++ b/src/libs/transport/ActiveRequest.cpp
@@ -54,7 +54,6 @@
 }
 
 void ActiveRequest::onAttemptStreaming(RequestAttempt &Attempt) {
-  this->Committed = true;
   this->Notify.OnCommitted(*this, Attempt.command().Attempt);
   this->Exchange.begin(forwardedHead(Attempt.head()));
   this->Exchange.addBody(Attempt.body());
--- a/src/libs/transport/ActiveRequest.h
+++ b/src/libs/transport/ActiveRequest.h
@@ -45,8 +45,6 @@
   void deliver(AttemptNumber Attempt);
   /// Sends a local response instead of a target's.
   void reject(ResponseHead Head, const std::string &Text);
-  /// The response of an attempt is being streamed to the caller.
-  bool isCommitted() const { return this->Committed; }
 
   void onAttemptEnd(RequestAttempt &Attempt, const AttemptResult &End,
                     const std::string &Detail) override;
@@ -61,7 +59,6 @@
   std::string Id;
   const Callbacks &Notify;
   std::map<AttemptNumber, std::unique_ptr<RequestAttempt>> Attempts;
-  bool Committed = false;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -428,10 +428,10 @@
   if (Now >= this->Shutdown->finalResponseTime()) {
     this->Proxy.failPendingRequests();
   }
-  const bool IsFlushTimeOver = Now >= this->Shutdown->endTime();
+  const bool IsEndTimeReached = Now >= this->Shutdown->endTime();
   const bool IsIdle = this->Proxy.size() == 0 && this->CallerServer.connectionCount() == 0 &&
                       this->ForwardServer.connectionCount() == 0;
-  if ((IsFlushTimeOver || IsIdle) && this->OnStopped) {
+  if ((IsEndTimeReached || IsIdle) && this->OnStopped) {
     std::exchange(this->OnStopped, nullptr)();
   }
 }
--- a/src/libs/transport/HttpFetch.h
+++ b/src/libs/transport/HttpFetch.h
@@ -32,9 +32,9 @@
   ~HttpFetch() override;
 
   /// Cancels a fetch that is still running. The fetch fails if no bytes of the response arrive for
-  /// `IdleTimeout`, and if it is not complete after `Timeout`.
+  /// `MaxIdle`, and if it is not complete after `Timeout`.
   void start(const Endpoint &Server, const std::string &Path, Duration Timeout,
-             Duration IdleTimeout = Duration::max());
+             Duration MaxIdle = Duration::max());
   /// Cancels a running fetch without calling the callback.
   void cancel();
 
