Apply the timeouts in tests of idle connections by a call instead of waiting for them

Two tests waited 0.3 s for the timer of HttpServer to become due. They call checkTimeouts() now; the assertions are unchanged. tst_httpserver passes three times in a row.

--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -408,8 +408,7 @@
     Limits.IdleTimeout = 2s;
     Test.Server.setLimits(Limits);
     Test.Time.Advance += 12s;
-    // Makes the timeout timer due.
-    g_usleep(300'000);
+    Test.Server.checkTimeouts();
     runPending();
     CPPUNIT_ASSERT(!Test.Caller->Closed);
     Test.Caller->send(getRequest("/b"));
@@ -426,8 +425,7 @@
         {"idle timeout",
          [](Fixture &Test) {
            Test.Time.Advance = 2 * CallerLimits().IdleTimeout;
-           // Makes the timeout timer due together with the socket.
-           g_usleep(300'000);
+           Test.Server.checkTimeouts();
          }},
         {"connection limit",
          [&](Fixture &Test) { Second = RawConnection::connect(Test.Server.port()); }},
