--- a/src/libs/coordination/DispatchQueue.cpp
+++ b/src/libs/coordination/DispatchQueue.cpp
@@ -128,6 +128,13 @@
   return static_cast<std::size_t>(std::distance(this->Order.begin(), FirstBehind));
 }
 
+bool DispatchQueue::allMissObjective(TimePoint Now) const {
+  return !this->Order.empty() &&
+         std::all_of(this->Order.begin(), this->Order.end(), [Now](const SortKey &Each) {
+           return Each.MissesObjective || Each.LatestDispatch < Now;
+         });
+}
+
 std::optional<RequestNumber> DispatchQueue::back() const {
   if (this->Order.empty()) {
     return std::nullopt;
--- a/src/libs/coordination/DispatchQueue.h
+++ b/src/libs/coordination/DispatchQueue.h
@@ -31,6 +31,9 @@
   /// Returns the request to send next; nothing if the queue is empty. First moves back the requests
   /// that can no longer meet their objective.
   std::optional<RequestNumber> front(TimePoint Now);
+  /// True if all queued requests miss their objective, so that requests of other entries that can
+  /// still meet theirs should go first. False if the queue is empty.
+  bool allMissObjective(TimePoint Now) const;
   /// Returns the request in the last place; nothing if the queue is empty.
   std::optional<RequestNumber> back() const;
   /// Expected wait of the last request; nothing as long as there are too few dispatches.
--- a/src/libs/coordination/DispatchRequest.h
+++ b/src/libs/coordination/DispatchRequest.h
@@ -11,22 +11,17 @@
 
 namespace anvilsaddle {
 
-/// Occupancy of the target at the time when a request is sent to it.
-enum class Occupancy {
-  FreeSlots,
-  LastSlot,
-  Queued,
-  /// The request is forwarded to an entry of another region, so that the target is not known.
-  OtherRegion,
-};
-
 /// One send of a request to a target or entry.
 struct DispatchAttempt {
   TargetName Target;
   Endpoint Address;
   TimePoint SentAt{};
   double Slowdown = 1;
-  Occupancy TargetOccupancy = Occupancy::FreeSlots;
+  /// Occupancy of the target with this request; nothing if the request waits there for a slot, or
+  /// if it is forwarded so that the target is not known.
+  std::optional<SlotOccupancy> Occupancy;
+  /// The attempt forwards the request to an entry of another region.
+  bool IsForwarded = false;
   /// Number of targets that may execute the request because of this attempt.
   std::uint32_t MaxTargets = 1;
   bool IsRunning = true;
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -16,6 +16,12 @@
 /// Fraction of the freed slots that are left to other entries, so that an entry without running
 /// requests finds free slots.
 constexpr double ReleasedSlotFraction = 0.25;
+/// The same while all queued requests miss their objective. Requests of other entries that can
+/// still meet theirs then find the freed slots.
+constexpr double LateReleasedSlotFraction = 0.9;
+/// Fraction of the searches in which a request that misses its objective may take the last usable
+/// slot of a target. In the others it leaves the slot to requests that can still meet theirs.
+constexpr double LateLastSlotFraction = 0.2;
 /// A request can't be served in time if less than this fraction of the usual processing time is
 /// left until its deadline.
 constexpr double MinProcessingTimeFraction = 0.5;
@@ -37,7 +43,9 @@
 
 void Dispatcher::setEntries(std::vector<std::string> RegionEntries, std::size_t FleetEntryCount) {
   this->Finder.setEntries(std::move(RegionEntries));
-  this->Retries.setEntryCount(std::max<std::size_t>(1, FleetEntryCount));
+  const std::size_t EntryCount = std::max<std::size_t>(1, FleetEntryCount);
+  this->Retries.setEntryCount(EntryCount);
+  this->Estimates.saturation().setEntryCount(EntryCount);
 }
 
 std::size_t Dispatcher::queueLength() const {
@@ -91,7 +99,7 @@
   }
   this->updateTimer(Number, Request);
   ServiceQueue &Queue = this->Queues[Request.Attributes.Service];
-  if (!Queue.Requests.empty()) {
+  if (!Queue.Requests.empty() && !Queue.Requests.allMissObjective(Now)) {
     this->enqueue(Number, false, Now);
     return;
   }
@@ -108,7 +116,12 @@
 
 void Dispatcher::startSearch(RequestNumber Number, bool IsHedge, TimePoint Now) {
   DispatchRequest &Request = this->Requests.at(Number);
-  Request.Search = TargetSearch{SearchStage::Domain, IsHedge, Now, Now, {}};
+  Request.Search = TargetSearch{SearchStage::Domain, IsHedge, false, Now, Now, {}};
+  const Duration ProcessingTime = this->Estimates.estimate(Request.Attributes, Now).ProcessingTime;
+  const bool MissesObjective =
+      Request.Attributes.ReceivedAt + Request.Attributes.Objective < Now + ProcessingTime;
+  Request.Search->LeavesLastSlot =
+      MissesObjective && this->Random.uniform() >= LateLastSlotFraction;
   this->advanceSearch(Number, Now);
 }
 
@@ -138,7 +151,8 @@
     std::vector<PlacementCandidate> Reported =
         this->Finder.reportedCandidates(*Request.Search, true, Now);
     auto Best = placement::chooseBest(Reported, Estimate, this->Random.uniform());
-    if (Best && placement::isGoodEnough(*Best, Estimate) &&
+    const bool IsLeft = Best && Request.Search->LeavesLastSlot && Best->UsableSlotsLeft == 0;
+    if (Best && !IsLeft && placement::isGoodEnough(*Best, Estimate) &&
         this->trySend(Number, *Best, Reported.size(), Now)) {
       return;
     }
@@ -147,6 +161,11 @@
       this->updateTimer(Number, Request);
       return;
     }
+    if (Search.LeavesLastSlot && Best) {
+      // Where there is no overload, nearly every target has more than one usable slot left.
+      this->onSearchFailed(Number, Now);
+      return;
+    }
     if (this->addNextStage(Request, SearchStage::Fallback, Now)) {
       continue;
     }
@@ -156,6 +175,10 @@
     if (this->addNextStage(Request, SearchStage::Remote, Now)) {
       continue;
     }
+    if (Best && !Best->HasCapacity && this->tryExplore(Request, *Best, Now) &&
+        this->trySend(Number, *Best, Reported.size(), Now)) {
+      return;
+    }
     if (!Best || !Best->HasCapacity) {
       Reported = this->Finder.reportedCandidates(Search, false, Now);
       Best = placement::chooseBest(Reported, Estimate, this->Random.uniform());
@@ -168,6 +191,13 @@
   }
 }
 
+bool Dispatcher::tryExplore(const DispatchRequest &Request, const PlacementChoice &Choice,
+                            TimePoint Now) {
+  return !Request.Search->IsHedge && Choice.Occupancy &&
+         this->Estimates.saturation().tryExplore(Request.Attributes.Service, *Choice.Occupancy,
+                                                 this->Random.uniform(), Now);
+}
+
 bool Dispatcher::trySend(RequestNumber Number, const PlacementChoice &Choice,
                          std::size_t CandidateCount, TimePoint Now) {
   DispatchRequest &Request = this->Requests.at(Number);
@@ -192,13 +222,13 @@
   const TargetName Name = State.Registration.Name;
   this->Finder.onSent(Name, Now);
   const auto Attempt = static_cast<AttemptNumber>(Request.Attempts.size());
-  Occupancy TargetOccupancy = Occupancy::FreeSlots;
-  if (Choice.Outstanding + 1 >= Details.Load.Slots && Details.Load.Slots > 1) {
-    TargetOccupancy =
-        Choice.Outstanding < Details.Load.Slots ? Occupancy::LastSlot : Occupancy::Queued;
-  }
-  Request.Attempts.push_back(
-      {Name, State.Registration.Address, Now, Details.Load.Slowdown, TargetOccupancy, 1, true});
+  DispatchAttempt Attempted;
+  Attempted.Target = Name;
+  Attempted.Address = State.Registration.Address;
+  Attempted.SentAt = Now;
+  Attempted.Slowdown = Details.Load.Slowdown;
+  Attempted.Occupancy = Choice.Occupancy;
+  Request.Attempts.push_back(std::move(Attempted));
   Request.HedgeAt = Request.hedgeTime(
       this->Estimates.estimate(Request.Attributes, Now).ProcessingTime, Details.ExpectedCost, Now);
   this->updateTimer(Number, Request);
@@ -238,8 +268,13 @@
   Forward.Service = Attributes.Service;
   const auto Attempt = static_cast<AttemptNumber>(Request.Attempts.size());
   const TargetName Name(Entry->Address);
-  Request.Attempts.push_back(
-      {Name, *Entry, Now, 1, Occupancy::OtherRegion, Forward.MaxTargets, true});
+  DispatchAttempt Attempted;
+  Attempted.Target = Name;
+  Attempted.Address = *Entry;
+  Attempted.SentAt = Now;
+  Attempted.IsForwarded = true;
+  Attempted.MaxTargets = Forward.MaxTargets;
+  Request.Attempts.push_back(std::move(Attempted));
   PlacementDetails Details;
   Details.ExpectedCost = AddedCost + Context.Estimate.ProcessingTime;
   Request.HedgeAt = Request.hedgeTime(
@@ -359,7 +394,9 @@
 void Dispatcher::dispatchToFreedSlot(const ServiceName &Service, const TargetName &Name,
                                      TimePoint Now) {
   ServiceQueue &Queue = this->Queues[Service];
-  if (Queue.Requests.empty() || this->Random.uniform() < ReleasedSlotFraction) {
+  const double ReleasedFraction =
+      Queue.Requests.allMissObjective(Now) ? LateReleasedSlotFraction : ReleasedSlotFraction;
+  if (Queue.Requests.empty() || this->Random.uniform() < ReleasedFraction) {
     return;
   }
   const auto First = this->dequeueForSearch(Queue, Now);
@@ -367,7 +404,7 @@
     return;
   }
   DispatchRequest &Request = this->Requests.at(*First);
-  Request.Search = TargetSearch{SearchStage::Domain, false, Now, Now, {}};
+  Request.Search = TargetSearch{SearchStage::Domain, false, false, Now, Now, {}};
   const SearchContext Context = this->searchContext(Request, Now);
   if (this->Finder.addReportedTarget(*Request.Search, Context, Name, Now)) {
     const auto Reported = this->Finder.reportedCandidates(*Request.Search, true, Now);
@@ -415,8 +452,7 @@
   DispatchRequest &Request = Found->second;
   DispatchAttempt &Ended = Request.Attempts[Attempt];
   Ended.IsRunning = false;
-  if (Ended.TargetOccupancy == Occupancy::OtherRegion &&
-      Result.Outcome != AttemptOutcome::Succeeded) {
+  if (Ended.IsForwarded && Result.Outcome != AttemptOutcome::Succeeded) {
     this->onForwardFailed(Request, Ended, Result.Outcome, Now);
   }
   const bool HasFailed =
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -64,6 +64,9 @@
     this->EntriesOfOtherRegions.setReadyEntries(std::move(Ready));
   }
 
+  /// Estimates to exchange with other entries.
+  SaturationEstimator &saturation() { return this->Estimates.saturation(); }
+
   /// Called when the entry shuts down. From now on, each request gets its final response by the
   /// given time at the latest, and requests that can't be expected to end by then are refused.
   /// Later calls may only shorten the time.
@@ -106,6 +109,9 @@
   /// none.
   bool addNextStage(DispatchRequest &Request, SearchStage LastStage, TimePoint Now);
   void advanceSearch(RequestNumber Number, TimePoint Now);
+  /// Decides whether the request takes a slot that is otherwise left idle, to learn how much slower
+  /// the target becomes.
+  bool tryExplore(const DispatchRequest &Request, const PlacementChoice &Choice, TimePoint Now);
   bool trySend(RequestNumber Number, const PlacementChoice &Choice, std::size_t CandidateCount,
                TimePoint Now);
   /// Forwards the request to another region if it is served better there.
--- a/src/libs/coordination/Membership.h
+++ b/src/libs/coordination/Membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/SaturationEstimator.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
 #include "state/Topology.h"
@@ -40,9 +41,11 @@
   auto operator<=>(const EntryRecord &) const = default;
 };
 
-/// Gossip message with the live entries that the sender knows. Value type.
+/// Gossip message with the live entries that the sender knows, and with sums that it gives to the
+/// receiver. Value type.
 struct Gossip {
   std::vector<EntryRecord> Entries;
+  std::vector<SaturationRecord> Saturation{};
 
   auto operator<=>(const Gossip &) const = default;
 };
--- a/src/libs/coordination/Placement.cpp
+++ b/src/libs/coordination/Placement.cpp
@@ -21,6 +21,8 @@
 constexpr double SaturatedTimeFraction = 0.7;
 /// Smaller factors are within the normal variation of response times.
 constexpr double MinSaturationFactor = 1.25;
+/// Rounding errors don't count as a higher throughput.
+constexpr double ThroughputTolerance = 1e-9;
 /// Number of requests that may wait at a target beyond its slots. A few fill the time between a
 /// freed slot and the next search; more would no longer be ordered by priority.
 constexpr std::uint32_t MaxQueuedAhead = 2;
@@ -39,6 +41,11 @@
 /// A cost up to this many times the usual processing time is good enough.
 constexpr double GoodCostFactor = 1.3;
 
+/// Processing time at a target that keeps the occupancy all the time, relative to a low occupancy.
+double saturatedRounds(double Factor) {
+  return Factor < MinSaturationFactor ? 1 : 1 + (Factor - 1) / SaturatedTimeFraction;
+}
+
 Duration distanceCost(Distance Proximity, double Bytes) {
   switch (Proximity) {
   case Distance::SameDomain:
@@ -53,14 +60,20 @@
 
 } // namespace
 
-std::uint32_t usableSlots(std::uint32_t Slots, double SaturationFactor) {
-  if (Slots < 2) {
-    return Slots;
+std::uint32_t usableSlots(std::uint32_t Slots, const SaturationFactors &Factors) {
+  // Only the last slot of each occupancy can be the best one.
+  const std::uint32_t LowSlots = std::max(1U, lowOccupancySlots(Slots));
+  std::uint32_t Best = LowSlots;
+  double BestThroughput = LowSlots;
+  for (const std::uint32_t Occupied : {std::max(LowSlots, Slots - 1), Slots}) {
+    const double Throughput =
+        Occupied / saturatedRounds(Factors.at(slotOccupancy(Occupied, Slots)));
+    if (Throughput > BestThroughput * (1 + ThroughputTolerance)) {
+      Best = Occupied;
+      BestThroughput = Throughput;
+    }
   }
-  // With one slot idle, a target completes (Slots - 1) requests in the time in which a saturated
-  // one completes Slots / factor.
-  const double BreakEven = 1 + SaturatedTimeFraction / (Slots - 1);
-  return SaturationFactor >= std::max(BreakEven, MinSaturationFactor) ? Slots - 1 : Slots;
+  return Best;
 }
 
 PlacementChoice evaluate(const PlacementCandidate &Candidate,
@@ -68,21 +81,27 @@
   const LoadReport &Load = Candidate.Load;
   const std::uint32_t Slots = std::max<std::uint32_t>(1, Load.Slots);
   const std::uint32_t Outstanding = Load.Running + Load.Waiting + Candidate.SentSinceReport;
-  const std::uint32_t Usable = usableSlots(Slots, Estimate.SaturationFactor);
+  const std::uint32_t Usable = usableSlots(Slots, Estimate.Saturation);
   const std::uint32_t QueuedAhead = Outstanding + 1 > Usable ? Outstanding + 1 - Usable : 0;
+  const std::uint32_t UsableSlotsLeft = Usable - std::min(Usable, Outstanding + 1);
   const bool HasCapacity = QueuedAhead == 0 || (Usable == Slots && QueuedAhead <= MaxQueuedAhead);
   const double Slowdown = 1 + (std::max(0.5, Load.Slowdown) - 1) * PersistentSlowdownFraction;
   const std::uint32_t Waiting = Outstanding + 1 > Slots ? Outstanding + 1 - Slots : 0;
+  const SlotOccupancy OccupancyAtStart = slotOccupancy(std::min(Outstanding + 1, Slots), Slots);
   const double Occupancy = std::min(1.0, static_cast<double>(Outstanding) / Slots);
-  const double ProcessingRounds =
-      Outstanding + 1 < Slots ? 1.0 : std::max(1.0, Estimate.SaturationFactor);
+  const double ProcessingRounds = Estimate.Saturation.at(OccupancyAtStart);
   const double TotalRounds = ProcessingRounds + OccupancySlowdown * Occupancy +
                              static_cast<double>(Waiting) / Slots * ProcessingRounds;
   const double FailureFactor = 1 + FailurePenalty * Candidate.FailureScore;
   const auto ResponseTime = std::chrono::duration_cast<Duration>(
       Estimate.ProcessingTime * (Slowdown * TotalRounds * FailureFactor));
-  return {Candidate.Index, ResponseTime + distanceCost(Candidate.Proximity, Estimate.ResponseBytes),
-          Outstanding, QueuedAhead, HasCapacity};
+  return {Candidate.Index,
+          ResponseTime + distanceCost(Candidate.Proximity, Estimate.ResponseBytes),
+          Outstanding,
+          QueuedAhead,
+          UsableSlotsLeft,
+          HasCapacity,
+          Waiting == 0 ? std::optional(OccupancyAtStart) : std::nullopt};
 }
 
 std::optional<PlacementChoice> chooseBest(const std::vector<PlacementCandidate> &Candidates,
--- a/src/libs/coordination/Placement.h
+++ b/src/libs/coordination/Placement.h
@@ -36,8 +36,12 @@
   std::uint32_t Outstanding = 0;
   /// Requests that would run or wait at the target before this one, beyond its usable slots.
   std::uint32_t QueuedAhead = 0;
+  /// Usable slots of the target that are free after this request.
+  std::uint32_t UsableSlotsLeft = 0;
   /// The target may get the request now, even if no other has more free capacity.
   bool HasCapacity = false;
+  /// Occupancy of the target with this request; nothing if the request would wait for a slot.
+  std::optional<SlotOccupancy> Occupancy;
 
   auto operator<=>(const PlacementChoice &) const = default;
 };
@@ -47,9 +51,9 @@
 /// the request.
 namespace placement {
 
-/// Number of slots of a target to use: all, or all but one if a fully occupied target becomes so
-/// slow that it completes more requests with one slot idle. Precondition: the count is positive.
-std::uint32_t usableSlots(std::uint32_t Slots, double SaturationFactor);
+/// Number of slots of a target to use: all, or fewer if a target becomes so slow at a higher
+/// occupancy that it completes more requests with slots idle. Precondition: the count is positive.
+std::uint32_t usableSlots(std::uint32_t Slots, const SaturationFactors &Factors);
 
 /// Evaluates the expected cost of the request at one candidate.
 PlacementChoice evaluate(const PlacementCandidate &Candidate,
--- a/src/libs/coordination/ProcessingTimeEstimator.cpp
+++ b/src/libs/coordination/ProcessingTimeEstimator.cpp
@@ -23,7 +23,8 @@
     return Found->second;
   }
   return {std::chrono::duration_cast<Duration>(Objective * InitialProcessingTimeFraction),
-          InitialResponseBytes, 1};
+          InitialResponseBytes,
+          {}};
 }
 
 void ProcessingTimeEstimator::onResponse(const RouteName &Route, Duration Objective,
--- a/src/libs/coordination/ProcessingTimeEstimator.h
+++ b/src/libs/coordination/ProcessingTimeEstimator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/SaturationEstimator.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
 
@@ -13,17 +14,17 @@
 public:
   /// Estimate for one request.
   struct Estimate {
-    /// Median time at a target with free slots and without slowdown.
+    /// Median time at a target with low occupancy and without slowdown.
     Duration ProcessingTime{0};
     double ResponseBytes = 0;
-    /// Processing time at a target without a free slot, relative to ProcessingTime.
-    double SaturationFactor = 1;
+    /// Processing times at targets with higher occupancy, relative to ProcessingTime.
+    SaturationFactors Saturation{};
   };
 
   /// The objective provides the initial estimate of a route without responses.
   Estimate estimate(const RouteName &Route, Duration Objective) const;
-  /// Updates the estimate from the response of a target that had free slots. `Slowdown` is that of
-  /// the target when the request was sent.
+  /// Updates the estimate from the response of a target that had low occupancy. `Slowdown` is that
+  /// of the target when the request was sent.
   void onResponse(const RouteName &Route, Duration Objective, Duration Elapsed, double Slowdown,
                   double ResponseBytes);
 
--- a/src/libs/coordination/ResponseEstimates.cpp
+++ b/src/libs/coordination/ResponseEstimates.cpp
@@ -5,28 +5,42 @@
 
 namespace anvilsaddle {
 
+namespace {
+
+/// A larger slowdown when the request is sent hides the effect of a high occupancy, because it
+/// rarely persists until the response.
+constexpr double MaxSlowdown = 1.5;
+
+} // namespace
+
 ProcessingTimeEstimator::Estimate ResponseEstimates::estimate(const RequestAttributes &Attributes,
                                                               TimePoint Now) const {
   ProcessingTimeEstimator::Estimate Result =
       this->Routes.estimate(Attributes.Route, Attributes.Objective);
-  Result.SaturationFactor = this->Services.saturationFactor(Attributes.Service, Now);
+  Result.Saturation = this->Services.factors(Attributes.Service, Now);
   return Result;
 }
 
 void ResponseEstimates::onResponse(const RequestAttributes &Attributes,
                                    const DispatchAttempt &Ended, const AttemptResult &Result,
                                    TimePoint Now) {
+  if (!Ended.Occupancy) {
+    return;
+  }
   const Duration Elapsed = Now - Ended.SentAt;
-  if (Ended.TargetOccupancy == Occupancy::FreeSlots) {
+  if (*Ended.Occupancy == SlotOccupancy::Low) {
     this->Routes.onResponse(Attributes.Route, Attributes.Objective, Elapsed, Ended.Slowdown,
                             static_cast<double>(Result.ResponseBytes));
-  } else if (Ended.TargetOccupancy == Occupancy::LastSlot) {
-    const Duration Usual =
-        scaled(this->estimate(Attributes, Now).ProcessingTime, std::max(1.0, Ended.Slowdown));
-    this->Services.onResponse(
-        Attributes.Service,
-        std::chrono::duration<double>(Elapsed) / std::chrono::duration<double>(Usual), Now);
+    return;
+  }
+  if (Ended.Slowdown > MaxSlowdown) {
+    return;
   }
+  const Duration Usual =
+      scaled(this->estimate(Attributes, Now).ProcessingTime, std::max(1.0, Ended.Slowdown));
+  this->Services.onResponse(
+      Attributes.Service, *Ended.Occupancy,
+      std::chrono::duration<double>(Elapsed) / std::chrono::duration<double>(Usual), Now);
 }
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/ResponseEstimates.h
+++ b/src/libs/coordination/ResponseEstimates.h
@@ -15,11 +15,13 @@
 public:
   ProcessingTimeEstimator::Estimate estimate(const RequestAttributes &Attributes,
                                              TimePoint Now) const;
-  /// Records a successful response. Attempts at queued targets and at other entries are ignored,
-  /// because their time does not tell the processing time.
+  /// Records a successful response. Attempts without an occupancy are ignored, because their time
+  /// does not tell the processing time.
   void onResponse(const RequestAttributes &Attributes, const DispatchAttempt &Ended,
                   const AttemptResult &Result, TimePoint Now);
 
+  SaturationEstimator &saturation() { return this->Services; }
+
 private:
   ProcessingTimeEstimator Routes;
   SaturationEstimator Services;
--- a/src/libs/coordination/TargetFinder.cpp
+++ b/src/libs/coordination/TargetFinder.cpp
@@ -23,7 +23,8 @@
 constexpr Duration ProbeTimeout = 400ms;
 /// Maximum number of targets that are probed at once in the stages Domain and Region.
 constexpr std::size_t TargetsPerStage = 3;
-constexpr std::size_t TargetsPerFallbackOrRemoteStage = 2;
+/// The same in the other stages.
+constexpr std::size_t TargetsPerLaterStage = 2;
 /// Two round trips to another region: one for the probe and one for the request.
 constexpr Duration RemoteAddedLatency = 120ms;
 /// A target whose request limit allows no request is probed again after this time, to hear whether
@@ -58,6 +59,7 @@
   case SearchStage::Domain:
     return isWarmAndHealthy(State, Now) && Proximity == Distance::SameDomain;
   case SearchStage::Region:
+  case SearchStage::WiderRegion:
     return isWarmAndHealthy(State, Now) && Proximity == Distance::SameRegion;
   case SearchStage::Fallback:
     return !isWarmAndHealthy(State, Now) && Proximity != Distance::OtherRegion;
@@ -69,18 +71,20 @@
   return false;
 }
 
-std::vector<TargetName> TargetFinder::pickStageTargets(const SearchContext &Context,
+std::vector<TargetName> TargetFinder::pickStageTargets(const TargetSearch &Search,
+                                                       const SearchContext &Context,
                                                        SearchStage Stage, TimePoint Now) {
   std::vector<TargetName> Result;
   for (const TargetState *Each : this->Targets.usableTargets(Context.Attributes.Service)) {
-    if (this->matchesStage(*Each, Context, Stage, Now) &&
+    const bool IsCandidate = std::find(Search.Candidates.begin(), Search.Candidates.end(),
+                                       Each->Registration.Name) != Search.Candidates.end();
+    if (!IsCandidate && this->matchesStage(*Each, Context, Stage, Now) &&
         !this->isExcludedByRequestLimit(*Each, Now)) {
       Result.push_back(Each->Registration.Name);
     }
   }
-  const bool IsFallbackOrRemote = Stage == SearchStage::Fallback || Stage == SearchStage::Remote;
   const std::size_t Count = std::min(
-      Result.size(), IsFallbackOrRemote ? TargetsPerFallbackOrRemoteStage : TargetsPerStage);
+      Result.size(), Stage <= SearchStage::Region ? TargetsPerStage : TargetsPerLaterStage);
   for (std::size_t Index = 0; Index < Count; ++Index) {
     const auto Remaining = static_cast<double>(Result.size() - Index);
     std::swap(Result[Index],
@@ -133,7 +137,7 @@
                      !this->shouldTryRemote(Search, Context, RemoteAddedLatency, Now))) {
       continue;
     }
-    const std::vector<TargetName> Added = this->pickStageTargets(Context, Stage, Now);
+    const std::vector<TargetName> Added = this->pickStageTargets(Search, Context, Stage, Now);
     if (Added.empty()) {
       continue;
     }
--- a/src/libs/coordination/TargetFinder.h
+++ b/src/libs/coordination/TargetFinder.h
@@ -20,12 +20,22 @@
 class RandomSource;
 
 /// Sets of targets that a search adds one after the other.
-enum class SearchStage { Domain, Region, Fallback, Remote, End };
+enum class SearchStage {
+  Domain,
+  Region,
+  /// More targets of the region.
+  WiderRegion,
+  Fallback,
+  Remote,
+  End,
+};
 
 /// State of the search for the target of one request.
 struct TargetSearch {
   SearchStage NextStage = SearchStage::Domain;
   bool IsHedge = false;
+  /// The request does not take the last usable slot of a target.
+  bool LeavesLastSlot = false;
   TimePoint StartedAt{};
   /// Time until which the search waits for the reports of the candidates.
   TimePoint StageDeadline{};
@@ -97,8 +107,8 @@
 private:
   bool matchesStage(const TargetState &State, const SearchContext &Context, SearchStage Stage,
                     TimePoint Now) const;
-  std::vector<TargetName> pickStageTargets(const SearchContext &Context, SearchStage Stage,
-                                           TimePoint Now);
+  std::vector<TargetName> pickStageTargets(const TargetSearch &Search, const SearchContext &Context,
+                                           SearchStage Stage, TimePoint Now);
   std::optional<ProbeTarget> startProbeIfNeeded(const TargetName &Name, TimePoint Now);
   bool isReportPending(const TargetName &Name, const TargetSearch &Search) const;
   bool maySendToCold(const TargetState &State, TimePoint Now) const;
--- a/src/libs/model/DispatcherPolicy.cpp
+++ b/src/libs/model/DispatcherPolicy.cpp
@@ -1,5 +1,7 @@
 #include "model/DispatcherPolicy.h"
 
+#include "coordination/Membership.h"
+#include "coordination/RandomSource.h"
 #include "model/EventScheduler.h"
 #include "model/ModelTargets.h"
 
@@ -14,6 +16,7 @@
 const char *const SimulatedServiceName = "service";
 constexpr std::uint16_t EntryPort = 7200;
 constexpr std::size_t ResponseBytes = 1500;
+constexpr std::size_t MaxExchangedRecords = 8;
 
 std::string domainName(std::uint32_t Domain) { return "domain-" + std::to_string(Domain); }
 
@@ -23,7 +26,7 @@
 
 DispatcherPolicy::DispatcherPolicy(const ModelScenario &Scenario, EventScheduler &Scheduler,
                                    ModelTargets &Targets, RandomSource &Random)
-    : Scenario(Scenario), Scheduler(Scheduler), Targets(Targets) {
+    : Scenario(Scenario), Scheduler(Scheduler), Targets(Targets), Random(Random) {
   const std::uint32_t Domains = Scenario.Regions * Scenario.DomainsPerRegion;
   for (std::uint32_t Domain = 0; Domain < Domains; ++Domain) {
     for (std::uint32_t Number = 0; Number < Scenario.EntriesPerDomain; ++Number) {
@@ -37,6 +40,20 @@
   for (std::size_t Index = 0; Index < this->Entries.size(); ++Index) {
     this->configureEntry(Index);
   }
+  this->scheduleExchange();
+}
+
+void DispatcherPolicy::scheduleExchange() {
+  this->Scheduler.after(Membership::GossipInterval, [this] {
+    for (Entry &Each : this->Entries) {
+      const auto Receiver = static_cast<std::size_t>(this->Random.uniform() *
+                                                     static_cast<double>(this->Entries.size()));
+      const TimePoint Now = this->Scheduler.now();
+      this->Entries[Receiver].RequestDispatcher->saturation().add(
+          Each.RequestDispatcher->saturation().takeRecords(MaxExchangedRecords, Now), Now);
+    }
+    this->scheduleExchange();
+  });
 }
 
 Topology DispatcherPolicy::topologyOf(std::uint32_t Domain) const {
--- a/src/libs/model/DispatcherPolicy.h
+++ b/src/libs/model/DispatcherPolicy.h
@@ -47,6 +47,8 @@
     return static_cast<std::uint32_t>(Target) / this->Scenario.TargetsPerDomain;
   }
   void configureEntry(std::size_t Index);
+  /// Lets each entry send its estimates to another one, again and again.
+  void scheduleExchange();
   RequestNumber submit(std::size_t Index, ModelRequest Request);
   void applyEffects(std::size_t Index);
   void applyEffect(std::size_t Index, const ProbeTarget &Probe);
@@ -64,6 +66,7 @@
   ModelScenario Scenario;
   EventScheduler &Scheduler;
   ModelTargets &Targets;
+  RandomSource &Random;
   std::vector<Entry> Entries;
   std::uint64_t ProbeCount = 0;
 };
--- a/src/libs/model/ModelScenario.cpp
+++ b/src/libs/model/ModelScenario.cpp
@@ -39,6 +39,7 @@
   Result.ProcessingTime = Targets.secondsOr("work_s", Result.ProcessingTime, 1ms, 60s);
   Result.ProcessingTimeSpread = Targets.numberOr("work_spread", Result.ProcessingTimeSpread, 0, 1);
   Result.FullFactor = Targets.numberOr("full_factor", Result.FullFactor, 1, 100);
+  Result.FullOccupancy = Targets.numberOr("full_occupancy", Result.FullOccupancy, 0, 1);
   Result.NoiseShare = Targets.numberOr("noise_share", Result.NoiseShare, 0, 1);
   Result.NoiseFactor = Targets.numberOr("noise_factor", Result.NoiseFactor, 1, 100);
   Result.NoiseInterval = Targets.secondsOr("noise_interval_s", Result.NoiseInterval, 1ms, 60s);
--- a/src/libs/model/ModelScenario.h
+++ b/src/libs/model/ModelScenario.h
@@ -30,8 +30,10 @@
   /// The processing times of requests are uniformly distributed up to this fraction below and above
   /// `ProcessingTime`.
   double ProcessingTimeSpread = 0.3;
-  /// Factor by which a request takes longer if it occupies the target's last free slot.
+  /// Factor by which a request takes longer if it brings the target to `FullOccupancy` or above, a
+  /// fraction of the slots.
   double FullFactor = 1;
+  double FullOccupancy = 1;
   /// Noisy neighbours: the fraction of time in which they slow a target down, the slowdown factor,
   /// and the length of an interval.
   double NoiseShare = 0;
--- a/src/libs/model/ModelTargets.cpp
+++ b/src/libs/model/ModelTargets.cpp
@@ -72,7 +72,8 @@
 }
 
 Duration ModelTargets::serviceTime(std::size_t Target, Duration ProcessingTime) const {
-  const bool IsFull = this->States[Target].Running >= this->Scenario.Slots;
+  const bool IsFull =
+      this->States[Target].Running >= this->Scenario.FullOccupancy * this->Scenario.Slots;
   Duration Remaining = IsFull ? scaled(ProcessingTime, this->Scenario.FullFactor) : ProcessingTime;
   const Duration Step = this->Scenario.NoiseInterval;
   const TimePoint Start = this->Scheduler.now();
--- a/src/libs/model/ModelTargets.h
+++ b/src/libs/model/ModelTargets.h
@@ -15,7 +15,8 @@
 class EventScheduler;
 
 /// The simulated targets of a scenario. Each has slots and a queue, sheds requests beyond them, is
-/// slowed down by noisy neighbours, and works slower while no slot is free. Not thread-safe.
+/// slowed down by noisy neighbours, and works slower while few or no slots are free. Not
+/// thread-safe.
 class ModelTargets {
 public:
   /// Called exactly once; `Executed` is false if the target shed the request.
--- a/src/libs/protocol/PeerCodec.cpp
+++ b/src/libs/protocol/PeerCodec.cpp
@@ -3,7 +3,9 @@
 #include "protocol/ThriftBytes.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
+#include <limits>
 #include <stdexcept>
 #include <type_traits>
 #include <utility>
@@ -25,6 +27,7 @@
 
 /// Number of states that can be encoded in one integer together with the index of a failure domain.
 constexpr int StateRadix = 4;
+constexpr double Thousand = 1000;
 
 /// Range of list elements that go into one payload.
 struct Range {
@@ -91,11 +94,34 @@
   return Result;
 }
 
+std::int32_t toThousandths(double Value) {
+  const double Limit = std::numeric_limits<std::int32_t>::max();
+  return static_cast<std::int32_t>(std::min(Limit, std::round(Value * Thousand)));
+}
+
+std::vector<wire::SaturationRecord> toWire(const std::vector<SaturationRecord> &Records) {
+  std::vector<wire::SaturationRecord> Result;
+  for (const SaturationRecord &Each : Records) {
+    wire::SaturationRecord Out;
+    Out.serviceName = Each.Service.str();
+    Out.full = Each.Occupancy == SlotOccupancy::Full;
+    Out.responses = toThousandths(Each.Responses);
+    Out.slowResponses = toThousandths(Each.SlowResponses);
+    Out.ratioSum = toThousandths(Each.RatioSum);
+    Result.push_back(std::move(Out));
+  }
+  return Result;
+}
+
+std::string encodeGossip(wire::Gossip Content) {
+  wire::PeerMessage Out;
+  Out.__set_gossip(std::move(Content));
+  return writeThrift(Out);
+}
+
 void encodeParts(const Gossip &Message, Range Records, std::size_t Limit,
                  std::vector<std::string> &Result) {
-  wire::PeerMessage Out;
-  Out.__set_gossip(toWire(Message, Records));
-  std::string Payload = writeThrift(Out);
+  std::string Payload = encodeGossip(toWire(Message, Records));
   if (Payload.size() <= Limit || Records.End - Records.Begin < 2) {
     Result.push_back(std::move(Payload));
     return;
@@ -105,6 +131,28 @@
   encodeParts(Message, {Middle, Records.End}, Limit, Result);
 }
 
+/// The sums must arrive only once, so that only one of the payloads contains them.
+std::vector<std::string> encodeGossip(const Gossip &Message, std::size_t Limit) {
+  wire::Gossip Sums;
+  if (!Message.Saturation.empty()) {
+    Sums.__set_saturation(toWire(Message.Saturation));
+  }
+  wire::Gossip Whole = toWire(Message, {0, Message.Entries.size()});
+  Whole.saturation = Sums.saturation;
+  Whole.__isset.saturation = Sums.__isset.saturation;
+  std::vector<std::string> Result = {encodeGossip(std::move(Whole))};
+  if (Result.front().size() <= Limit) {
+    return Result;
+  }
+  Result.clear();
+  encodeParts(Message, {0, Message.Entries.size()}, Limit, Result);
+  std::string SumsPayload = encodeGossip(std::move(Sums));
+  if (!Message.Saturation.empty() && SumsPayload.size() <= Limit) {
+    Result.push_back(std::move(SumsPayload));
+  }
+  return Result;
+}
+
 EntryRecord fromWire(std::int16_t DomainAndState, const std::vector<std::string> &Domains) {
   if (DomainAndState < 0) {
     throw FieldError("negative failure domain and state");
@@ -123,6 +171,16 @@
   return Result;
 }
 
+std::vector<SaturationRecord> fromWire(const std::vector<wire::SaturationRecord> &In) {
+  std::vector<SaturationRecord> Result;
+  for (const wire::SaturationRecord &Each : In) {
+    Result.push_back(
+        {ServiceName(Each.serviceName), Each.full ? SlotOccupancy::Full : SlotOccupancy::NearlyFull,
+         Each.responses / Thousand, Each.slowResponses / Thousand, Each.ratioSum / Thousand});
+  }
+  return Result;
+}
+
 Gossip fromWire(const wire::Gossip &In) {
   const std::size_t Count = In.beats.size();
   if (In.addressSteps.size() != Count || In.domainsAndStates.size() != Count ||
@@ -139,6 +197,10 @@
     Record.Heartbeat = static_cast<std::uint32_t>(In.beats[Index]);
     Result.Entries.push_back(std::move(Record));
   }
+  // Entries of older versions send no sums.
+  if (In.__isset.saturation) {
+    Result.Saturation = fromWire(In.saturation);
+  }
   return Result;
 }
 
@@ -171,10 +233,7 @@
     Out.__set_notice(Content);
     return {writeThrift(Out)};
   }
-  std::vector<std::string> Result;
-  const auto &Content = std::get<Gossip>(Message);
-  encodeParts(Content, {0, Content.Entries.size()}, Limit, Result);
-  return Result;
+  return encodeGossip(std::get<Gossip>(Message), Limit);
 }
 
 std::variant<PeerMessage, PeerError> PeerCodec::decode(std::string_view Payload) const {
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -14,6 +14,190 @@
 namespace anvilsaddle { namespace wire {
 
 
+SaturationRecord::~SaturationRecord() noexcept {
+}
+
+
+void SaturationRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void SaturationRecord::__set_full(const bool val) {
+  this->full = val;
+}
+
+void SaturationRecord::__set_responses(const int32_t val) {
+  this->responses = val;
+}
+
+void SaturationRecord::__set_slowResponses(const int32_t val) {
+  this->slowResponses = val;
+}
+
+void SaturationRecord::__set_ratioSum(const int32_t val) {
+  this->ratioSum = val;
+}
+std::ostream& operator<<(std::ostream& out, const SaturationRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SaturationRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_serviceName = false;
+  bool isset_full = false;
+  bool isset_responses = false;
+  bool isset_slowResponses = false;
+  bool isset_ratioSum = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->full);
+          isset_full = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->responses);
+          isset_responses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slowResponses);
+          isset_slowResponses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ratioSum);
+          isset_ratioSum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_full)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_responses)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slowResponses)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ratioSum)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SaturationRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SaturationRecord");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("full", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->full);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("responses", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->responses);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slowResponses", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->slowResponses);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ratioSum", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->ratioSum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SaturationRecord &a, SaturationRecord &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.full, b.full);
+  swap(a.responses, b.responses);
+  swap(a.slowResponses, b.slowResponses);
+  swap(a.ratioSum, b.ratioSum);
+}
+
+SaturationRecord::SaturationRecord(const SaturationRecord& other0) {
+  serviceName = other0.serviceName;
+  full = other0.full;
+  responses = other0.responses;
+  slowResponses = other0.slowResponses;
+  ratioSum = other0.ratioSum;
+}
+SaturationRecord& SaturationRecord::operator=(const SaturationRecord& other1) {
+  serviceName = other1.serviceName;
+  full = other1.full;
+  responses = other1.responses;
+  slowResponses = other1.slowResponses;
+  ratioSum = other1.ratioSum;
+  return *this;
+}
+void SaturationRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SaturationRecord(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "full=" << to_string(full);
+  out << ", " << "responses=" << to_string(responses);
+  out << ", " << "slowResponses=" << to_string(slowResponses);
+  out << ", " << "ratioSum=" << to_string(ratioSum);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -37,6 +221,11 @@
 void Gossip::__set_beats(const std::vector<int32_t> & val) {
   this->beats = val;
 }
+
+void Gossip::__set_saturation(const std::vector<SaturationRecord> & val) {
+  this->saturation = val;
+__isset.saturation = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -74,14 +263,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->domains.clear();
-            uint32_t _size0;
-            ::apache::thrift::protocol::TType _etype3;
-            xfer += iprot->readListBegin(_etype3, _size0);
-            this->domains.resize(_size0);
-            uint32_t _i4;
-            for (_i4 = 0; _i4 < _size0; ++_i4)
+            uint32_t _size2;
+            ::apache::thrift::protocol::TType _etype5;
+            xfer += iprot->readListBegin(_etype5, _size2);
+            this->domains.resize(_size2);
+            uint32_t _i6;
+            for (_i6 = 0; _i6 < _size2; ++_i6)
             {
-              xfer += iprot->readString(this->domains[_i4]);
+              xfer += iprot->readString(this->domains[_i6]);
             }
             xfer += iprot->readListEnd();
           }
@@ -94,14 +283,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->addressSteps.clear();
-            uint32_t _size5;
-            ::apache::thrift::protocol::TType _etype8;
-            xfer += iprot->readListBegin(_etype8, _size5);
-            this->addressSteps.resize(_size5);
-            uint32_t _i9;
-            for (_i9 = 0; _i9 < _size5; ++_i9)
+            uint32_t _size7;
+            ::apache::thrift::protocol::TType _etype10;
+            xfer += iprot->readListBegin(_etype10, _size7);
+            this->addressSteps.resize(_size7);
+            uint32_t _i11;
+            for (_i11 = 0; _i11 < _size7; ++_i11)
             {
-              xfer += iprot->readI32(this->addressSteps[_i9]);
+              xfer += iprot->readI32(this->addressSteps[_i11]);
             }
             xfer += iprot->readListEnd();
           }
@@ -114,14 +303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->domainsAndStates.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->domainsAndStates.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->domainsAndStates.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += iprot->readI16(this->domainsAndStates[_i14]);
+              xfer += iprot->readI16(this->domainsAndStates[_i16]);
             }
             xfer += iprot->readListEnd();
           }
@@ -134,14 +323,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->incarnationSteps.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->incarnationSteps.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->incarnationSteps.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += iprot->readI64(this->incarnationSteps[_i19]);
+              xfer += iprot->readI64(this->incarnationSteps[_i21]);
             }
             xfer += iprot->readListEnd();
           }
@@ -154,14 +343,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->beats.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->beats.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->beats.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += iprot->readI32(this->beats[_i24]);
+              xfer += iprot->readI32(this->beats[_i26]);
             }
             xfer += iprot->readListEnd();
           }
@@ -170,6 +359,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->saturation.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->saturation.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += this->saturation[_i31].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.saturation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -200,10 +409,10 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::vector<std::string> ::const_iterator _iter25;
-    for (_iter25 = this->domains.begin(); _iter25 != this->domains.end(); ++_iter25)
+    std::vector<std::string> ::const_iterator _iter32;
+    for (_iter32 = this->domains.begin(); _iter32 != this->domains.end(); ++_iter32)
     {
-      xfer += oprot->writeString((*_iter25));
+      xfer += oprot->writeString((*_iter32));
     }
     xfer += oprot->writeListEnd();
   }
@@ -212,10 +421,10 @@
   xfer += oprot->writeFieldBegin("addressSteps", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->addressSteps.size()));
-    std::vector<int32_t> ::const_iterator _iter26;
-    for (_iter26 = this->addressSteps.begin(); _iter26 != this->addressSteps.end(); ++_iter26)
+    std::vector<int32_t> ::const_iterator _iter33;
+    for (_iter33 = this->addressSteps.begin(); _iter33 != this->addressSteps.end(); ++_iter33)
     {
-      xfer += oprot->writeI32((*_iter26));
+      xfer += oprot->writeI32((*_iter33));
     }
     xfer += oprot->writeListEnd();
   }
@@ -224,10 +433,10 @@
   xfer += oprot->writeFieldBegin("domainsAndStates", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->domainsAndStates.size()));
-    std::vector<int16_t> ::const_iterator _iter27;
-    for (_iter27 = this->domainsAndStates.begin(); _iter27 != this->domainsAndStates.end(); ++_iter27)
+    std::vector<int16_t> ::const_iterator _iter34;
+    for (_iter34 = this->domainsAndStates.begin(); _iter34 != this->domainsAndStates.end(); ++_iter34)
     {
-      xfer += oprot->writeI16((*_iter27));
+      xfer += oprot->writeI16((*_iter34));
     }
     xfer += oprot->writeListEnd();
   }
@@ -236,10 +445,10 @@
   xfer += oprot->writeFieldBegin("incarnationSteps", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->incarnationSteps.size()));
-    std::vector<int64_t> ::const_iterator _iter28;
-    for (_iter28 = this->incarnationSteps.begin(); _iter28 != this->incarnationSteps.end(); ++_iter28)
+    std::vector<int64_t> ::const_iterator _iter35;
+    for (_iter35 = this->incarnationSteps.begin(); _iter35 != this->incarnationSteps.end(); ++_iter35)
     {
-      xfer += oprot->writeI64((*_iter28));
+      xfer += oprot->writeI64((*_iter35));
     }
     xfer += oprot->writeListEnd();
   }
@@ -248,15 +457,28 @@
   xfer += oprot->writeFieldBegin("beats", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->beats.size()));
-    std::vector<int32_t> ::const_iterator _iter29;
-    for (_iter29 = this->beats.begin(); _iter29 != this->beats.end(); ++_iter29)
+    std::vector<int32_t> ::const_iterator _iter36;
+    for (_iter36 = this->beats.begin(); _iter36 != this->beats.end(); ++_iter36)
     {
-      xfer += oprot->writeI32((*_iter29));
+      xfer += oprot->writeI32((*_iter36));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.saturation) {
+    xfer += oprot->writeFieldBegin("saturation", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->saturation.size()));
+      std::vector<SaturationRecord> ::const_iterator _iter37;
+      for (_iter37 = this->saturation.begin(); _iter37 != this->saturation.end(); ++_iter37)
+      {
+        xfer += (*_iter37).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -269,21 +491,27 @@
   swap(a.domainsAndStates, b.domainsAndStates);
   swap(a.incarnationSteps, b.incarnationSteps);
   swap(a.beats, b.beats);
+  swap(a.saturation, b.saturation);
+  swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other30) {
-  domains = other30.domains;
-  addressSteps = other30.addressSteps;
-  domainsAndStates = other30.domainsAndStates;
-  incarnationSteps = other30.incarnationSteps;
-  beats = other30.beats;
-}
-Gossip& Gossip::operator=(const Gossip& other31) {
-  domains = other31.domains;
-  addressSteps = other31.addressSteps;
-  domainsAndStates = other31.domainsAndStates;
-  incarnationSteps = other31.incarnationSteps;
-  beats = other31.beats;
+Gossip::Gossip(const Gossip& other38) {
+  domains = other38.domains;
+  addressSteps = other38.addressSteps;
+  domainsAndStates = other38.domainsAndStates;
+  incarnationSteps = other38.incarnationSteps;
+  beats = other38.beats;
+  saturation = other38.saturation;
+  __isset = other38.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other39) {
+  domains = other39.domains;
+  addressSteps = other39.addressSteps;
+  domainsAndStates = other39.domainsAndStates;
+  incarnationSteps = other39.incarnationSteps;
+  beats = other39.beats;
+  saturation = other39.saturation;
+  __isset = other39.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -294,6 +522,7 @@
   out << ", " << "domainsAndStates=" << to_string(domainsAndStates);
   out << ", " << "incarnationSteps=" << to_string(incarnationSteps);
   out << ", " << "beats=" << to_string(beats);
+  out << ", " << "saturation="; (__isset.saturation ? (out << to_string(saturation)) : (out << "<null>"));
   out << ")";
 }
 
@@ -395,15 +624,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionNotice::RevisionNotice(const RevisionNotice& other32) noexcept {
-  revision = other32.revision;
-  epoch = other32.epoch;
-  __isset = other32.__isset;
+RevisionNotice::RevisionNotice(const RevisionNotice& other40) noexcept {
+  revision = other40.revision;
+  epoch = other40.epoch;
+  __isset = other40.__isset;
 }
-RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other33) noexcept {
-  revision = other33.revision;
-  epoch = other33.epoch;
-  __isset = other33.__isset;
+RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other41) noexcept {
+  revision = other41.revision;
+  epoch = other41.epoch;
+  __isset = other41.__isset;
   return *this;
 }
 void RevisionNotice::printTo(std::ostream& out) const {
@@ -511,15 +740,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other34) {
-  notice = other34.notice;
-  gossip = other34.gossip;
-  __isset = other34.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other42) {
+  notice = other42.notice;
+  gossip = other42.gossip;
+  __isset = other42.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other35) {
-  notice = other35.notice;
-  gossip = other35.gossip;
-  __isset = other35.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other43) {
+  notice = other43.notice;
+  gossip = other43.gossip;
+  __isset = other43.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -628,13 +857,13 @@
   swap(a.weight, b.weight);
 }
 
-WeightedService::WeightedService(const WeightedService& other36) {
-  serviceName = other36.serviceName;
-  weight = other36.weight;
+WeightedService::WeightedService(const WeightedService& other44) {
+  serviceName = other44.serviceName;
+  weight = other44.weight;
 }
-WeightedService& WeightedService::operator=(const WeightedService& other37) {
-  serviceName = other37.serviceName;
-  weight = other37.weight;
+WeightedService& WeightedService::operator=(const WeightedService& other45) {
+  serviceName = other45.serviceName;
+  weight = other45.weight;
   return *this;
 }
 void WeightedService::printTo(std::ostream& out) const {
@@ -795,14 +1024,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->services.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->services.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->services[_i42].read(iprot);
+              xfer += this->services[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -815,14 +1044,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->homeRegions.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->homeRegions.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->homeRegions.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += iprot->readString(this->homeRegions[_i47]);
+              xfer += iprot->readString(this->homeRegions[_i55]);
             }
             xfer += iprot->readListEnd();
           }
@@ -903,10 +1132,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<WeightedService> ::const_iterator _iter48;
-    for (_iter48 = this->services.begin(); _iter48 != this->services.end(); ++_iter48)
+    std::vector<WeightedService> ::const_iterator _iter56;
+    for (_iter56 = this->services.begin(); _iter56 != this->services.end(); ++_iter56)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -915,10 +1144,10 @@
   xfer += oprot->writeFieldBegin("homeRegions", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->homeRegions.size()));
-    std::vector<std::string> ::const_iterator _iter49;
-    for (_iter49 = this->homeRegions.begin(); _iter49 != this->homeRegions.end(); ++_iter49)
+    std::vector<std::string> ::const_iterator _iter57;
+    for (_iter57 = this->homeRegions.begin(); _iter57 != this->homeRegions.end(); ++_iter57)
     {
-      xfer += oprot->writeString((*_iter49));
+      xfer += oprot->writeString((*_iter57));
     }
     xfer += oprot->writeListEnd();
   }
@@ -943,29 +1172,29 @@
   swap(a.homeRegions, b.homeRegions);
 }
 
-Route::Route(const Route& other50) {
-  name = other50.name;
-  host = other50.host;
-  prefix = other50.prefix;
-  idempotent = other50.idempotent;
-  timeoutMicroseconds = other50.timeoutMicroseconds;
-  objectiveMicroseconds = other50.objectiveMicroseconds;
-  priority = other50.priority;
-  maxTargets = other50.maxTargets;
-  services = other50.services;
-  homeRegions = other50.homeRegions;
-}
-Route& Route::operator=(const Route& other51) {
-  name = other51.name;
-  host = other51.host;
-  prefix = other51.prefix;
-  idempotent = other51.idempotent;
-  timeoutMicroseconds = other51.timeoutMicroseconds;
-  objectiveMicroseconds = other51.objectiveMicroseconds;
-  priority = other51.priority;
-  maxTargets = other51.maxTargets;
-  services = other51.services;
-  homeRegions = other51.homeRegions;
+Route::Route(const Route& other58) {
+  name = other58.name;
+  host = other58.host;
+  prefix = other58.prefix;
+  idempotent = other58.idempotent;
+  timeoutMicroseconds = other58.timeoutMicroseconds;
+  objectiveMicroseconds = other58.objectiveMicroseconds;
+  priority = other58.priority;
+  maxTargets = other58.maxTargets;
+  services = other58.services;
+  homeRegions = other58.homeRegions;
+}
+Route& Route::operator=(const Route& other59) {
+  name = other59.name;
+  host = other59.host;
+  prefix = other59.prefix;
+  idempotent = other59.idempotent;
+  timeoutMicroseconds = other59.timeoutMicroseconds;
+  objectiveMicroseconds = other59.objectiveMicroseconds;
+  priority = other59.priority;
+  maxTargets = other59.maxTargets;
+  services = other59.services;
+  homeRegions = other59.homeRegions;
   return *this;
 }
 void Route::printTo(std::ostream& out) const {
@@ -1102,15 +1331,15 @@
   swap(a.coldRate, b.coldRate);
 }
 
-Service::Service(const Service& other52) {
-  name = other52.name;
-  healthPath = other52.healthPath;
-  coldRate = other52.coldRate;
+Service::Service(const Service& other60) {
+  name = other60.name;
+  healthPath = other60.healthPath;
+  coldRate = other60.coldRate;
 }
-Service& Service::operator=(const Service& other53) {
-  name = other53.name;
-  healthPath = other53.healthPath;
-  coldRate = other53.coldRate;
+Service& Service::operator=(const Service& other61) {
+  name = other61.name;
+  healthPath = other61.healthPath;
+  coldRate = other61.coldRate;
   return *this;
 }
 void Service::printTo(std::ostream& out) const {
@@ -1201,14 +1430,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->routes.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->routes.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->routes[_i58].read(iprot);
+              xfer += this->routes[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1221,14 +1450,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->services.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->services.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->services[_i63].read(iprot);
+              xfer += this->services[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1307,10 +1536,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter64;
-    for (_iter64 = this->routes.begin(); _iter64 != this->routes.end(); ++_iter64)
+    std::vector<Route> ::const_iterator _iter72;
+    for (_iter72 = this->routes.begin(); _iter72 != this->routes.end(); ++_iter72)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1319,10 +1548,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<Service> ::const_iterator _iter65;
-    for (_iter65 = this->services.begin(); _iter65 != this->services.end(); ++_iter65)
+    std::vector<Service> ::const_iterator _iter73;
+    for (_iter73 = this->services.begin(); _iter73 != this->services.end(); ++_iter73)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1360,23 +1589,23 @@
   swap(a.idleTimeoutMicroseconds, b.idleTimeoutMicroseconds);
 }
 
-Configuration::Configuration(const Configuration& other66) {
-  version = other66.version;
-  routes = other66.routes;
-  services = other66.services;
-  headBytes = other66.headBytes;
-  bodyBytes = other66.bodyBytes;
-  headTimeoutMicroseconds = other66.headTimeoutMicroseconds;
-  idleTimeoutMicroseconds = other66.idleTimeoutMicroseconds;
-}
-Configuration& Configuration::operator=(const Configuration& other67) {
-  version = other67.version;
-  routes = other67.routes;
-  services = other67.services;
-  headBytes = other67.headBytes;
-  bodyBytes = other67.bodyBytes;
-  headTimeoutMicroseconds = other67.headTimeoutMicroseconds;
-  idleTimeoutMicroseconds = other67.idleTimeoutMicroseconds;
+Configuration::Configuration(const Configuration& other74) {
+  version = other74.version;
+  routes = other74.routes;
+  services = other74.services;
+  headBytes = other74.headBytes;
+  bodyBytes = other74.bodyBytes;
+  headTimeoutMicroseconds = other74.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other74.idleTimeoutMicroseconds;
+}
+Configuration& Configuration::operator=(const Configuration& other75) {
+  version = other75.version;
+  routes = other75.routes;
+  services = other75.services;
+  headBytes = other75.headBytes;
+  bodyBytes = other75.bodyBytes;
+  headTimeoutMicroseconds = other75.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other75.idleTimeoutMicroseconds;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -1459,14 +1688,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedRoutes.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->removedRoutes.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->removedRoutes.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += iprot->readString(this->removedRoutes[_i72]);
+              xfer += iprot->readString(this->removedRoutes[_i80]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1509,10 +1738,10 @@
   xfer += oprot->writeFieldBegin("removedRoutes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedRoutes.size()));
-    std::vector<std::string> ::const_iterator _iter73;
-    for (_iter73 = this->removedRoutes.begin(); _iter73 != this->removedRoutes.end(); ++_iter73)
+    std::vector<std::string> ::const_iterator _iter81;
+    for (_iter81 = this->removedRoutes.begin(); _iter81 != this->removedRoutes.end(); ++_iter81)
     {
-      xfer += oprot->writeString((*_iter73));
+      xfer += oprot->writeString((*_iter81));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1530,15 +1759,15 @@
   swap(a.removedRoutes, b.removedRoutes);
 }
 
-ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other74) {
-  baseVersion = other74.baseVersion;
-  changes = other74.changes;
-  removedRoutes = other74.removedRoutes;
+ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other82) {
+  baseVersion = other82.baseVersion;
+  changes = other82.changes;
+  removedRoutes = other82.removedRoutes;
 }
-ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other75) {
-  baseVersion = other75.baseVersion;
-  changes = other75.changes;
-  removedRoutes = other75.removedRoutes;
+ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other83) {
+  baseVersion = other83.baseVersion;
+  changes = other83.changes;
+  removedRoutes = other83.removedRoutes;
   return *this;
 }
 void ConfigurationDelta::printTo(std::ostream& out) const {
@@ -1808,31 +2037,31 @@
   swap(a.__isset, b.__isset);
 }
 
-Target::Target(const Target& other76) {
-  name = other76.name;
-  serviceName = other76.serviceName;
-  address = other76.address;
-  port = other76.port;
-  domain = other76.domain;
-  slots = other76.slots;
-  draining = other76.draining;
-  coldMicroseconds = other76.coldMicroseconds;
-  startedUnixMilliseconds = other76.startedUnixMilliseconds;
-  sequence = other76.sequence;
-  __isset = other76.__isset;
-}
-Target& Target::operator=(const Target& other77) {
-  name = other77.name;
-  serviceName = other77.serviceName;
-  address = other77.address;
-  port = other77.port;
-  domain = other77.domain;
-  slots = other77.slots;
-  draining = other77.draining;
-  coldMicroseconds = other77.coldMicroseconds;
-  startedUnixMilliseconds = other77.startedUnixMilliseconds;
-  sequence = other77.sequence;
-  __isset = other77.__isset;
+Target::Target(const Target& other84) {
+  name = other84.name;
+  serviceName = other84.serviceName;
+  address = other84.address;
+  port = other84.port;
+  domain = other84.domain;
+  slots = other84.slots;
+  draining = other84.draining;
+  coldMicroseconds = other84.coldMicroseconds;
+  startedUnixMilliseconds = other84.startedUnixMilliseconds;
+  sequence = other84.sequence;
+  __isset = other84.__isset;
+}
+Target& Target::operator=(const Target& other85) {
+  name = other85.name;
+  serviceName = other85.serviceName;
+  address = other85.address;
+  port = other85.port;
+  domain = other85.domain;
+  slots = other85.slots;
+  draining = other85.draining;
+  coldMicroseconds = other85.coldMicroseconds;
+  startedUnixMilliseconds = other85.startedUnixMilliseconds;
+  sequence = other85.sequence;
+  __isset = other85.__isset;
   return *this;
 }
 void Target::printTo(std::ostream& out) const {
@@ -1949,13 +2178,13 @@
   swap(a.active, b.active);
 }
 
-Evacuation::Evacuation(const Evacuation& other78) {
-  domain = other78.domain;
-  active = other78.active;
+Evacuation::Evacuation(const Evacuation& other86) {
+  domain = other86.domain;
+  active = other86.active;
 }
-Evacuation& Evacuation::operator=(const Evacuation& other79) {
-  domain = other79.domain;
-  active = other79.active;
+Evacuation& Evacuation::operator=(const Evacuation& other87) {
+  domain = other87.domain;
+  active = other87.active;
   return *this;
 }
 void Evacuation::printTo(std::ostream& out) const {
@@ -2120,21 +2349,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Publication::Publication(const Publication& other80) {
-  configuration = other80.configuration;
-  registered = other80.registered;
-  removed = other80.removed;
-  evacuation = other80.evacuation;
-  configurationDelta = other80.configurationDelta;
-  __isset = other80.__isset;
-}
-Publication& Publication::operator=(const Publication& other81) {
-  configuration = other81.configuration;
-  registered = other81.registered;
-  removed = other81.removed;
-  evacuation = other81.evacuation;
-  configurationDelta = other81.configurationDelta;
-  __isset = other81.__isset;
+Publication::Publication(const Publication& other88) {
+  configuration = other88.configuration;
+  registered = other88.registered;
+  removed = other88.removed;
+  evacuation = other88.evacuation;
+  configurationDelta = other88.configurationDelta;
+  __isset = other88.__isset;
+}
+Publication& Publication::operator=(const Publication& other89) {
+  configuration = other89.configuration;
+  registered = other89.registered;
+  removed = other89.removed;
+  evacuation = other89.evacuation;
+  configurationDelta = other89.configurationDelta;
+  __isset = other89.__isset;
   return *this;
 }
 void Publication::printTo(std::ostream& out) const {
@@ -2285,19 +2514,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionGap::RevisionGap(const RevisionGap& other82) noexcept {
-  first = other82.first;
-  last = other82.last;
-  firstEpoch = other82.firstEpoch;
-  lastEpoch = other82.lastEpoch;
-  __isset = other82.__isset;
+RevisionGap::RevisionGap(const RevisionGap& other90) noexcept {
+  first = other90.first;
+  last = other90.last;
+  firstEpoch = other90.firstEpoch;
+  lastEpoch = other90.lastEpoch;
+  __isset = other90.__isset;
 }
-RevisionGap& RevisionGap::operator=(const RevisionGap& other83) noexcept {
-  first = other83.first;
-  last = other83.last;
-  firstEpoch = other83.firstEpoch;
-  lastEpoch = other83.lastEpoch;
-  __isset = other83.__isset;
+RevisionGap& RevisionGap::operator=(const RevisionGap& other91) noexcept {
+  first = other91.first;
+  last = other91.last;
+  firstEpoch = other91.firstEpoch;
+  lastEpoch = other91.lastEpoch;
+  __isset = other91.__isset;
   return *this;
 }
 void RevisionGap::printTo(std::ostream& out) const {
@@ -2418,14 +2647,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->changes.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->changes.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->changes[_i88].read(iprot);
+              xfer += this->changes[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2438,14 +2667,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gaps.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->gaps.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->gaps.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->gaps[_i93].read(iprot);
+              xfer += this->gaps[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2516,10 +2745,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Publication> ::const_iterator _iter94;
-    for (_iter94 = this->changes.begin(); _iter94 != this->changes.end(); ++_iter94)
+    std::vector<Publication> ::const_iterator _iter102;
+    for (_iter102 = this->changes.begin(); _iter102 != this->changes.end(); ++_iter102)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2529,10 +2758,10 @@
     xfer += oprot->writeFieldBegin("gaps", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gaps.size()));
-      std::vector<RevisionGap> ::const_iterator _iter95;
-      for (_iter95 = this->gaps.begin(); _iter95 != this->gaps.end(); ++_iter95)
+      std::vector<RevisionGap> ::const_iterator _iter103;
+      for (_iter103 = this->gaps.begin(); _iter103 != this->gaps.end(); ++_iter103)
       {
-        xfer += (*_iter95).write(oprot);
+        xfer += (*_iter103).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2566,27 +2795,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PublicationBatch::PublicationBatch(const PublicationBatch& other96) {
-  complete = other96.complete;
-  since = other96.since;
-  revision = other96.revision;
-  removalsWaitMicroseconds = other96.removalsWaitMicroseconds;
-  changes = other96.changes;
-  gaps = other96.gaps;
-  epoch = other96.epoch;
-  sinceEpoch = other96.sinceEpoch;
-  __isset = other96.__isset;
-}
-PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other97) {
-  complete = other97.complete;
-  since = other97.since;
-  revision = other97.revision;
-  removalsWaitMicroseconds = other97.removalsWaitMicroseconds;
-  changes = other97.changes;
-  gaps = other97.gaps;
-  epoch = other97.epoch;
-  sinceEpoch = other97.sinceEpoch;
-  __isset = other97.__isset;
+PublicationBatch::PublicationBatch(const PublicationBatch& other104) {
+  complete = other104.complete;
+  since = other104.since;
+  revision = other104.revision;
+  removalsWaitMicroseconds = other104.removalsWaitMicroseconds;
+  changes = other104.changes;
+  gaps = other104.gaps;
+  epoch = other104.epoch;
+  sinceEpoch = other104.sinceEpoch;
+  __isset = other104.__isset;
+}
+PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other105) {
+  complete = other105.complete;
+  since = other105.since;
+  revision = other105.revision;
+  removalsWaitMicroseconds = other105.removalsWaitMicroseconds;
+  changes = other105.changes;
+  gaps = other105.gaps;
+  epoch = other105.epoch;
+  sinceEpoch = other105.sinceEpoch;
+  __isset = other105.__isset;
   return *this;
 }
 void PublicationBatch::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -21,6 +21,8 @@
 
 namespace anvilsaddle { namespace wire {
 
+class SaturationRecord;
+
 class Gossip;
 
 class RevisionNotice;
@@ -48,6 +50,71 @@
 class PublicationBatch;
 
 
+class SaturationRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  SaturationRecord(const SaturationRecord&);
+  SaturationRecord& operator=(const SaturationRecord&);
+  SaturationRecord() noexcept
+                   : serviceName(),
+                     full(0),
+                     responses(0),
+                     slowResponses(0),
+                     ratioSum(0) {
+  }
+
+  virtual ~SaturationRecord() noexcept;
+  std::string serviceName;
+  bool full;
+  int32_t responses;
+  int32_t slowResponses;
+  int32_t ratioSum;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_full(const bool val);
+
+  void __set_responses(const int32_t val);
+
+  void __set_slowResponses(const int32_t val);
+
+  void __set_ratioSum(const int32_t val);
+
+  bool operator == (const SaturationRecord & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(full == rhs.full))
+      return false;
+    if (!(responses == rhs.responses))
+      return false;
+    if (!(slowResponses == rhs.slowResponses))
+      return false;
+    if (!(ratioSum == rhs.ratioSum))
+      return false;
+    return true;
+  }
+  bool operator != (const SaturationRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SaturationRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SaturationRecord &a, SaturationRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const SaturationRecord& obj);
+
+typedef struct _Gossip__isset {
+  _Gossip__isset() : saturation(false) {}
+  bool saturation :1;
+} _Gossip__isset;
+
 class Gossip : public virtual ::apache::thrift::TBase {
  public:
 
@@ -62,6 +129,9 @@
   std::vector<int16_t>  domainsAndStates;
   std::vector<int64_t>  incarnationSteps;
   std::vector<int32_t>  beats;
+  std::vector<SaturationRecord>  saturation;
+
+  _Gossip__isset __isset;
 
   void __set_domains(const std::vector<std::string> & val);
 
@@ -73,6 +143,8 @@
 
   void __set_beats(const std::vector<int32_t> & val);
 
+  void __set_saturation(const std::vector<SaturationRecord> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(domains == rhs.domains))
@@ -85,6 +157,10 @@
       return false;
     if (!(beats == rhs.beats))
       return false;
+    if (__isset.saturation != rhs.__isset.saturation)
+      return false;
+    else if (__isset.saturation && !(saturation == rhs.saturation))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -6,6 +6,16 @@
 
 namespace cpp anvilsaddle.wire
 
+// Sums over responses of a service's targets. The numbers are in thousandths.
+struct SaturationRecord {
+  1: required string serviceName
+  // True if the targets had no free slot left, false if they had few.
+  2: required bool full
+  3: required i32 responses
+  4: required i32 slowResponses
+  5: required i32 ratioSum
+}
+
 // Membership records of entries. All lists except domains have one element per record, in the same
 // order.
 struct Gossip {
@@ -18,6 +28,7 @@
   // Start time of the process, delta-coded against the previous record.
   4: required list<i64> incarnationSteps
   5: required list<i32> beats
+  6: optional list<SaturationRecord> saturation
 }
 
 struct RevisionNotice {
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -15,6 +15,8 @@
 using namespace std::chrono_literals;
 
 constexpr guint HousekeepingIntervalMs = 100;
+/// Keeps the sums below a tenth of a gossip message of a fleet with 100 entries.
+constexpr std::size_t MaxSaturationRecords = 4;
 /// Limit for each of the servers that serve readiness checks, the directory, other entries and
 /// operators.
 constexpr std::size_t MaxInternalConnections = 256;
@@ -195,7 +197,7 @@
 
 gboolean EntryRuntime::onTimer(gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
-  Self.sendGossip(Self.Members.onTick(Self.now()));
+  Self.sendGossip(Self.withSaturation(Self.Members.onTick(Self.now())));
   Self.RequestDispatcher.onTick(Self.now());
   Self.applyEffects();
   return G_SOURCE_CONTINUE;
@@ -229,6 +231,14 @@
 
 // Communication with other entries
 
+std::vector<OutgoingGossip> EntryRuntime::withSaturation(std::vector<OutgoingGossip> Messages) {
+  for (OutgoingGossip &Each : Messages) {
+    Each.Message.Saturation =
+        this->RequestDispatcher.saturation().takeRecords(MaxSaturationRecords, this->now());
+  }
+  return Messages;
+}
+
 void EntryRuntime::sendGossip(const std::vector<OutgoingGossip> &Messages) {
   for (const OutgoingGossip &Each : Messages) {
     this->Peers.send(VmName(Each.Receiver), Each.Receiver, this->Settings.PeerPort, Each.Message);
@@ -241,9 +251,11 @@
     this->applyDistributionEffects();
     return;
   }
-  const auto Replies = this->Members.onMessage(Sender, std::get<Gossip>(Message), this->now());
+  const auto &Received = std::get<Gossip>(Message);
+  this->RequestDispatcher.saturation().add(Received.Saturation, this->now());
+  auto Replies = this->Members.onMessage(Sender, Received, this->now());
   this->Peers.raiseIncarnation(this->Members.incarnation());
-  this->sendGossip(Replies);
+  this->sendGossip(this->withSaturation(std::move(Replies)));
 }
 
 void EntryRuntime::applyDistributionEffects() {
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -79,6 +79,8 @@
     this->Proxy.apply(Each);
   }
   void scheduleTimer();
+  /// Adds a part of the dispatcher's sums to each message.
+  std::vector<OutgoingGossip> withSaturation(std::vector<OutgoingGossip> Messages);
   void sendGossip(const std::vector<OutgoingGossip> &Messages);
   void onPeerMessage(const std::string &Sender, const PeerMessage &Message);
   void applyDistributionEffects();
--- a/tests/auto/libs/coordination/tst_dispatcher.cpp
+++ b/tests/auto/libs/coordination/tst_dispatcher.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(coldTargets);
   CPPUNIT_TEST(unansweredProbes);
   CPPUNIT_TEST(waitsForFreeCapacity);
+  CPPUNIT_TEST(lateRequestsLeaveTheLastSlot);
   CPPUNIT_TEST(refusesUnservableRequests);
   CPPUNIT_TEST(disconnectedCallers);
   CPPUNIT_TEST(timeouts);
@@ -401,11 +402,53 @@
     CPPUNIT_ASSERT_EQUAL(Second, Harness.sent().back().Send.Request);
   }
 
+  /// Guards against slots that go to requests that are late anyway, while requests of other entries
+  /// that can still meet their objective find none and become late too (shyrynkol-press-large
+  /// scale-2). Also guards against late requests that are never served.
+  void lateRequestsLeaveTheLastSlot() {
+    struct Case {
+      const char *Name;
+      Duration Age;
+      std::uint32_t Running;
+      std::size_t MinSent;
+      std::size_t MaxSent;
+    };
+    // Two of the three slots are usable as long as nothing is known of the targets.
+    const Case Table[] = {
+        {"in time, last slot", 0ms, 1, 40, 40},
+        {"late, last slot", 300ms, 1, 2, 20},
+        {"late, idle targets", 300ms, 0, 40, 40},
+    };
+    for (const Case &Each : Table) {
+      DispatcherHarness Harness;
+      Harness.addTarget("x", "a1");
+      Harness.OnProbe = [&Each](const TargetName &) { return report(Each.Running); };
+      RequestAttributes Attributes = Harness.attributes();
+      std::size_t Sent = 0;
+      std::size_t Served = 0;
+      for (int Index = 0; Index < 40; ++Index) {
+        Attributes.ReceivedAt = Harness.Now - Each.Age;
+        Attributes.Deadline = Harness.Now + 2s;
+        const RequestNumber Number = Harness.request(Attributes);
+        Harness.run(10ms);
+        Sent += Harness.sentOf(Number).size();
+        Harness.run(2s);
+        Served += Harness.completionOf(Number)->DeliveredAttempt ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_MESSAGE(std::string(Each.Name) + " " + std::to_string(Sent),
+                             Sent >= Each.MinSent && Sent <= Each.MaxSent);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{40}, Served);
+    }
+  }
+
   /// Guards against requests that wait until their deadline although they can't be served in time,
   /// and against refusals as soon as there is a queue.
   void refusesUnservableRequests() {
     DispatcherHarness Harness;
     Harness.addTarget("x", "a1");
+    // Otherwise the entry leaves a slot idle until it knows how fast a full target is.
+    Harness.TestedDispatcher.saturation().add(
+        {{Harness.attributes().Service, SlotOccupancy::Full, 100, 0, 100}}, Harness.Now);
     // One place becomes free every 300 ms; the target accepts two waiting requests beyond its
     // slots.
     TimePoint NextFreeSlot = Harness.Now;
--- a/tests/auto/libs/coordination/tst_dispatchqueue.cpp
+++ b/tests/auto/libs/coordination/tst_dispatchqueue.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST_SUITE(DispatchQueueTest);
   CPPUNIT_TEST(ordersRequests);
   CPPUNIT_TEST(newestFirstInOverload);
+  CPPUNIT_TEST(knowsWhetherAllMissTheirObjective);
   CPPUNIT_TEST(estimatesWaits);
   CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,29 @@
                                  *Queue.front(Start + 250ms));
   }
 
+  /// Guards against late requests that count as able to meet their objective, and against a queue
+  /// that counts as late because one of its requests is.
+  void knowsWhetherAllMissTheirObjective() {
+    struct Case {
+      const char *Name;
+      std::vector<Duration> Objectives;
+      bool Expected;
+    };
+    const Case Table[] = {{"empty", {}, false},
+                          {"in time", {400ms}, false},
+                          {"late when queued", {50ms}, true},
+                          {"one late", {50ms, 400ms}, false},
+                          {"late by now", {250ms, 299ms}, true}};
+    for (const Case &Each : Table) {
+      DispatchQueue Queue;
+      RequestNumber Number = 0;
+      for (const Duration Objective : Each.Objectives) {
+        Queue.push(++Number, makeAttributes(2, Objective), 100ms, false, Start);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Queue.allMissObjective(Start + 200ms));
+    }
+  }
+
   /// Guards against a queue that serves all requests when it is almost too late.
   void newestFirstInOverload() {
     DispatchQueue Queue;
--- a/tests/auto/libs/model/tst_model.cpp
+++ b/tests/auto/libs/model/tst_model.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(resultsAreCompleteAndReproducible);
   CPPUNIT_TEST(servesAlmostAsManyAsTheIdealPolicy);
   CPPUNIT_TEST(recoversAfterABurst);
+  CPPUNIT_TEST(servesInTimeWithFewRequestsPerEntry);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +89,56 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(Before) + " " + std::to_string(After),
                            After >= 0.95 * Before);
   }
+
+  /// Guards against an overload that lasts longer than a burst, in fleets whose entries each see
+  /// one or two requests a second (shyrynkol-press-large scale-2 and trouble-3) and at targets that
+  /// are slow before their last slot is taken (bluemahoe-gate scale-1). Also guards against slots
+  /// that stay idle where targets do not slow down.
+  void servesInTimeWithFewRequestsPerEntry() {
+    struct Case {
+      const char *Name;
+      std::uint32_t EntriesPerDomain;
+      std::uint32_t TargetsPerDomain;
+      std::uint32_t Slots;
+      Duration ProcessingTime;
+      Duration Objective;
+      double FullFactor;
+      double RequestsPerSecond;
+      double BurstFactor;
+    };
+    const Case Table[] = {
+        {"large fleet", 17, 6, 3, 240ms, 600ms, 1.7, 200, 1.8},
+        {"large fleet, not slower when full", 17, 6, 3, 240ms, 600ms, 1, 330, 1.6},
+        {"six slots", 2, 2, 6, 84ms, 250ms, 1.7, 300, 1.6},
+        {"six slots, not slower when full", 2, 2, 6, 84ms, 250ms, 1, 300, 1.6},
+    };
+    for (const Case &Each : Table) {
+      ModelScenario Scenario;
+      Scenario.Regions = 3;
+      Scenario.DomainsPerRegion = 3;
+      Scenario.EntriesPerDomain = Each.EntriesPerDomain;
+      Scenario.TargetsPerDomain = Each.TargetsPerDomain;
+      Scenario.Slots = Each.Slots;
+      Scenario.QueueLimit = 2 * Each.Slots;
+      Scenario.ProcessingTime = Each.ProcessingTime;
+      Scenario.Objective = Each.Objective;
+      Scenario.TimeLimit = 8s;
+      Scenario.FullFactor = Each.FullFactor;
+      Scenario.FullOccupancy = 0.8;
+      Scenario.NoiseShare = 0.25;
+      Scenario.RequestsPerSecond = Each.RequestsPerSecond;
+      Scenario.BurstFactor = Each.BurstFactor;
+      Scenario.BurstLength = 5s;
+      Scenario.IdempotentShare = 0;
+      Scenario.Retries = 2;
+      Scenario.Length = 20s;
+      const double Ideal = shareWithinObjective(simulate(Scenario, "ideal"), 0, 20);
+      const double Product = shareWithinObjective(simulate(Scenario, "dispatcher"), 0, 20);
+      CPPUNIT_ASSERT_MESSAGE(std::string(Each.Name) + " " + std::to_string(Ideal) + " " +
+                                 std::to_string(Product),
+                             Product >= 0.9 * Ideal);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ModelTest);
--- a/tests/auto/libs/protocol/ArbitraryMessage.h
+++ b/tests/auto/libs/protocol/ArbitraryMessage.h
@@ -37,6 +37,14 @@
     Each.State = static_cast<EntryState>(*rc::gen::inRange(0, 3));
     Result.Entries.push_back(std::move(Each));
   }
+  const auto SumCount = *rc::gen::inRange(0, 3);
+  for (int Index = 0; Index < SumCount; ++Index) {
+    const auto arbitrarySum = [] { return *rc::gen::inRange(0, 1'000'000) / 1000.0; };
+    Result.Saturation.push_back(
+        {ServiceName((*shortText()).substr(0, 20)),
+         *rc::gen::arbitrary<bool>() ? SlotOccupancy::Full : SlotOccupancy::NearlyFull,
+         arbitrarySum(), arbitrarySum(), arbitrarySum()});
+  }
   return Result;
 }
 
--- a/tests/auto/libs/protocol/tst_peercodec.cpp
+++ b/tests/auto/libs/protocol/tst_peercodec.cpp
@@ -24,8 +24,8 @@
     });
   }
 
-  /// Guards against datagrams beyond the limit and against members that are lost between the
-  /// payloads.
+  /// Guards against datagrams beyond the limit, and against members or sums that are lost or
+  /// repeated between the payloads.
   void longListsAreSplit() {
     checkProperty("the payloads contain all members", [] {
       const PeerMessage Message = arbitraryMessage(300);
@@ -35,6 +35,8 @@
         RC_ASSERT(Payload.size() <= Limit);
         const auto Part = std::get<Gossip>(std::get<PeerMessage>(PeerCodec().decode(Payload)));
         Joined.Entries.insert(Joined.Entries.end(), Part.Entries.begin(), Part.Entries.end());
+        Joined.Saturation.insert(Joined.Saturation.end(), Part.Saturation.begin(),
+                                 Part.Saturation.end());
       }
       RC_ASSERT(PeerMessage(Joined) == Message);
     });
