--- a/src/libs/coordination/SaturationEstimator.cpp
+++ b/src/libs/coordination/SaturationEstimator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace anvilsaddle {
 
@@ -49,6 +50,18 @@
   return Occupied < Slots ? SlotOccupancy::NearlyFull : SlotOccupancy::Full;
 }
 
+const char *toString(SlotOccupancy Occupancy) {
+  switch (Occupancy) {
+  case SlotOccupancy::Low:
+    return "low";
+  case SlotOccupancy::NearlyFull:
+    return "nearly_full";
+  case SlotOccupancy::Full:
+    return "full";
+  }
+  return "unknown";
+}
+
 double SaturationFactors::at(SlotOccupancy Occupancy) const {
   switch (Occupancy) {
   case SlotOccupancy::Low:
@@ -171,4 +184,17 @@
   }
 }
 
+std::vector<SaturationChange> SaturationEstimator::takeChanges(TimePoint Now) {
+  std::vector<SaturationChange> Result;
+  for (auto &[Estimated, Current] : this->Estimates) {
+    const double Factor = this->factor(Estimated, Now);
+    const bool IsSlow = Factor > 1;
+    if (IsSlow != std::exchange(Current.WasSlow, IsSlow)) {
+      Result.push_back({Estimated.first, Estimated.second, Factor,
+                        this->sumsAt(Estimated, Now).Responses * this->EntryCount});
+    }
+  }
+  return Result;
+}
+
 } // namespace anvilsaddle
--- a/src/libs/coordination/SaturationEstimator.h
+++ b/src/libs/coordination/SaturationEstimator.h
@@ -47,6 +47,20 @@
   auto operator<=>(const SaturationRecord &) const = default;
 };
 
+/// A service's targets slow down at an occupancy, or no longer do. Value type.
+struct SaturationChange {
+  ServiceName Service;
+  SlotOccupancy Occupancy = SlotOccupancy::Full;
+  /// Processing time relative to a low occupancy; 1 if the targets don't slow down.
+  double Factor = 1;
+  /// Estimated number of responses of the whole fleet that decided it.
+  double Responses = 0;
+
+  auto operator<=>(const SaturationChange &) const = default;
+};
+
+const char *toString(SlotOccupancy Occupancy);
+
 /// Estimates for each service how much longer a request takes at a target with few or no free slots
 /// than at one with low occupancy, apart from waiting. Some targets slow down so much that they
 /// complete more requests with slots idle; without this estimate a short overload there becomes a
@@ -81,6 +95,8 @@
   std::vector<SaturationRecord> takeRecords(std::size_t Limit, TimePoint Now);
   /// Adds what another entry has given away. Ignores records with impossible values.
   void add(const std::vector<SaturationRecord> &Records, TimePoint Now);
+  /// Returns what has changed since the last call.
+  std::vector<SaturationChange> takeChanges(TimePoint Now);
 
 private:
   struct Sums {
@@ -91,6 +107,8 @@
     TimePoint Time{};
     /// Not set until a request would have to wait.
     std::optional<TimePoint> NextExploration;
+    /// What the last call of takeChanges() knew.
+    bool WasSlow = true;
   };
 
   using Key = std::pair<ServiceName, SlotOccupancy>;
--- a/src/libs/protocol/PeerCodec.cpp
+++ b/src/libs/protocol/PeerCodec.cpp
@@ -101,6 +101,7 @@
 
 std::vector<wire::SaturationRecord> toWire(const std::vector<SaturationRecord> &Records) {
   std::vector<wire::SaturationRecord> Result;
+  Result.reserve(Records.size());
   for (const SaturationRecord &Each : Records) {
     wire::SaturationRecord Out;
     Out.serviceName = Each.Service.str();
@@ -113,9 +114,9 @@
   return Result;
 }
 
-std::string encodeGossip(wire::Gossip Content) {
+std::string encodeGossip(const wire::Gossip &Content) {
   wire::PeerMessage Out;
-  Out.__set_gossip(std::move(Content));
+  Out.__set_gossip(Content);
   return writeThrift(Out);
 }
 
@@ -140,13 +141,13 @@
   wire::Gossip Whole = toWire(Message, {0, Message.Entries.size()});
   Whole.saturation = Sums.saturation;
   Whole.__isset.saturation = Sums.__isset.saturation;
-  std::vector<std::string> Result = {encodeGossip(std::move(Whole))};
+  std::vector<std::string> Result = {encodeGossip(Whole)};
   if (Result.front().size() <= Limit) {
     return Result;
   }
   Result.clear();
   encodeParts(Message, {0, Message.Entries.size()}, Limit, Result);
-  std::string SumsPayload = encodeGossip(std::move(Sums));
+  std::string SumsPayload = encodeGossip(Sums);
   if (!Message.Saturation.empty() && SumsPayload.size() <= Limit) {
     Result.push_back(std::move(SumsPayload));
   }
@@ -173,6 +174,7 @@
 
 std::vector<SaturationRecord> fromWire(const std::vector<wire::SaturationRecord> &In) {
   std::vector<SaturationRecord> Result;
+  Result.reserve(In.size());
   for (const wire::SaturationRecord &Each : In) {
     Result.push_back(
         {ServiceName(Each.serviceName), Each.full ? SlotOccupancy::Full : SlotOccupancy::NearlyFull,
--- a/src/libs/transport/ChangeRecorder.cpp
+++ b/src/libs/transport/ChangeRecorder.cpp
@@ -54,6 +54,20 @@
   this->append("target/" + Registration.Name.str(), "", State, "registered");
 }
 
+void ChangeRecorder::onSaturationChanged(const std::vector<SaturationChange> &Changed) {
+  for (const SaturationChange &Each : Changed) {
+    const char *NewState = Each.Factor > 1 ? "slower" : "not slower";
+    logEvent(LogLevel::Info, "saturation_changed",
+             {{"service", Each.Service.str()},
+              {"occupancy", toString(Each.Occupancy)},
+              {"to", NewState},
+              {"factor", std::to_string(Each.Factor)},
+              {"fleet_responses", std::to_string(Each.Responses)}});
+    this->append("saturation/" + Each.Service.str() + "/" + toString(Each.Occupancy), "", NewState,
+                 "response times");
+  }
+}
+
 void ChangeRecorder::recordChangedConditions() {
   for (const TargetName &Name : this->Targets.takeChangedConditions()) {
     const TargetState *State = this->Targets.find(Name);
--- a/src/libs/transport/ChangeRecorder.h
+++ b/src/libs/transport/ChangeRecorder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/SaturationEstimator.h"
 #include "coordination/TargetTable.h"
 #include "state/AuditTrail.h"
 #include "state/Publication.h"
@@ -7,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace anvilsaddle {
 
@@ -28,6 +30,8 @@
   /// A target or a failure domain changes. Called before the targets are updated, so that
   /// registrations that change nothing are left out. Precondition: it is no configuration.
   void onPublication(const Publication &Change);
+  /// Records the services whose targets are used with more or fewer slots from now on.
+  void onSaturationChanged(const std::vector<SaturationChange> &Changed);
   /// Records the targets whose demands have changed.
   void recordChangedConditions();
 
--- a/tests/auto/libs/coordination/tst_saturationestimator.cpp
+++ b/tests/auto/libs/coordination/tst_saturationestimator.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(restartedEntryAdoptsEstimates);
   CPPUNIT_TEST(entriesOfALargeFleetAgree);
   CPPUNIT_TEST(impossibleRecordsAreIgnored);
+  CPPUNIT_TEST(changesAreReportedOnce);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,14 +192,14 @@
     checkProperty("all entries agree with the majority", [](std::uint32_t Seed, bool IsSlow) {
       constexpr std::size_t EntryCount = 150;
       std::mt19937 Random(Seed);
-      const auto hasHappened = [&Random](double Probability) {
+      const auto HasHappened = [&Random](double Probability) {
         return std::bernoulli_distribution(Probability)(Random);
       };
       std::vector<SaturationEstimator> Entries(EntryCount);
       for (SaturationEstimator &Each : Entries) {
         Each.setEntryCount(EntryCount);
         for (int Response = 0; Response < 2; ++Response) {
-          Each.onResponse(Board, SlotOccupancy::Full, hasHappened(0.75) == IsSlow ? 1.7 : 1.0,
+          Each.onResponse(Board, SlotOccupancy::Full, HasHappened(0.75) == IsSlow ? 1.7 : 1.0,
                           Start);
         }
       }
@@ -206,7 +207,7 @@
       for (int Round = 0; Round < 16; ++Round) {
         for (SaturationEstimator &Each : Entries) {
           const auto Records = Each.takeRecords(4, Start);
-          if (hasHappened(0.9)) {
+          if (HasHappened(0.9)) {
             Entries[Receivers(Random)].add(Records, Start);
           }
         }
@@ -240,6 +241,29 @@
     }
     CPPUNIT_ASSERT(Estimator.takeRecords(10'000, Start).size() <= 4096);
   }
+
+  /// Guards against decisions that operators can't see in the log, and against a log line for each
+  /// response.
+  void changesAreReportedOnce() {
+    SaturationEstimator Estimator;
+    std::vector<SaturationChange> Changes;
+    const auto Respond = [&](double Ratio, int Count) {
+      for (int Index = 0; Index < Count; ++Index) {
+        Estimator.onResponse(Board, SlotOccupancy::Full, Ratio, Start);
+        const auto Taken = Estimator.takeChanges(Start);
+        Changes.insert(Changes.end(), Taken.begin(), Taken.end());
+      }
+    };
+    Respond(2, 5);
+    CPPUNIT_ASSERT(Changes.empty());
+    Respond(1, 20);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Changes.size());
+    CPPUNIT_ASSERT(Changes.back().Service == Board && Changes.back().Factor == 1);
+    Respond(2, 40);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Changes.size());
+    CPPUNIT_ASSERT(Changes.back().Occupancy == SlotOccupancy::Full && Changes.back().Factor > 1.35);
+    CPPUNIT_ASSERT(Changes.back().Responses > 20);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SaturationEstimatorTest);
--- a/tests/auto/libs/protocol/ArbitraryMessage.h
+++ b/tests/auto/libs/protocol/ArbitraryMessage.h
@@ -39,11 +39,11 @@
   }
   const auto SumCount = *rc::gen::inRange(0, 3);
   for (int Index = 0; Index < SumCount; ++Index) {
-    const auto arbitrarySum = [] { return *rc::gen::inRange(0, 1'000'000) / 1000.0; };
+    const auto ArbitrarySum = [] { return *rc::gen::inRange(0, 1'000'000) / 1000.0; };
     Result.Saturation.push_back(
         {ServiceName((*shortText()).substr(0, 20)),
          *rc::gen::arbitrary<bool>() ? SlotOccupancy::Full : SlotOccupancy::NearlyFull,
-         arbitrarySum(), arbitrarySum(), arbitrarySum()});
+         ArbitrarySum(), ArbitrarySum(), ArbitrarySum()});
   }
   return Result;
 }
