--- a/tests/auto/libs/protocol/tst_responseparser.cpp
+++ b/tests/auto/libs/protocol/tst_responseparser.cpp
@@ -1,6 +1,12 @@
 #include "Property.h"
 #include "protocol/ResponseParser.h"
 
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
 using namespace anvilsaddle;
 
 namespace {
@@ -28,12 +34,77 @@
   return Parser.isReusable() ? Parsed + "+" : Parsed;
 }
 
+struct ParsedResponse {
+  int Status = 0;
+  std::string Body;
+  bool IsComplete = false;
+  bool HasFailed = false;
+
+  auto operator<=>(const ParsedResponse &) const = default;
+};
+
+/// Parses a response that arrives in parts, after which the connection is closed.
+ParsedResponse parseParts(const std::vector<std::string> &Parts) {
+  ResponseParser Parser(false);
+  ParsedResponse Result;
+  const auto Parse = [&] {
+    if (!Parser.parseHead()) {
+      return;
+    }
+    std::size_t Size = 0;
+    do {
+      Size = Result.Body.size();
+      Parser.parseBody(Result.Body);
+    } while (Result.Body.size() > Size);
+  };
+  for (const std::string &Each : Parts) {
+    Parser.add(Each);
+    Parse();
+  }
+  Parser.addEndOfStream();
+  Parse();
+  Result.HasFailed = !Parser.error().empty();
+  Result.IsComplete = !Result.HasFailed && Parser.isComplete();
+  Result.Status = Result.IsComplete ? Parser.head().Status : 0;
+  return Result;
+}
+
+/// Cuts the text at the given places, as far as they are within the text.
+std::vector<std::string> cut(const std::string &Text, std::vector<std::uint8_t> Places) {
+  std::sort(Places.begin(), Places.end());
+  std::vector<std::string> Result;
+  std::size_t Begin = 0;
+  for (const std::size_t Place : Places) {
+    const std::size_t End = std::min(Place, Text.size());
+    Result.push_back(Text.substr(Begin, End - Begin));
+    Begin = End;
+  }
+  Result.push_back(Text.substr(Begin));
+  return Result;
+}
+
+/// Complete responses whose end is marked, so that a connection that ends before breaks them off.
+const std::vector<std::string> &delimitedResponses() {
+  static const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  static const std::vector<std::string> Result = {
+      Ok + "Content-Length: 5\r\n\r\nabcde",
+      Ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+      Ok + "Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n5;x=y\r\nabcde\r\n0\r\nT: v\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\n" + Ok + "Content-Length: 2\r\nConnection: close\r\n\r\nok",
+      "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nfull",
+      "HTTP/1.1 204 No Content\r\n\r\n",
+  };
+  return Result;
+}
+
 } // namespace
 
 class ResponseParserTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ResponseParserTest);
   CPPUNIT_TEST(responses);
   CPPUNIT_TEST(takeNextKeepsBytes);
+  CPPUNIT_TEST(responsesThatBreakOffAreIncomplete);
+  CPPUNIT_TEST(anySplitGivesTheSameResponse);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,6 +161,35 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ab"), Body);
     CPPUNIT_ASSERT(Next->isReusable());
   }
+
+  /// Guards against a response that breaks off in its head, body, chunk or trailer and reaches the
+  /// caller as a complete one: each response is cut at each byte.
+  void responsesThatBreakOffAreIncomplete() {
+    for (const std::string &Each : delimitedResponses()) {
+      CPPUNIT_ASSERT_MESSAGE(Each, parseParts({Each}).IsComplete);
+      for (std::size_t Length = 0; Length < Each.size(); ++Length) {
+        const ParsedResponse Result = parseParts({Each.substr(0, Length)});
+        CPPUNIT_ASSERT_MESSAGE(Each.substr(0, Length), Result.HasFailed && !Result.IsComplete);
+      }
+    }
+  }
+
+  /// Guards against responses whose end or content depends on how the bytes arrive, and against
+  /// bytes that end the process: any response, also with a byte replaced, is parsed the same in any
+  /// parts.
+  void anySplitGivesTheSameResponse() {
+    checkProperty("the parts make no difference",
+                  [](std::uint16_t Position, char Replacement, bool IsReplaced,
+                     const std::vector<std::uint8_t> &Places) {
+                    std::string Text = *rc::gen::elementOf(delimitedResponses());
+                    if (IsReplaced) {
+                      Text[Position % Text.size()] = Replacement;
+                    }
+                    RC_ASSERT(parseParts({Text}) == parseParts(cut(Text, Places)));
+                  });
+    checkProperty("arbitrary bytes are parsed or rejected",
+                  [](const std::vector<std::string> &Parts) { parseParts(Parts); });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseParserTest);
--- a/tests/auto/platform/tst_platformprotocol.cpp
+++ b/tests/auto/platform/tst_platformprotocol.cpp
@@ -1,6 +1,10 @@
 #include "Property.h"
 #include "platform/PlatformProtocol.h"
 
+#include <cmath>
+#include <string>
+#include <vector>
+
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
 
@@ -24,6 +28,7 @@
   CPPUNIT_TEST(requestLimits);
   CPPUNIT_TEST(responseMetadata);
   CPPUNIT_TEST(entryQueries);
+  CPPUNIT_TEST(arbitraryFieldsAreHandled);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -130,6 +135,28 @@
     CPPUNIT_ASSERT_EQUAL(std::string(R"({"addresses":["10.1.0.18:8381"],"ttlS":1.5})"),
                          Protocol.writeAddressResponse({{"10.1.0.18", 8381}}, 1500ms));
   }
+
+  /// Guards against a header field of a caller or a target that ends the process, or that yields
+  /// numbers which later calculations don't expect.
+  void arbitraryFieldsAreHandled() {
+    checkProperty("any field is read or left out", [](const std::string &Value, int Status) {
+      const auto Name = *rc::gen::element<std::string>(
+          "X-Anvilsaddle-Server-Load", "X-Anvilsaddle-Cold-Milliseconds", "Server-Limit",
+          "Retry-After", "X-Anvilsaddle-Attempt-Id", "X-Anvilsaddle-Not-Executed",
+          "X-Anvilsaddle-Remaining-Milliseconds", "Content-Type");
+      const auto Text = *rc::gen::elementOf(std::vector<std::string>{
+          Value, Value + ",1,3", "1," + Value + ",3", "1,1,3," + Value, "9" + Value});
+      const ResponseMetadata Response = Protocol.readResponse(headWithField(Name, Text, Status));
+      if (Response.Load) {
+        RC_ASSERT(Response.Load->Slots > 0U);
+        RC_ASSERT(std::isfinite(Response.Load->Slowdown) && Response.Load->Slowdown >= 0);
+      }
+      RequestHead Request;
+      Request.Fields.emplace_back(Name, Text);
+      const RequestMetadata Metadata = Protocol.readRequest(Request);
+      RC_ASSERT(!Metadata.RemainingTime || *Metadata.RemainingTime >= 0s);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformProtocolTest);
