--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -151,8 +151,8 @@
     std::vector<PlacementCandidate> Reported =
         this->Finder.reportedCandidates(*Request.Search, true, Now);
     auto Best = placement::chooseBest(Reported, Estimate, this->Random.uniform());
-    const bool IsLeft = Best && Request.Search->LeavesLastSlot && Best->UsableSlotsLeft == 0;
-    if (Best && !IsLeft && placement::isGoodEnough(*Best, Estimate) &&
+    const bool IsYielded = Best && Request.Search->LeavesLastSlot && Best->UsableSlotsLeft == 0;
+    if (Best && !IsYielded && placement::isGoodEnough(*Best, Estimate) &&
         this->trySend(Number, *Best, Reported.size(), Now)) {
       return;
     }
--- a/src/libs/coordination/SaturationEstimator.cpp
+++ b/src/libs/coordination/SaturationEstimator.cpp
@@ -26,7 +26,7 @@
 /// Mean time between two explorations of the whole fleet, before and after it knows enough
 /// responses.
 constexpr Duration InitialExplorationInterval = 150ms;
-constexpr Duration FinalExplorationInterval = 10000ms;
+constexpr Duration FinalExplorationInterval = 10s;
 /// An entry doesn't explore again before the first result can be known.
 constexpr Duration MinExplorationInterval = 250ms;
 /// Limits the memory that estimates of other entries for unknown services can take.
