--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -15,7 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr guint HousekeepingIntervalMs = 100;
-/// Keeps the sums below a tenth of a gossip message of a fleet with 100 entries.
+/// Bounds what the sums add to a gossip message, whatever the number of services.
 constexpr std::size_t MaxSaturationRecords = 4;
 /// Limit for each of the servers that serve readiness checks, the directory, other entries and
 /// operators.
