--- a/review/standins.py
+++ b/review/standins.py
@@ -209,8 +209,8 @@
             "routes": {"columns": ROUTE_COLUMNS, "rows": routes},
             "services": {"columns": ["name", "healthCheckPath", "coldStartS", "coldPerS"],
                          "rows": [[name, "/health", 2, 20] for name in services]},
-            "limits": {"headerBytes": 16384, "bodyBytes": 1048576, "headerTimeoutS": 4,
-                       "idleTimeoutS": 20}}
+            "limits": {"headerBytes": 16384, "bodyBytes": 67108864, "headerTimeoutS": 3,
+                       "idleTimeoutS": 15}}
 
 
 # Workers
