Exit with 2 if a review script fails unexpectedly

Cause: an exception that is not expected would have ended a script with 1, which stands for a broken rule. Done: any exception ends it with 2.

--- a/review/standins.py
+++ b/review/standins.py
@@ -431,7 +431,7 @@
     signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(KeyboardInterrupt()))
     try:
         result = asyncio.run(limited())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (Exception, KeyboardInterrupt) as error:  # Only a broken rule may exit with 1.
         print("cannot run:", repr(error))
         result = CANNOT_RUN
     sys.stdout.flush()
