End streamed responses at the deadline of their request

Cause: Dispatcher::onResponseCommitted removed the request, and its timer with it, so nothing bounded a response that was being streamed. Change: a committed request keeps its deadline, also that of a shutdown. At the deadline the new effect AbortResponse resets the caller's connection, and the attempt is cancelled. Same path for forwarded requests and slow callers.

--- a/src/libs/coordination/DispatchRequest.h
+++ b/src/libs/coordination/DispatchRequest.h
@@ -27,7 +27,7 @@
   bool IsRunning = true;
 };
 
-/// A request without a final response. Not thread-safe.
+/// A request without a complete response. Not thread-safe.
 struct DispatchRequest {
   RequestAttributes Attributes;
   std::vector<DispatchAttempt> Attempts;
@@ -41,6 +41,8 @@
   /// Attempt that ended with a complete response of status 500 or above.
   std::optional<AttemptNumber> ErrorResponse;
   std::optional<TimePoint> HedgeAt;
+  /// The response of the only running attempt is being sent to the caller.
+  bool IsCommitted = false;
 
   bool hasRunningAttempt() const;
   /// Time of the deadline, the hedge or the end of the search stage, whichever comes first.
--- a/src/libs/coordination/DispatchTypes.h
+++ b/src/libs/coordination/DispatchTypes.h
@@ -140,6 +140,16 @@
   auto operator<=>(const DeliverResponse &) const = default;
 };
 
+/// Ends the response that is being sent to the caller before it is complete, because the time of
+/// the request is over. The request is removed.
+struct AbortResponse {
+  RequestNumber Request = 0;
+  /// From a fixed set of texts, for logs and metrics.
+  std::string Reason;
+
+  auto operator<=>(const AbortResponse &) const = default;
+};
+
 enum class RefusalKind {
   /// The request was not executed and will not be.
   NotExecuted,
@@ -163,7 +173,7 @@
   auto operator<=>(const RefuseRequest &) const = default;
 };
 
-using Effect =
-    std::variant<ProbeTarget, SendAttempt, CancelAttempt, DeliverResponse, RefuseRequest>;
+using Effect = std::variant<ProbeTarget, SendAttempt, CancelAttempt, DeliverResponse, AbortResponse,
+                            RefuseRequest>;
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -108,7 +108,7 @@
 
 void Dispatcher::onCallerDisconnected(RequestNumber Number, TimePoint Now) {
   if (this->Requests.contains(Number)) {
-    this->removeRequest(Number, std::nullopt, Now);
+    this->removeRequest(Number, Now);
   }
 }
 
@@ -525,39 +525,65 @@
 }
 
 void Dispatcher::onResponseCommitted(RequestNumber Number, AttemptNumber Attempt, TimePoint Now) {
-  if (this->Requests.contains(Number)) {
-    this->removeRequest(Number, Attempt, Now);
+  const auto Found = this->Requests.find(Number);
+  if (Found == this->Requests.end()) {
+    return;
   }
+  DispatchRequest &Request = Found->second;
+  this->cancelAttempts(Number, Attempt, Now);
+  this->stopWaiting(Number);
+  Request.HedgeAt.reset();
+  Request.IsCommitted = true;
+  this->updateTimer(Number, Request);
+}
+
+void Dispatcher::onCommittedResponseEnd(RequestNumber Number, TimePoint Now) {
+  const auto Found = this->Requests.find(Number);
+  if (Found == this->Requests.end()) {
+    return;
+  }
+  for (DispatchAttempt &Each : Found->second.Attempts) {
+    if (std::exchange(Each.IsRunning, false)) {
+      this->targets().onAttemptEnd(Each.Target, false, Now);
+    }
+  }
+  this->removeRequest(Number, Now);
 }
 
 void Dispatcher::deliver(RequestNumber Number, AttemptNumber Attempt, TimePoint Now) {
   this->Effects.emplace_back(DeliverResponse{Number, Attempt});
-  this->removeRequest(Number, Attempt, Now);
+  this->removeRequest(Number, Now);
 }
 
 void Dispatcher::refuse(RequestNumber Number, RefusalKind Kind, std::string Reason,
                         Duration RetryAfter, TimePoint Now) {
-  this->removeRequest(Number, std::nullopt, Now);
+  this->removeRequest(Number, Now);
   this->Effects.emplace_back(RefuseRequest{Number, Kind, std::move(Reason), RetryAfter});
 }
 
-void Dispatcher::removeRequest(RequestNumber Number, std::optional<AttemptNumber> KeptAttempt,
-                               TimePoint Now) {
+void Dispatcher::cancelAttempts(RequestNumber Number, std::optional<AttemptNumber> KeptAttempt,
+                                TimePoint Now) {
   DispatchRequest &Request = this->Requests.at(Number);
-  const ServiceName Service = Request.Attributes.Service;
   for (std::size_t Index = 0; Index < Request.Attempts.size(); ++Index) {
-    const DispatchAttempt &Each = Request.Attempts[Index];
-    if (!Each.IsRunning) {
-      continue;
-    }
-    this->targets().onAttemptEnd(Each.Target, false, Now);
+    DispatchAttempt &Each = Request.Attempts[Index];
     const auto Attempt = static_cast<AttemptNumber>(Index);
-    if (Attempt != KeptAttempt) {
+    if (Each.IsRunning && Attempt != KeptAttempt) {
+      Each.IsRunning = false;
+      this->targets().onAttemptEnd(Each.Target, false, Now);
       this->Effects.emplace_back(CancelAttempt{Number, Attempt});
     }
   }
+}
+
+void Dispatcher::stopWaiting(RequestNumber Number) {
+  DispatchRequest &Request = this->Requests.at(Number);
   this->endSearch(Request);
-  this->Queues[Service].Requests.remove(Number);
+  this->Queues[Request.Attributes.Service].Requests.remove(Number);
+}
+
+void Dispatcher::removeRequest(RequestNumber Number, TimePoint Now) {
+  this->cancelAttempts(Number, std::nullopt, Now);
+  this->stopWaiting(Number);
   this->Timers.remove(Number);
   this->Requests.erase(Number);
 }
@@ -594,12 +620,20 @@
   this->Timers.set(Number, Request.nextTimer());
 }
 
+void Dispatcher::onDeadline(RequestNumber Number, const std::string &Reason, TimePoint Now) {
+  if (!this->Requests.at(Number).IsCommitted) {
+    this->deliverErrorOrRefuse(Number, Reason, Now);
+    return;
+  }
+  this->removeRequest(Number, Now);
+  this->Effects.emplace_back(AbortResponse{Number, Reason});
+}
+
 void Dispatcher::onRequestTimer(RequestNumber Number, TimePoint Now) {
   DispatchRequest &Request = this->Requests.at(Number);
   if (Now >= Request.Attributes.Deadline) {
     const bool IsShutdown = this->isLimitedByShutdown(Request.Attributes);
-    this->deliverErrorOrRefuse(
-        Number, IsShutdown ? ShutdownReason : "the time of the request is over", Now);
+    this->onDeadline(Number, IsShutdown ? ShutdownReason : "the time of the request is over", Now);
     return;
   }
   if (Request.HedgeAt && *Request.HedgeAt <= Now) {
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -81,8 +81,11 @@
   void onAttemptEnd(RequestNumber Number, AttemptNumber Attempt, const AttemptResult &Result,
                     TimePoint Now);
   /// Called when the entry begins to send the response of an attempt to the caller although the end
-  /// of the response has not arrived yet. Cancels all other attempts and removes the request.
+  /// of the response has not arrived yet. Cancels all other attempts. The request keeps its
+  /// deadline, at which the response is aborted.
   void onResponseCommitted(RequestNumber Number, AttemptNumber Attempt, TimePoint Now);
+  /// Called when a committed response has ended. Ignores unknown requests.
+  void onCommittedResponseEnd(RequestNumber Number, TimePoint Now);
   /// Handles the timers of requests and queues that are due, and those of targets().
   void onTick(TimePoint Now);
   /// Time at which onTick() has to be called next.
@@ -141,9 +144,16 @@
   void deliver(RequestNumber Number, AttemptNumber Attempt, TimePoint Now);
   void refuse(RequestNumber Number, RefusalKind Kind, std::string Reason, Duration RetryAfter,
               TimePoint Now);
-  void removeRequest(RequestNumber Number, std::optional<AttemptNumber> KeptAttempt, TimePoint Now);
+  void removeRequest(RequestNumber Number, TimePoint Now);
+  /// Cancels the running attempts of a request, except for the given one.
+  void cancelAttempts(RequestNumber Number, std::optional<AttemptNumber> KeptAttempt,
+                      TimePoint Now);
+  /// Ends the search of a request and removes it from its queue.
+  void stopWaiting(RequestNumber Number);
   Duration retryAfter(const DispatchRequest &Request, TimePoint Now);
   void updateTimer(RequestNumber Number, const DispatchRequest &Request);
+  /// Ends the request, whether or not its response has begun.
+  void onDeadline(RequestNumber Number, const std::string &Reason, TimePoint Now);
   void onRequestTimer(RequestNumber Number, TimePoint Now);
   void resumeSearches(const TargetName &Name, TimePoint Now);
 
--- a/src/libs/model/DispatcherPolicy.h
+++ b/src/libs/model/DispatcherPolicy.h
@@ -55,6 +55,8 @@
   void applyEffect(std::size_t Index, const SendAttempt &Send);
   /// The target completes the request; its response is ignored.
   void applyEffect(std::size_t, const CancelAttempt &) {}
+  /// Responses of the model are never streamed.
+  void applyEffect(std::size_t, const AbortResponse &) {}
   void applyEffect(std::size_t Index, const DeliverResponse &Delivery);
   void applyEffect(std::size_t Index, const RefuseRequest &Refusal);
   void forward(std::size_t Index, const SendAttempt &Send);
--- a/src/libs/transport/ActiveRequest.cpp
+++ b/src/libs/transport/ActiveRequest.cpp
@@ -42,6 +42,11 @@
   this->Notify.OnResponseEnd(*this, Status, true);
 }
 
+void ActiveRequest::abort() {
+  this->Exchange.abort();
+  this->Notify.OnResponseEnd(*this, this->StreamedStatus, false);
+}
+
 void ActiveRequest::reject(ResponseHead Head, const std::string &Text) {
   const int Status = Head.Status;
   this->Exchange.respond(std::move(Head), Text);
@@ -54,6 +59,8 @@
 }
 
 void ActiveRequest::onAttemptStreaming(RequestAttempt &Attempt) {
+  this->StreamedAttempt = Attempt.command().Attempt;
+  this->StreamedStatus = Attempt.head().Status;
   this->Notify.OnCommitted(*this, Attempt.command().Attempt);
   this->Exchange.begin(forwardedHead(Attempt.head()));
   this->Exchange.addBody(Attempt.body());
@@ -63,22 +70,24 @@
 void ActiveRequest::onAttemptData(RequestAttempt &Attempt, std::string Bytes, bool IsEnd) {
   this->Exchange.addBody(Bytes);
   if (IsEnd) {
-    const int Status = Attempt.head().Status;
     this->Exchange.end();
-    this->Notify.OnResponseEnd(*this, Status, true);
+    this->Notify.OnResponseEnd(*this, this->StreamedStatus, true);
     return;
   }
   if (this->Exchange.unsentBytes() <= MaxUnsentBytes) {
     Attempt.continueStreaming();
     return;
   }
-  this->Exchange.setDrainedCallback([&Attempt] { Attempt.continueStreaming(); });
+  this->Exchange.setDrainedCallback([this] { this->continueStreaming(); });
 }
 
-void ActiveRequest::onAttemptTruncated(RequestAttempt &Attempt, const std::string &) {
-  const int Status = Attempt.head().Status;
-  this->Exchange.abort();
-  this->Notify.OnResponseEnd(*this, Status, false);
+void ActiveRequest::continueStreaming() {
+  const auto Found = this->Attempts.find(*this->StreamedAttempt);
+  if (Found != this->Attempts.end()) {
+    Found->second->continueStreaming();
+  }
 }
 
+void ActiveRequest::onAttemptTruncated(RequestAttempt &, const std::string &) { this->abort(); }
+
 } // namespace anvilsaddle
--- a/src/libs/transport/ActiveRequest.h
+++ b/src/libs/transport/ActiveRequest.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace anvilsaddle {
@@ -43,6 +44,8 @@
   /// Sends the complete response of an attempt to the caller. Precondition: the attempt ended with
   /// a response.
   void deliver(AttemptNumber Attempt);
+  /// Ends a response that has been sent in part. The caller sees that it is incomplete.
+  void abort();
   /// Sends a local response instead of a target's.
   void reject(ResponseHead Head, const std::string &Text);
 
@@ -53,12 +56,18 @@
   void onAttemptTruncated(RequestAttempt &Attempt, const std::string &Detail) override;
 
 private:
+  void continueStreaming();
+
   RequestNumber Number;
   HttpExchange &Exchange;
   RequestAttributes Attributes;
   std::string Id;
   const Callbacks &Notify;
   std::map<AttemptNumber, std::unique_ptr<RequestAttempt>> Attempts;
+  /// The attempt whose response is being sent.
+  std::optional<AttemptNumber> StreamedAttempt;
+  /// Valid while a response is being sent.
+  int StreamedStatus = 0;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -301,6 +301,13 @@
   }
 }
 
+void ProxyHandler::apply(const AbortResponse &Command) {
+  if (ActiveRequest *Request = this->find(Command.Request)) {
+    logEvent(LogLevel::Info, "aborted", {{"request", Request->id()}, {"reason", Command.Reason}});
+    Request->abort();
+  }
+}
+
 void ProxyHandler::apply(const RefuseRequest &Command) {
   ActiveRequest *Request = this->find(Command.Request);
   if (!Request) {
@@ -359,6 +366,8 @@
   if (this->find(Request.number()) == &Request) {
     this->erase(Request);
   }
+  this->Deps.RequestDispatcher.onCommittedResponseEnd(Request.number(), Now);
+  this->Deps.ApplyEffects();
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -62,6 +62,7 @@
   void apply(const SendAttempt &Command);
   void apply(const CancelAttempt &Command);
   void apply(const DeliverResponse &Command);
+  void apply(const AbortResponse &Command);
   void apply(const RefuseRequest &Command);
 
   void onRequest(HttpExchange &Exchange) override;
--- a/tests/auto/libs/coordination/DispatcherHarness.cpp
+++ b/tests/auto/libs/coordination/DispatcherHarness.cpp
@@ -133,6 +133,8 @@
         }
       } else if (const auto *Deliver = std::get_if<DeliverResponse>(&Each)) {
         this->complete(Deliver->Request, {this->Now, Deliver->Attempt, std::nullopt});
+      } else if (const auto *Abort = std::get_if<AbortResponse>(&Each)) {
+        this->complete(Abort->Request, {this->Now, std::nullopt, std::nullopt});
       } else {
         const auto &Refusal = std::get<RefuseRequest>(Each);
         this->complete(Refusal.Request, {this->Now, std::nullopt, Refusal});
--- a/tests/auto/libs/coordination/DispatcherHarness.h
+++ b/tests/auto/libs/coordination/DispatcherHarness.h
@@ -25,7 +25,7 @@
     AttemptOutcome Outcome = AttemptOutcome::Succeeded;
     TargetConditions Conditions{};
   };
-  /// End of a request.
+  /// End of a request; without attempt and refusal if its response was aborted.
   struct Completion {
     TimePoint Time;
     /// Set if a response was delivered.
--- a/tests/auto/libs/coordination/tst_dispatcher.cpp
+++ b/tests/auto/libs/coordination/tst_dispatcher.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(refusesUnservableRequests);
   CPPUNIT_TEST(disconnectedCallers);
   CPPUNIT_TEST(timeouts);
+  CPPUNIT_TEST(committedResponsesKeepTheirDeadline);
   CPPUNIT_TEST(lateRequestsOfAShutdown);
   CPPUNIT_TEST(requestsInProgressAtAShutdown);
   CPPUNIT_TEST(budgetLimitsRetries);
@@ -539,6 +540,56 @@
     }
   }
 
+  /// Guards against responses that are held past the time of their request because they had already
+  /// begun, and against aborting one that ended in time.
+  void committedResponsesKeepTheirDeadline() {
+    struct Case {
+      const char *Name;
+      /// Time at which the response ends by itself; nothing if it does not.
+      std::optional<Duration> ResponseEnd;
+      /// Time of the final responses if the entry shuts down.
+      std::optional<Duration> ShutdownTime;
+      std::optional<Duration> ExpectedAbort;
+    };
+    const Case Table[] = {
+        {"never ends", std::nullopt, std::nullopt, 2s},
+        {"ends in time", 1s, std::nullopt, std::nullopt},
+        {"the entry shuts down", std::nullopt, 1s, 1s},
+        {"ends before the shutdown does", 500ms, 1s, std::nullopt},
+    };
+    for (const Case &Each : Table) {
+      DispatcherHarness Harness;
+      Harness.addTarget("x", "a1");
+      Harness.OnSend = [](const SendAttempt &) { return Behavior{10s, AttemptOutcome::Succeeded}; };
+      RequestAttributes Attributes = Harness.attributes();
+      const TimePoint Start = Harness.Now;
+      Attributes.Deadline = Start + 2s;
+      const RequestNumber Number = Harness.request(Attributes);
+      Harness.run(100ms);
+      Harness.TestedDispatcher.onResponseCommitted(Number, 0, Harness.Now);
+      if (Each.ShutdownTime) {
+        Harness.TestedDispatcher.beginShutdown(Start + *Each.ShutdownTime, Harness.Now);
+      }
+      if (Each.ResponseEnd) {
+        Harness.run(Start + *Each.ResponseEnd - Harness.Now);
+        Harness.TestedDispatcher.onCommittedResponseEnd(Number, Harness.Now);
+      }
+      Harness.run(5s);
+      const DispatcherHarness::Completion *End = Harness.completionOf(Number);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.ExpectedAbort.has_value(), End != nullptr);
+      if (End) {
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, !End->Refusal && !End->DeliveredAttempt);
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, End->Time <= Start + *Each.ExpectedAbort + 1ms);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, End != nullptr,
+                                   Harness.sentOf(Number).front().Cancelled);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{1}, Harness.sentOf(Number).size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{0},
+                                   Harness.TestedDispatcher.requestCount());
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Harness.Violations.empty());
+    }
+  }
+
   /// Guards against requests that an entry takes late in its shutdown and breaks off at the end,
   /// among them those that can't be repeated, and against refusing what would have been served.
   void lateRequestsOfAShutdown() {
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -160,6 +160,7 @@
   CPPUNIT_TEST(unresponsiveTargets);
   CPPUNIT_TEST(pathsAreForwardedUnchanged);
   CPPUNIT_TEST(slowCallersPauseDownloads);
+  CPPUNIT_TEST(streamedResponsesEndAtTheirDeadline);
   CPPUNIT_TEST(disconnectingCallersCancelAttempts);
   CPPUNIT_TEST(shutdown);
   CPPUNIT_TEST(requestsThatDidNotRunCanBeRepeatedAfterShutdown);
@@ -397,6 +398,57 @@
     }));
   }
 
+  /// Guards against a response that is held past the time of its request after it has begun: its
+  /// connection went silent, its target sends too little at a time, or its caller doesn't read.
+  void streamedResponsesEndAtTheirDeadline() {
+    constexpr std::size_t Megabyte = std::size_t{1} << 20;
+    struct Case {
+      const char *Name;
+      std::size_t FirstBytes;
+      std::size_t BytesPerRound;
+      bool CallerReads;
+    };
+    const Case Table[] = {
+        {"silent connection", Megabyte, 0, true},
+        {"slow target", Megabyte, 1, true},
+        {"slow caller", Megabyte, Megabyte, false},
+    };
+    for (const Case &Each : Table) {
+      for (const bool IsChunked : {false, true}) {
+        TestEntry Entry;
+        Entry.configure();
+        const std::string Framing =
+            IsChunked ? "Transfer-Encoding: chunked" : "Content-Length: 999999999";
+        FakeTarget Target("HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\n" + Framing + "\r\n\r\n");
+        Entry.addTarget("t1", Target.Server.Port);
+        const auto Caller = RawConnection::connect(Entry.Server.port());
+        if (!Each.CallerReads) {
+          Caller->pauseReading();
+        }
+        Caller->send(makeRequest("GET", "/safe/1"));
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Target.Requests == 1; }));
+        RawConnection &TargetConnection = *Target.Server.Connections.back();
+        const auto Send = [&](std::size_t Count) {
+          const std::string Bytes(Count, 'x');
+          TargetConnection.send(IsChunked ? writeChunk(Bytes) : Bytes);
+        };
+        Send(Each.FirstBytes);
+        const bool HasEnded = runUntil([&] {
+          if (Each.BytesPerRound > 0 && !TargetConnection.Closed) {
+            Send(Each.BytesPerRound);
+          }
+          return Entry.Proxy.size() == 0;
+        });
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, HasEnded);
+        Caller->resumeReading();
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Caller->Closed; }));
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return TargetConnection.Closed; }));
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Caller->Reset);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.RequestDispatcher.requestCount());
+      }
+    }
+  }
+
   /// Guards against targets that continue to work for callers that have disconnected.
   void disconnectingCallersCancelAttempts() {
     TestEntry Entry;
