Report the failure of a call once, and own the sources that report it

Cause: HttpCall scheduled the failure of a skipped response and kept watching the socket, found the failure again, and overwrote the id of the first source, which then outlived the call. Change: a call ends in one place, which closes the watch and cancels what is scheduled. ScheduledCall owns one timer or idle source; HttpCall, HttpFetch and ProbeRunner use it.

--- a/src/libs/transport/HttpCall.cpp
+++ b/src/libs/transport/HttpCall.cpp
@@ -51,25 +51,19 @@
     : Pool(Pool), Request(std::move(Request)), Listener(Listener),
       Parser(std::make_unique<ResponseParser>(this->Request.IsHead)) {}
 
-HttpCall::~HttpCall() {
-  g_clear_handle_id(&this->FailureTimer, g_source_remove);
-  g_clear_handle_id(&this->ConnectTimer, g_source_remove);
-}
-
 void HttpCall::send() {
   this->Output = std::move(this->Request.Head) + this->Request.Body;
   this->Socket = this->Pool.takeIdle(this->Request.Destination, this->Request.MaxIdleTime);
   if (!this->Socket) {
     if (std::string Error = this->connect(); !Error.empty()) {
-      this->scheduleFailure(std::move(Error));
+      this->failLater(std::move(Error));
       return;
     }
     this->startWatch();
     this->Watch->setConditions(G_IO_OUT);
     if (this->Request.ConnectTimeout > 0ms) {
-      const std::int64_t TimeoutMilliseconds = toMilliseconds(this->Request.ConnectTimeout);
-      this->ConnectTimer =
-          g_timeout_add(static_cast<guint>(TimeoutMilliseconds), onConnectTimeout, this);
+      this->ConnectTimer.callAfter(this->Request.ConnectTimeout,
+                                   [this] { this->fail("connect timeout"); });
     }
     return;
   }
@@ -110,29 +104,22 @@
   return {};
 }
 
-void HttpCall::scheduleFailure(std::string Reason) {
-  this->FailureReason = std::move(Reason);
-  this->FailureTimer = g_idle_add_full(G_PRIORITY_DEFAULT, onScheduledFailure, this, nullptr);
-}
-
-gboolean HttpCall::onScheduledFailure(gpointer Data) {
-  auto &Self = *static_cast<HttpCall *>(Data);
-  Self.FailureTimer = 0;
-  Self.fail(Self.FailureReason);
-  return G_SOURCE_REMOVE;
-}
-
-gboolean HttpCall::onConnectTimeout(gpointer Data) {
-  auto &Self = *static_cast<HttpCall *>(Data);
-  Self.ConnectTimer = 0;
-  Self.fail("connect timeout");
-  return G_SOURCE_REMOVE;
+void HttpCall::failLater(std::string Reason) {
+  this->end();
+  this->PendingFailure.callNext(
+      [this, Reason = std::move(Reason)] { this->Listener.onCallFailed(Reason); });
 }
 
-void HttpCall::fail(const std::string &Reason) {
+void HttpCall::end() {
   this->CurrentState = State::Ended;
+  this->PendingFailure.cancel();
+  this->ConnectTimer.cancel();
   this->Watch.reset();
   this->Socket.reset();
+}
+
+void HttpCall::fail(const std::string &Reason) {
+  this->end();
   // Pass a copy, because the listener may destroy this call, which owns the original.
   this->Listener.onCallFailed(std::string(Reason));
 }
@@ -142,11 +129,10 @@
     GError *Error = nullptr;
     if (!g_socket_check_connect_result(this->Socket.get(), &Error)) {
       const GErrorPointer Failure(Error);
-      g_clear_handle_id(&this->ConnectTimer, g_source_remove);
       this->fail(Failure->message);
       return;
     }
-    g_clear_handle_id(&this->ConnectTimer, g_source_remove);
+    this->ConnectTimer.cancel();
     this->CurrentState = State::AwaitingHead;
   }
   this->write();
@@ -241,7 +227,7 @@
 
 void HttpCall::skipResponse() {
   if (++this->SkippedResponses > MaxSkippedResponses) {
-    this->scheduleFailure("too many responses belong to other requests");
+    this->failLater("too many responses belong to other requests");
     return;
   }
   this->CurrentState = State::Skipping;
@@ -252,7 +238,7 @@
   std::string Discarded;
   this->Parser->parseBody(Discarded);
   if (!this->Parser->error().empty()) {
-    this->scheduleFailure(this->Parser->error());
+    this->failLater(this->Parser->error());
     return;
   }
   if (!this->Parser->isComplete()) {
@@ -276,15 +262,15 @@
     this->updateWatch();
     return;
   }
-  this->CurrentState = IsEnd ? State::Ended : State::Paused;
+  this->CurrentState = State::Paused;
   this->updateWatch();
   if (IsEnd) {
-    this->Watch.reset();
     const bool AllSent = !this->WriteFailed && this->BytesWritten == this->Output.size();
+    GObjectPointer<GSocket> Unused = std::move(this->Socket);
+    this->end();
     if (AllSent && this->Parser->isReusable()) {
-      this->Pool.addIdle(this->Request.Destination, std::move(this->Socket), this->idleLifetime());
+      this->Pool.addIdle(this->Request.Destination, std::move(Unused), this->idleLifetime());
     }
-    this->Socket.reset();
   }
   this->Listener.onResponseBody(std::move(Bytes), IsEnd);
 }
--- a/src/libs/transport/HttpCall.h
+++ b/src/libs/transport/HttpCall.h
@@ -4,6 +4,7 @@
 #include "state/Endpoint.h"
 #include "state/Time.h"
 #include "transport/GlibPointers.h"
+#include "transport/ScheduledCall.h"
 #include "transport/SocketWatch.h"
 
 #include <cstddef>
@@ -16,7 +17,8 @@
 
 class ConnectionPool;
 
-/// Receives the response of a call. Each function may destroy the call.
+/// Receives the response of a call. Each function may destroy the call. Nothing is reported after
+/// the last event.
 class HttpCallListener {
 public:
   virtual ~HttpCallListener() = default;
@@ -54,7 +56,6 @@
 public:
   /// Precondition: pool and listener outlive the call.
   HttpCall(ConnectionPool &Pool, OutgoingRequest Request, HttpCallListener &Listener);
-  ~HttpCall();
   HttpCall(const HttpCall &) = delete;
   HttpCall &operator=(const HttpCall &) = delete;
 
@@ -75,12 +76,13 @@
 private:
   enum class State { Connecting, AwaitingHead, Paused, AwaitingBody, Skipping, Ended };
 
-  static gboolean onScheduledFailure(gpointer Data);
-  static gboolean onConnectTimeout(gpointer Data);
-
   std::string connect();
   void startWatch();
-  void scheduleFailure(std::string Reason);
+  /// Ends the call; the listener is told in the next iteration of the main loop, because its
+  /// function may be on the call stack.
+  void failLater(std::string Reason);
+  /// Closes the connection. From now on, no source of the main loop calls this object.
+  void end();
   void fail(const std::string &Reason);
   void onReady(GIOCondition Condition);
   void write();
@@ -97,9 +99,8 @@
   std::unique_ptr<ResponseParser> Parser;
   GObjectPointer<GSocket> Socket;
   std::unique_ptr<SocketWatch> Watch;
-  guint FailureTimer = 0;
-  guint ConnectTimer = 0;
-  std::string FailureReason;
+  ScheduledCall PendingFailure;
+  ScheduledCall ConnectTimer;
   State CurrentState = State::Connecting;
   std::string Output;
   std::size_t BytesWritten = 0;
--- a/src/libs/transport/HttpFetch.cpp
+++ b/src/libs/transport/HttpFetch.cpp
@@ -34,39 +34,23 @@
   Request.DetectDeadPeer = true;
   this->Call = std::make_unique<HttpCall>(this->Pool, std::move(Request), *this);
   this->Call->send();
-  const std::int64_t TimeoutMilliseconds = toMilliseconds(Timeout);
-  this->Timer = g_timeout_add(static_cast<guint>(TimeoutMilliseconds), onTimeout, this);
+  this->Timer.callAfter(Timeout, [this] { this->finish(std::nullopt, "response timeout"); });
   this->IdleTimeout = MaxIdle;
   this->restartIdleTimer();
 }
 
 void HttpFetch::cancel() {
-  g_clear_handle_id(&this->Timer, g_source_remove);
-  g_clear_handle_id(&this->IdleTimer, g_source_remove);
+  this->Timer.cancel();
+  this->IdleTimer.cancel();
   this->Call.reset();
 }
 
 void HttpFetch::restartIdleTimer() {
-  g_clear_handle_id(&this->IdleTimer, g_source_remove);
   if (this->IdleTimeout == Duration::max()) {
     return;
   }
-  const std::int64_t TimeoutMilliseconds = toMilliseconds(this->IdleTimeout);
-  this->IdleTimer = g_timeout_add(static_cast<guint>(TimeoutMilliseconds), onIdleTimeout, this);
-}
-
-gboolean HttpFetch::onIdleTimeout(gpointer Data) {
-  auto &Self = *static_cast<HttpFetch *>(Data);
-  Self.IdleTimer = 0;
-  Self.finish(std::nullopt, "no bytes of the response arrive");
-  return G_SOURCE_REMOVE;
-}
-
-gboolean HttpFetch::onTimeout(gpointer Data) {
-  auto &Self = *static_cast<HttpFetch *>(Data);
-  Self.Timer = 0;
-  Self.finish(std::nullopt, "response timeout");
-  return G_SOURCE_REMOVE;
+  this->IdleTimer.callAfter(
+      this->IdleTimeout, [this] { this->finish(std::nullopt, "no bytes of the response arrive"); });
 }
 
 void HttpFetch::finish(const std::optional<Result> &Response, const std::string &Reason) {
--- a/src/libs/transport/HttpFetch.h
+++ b/src/libs/transport/HttpFetch.h
@@ -4,6 +4,7 @@
 #include "state/Endpoint.h"
 #include "state/Time.h"
 #include "transport/HttpCall.h"
+#include "transport/ScheduledCall.h"
 
 #include <functional>
 #include <memory>
@@ -43,17 +44,14 @@
   void onCallFailed(const std::string &Reason) override;
 
 private:
-  static gboolean onTimeout(gpointer Data);
-  static gboolean onIdleTimeout(gpointer Data);
-
   void restartIdleTimer();
   void finish(const std::optional<Result> &Response, const std::string &Reason);
 
   ConnectionPool &Pool;
   Callback OnEnd;
   std::unique_ptr<HttpCall> Call;
-  guint Timer = 0;
-  guint IdleTimer = 0;
+  ScheduledCall Timer;
+  ScheduledCall IdleTimer;
   Duration IdleTimeout{0};
   Result Partial;
 };
--- a/src/libs/transport/ProbeRunner.cpp
+++ b/src/libs/transport/ProbeRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/ConnectionPool.h"
 #include "transport/HttpCall.h"
+#include "transport/ScheduledCall.h"
 
 #include <chrono>
 #include <utility>
@@ -14,9 +15,9 @@
 
 /// Longer than a round trip to another region. A reused connection without a response by then is
 /// treated as dead.
-constexpr guint ReusedConnectionTimeoutMilliseconds = 100;
+constexpr Duration ReusedConnectionTimeout = 100ms;
 /// Includes establishing the connection.
-constexpr guint NewConnectionTimeoutMilliseconds = 250;
+constexpr Duration NewConnectionTimeout = 250ms;
 /// Connections that have been idle for longer are likely to be closed.
 constexpr Duration MaxReuseIdleTime = 30s;
 constexpr int HealthyStatus = 200;
@@ -27,7 +28,6 @@
 class ProbeRunner::ActiveProbe final : public HttpCallListener {
 public:
   ActiveProbe(ProbeRunner &Owner, ProbeTarget Probe) : Owner(Owner), Probe(std::move(Probe)) {}
-  ~ActiveProbe() override { g_clear_handle_id(&this->Timer, g_source_remove); }
 
   void start(Duration MaxIdleTime) {
     RequestHead Head;
@@ -40,14 +40,13 @@
     Request.MaxIdleTime = MaxIdleTime;
     this->Call = std::make_unique<HttpCall>(this->Owner.Pool, std::move(Request), *this);
     this->Call->send();
-    const guint TimeoutMilliseconds = this->Call->isReused() ? ReusedConnectionTimeoutMilliseconds
-                                                             : NewConnectionTimeoutMilliseconds;
-    this->Timer = g_timeout_add(TimeoutMilliseconds, onTimeout, this);
+    this->Timer.callAfter(this->Call->isReused() ? ReusedConnectionTimeout : NewConnectionTimeout,
+                          [this] { this->retryOrFail("response timeout"); });
   }
 
   void cancel() {
     this->Call.reset();
-    g_clear_handle_id(&this->Timer, g_source_remove);
+    this->Timer.cancel();
   }
 
   void onResponseHead(const ResponseHead &Head) override {
@@ -88,15 +87,8 @@
   void onCallFailed(const std::string &Reason) override { this->retryOrFail(Reason); }
 
 private:
-  static gboolean onTimeout(gpointer Data) {
-    auto &Self = *static_cast<ActiveProbe *>(Data);
-    Self.Timer = 0;
-    Self.retryOrFail("response timeout");
-    return G_SOURCE_REMOVE;
-  }
-
   void retryOrFail(const std::string &Reason) {
-    g_clear_handle_id(&this->Timer, g_source_remove);
+    this->Timer.cancel();
     if (!this->Call->isReused()) {
       this->fail(ProbeFailure::Unreachable, Reason);
       return;
@@ -116,7 +108,7 @@
   ProbeRunner &Owner;
   ProbeTarget Probe;
   std::unique_ptr<HttpCall> Call;
-  guint Timer = 0;
+  ScheduledCall Timer;
   int Status = 0;
   ResponseMetadata Metadata;
 };
--- a/tests/auto/libs/transport/tst_httpcall.cpp
+++ b/tests/auto/libs/transport/tst_httpcall.cpp
@@ -1,6 +1,7 @@
 #include "Loopback.h"
 #include "Property.h"
 #include "transport/ConnectionPool.h"
+#include "transport/DeferredDeletion.h"
 #include "transport/HttpCall.h"
 #include "transport/SystemClock.h"
 
@@ -44,6 +45,44 @@
   bool Failed = false;
 };
 
+/// Makes one call that skips each response to another request. Deletes the call, like the product,
+/// in the iteration of the main loop after the failure.
+class SkippingCall final : public HttpCallListener {
+public:
+  SkippingCall(ConnectionPool &Pool, std::uint16_t Port) {
+    OutgoingRequest Request;
+    Request.Destination = {"127.0.0.1", Port};
+    Request.MaxIdleTime = std::chrono::seconds(5);
+    Request.Head = "GET /x HTTP/1.1\r\nHost: t\r\n\r\n";
+    this->Call = std::make_unique<HttpCall>(Pool, std::move(Request), *this);
+    this->Call->send();
+  }
+
+  void onResponseHead(const ResponseHead &Head) override {
+    if (Head.field("Id") == "other") {
+      this->Call->skipResponse();
+      return;
+    }
+    this->Call->readMore();
+  }
+  void onResponseBody(std::string, bool IsEnd) override {
+    this->EndCount += IsEnd ? 1 : 0;
+    if (!IsEnd) {
+      this->Call->readMore();
+    }
+  }
+  void onCallFailed(const std::string &) override {
+    ++this->EndCount;
+    this->EndedCalls.add(std::move(this->Call));
+  }
+
+  int EndCount = 0;
+
+private:
+  std::unique_ptr<HttpCall> Call;
+  DeferredDeletion<HttpCall> EndedCalls;
+};
+
 } // namespace
 
 class HttpCallTest : public CppUnit::TestFixture {
@@ -54,6 +93,7 @@
   CPPUNIT_TEST(refusedConnectionSendsNothing);
   CPPUNIT_TEST(cancelledCallSendsNothing);
   CPPUNIT_TEST(incompleteResponses);
+  CPPUNIT_TEST(failuresAreReportedOnce);
   CPPUNIT_TEST_SUITE_END();
 
   const SystemClock Time{};
@@ -202,6 +242,43 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t(1), Server.Requests.size());
     }
   }
+
+  /// Guards against a process that ends because a call reports a second failure after its deletion:
+  /// a late response to another request is skipped and breaks off, at any byte.
+  void failuresAreReportedOnce() {
+    const std::string Length = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nlate";
+    const std::string Chunks =
+        "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n\r\n";
+    const std::string BadChunk =
+        "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlateXX";
+    for (const std::string &Late : {Length, Chunks, BadChunk, Length + Length + Chunks}) {
+      for (std::size_t Cut = 0; Cut <= Late.size(); ++Cut) {
+        for (const bool IsReused : {false, true}) {
+          for (const bool IsReset : {false, true}) {
+            const std::string Name = Late.substr(0, Cut) + (IsReset ? " reset" : " closed");
+            ScriptedServer Server([&](RawConnection &Connection, int Count) {
+              if (IsReused && Count == 1) {
+                Connection.send(CompleteResponse);
+                return;
+              }
+              Connection.send(Late.substr(0, Cut));
+              IsReset ? Connection.reset() : Connection.close();
+            });
+            ConnectionPool Pool(this->Time);
+            if (IsReused) {
+              RecordingCall First(Pool, Server.Port, "GET");
+              CPPUNIT_ASSERT_MESSAGE(Name, First.wait() && !First.Failed);
+            }
+            SkippingCall Next(Pool, Server.Port);
+            CPPUNIT_ASSERT_MESSAGE(Name, runUntil([&] { return Next.EndCount > 0; }));
+            runPending();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, 1, Next.EndCount);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, std::size_t{0}, Pool.size());
+          }
+        }
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpCallTest);
--- a/tests/auto/libs/transport/tst_proberunner.cpp
+++ b/tests/auto/libs/transport/tst_proberunner.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(unresponsiveConnections);
   CPPUNIT_TEST(unreachableTargets);
   CPPUNIT_TEST(restartedProbes);
+  CPPUNIT_TEST(lateResponsesThatBreakOff);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +138,24 @@
     runPending();
     CPPUNIT_ASSERT_EQUAL(1, Test.EndCount);
   }
+
+  /// Guards against a process that ends because a probe fails twice: the late response to a request
+  /// breaks off on the connection of the probe.
+  void lateResponsesThatBreakOff() {
+    const std::string Late =
+        "HTTP/1.1 200 OK\r\nSigned: x\r\nId: 7\r\nContent-Length: 4\r\n\r\nlate";
+    for (std::size_t Cut = 0; Cut <= Late.size(); ++Cut) {
+      Fixture Test;
+      ScriptedServer Target([&](RawConnection &Caller, int) {
+        Caller.send(Late.substr(0, Cut));
+        Caller.close();
+      });
+      CPPUNIT_ASSERT(Test.probe(Target.Port));
+      runPending();
+      CPPUNIT_ASSERT_EQUAL(1, Test.EndCount);
+      CPPUNIT_ASSERT(Test.Failure == ProbeFailure::Unreachable);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProbeRunnerTest);
