Bound the parts of a message that are parsed only once complete

Cause: Beast parses a chunk size line and a trailer section only once they are complete, and neither the limit of the head nor that of the body covers them. Change: a parser that needs more bytes while it holds more than its limit for a head fails: 431 to a caller, a failed attempt at a target. Measured: partsWithoutEnd of both parsers and responsesWithoutEnd failed on the code before and pass now.

--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -54,6 +54,11 @@
         boost::asio::const_buffer(this->Buffer.data(), this->Buffer.size()), ErrorCode);
     this->Buffer.erase(0, ParsedBytes);
     if (ErrorCode == http::error::need_more) {
+      // The line of a chunk size with its extensions and the trailer section are only parsed once
+      // they are complete.
+      if (this->Buffer.size() > this->SizeLimits.HeadBytes) {
+        return this->fail(RequestHeaderFieldsTooLarge, "a part of the request is too large");
+      }
       break;
     }
     if (ErrorCode == http::error::header_limit) {
--- a/src/libs/protocol/ResponseParser.cpp
+++ b/src/libs/protocol/ResponseParser.cpp
@@ -13,6 +13,9 @@
 namespace {
 constexpr std::uint32_t MaxHeadBytes = 65536;
 constexpr std::size_t MaxBodyBytesPerCall = 65536;
+/// Longest line of a chunk size with its extensions, and longest trailer section. They are only
+/// parsed once they are complete.
+constexpr std::size_t MaxUnparsedBytes = 65536;
 constexpr int FirstFinalStatus = 200;
 constexpr int SwitchingProtocols = 101;
 } // namespace
@@ -56,6 +59,9 @@
   if (Problem && Problem != http::error::need_more && Problem != http::error::need_buffer) {
     this->Error = Problem.message();
   }
+  if (Problem == http::error::need_more && this->Buffer.size() > MaxUnparsedBytes) {
+    this->Error = "a part of the response is too large";
+  }
   return Count;
 }
 
--- a/tests/auto/libs/protocol/tst_requestparser.cpp
+++ b/tests/auto/libs/protocol/tst_requestparser.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST_SUITE(RequestParserTest);
   CPPUNIT_TEST(requests);
   CPPUNIT_TEST(anySplitGivesTheSameRequests);
+  CPPUNIT_TEST(partsWithoutEnd);
   CPPUNIT_TEST(parserStates);
   CPPUNIT_TEST(arbitraryBytesAreHandled);
   CPPUNIT_TEST_SUITE_END();
@@ -95,6 +96,47 @@
     }
   }
 
+  /// Guards against a caller that exhausts the memory by a part of a request which never ends.
+  void partsWithoutEnd() {
+    const std::string Chunked = "POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+      const char *Name;
+      std::string Start;
+      std::string Repeated;
+    };
+    const Case Table[] = {
+        {"request line", "GET /", "x"},
+        {"header field", "GET / HTTP/1.1\r\nA: ", "x"},
+        {"header fields", "GET / HTTP/1.1\r\n", "A: b\r\n"},
+        {"chunk size", Chunked, "0"},
+        {"chunk extension", Chunked + "1;a=", "x"},
+        {"later chunk extension", Chunked + "1\r\na\r\n1;a=", "x"},
+        {"trailer field", Chunked + "1\r\na\r\n0\r\nA: ", "x"},
+        {"trailer fields", Chunked + "0\r\n", "A: b\r\n"},
+    };
+    constexpr std::size_t HeadBytes = 1000;
+    for (const Case &Each : Table) {
+      for (const std::size_t RepeatsPerBlock : {1, 7, 4000}) {
+        std::string Block;
+        for (std::size_t Count = 0; Count < RepeatsPerBlock; ++Count) {
+          Block += Each.Repeated;
+        }
+        RequestParser Parser({HeadBytes, 100});
+        Parser.add(Each.Start);
+        std::size_t Added = Each.Start.size();
+        while (Parser.parse() == State::Incomplete && Added < 100 * HeadBytes) {
+          Parser.add(Block);
+          Added += Block.size();
+          CPPUNIT_ASSERT_MESSAGE(Each.Name, Parser.buffered() <= HeadBytes + Block.size());
+        }
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Parser.parse() == State::Failed);
+        CPPUNIT_ASSERT_MESSAGE(Each.Name,
+                               Parser.errorStatus() == 431 || Parser.errorStatus() == 400);
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Added <= 2 * HeadBytes + Block.size());
+      }
+    }
+  }
+
   void parserStates() {
     RequestParser Parser({1000, 100});
     CPPUNIT_ASSERT(!Parser.isStarted());
--- a/tests/auto/libs/protocol/tst_responseparser.cpp
+++ b/tests/auto/libs/protocol/tst_responseparser.cpp
@@ -101,6 +101,7 @@
 
 class ResponseParserTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ResponseParserTest);
+  CPPUNIT_TEST(partsWithoutEnd);
   CPPUNIT_TEST(responses);
   CPPUNIT_TEST(takeNextKeepsBytes);
   CPPUNIT_TEST(responsesThatBreakOffAreIncomplete);
@@ -108,6 +109,49 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /// Guards against a target that exhausts the memory by a part of a response which never ends.
+  void partsWithoutEnd() {
+    const std::string Chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+      const char *Name;
+      std::string Start;
+      std::string Repeated;
+    };
+    const Case Table[] = {
+        {"status line", "HTTP/1.1 200 ", "x"},
+        {"header field", "HTTP/1.1 200 OK\r\nA: ", "x"},
+        {"header fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        {"field of an interim response", "HTTP/1.1 103 Early Hints\r\nA: ", "x"},
+        {"chunk size", Chunked, "0"},
+        {"chunk extension", Chunked + "1;a=", "x"},
+        {"later chunk extension", Chunked + "1\r\na\r\n1;a=", "x"},
+        {"trailer field", Chunked + "1\r\na\r\n0\r\nA: ", "x"},
+        {"trailer fields", Chunked + "0\r\n", "A: b\r\n"},
+    };
+    constexpr std::size_t MaxPartBytes = 65536;
+    for (const Case &Each : Table) {
+      for (const std::size_t RepeatsPerBlock : {100, 20000}) {
+        std::string Block;
+        for (std::size_t Count = 0; Count < RepeatsPerBlock; ++Count) {
+          Block += Each.Repeated;
+        }
+        ResponseParser Parser(false);
+        Parser.add(Each.Start);
+        std::size_t Added = Each.Start.size();
+        while (Parser.error().empty() && !Parser.isComplete() && Added < 10 * MaxPartBytes) {
+          Parser.add(Block);
+          Added += Block.size();
+          if (Parser.parseHead()) {
+            std::string Body;
+            Parser.parseBody(Body);
+          }
+        }
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, !Parser.error().empty());
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Added <= 2 * MaxPartBytes + Block.size());
+      }
+    }
+  }
+
   /// Guards against truncated responses that are taken for complete ones, and against reuse of
   /// connections on which unrelated bytes were received.
   void responses() {
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -164,6 +164,7 @@
   CPPUNIT_TEST(pathsAreForwardedUnchanged);
   CPPUNIT_TEST(slowCallersPauseDownloads);
   CPPUNIT_TEST(streamedResponsesEndAtTheirDeadline);
+  CPPUNIT_TEST(responsesWithoutEnd);
   CPPUNIT_TEST(disconnectingCallersCancelAttempts);
   CPPUNIT_TEST(shutdown);
   CPPUNIT_TEST(requestsThatDidNotRunCanBeRepeatedAfterShutdown);
@@ -454,6 +455,53 @@
     }
   }
 
+  /// Guards against an entry whose memory a target exhausts by a response that never ends, and
+  /// against telling the caller that its request did not run.
+  void responsesWithoutEnd() {
+    const std::string Chunked =
+        "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+      const char *Name;
+      std::string Start;
+      std::string Repeated;
+    };
+    const Case Table[] = {
+        {"header fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        {"chunk extension", Chunked + "1;a=", "xxxxxxxx"},
+        {"trailers", Chunked + "1\r\na\r\n0\r\n", "A: b\r\n"},
+    };
+    constexpr std::size_t MaxBytes = std::size_t{16} << 20;
+    for (const Case &Each : Table) {
+      for (const bool IsSafe : {true, false}) {
+        TestEntry Entry;
+        Entry.configure({{ServiceName("s"), 1}}, 60s);
+        FakeTarget Target(Each.Start);
+        Entry.addTarget("t1", Target.Server.Port);
+        const auto Caller = RawConnection::connect(Entry.Server.port());
+        Caller->send(IsSafe ? makeRequest("GET", "/safe/1", 60s)
+                            : makeRequest("POST", "/unsafe/1", 60s));
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Target.Requests == 1; }));
+        RawConnection &TargetConnection = *Target.Server.Connections.back();
+        std::string Block;
+        while (Block.size() < 60000) {
+          Block += Each.Repeated;
+        }
+        std::size_t BytesSent = 0;
+        const bool HasEnded = runUntil([&] {
+          BytesSent += TargetConnection.Closed ? 0 : TargetConnection.send(Block);
+          return TargetConnection.Closed || BytesSent > MaxBytes;
+        });
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, HasEnded && BytesSent <= MaxBytes);
+        if (IsSafe) {
+          continue; // The request waits for another target.
+        }
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return !Caller->Received.empty(); }));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string("HTTP/1.1 502 "),
+                                     Caller->Received.substr(0, 13));
+      }
+    }
+  }
+
   /// Guards against targets that continue to work for callers that have disconnected.
   void disconnectingCallersCancelAttempts() {
     TestEntry Entry;
