Notice a watch of the store that went silent

Cause: a reader waited up to 11.5 s for a silent watch, while its checks on other connections found the store reachable; no change took effect. Ruled out as causes by a run each: an undisturbed store, overload, closed connections, status 429. Change: the check reads the store's revision. If two checks in a row find it ahead of a waiting watch, the watch is restarted. The check lists op/evacuate/ in place of reading the whole configuration. Measured: silentWatchIsRestarted passes; it can't pass before, as checks read no revision.

--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -44,7 +44,7 @@
   explicit FakeStore(std::vector<std::string> Script)
       : Script(std::move(Script)), Server([this](RawConnection &Caller, int) {
           const std::string Request = this->Server.Requests.back();
-          if (Request.find("/-/kv-key") != std::string::npos) {
+          if (Request.find("pathPrefix=op/evacuate/") != std::string::npos) {
             // Stale reads, which check whether the store is reachable.
             ++this->CheckCount;
             Caller.send(this->CheckResponse);
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(resumesAndStops);
   CPPUNIT_TEST(unresponsiveStoreIsDetected);
   CPPUNIT_TEST(unresponsiveStoreRecovers);
+  CPPUNIT_TEST(silentWatchIsRestarted);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -365,6 +366,29 @@
     CPPUNIT_ASSERT(runUntil([&] { return Listener.Text == "lost;back;since 42 to 50:1;"; }));
   }
 
+  /// Guards against changes that are in force late, among them targets that leave, because the
+  /// connection of the watch went silent while the store serves others.
+  void silentWatchIsRestarted() {
+    const SystemClock Time;
+    SeededRandom Random(1);
+    RecordingListener Listener;
+    // The watch gets no response.
+    FakeStore Store({range("", 7)});
+    Store.CheckResponse = range("", 7);
+    StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
+    Client.activate(Listener, {});
+    CPPUNIT_ASSERT(runUntil([&] { return Store.CheckCount == 2; }));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("a watch without changes goes on", std::size_t{2},
+                                 Store.ReceivedRequests.size());
+    Store.Script = {"", "", events(item("op/evacuate/a"), 9)};
+    Store.CheckResponse = range("", 9);
+    const int CountBefore = Store.CheckCount;
+    CPPUNIT_ASSERT(runUntil([&] { return Listener.Text == "all to 7:0;since 7 to 9:1;"; }));
+    CPPUNIT_ASSERT_MESSAGE("found by the second check", Store.CheckCount <= CountBefore + 3);
+    CPPUNIT_ASSERT(Store.requestLine(2).find("after=7&waitMs=1 ") != std::string::npos ||
+                   Store.requestLine(2).ends_with("after=7&waitMs=1"));
+  }
+
   /// Guards against a client that takes an unresponsive store for available because a watch is
   /// silent while nothing changes. Its region used an old configuration for three seconds (found by
   /// cocomisur-gw scale-2, seed 542791531110).
