Don't run requests behind the last one of a connection

Seen with a test, while the users' LOST was looked for: requests that were pipelined behind one with "Connection: close", or behind HTTP/1.0 without keep-alive, were passed on, ran, and were dropped when the connection closed. Cause: HttpConnection held them back only once the response that closes had been written, not from the request on that asks for the close. Change: such a request blocks pipelining, so those behind it count as not read.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -120,7 +120,7 @@
          this->Exchanges.size() < MaxPipelinedRequests) {
     const bool CanPipeline =
         std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
-          return isSafeMethod(Each->Request.Method) && !Each->CloseAfter;
+          return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive && !Each->CloseAfter;
         });
     if (!CanPipeline) {
       return;
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -98,6 +98,7 @@
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(responsesKeepTheOrder);
   CPPUNIT_TEST(unsafeRequestsBlockPipelining);
+  CPPUNIT_TEST(requestsBehindTheLastOneAreNotRun);
   CPPUNIT_TEST(badRequests);
   CPPUNIT_TEST(disconnectingCallers);
   CPPUNIT_TEST(keepAliveDisabled);
@@ -139,6 +140,32 @@
     CPPUNIT_ASSERT(Test.received("to /d"));
   }
 
+  /// Guards against requests that run and are then dropped: they were sent behind a request after
+  /// whose response the connection closes.
+  void requestsBehindTheLastOneAreNotRun() {
+    struct Case {
+      const char *Name;
+      std::string First;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {"close", getRequest("/1", "Connection: close\r\n"), "GET/1;"},
+        {"HTTP/1.0", "GET /1 HTTP/1.0\r\nHost: h\r\n\r\n", "GET/1;"},
+        {"kept open", getRequest("/1"), "GET/1;GET/2;GET/3;"},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test;
+      Test.Caller->send(Each.First + getRequest("/2") + getRequest("/3"));
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Handler.Pending.contains("/1"); }));
+      runPending();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Test.Handler.Received);
+      Test.Handler.respond("/1");
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Test.received("response to /1"));
+      runPending();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Test.Handler.Received);
+    }
+  }
+
   /// Guards against running a request that was pipelined after an unsafe one: if the unsafe request
   /// fails, the caller must know that the next one was not read.
   void unsafeRequestsBlockPipelining() {
