Defer removals only after outages in which registrations can expire

Seen: on loopback, with three in ten watches silent and the silent watch noticed: 4 requests reached removed targets 2.51 to 2.62 s after the store had acknowledged the removal (DRAIN: 2.5 s). Cause: removals were deferred for 2 s after any failed request to the store, also one lost connection while the store was sound. Change: the store's client reports the time since the last response; removals are deferred after 2 s or more without one. store_returned logs outage_ms.

--- a/src/libs/coordination/PublicationSource.h
+++ b/src/libs/coordination/PublicationSource.h
@@ -3,6 +3,7 @@
 #include "state/Diagnostic.h"
 #include "state/Publication.h"
 #include "state/SourcePosition.h"
+#include "state/Time.h"
 
 #include <string>
 
@@ -20,8 +21,9 @@
   virtual void onInvalidPublication(const Diagnostic &Problem) = 0;
   /// The source does not respond. Everything published before remains in effect.
   virtual void onSourceUnavailable(const std::string &Reason) = 0;
-  /// The source responds again. The changes made in the meantime follow.
-  virtual void onSourceRecovered() = 0;
+  /// The source responds again. The changes made in the meantime follow. `Outage` is the time since
+  /// its last response, or the maximum if it had not responded since the activation.
+  virtual void onSourceRecovered(Duration Outage) = 0;
 };
 
 /// Source of the publications of operators and targets. Not thread-safe.
--- a/src/libs/coordination/TargetTable.cpp
+++ b/src/libs/coordination/TargetTable.cpp
@@ -184,6 +184,12 @@
   this->RemovalsDeferredUntil = std::max(this->RemovalsDeferredUntil, Now + Delay);
 }
 
+void TargetTable::onSourceRecovered(Duration Outage, TimePoint Now) {
+  if (Outage >= MinExpiryOutage) {
+    this->deferRemovals(ReregistrationTimeout, Now);
+  }
+}
+
 Duration TargetTable::removalDelay(TimePoint Now) const {
   return std::max(Duration(0), this->RemovalsDeferredUntil - Now);
 }
--- a/src/libs/coordination/TargetTable.h
+++ b/src/libs/coordination/TargetTable.h
@@ -61,6 +61,9 @@
   /// A registration that expired during an outage of its source is renewed within this time after
   /// the source recovers, if the target is alive.
   static constexpr Duration ReregistrationTimeout = std::chrono::seconds(2);
+  /// Shortest outage in which a registration can expire: it does so after three heartbeat intervals
+  /// of 1.5 s, of which one may have passed before the outage, with a margin for late heartbeats.
+  static constexpr Duration MinExpiryOutage = std::chrono::seconds(2);
 
   /// Number of removed targets that are remembered to recognize their registrations in a copy.
   static constexpr std::size_t MaxRetainedRemovals = 512;
@@ -69,6 +72,10 @@
   void apply(const PublicationBatch &Batch, TimePoint Now);
   /// Delays removals until `Delay` has passed, because the source of publications had an outage.
   void deferRemovals(Duration Delay, TimePoint Now);
+  /// Called when the source responds again after `Outage`. Defers removals if registrations may
+  /// have expired meanwhile because targets could not renew them; a shorter outage leaves them
+  /// valid, and a removal is then the source's word.
+  void onSourceRecovered(Duration Outage, TimePoint Now);
   /// Time for which removals are still delayed.
   Duration removalDelay(TimePoint Now) const;
   /// Performs the removals and the changes after a restore of the source that are due.
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -407,11 +407,12 @@
   this->Distributor.onSourceUnavailable();
 }
 
-void EntryRuntime::onSourceRecovered() {
+void EntryRuntime::onSourceRecovered(Duration Outage) {
   logEvent(LogLevel::Info, "store_returned",
-           {{"known_epoch", std::to_string(this->Publications.position().Epoch)},
+           {{"outage_ms", std::to_string(toMilliseconds(Outage))},
+            {"known_epoch", std::to_string(this->Publications.position().Epoch)},
             {"known", std::to_string(this->Publications.position().Revision)}});
-  this->RequestDispatcher.targets().deferRemovals(TargetTable::ReregistrationTimeout, this->now());
+  this->RequestDispatcher.targets().onSourceRecovered(Outage, this->now());
 }
 
 // Shutdown
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -66,7 +66,7 @@
   void onSourceUpToDate(const SourcePosition &Position) override;
   void onInvalidPublication(const Diagnostic &Problem) override;
   void onSourceUnavailable(const std::string &Reason) override;
-  void onSourceRecovered() override;
+  void onSourceRecovered(Duration Outage) override;
 
 private:
   static gboolean onTimer(gpointer Data);
--- a/tests/auto/libs/coordination/tst_targettable.cpp
+++ b/tests/auto/libs/coordination/tst_targettable.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST_SUITE(TargetTableTest);
   CPPUNIT_TEST(publications);
   CPPUNIT_TEST(removalsAfterOutage);
+  CPPUNIT_TEST(removalsAfterALostConnection);
   CPPUNIT_TEST(restoredSource);
   CPPUNIT_TEST(restoredTwice);
   CPPUNIT_TEST(restartWithSameName);
@@ -53,6 +54,32 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /// Guards against requests to a target that has left, because the entry takes a lost connection
+  /// to the source for an outage in which the registration expired.
+  void removalsAfterALostConnection() {
+    struct Case {
+      const char *Name;
+      Duration Outage;
+      const char *UsableAfterRemoval;
+    };
+    const Case Table[] = {
+        {"lost connection", 300ms, ""},
+        {"unanswered check", 1200ms, ""},
+        {"registrations may have expired", 2s, "a"},
+        {"the source was never reached", Duration::max(), "a"},
+    };
+    for (const Case &Each : Table) {
+      TargetTable Targets;
+      Targets.apply(batch(true, {TargetRegistered{makeTarget("a")}}), Start);
+      Targets.onSourceRecovered(Each.Outage, Start + 5s);
+      Targets.apply(batch(false, {TargetRemoved{TargetName("a")}}), Start + 5s);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.UsableAfterRemoval),
+                                   usableNames(Targets));
+      Targets.onTick(Start + 5s + TargetTable::ReregistrationTimeout);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(), usableNames(Targets));
+    }
+  }
+
   /// Guards against requests to targets that drain, are removed, or whose failure domain is
   /// evacuated.
   void publications() {
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -95,9 +95,14 @@
     this->Text += "bad " + Error.Path + ";";
   }
   void onSourceUnavailable(const std::string &) override { this->Text += "lost;"; }
-  void onSourceRecovered() override { this->Text += "back;"; }
+  void onSourceRecovered(Duration Outage) override {
+    this->Text += "back;";
+    this->Outage = Outage;
+  }
 
   std::string Text;
+  /// The last one reported.
+  Duration Outage{0};
 
 private:
   /// The epoch is left out if it is 0.
@@ -121,6 +126,7 @@
   CPPUNIT_TEST(unresponsiveStoreIsDetected);
   CPPUNIT_TEST(unresponsiveStoreRecovers);
   CPPUNIT_TEST(silentWatchIsRestarted);
+  CPPUNIT_TEST(outagesAreMeasuredFromTheLastResponse);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -389,6 +395,33 @@
                    Store.requestLine(2).ends_with("after=7&waitMs=1"));
   }
 
+  /// Guards against a lost connection that is taken for an outage of the store, after which targets
+  /// that were removed stay in use for a while.
+  void outagesAreMeasuredFromTheLastResponse() {
+    struct Case {
+      const char *Name;
+      std::vector<std::string> Script;
+      bool IsKnown;
+    };
+    const Case Table[] = {
+        {"one lost connection", {range("", 7), "", events("", 9)}, true},
+        {"no response since the start", {"", range("", 7)}, false},
+    };
+    for (const Case &Each : Table) {
+      const SystemClock Time;
+      SeededRandom Random(1);
+      RecordingListener Listener;
+      FakeStore Store(Each.Script);
+      StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
+      const TimePoint Start = Time.now();
+      Client.activate(Listener, {});
+      CPPUNIT_ASSERT_MESSAGE(
+          Each.Name, runUntil([&] { return Listener.Text.find("back;") != std::string::npos; }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsKnown, Listener.Outage < Duration::max());
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, !Each.IsKnown || Listener.Outage <= Time.now() - Start);
+    }
+  }
+
   /// Guards against a client that takes an unresponsive store for available because a watch is
   /// silent while nothing changes. Its region used an old configuration for three seconds (found by
   /// cocomisur-gw scale-2, seed 542791531110).
