--- a/tests/auto/libs/transport/tst_httpcall.cpp
+++ b/tests/auto/libs/transport/tst_httpcall.cpp
@@ -251,7 +251,10 @@
         "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n\r\n";
     const std::string BadChunk =
         "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlateXX";
-    for (const std::string &Late : {Length, Chunks, BadChunk, Length + Length + Chunks}) {
+    std::string Several = Length;
+    Several += Length;
+    Several += Chunks;
+    for (const std::string &Late : {Length, Chunks, BadChunk, Several}) {
       for (std::size_t Cut = 0; Cut <= Late.size(); ++Cut) {
         for (const bool IsReused : {false, true}) {
           for (const bool IsReset : {false, true}) {
