review: case 6, an error answer at the deadline ends the entry

Cause: Dispatcher::deliver cancels the other attempts only after the response has been delivered, when the request is gone; such an attempt runs on in the same main loop iteration, and if it begins to stream then, it writes to the exchange that was deleted.

Added: the script of the case and its claim.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Case 6: late extra copies of rejected health checks are taken for the answers of requests."""
+"""Case 6: an entry uses a deleted exchange and ends, as an error answer is delivered while another attempt runs."""
 
 import asyncio
 import os
@@ -6,171 +6,215 @@
 import sys
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-from standins2 import (ATTEMPT_ID, WORKER_PORT, ZONES, CannotRun, Connection, Deployment, main,
+from standins2 import (ATTEMPT_ID, ENTRY_PORTS, WORKER_PORT, ZONES, CannotRun, Deployment, main,
                        put_configuration, read_head, response)
 
-LOAD_S = 12
-# garble, "extra late": at most 0.6 of the workers, 0.03 of their answers, 5 s.
-TROUBLE_FROM_S, TROUBLE_FOR_S = 3.0, 5.0
-FAULTY_SHARE, EXTRA_SHARE = 0.6, 0.03
-WORKERS, SLOTS, QUEUE, WORK_S = 8, 3, 3, 0.12
-CLIENTS = 150
-DEADLINE_MS = 2000
+RESTART_DELAY_S = 0.5
+# A connection that closed within so long of an entry's end closed because of it.
+END_TOLERANCE_S = 0.1
+# srv_grey, "errors": at most 0.14 of the workers, 0.45 of their requests, 6.5 s.
+TROUBLE_FOR_S, PAUSE_S, TROUBLES = 6.5, 3.0, 7
+GREY_SHARE, GREY_ERRORS = 0.14, 0.45
+LOAD_S = TROUBLES * (PAUSE_S + TROUBLE_FOR_S) + PAUSE_S
+WORKERS, SLOTS, QUEUE = 42, 3, 12
+WORK_S, FAILURE_S = 0.5, 0.4
+TIMEOUT_S, OBJECTIVE_S, ATTEMPTS = 0.75, 0.75, 2
+# A worker produces its answer evenly while it works, and writes it in blocks.
+BODY_BYTES, BLOCK_BYTES, STEPS = 480_000, 120_000, 50
+# A worker notices within this time that its time is over.
+MAX_STOP_DELAY_S = 0.002
+CLIENTS = 90
+DEADLINE_MS = 1500
+# LOST counts from more than so many.
+ALLOWED = 3
 
 
 class Worker:
-    """A worker that doesn't tell its load. Health checks wait for a slot or are rejected like any
-    other request."""
+    """Sends its answer piece by piece while it works. A grey one answers some requests with 500."""
 
-    def __init__(self, name, ip, record, is_faulty):
-        self.name, self.ip, self.record, self.is_faulty = name, ip, record, is_faulty
+    def __init__(self, name, ip, record):
+        self.name, self.ip, self.record = name, ip, record
         self.slots = asyncio.Semaphore(SLOTS)
-        self.waiting = 0
-        self.running = 0
-        self.answers = self.extras = 0
-        self.trouble = False
+        self.waiting = self.running = 0
+        self.is_grey = False
 
-    def is_full(self):
-        return self.running >= SLOTS and self.waiting >= QUEUE
-
-    def not_executed(self, attempt_id):
-        headers = {"X-Anvilsaddle-Not-Executed": "1", "X-Anvilsaddle-Instance-Id": self.name}
-        if attempt_id:
-            headers["X-Anvilsaddle-Attempt-Id"] = attempt_id
-        return response(503, headers)
+    def load(self):
+        return {"X-Anvilsaddle-Server-Load": f"{self.running},{self.waiting},{SLOTS}"}
 
     async def serve(self, reader, writer):
-        extra = None
         try:
             while head := await read_head(reader):
                 line, headers = head
-                body = await reader.readexactly(int(headers.get("content-length", "0")))
-                is_check = line.startswith("GET /health ")
-                # A second copy of an earlier answer on this connection. It is late: it comes where
-                # the next answer to a client's request is expected.
-                if extra and not is_check:
-                    self.extras += 1
-                    self.record.add(f"extra answer of {self.name} before "
-                                    f"{headers.get(ATTEMPT_ID, '')}")
-                    writer.write(extra)
-                    extra = None
-                if is_check:
-                    answer = await self.check()
+                if line.startswith("GET /health "):
+                    writer.write(response(200, {"X-Anvilsaddle-Instance-Id": self.name,
+                                                **self.load()}))
                 else:
-                    answer = await self.run(headers, body, reader)
-                if answer is None:
-                    break
-                writer.write(answer)
+                    await self.run(headers, writer)
                 await writer.drain()
-                self.answers += 1
-                if self.trouble and self.is_faulty and random.random() < EXTRA_SHARE:
-                    extra = answer
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         writer.close()
 
-    async def check(self):
-        if self.is_full():
-            return self.not_executed("")
-        await self.acquire()
-        try:
-            await asyncio.sleep(0.001)
-        finally:
-            self.release()
-        return response(200, {"X-Anvilsaddle-Instance-Id": self.name})
-
-    async def acquire(self):
+    async def run(self, headers, writer):
+        attempt_id = headers[ATTEMPT_ID]
+        stop_at = (asyncio.get_running_loop().time()
+                   + int(headers["x-anvilsaddle-remaining-milliseconds"]) / 1000
+                   + random.uniform(0, MAX_STOP_DELAY_S))
+        identity = {"X-Anvilsaddle-Attempt-Id": attempt_id}
+        if headers.get("x-anvilsaddle-expected-instance") not in (None, self.name):
+            writer.write(response(421, {"X-Anvilsaddle-Instance-Id": self.name, **identity}))
+            return
+        if self.running >= SLOTS and self.waiting >= QUEUE:
+            writer.write(response(503, {"X-Anvilsaddle-Not-Executed": "1", **identity,
+                                        **self.load()}))
+            return
         self.waiting += 1
         try:
             await self.slots.acquire()
         finally:
             self.waiting -= 1
         self.running += 1
-
-    def release(self):
-        self.running -= 1
-        self.slots.release()
-
-    async def run(self, headers, body, reader):
-        attempt_id = headers[ATTEMPT_ID]
-        if headers.get("x-anvilsaddle-expected-instance") not in (None, self.name):
-            return response(421, {"X-Anvilsaddle-Instance-Id": self.name})
-        if self.is_full():
-            self.record.add(f"rejected {attempt_id} at {self.name}")
-            return self.not_executed(attempt_id)
-        await self.acquire()
+        identity["X-Anvilsaddle-Response-Signature"] = f"s.{self.name}.{attempt_id}"
         try:
-            if reader.at_eof():
-                # The connection was closed while the request waited: it is dropped.
-                return None
             self.record.on_run(attempt_id, self.name)
-            await asyncio.sleep(random.uniform(0.7, 1.3) * WORK_S)
+            if self.is_grey and random.random() < GREY_ERRORS:
+                await asyncio.sleep(random.uniform(0.75, 1.15) * FAILURE_S)
+                writer.write(response(500, {**identity, **self.load()}, b"failed"))
+                return
+            await self.send(response(200, {**identity, **self.load()}, b"x" * BODY_BYTES),
+                            random.uniform(0.7, 1.3) * WORK_S, stop_at, writer)
         finally:
-            self.release()
-        return response(200, {"X-Anvilsaddle-Attempt-Id": attempt_id,
-                              "X-Anvilsaddle-Response-Signature": f"s.{self.name}.{attempt_id}"},
-                        b"done " + body)
-
-
-async def client(index, deployment, record, until):
-    connection = Connection(deployment.entry_ip(index % deployment.entry_count))
-    loop = asyncio.get_running_loop()
-    number = 0
-    while loop.time() < until:
-        number += 1
-        attempt_id = f"{index:04x}{number:012x}"
-        record.add(f"sent {attempt_id}")
-        answer = await connection.request("POST", "/book/2f", "nony.example", attempt_id,
-                                          DEADLINE_MS, b"receipt " + attempt_id.encode())
-        record.on_answer(attempt_id, answer[0] if answer else "closed")
-        if answer and answer[0] == 503:
-            await asyncio.sleep(0.2)
-        await asyncio.sleep(random.uniform(0, 0.05))
-    connection.close()
+            self.running -= 1
+            self.slots.release()
+
+    @staticmethod
+    async def send(answer, work_s, stop_at, writer):
+        """At the time that it got, the worker stops: it writes what it has and closes."""
+        loop = asyncio.get_running_loop()
+        start, written = loop.time(), 0
+        while written < len(answer):
+            await asyncio.sleep(max(0, min(work_s / STEPS, stop_at - loop.time())))
+            if writer.transport.is_closing():
+                raise ConnectionResetError
+            produced = min(len(answer), int(len(answer) * (loop.time() - start) / work_s))
+            is_over = loop.time() >= stop_at
+            if is_over or produced == len(answer) or produced - written >= BLOCK_BYTES:
+                writer.write(answer[written:produced])
+                written = produced
+            if is_over and written < len(answer):
+                raise ConnectionAbortedError
+
+
+class Platform:
+    """Starts an entry again after it has ended."""
+
+    def __init__(self, deployment, record):
+        self.deployment, self.record = deployment, record
+        # Times and exit statuses of processes that ended by themselves.
+        self.ends = []
+
+    def ended_at(self, moment):
+        return any(abs(moment - time) < END_TOLERANCE_S for time, _ in self.ends)
+
+    async def run(self):
+        while True:
+            for index, each in enumerate(self.deployment.entries):
+                if each.poll() is not None:
+                    self.ends.append((asyncio.get_running_loop().time(), each.poll()))
+                    self.record.add(f"entry {index} ended with status {each.poll()}")
+                    await asyncio.sleep(RESTART_DELAY_S)
+                    self.deployment.entries[index] = self.deployment.start_entry(index)
+            await asyncio.sleep(0.02)
+
+
+class Client:
+    """Keeps its connection for many requests."""
+
+    def __init__(self, index, deployment, record):
+        self.index, self.record = index, record
+        self.ip = deployment.entry_ip(index % deployment.entry_count)
+        # Attempt ids that got no answer on a kept connection that was closed.
+        self.unanswered = []
+
+    async def run(self, until):
+        loop = asyncio.get_running_loop()
+        number, requests_before, reader, writer = 0, 0, None, None
+        while loop.time() < until:
+            number += 1
+            await asyncio.sleep(random.uniform(0, 0.3))
+            attempt_id = f"{self.index:04x}{number:012x}"
+            try:
+                if writer is None:
+                    reader, writer = await asyncio.open_connection(self.ip, ENTRY_PORTS["front"],
+                                                                   limit=2 ** 20)
+                    requests_before = 0
+                self.record.add(f"sent {attempt_id}")
+                writer.write((f"GET /file/2f HTTP/1.1\r\nHost: jepu9.example\r\n"
+                              f"X-Anvilsaddle-Attempt-Id: {attempt_id}\r\n"
+                              f"X-Anvilsaddle-Remaining-Milliseconds: {DEADLINE_MS}\r\n\r\n").encode())
+                status = await asyncio.wait_for(self.read_status(reader), DEADLINE_MS / 1000)
+                requests_before += 1
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
+                status = type(error).__name__
+                if writer is not None:
+                    writer.close()
+                    if requests_before and not isinstance(error, asyncio.TimeoutError):
+                        self.unanswered.append((attempt_id, loop.time()))
+                reader = writer = None
+            self.record.on_answer(attempt_id, status)
+
+    @staticmethod
+    async def read_status(reader):
+        head = await read_head(reader)
+        if head is None:
+            raise ConnectionResetError
+        await reader.readexactly(int(head[1].get("content-length", "0")))
+        return int(head[0].split(" ")[1])
 
 
 async def case(record, trouble):
-    deployment = Deployment(record, 4)
-    workers = []
+    deployment = Deployment(record, 2)
     try:
-        put_configuration(deployment.store, [("r-1", "nony.example", "/book/", "unsafe", 2, 0.3, 1,
-                                              "ventanilla", 2)], ["ventanilla"])
+        put_configuration(deployment.store, [("r-1", "jepu9.example", "/file/", "download",
+                                              TIMEOUT_S, OBJECTIVE_S, 2, "biblioteca",
+                                              ATTEMPTS)], ["biblioteca"])
+        workers = []
         for index in range(WORKERS):
-            worker = Worker(f"i-{index:08x}", f"{deployment.prefix}.{100 + index}", record,
-                            index < int(FAULTY_SHARE * WORKERS))
+            worker = Worker(f"i-{index:08x}", f"{deployment.prefix}.{100 + index}", record)
             workers.append(worker)
             await asyncio.start_server(worker.serve, worker.ip, WORKER_PORT)
             deployment.store.put(f"servers/{worker.name}", {
-                "service": "ventanilla", "address": f"{worker.ip}:{WORKER_PORT}",
+                "service": "biblioteca", "address": f"{worker.ip}:{WORKER_PORT}",
                 "zone": list(ZONES)[index % len(ZONES)], "version": "v1", "slots": SLOTS,
                 "state": "ready", "coldRemainingS": 0, "sequence": 1, "born": 1796000000000 + index})
         await deployment.start()
-        loop = asyncio.get_running_loop()
-        until = loop.time() + LOAD_S
-        clients = [asyncio.create_task(client(index, deployment, record, until))
-                   for index in range(CLIENTS)]
-        await asyncio.sleep(TROUBLE_FROM_S)
-        for worker in workers:
-            worker.trouble = trouble
-            worker.answers = worker.extras = 0
-        await asyncio.sleep(TROUBLE_FOR_S)
-        for worker in workers:
-            worker.trouble = False
-        await asyncio.gather(*clients)
-        await asyncio.sleep(0.5)
-        if not deployment.check_alive():
-            raise CannotRun("an entry ended")
+        platform = Platform(deployment, record)
+        watch = asyncio.create_task(platform.run())
+        until = asyncio.get_running_loop().time() + LOAD_S
+        clients = [Client(index, deployment, record) for index in range(CLIENTS)]
+        tasks = [asyncio.create_task(each.run(until)) for each in clients]
+        grey = workers[:int(GREY_SHARE * WORKERS)]
+        for _ in range(TROUBLES):
+            await asyncio.sleep(PAUSE_S)
+            for worker in grey:
+                worker.is_grey = trouble
+            await asyncio.sleep(TROUBLE_FOR_S)
+            for worker in grey:
+                worker.is_grey = False
+        await asyncio.gather(*tasks)
+        watch.cancel()
     finally:
         deployment.stop()
-    violations = [f"TWICE {attempt_id} ran at {' and '.join(where)}"
-                  for attempt_id, where in record.runs.items() if len(where) > 1]
-    violations += [f"REFUSED {attempt_id} got {status} and ran at {record.runs[attempt_id][0]}"
-                   for attempt_id, status in record.answers.items()
-                   if status in (408, 421, 429, 503) and attempt_id in record.runs]
     statuses = sorted(map(str, record.answers.values()))
     print("answers:", {each: statuses.count(each) for each in sorted(set(statuses))},
-          "extra answers:", [f"{worker.extras} of {worker.answers}" for worker in workers])
-    return violations
+          "ends of entries:", [status for _, status in platform.ends])
+    grey_names = {worker.name for worker in grey}
+    lost = [f"LOST {attempt_id} was passed on to {record.runs[attempt_id][0]} and its connection "
+            "closed without an answer"
+            for each in clients for attempt_id, moment in each.unanswered
+            if platform.ended_at(moment) and attempt_id in record.runs
+            and not grey_names & set(record.runs[attempt_id])]
+    return lost if len(lost) > ALLOWED else []
 
 
 main(os.path.dirname(os.path.abspath(__file__)), case)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -156,7 +156,7 @@
 
 
 def response(status, headers, body=b""):
-    reasons = {200: "OK", 421: "Misdirected Request", 503: "Service Unavailable"}
+    reasons = {200: "OK", 500: "Internal Server Error", 421: "Misdirected Request", 503: "Service Unavailable"}
     head = [f"HTTP/1.1 {status} {reasons[status]}"]
     head += [f"{name}: {value}" for name, value in headers.items()]
     return ("\r\n".join(head) + f"\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
