Cancel the attempts of a request before its exchange may be deleted

Cause: an ended request kept its attempts and a reference to the exchange of its caller until the next main loop iteration. Bytes of another attempt that became readable in the iteration in which the request ended were written to the exchange, which the connection had deleted. This happens with an error delivered at the deadline, with hedged requests, and with requests behind the last response of their connection.

Change: ActiveRequest gives up the exchange in one place, which cancels all attempts and removes the request from the index of the proxy first. The final effect of a request follows the cancellations of its attempts. A committed response is begun only if the dispatcher still has the request.

--- a/src/libs/coordination/DispatchTypes.h
+++ b/src/libs/coordination/DispatchTypes.h
@@ -173,6 +173,7 @@
   auto operator<=>(const RefuseRequest &) const = default;
 };
 
+/// DeliverResponse, AbortResponse and RefuseRequest are the last effect of their request.
 using Effect = std::variant<ProbeTarget, SendAttempt, CancelAttempt, DeliverResponse, AbortResponse,
                             RefuseRequest>;
 
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/Dispatcher.cpp
@@ -524,10 +524,10 @@
   this->refuse(Number, RefusalKind::NotExecuted, Reason, this->retryAfter(Request, Now), Now);
 }
 
-void Dispatcher::onResponseCommitted(RequestNumber Number, AttemptNumber Attempt, TimePoint Now) {
+bool Dispatcher::onResponseCommitted(RequestNumber Number, AttemptNumber Attempt, TimePoint Now) {
   const auto Found = this->Requests.find(Number);
   if (Found == this->Requests.end()) {
-    return;
+    return false;
   }
   DispatchRequest &Request = Found->second;
   this->cancelAttempts(Number, Attempt, Now);
@@ -535,6 +535,7 @@
   Request.HedgeAt.reset();
   Request.IsCommitted = true;
   this->updateTimer(Number, Request);
+  return true;
 }
 
 void Dispatcher::onCommittedResponseEnd(RequestNumber Number, TimePoint Now) {
@@ -551,8 +552,8 @@
 }
 
 void Dispatcher::deliver(RequestNumber Number, AttemptNumber Attempt, TimePoint Now) {
-  this->Effects.emplace_back(DeliverResponse{Number, Attempt});
   this->removeRequest(Number, Now);
+  this->Effects.emplace_back(DeliverResponse{Number, Attempt});
 }
 
 void Dispatcher::refuse(RequestNumber Number, RefusalKind Kind, std::string Reason,
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/Dispatcher.h
@@ -80,10 +80,12 @@
   /// Ignores unknown requests and attempts.
   void onAttemptEnd(RequestNumber Number, AttemptNumber Attempt, const AttemptResult &Result,
                     TimePoint Now);
-  /// Called when the entry begins to send the response of an attempt to the caller although the end
-  /// of the response has not arrived yet. Cancels all other attempts. The request keeps its
-  /// deadline, at which the response is aborted.
-  void onResponseCommitted(RequestNumber Number, AttemptNumber Attempt, TimePoint Now);
+  /// Called when the entry is about to send the response of an attempt to the caller although the
+  /// end of the response has not arrived yet. Cancels all other attempts. The request keeps its
+  /// deadline, at which the response is aborted. Returns false if the request has ended, so that
+  /// the response must not be sent.
+  [[nodiscard]] bool onResponseCommitted(RequestNumber Number, AttemptNumber Attempt,
+                                         TimePoint Now);
   /// Called when a committed response has ended. Ignores unknown requests.
   void onCommittedResponseEnd(RequestNumber Number, TimePoint Now);
   /// Handles the timers of requests and queues that are due, and those of targets().
--- a/src/libs/transport/ActiveRequest.cpp
+++ b/src/libs/transport/ActiveRequest.cpp
@@ -22,7 +22,7 @@
 
 ActiveRequest::ActiveRequest(RequestNumber Number, HttpExchange &Exchange,
                              RequestAttributes Attributes, std::string Id, const Callbacks &Notify)
-    : Number(Number), Exchange(Exchange), Attributes(std::move(Attributes)), Id(std::move(Id)),
+    : Number(Number), Exchange(&Exchange), Attributes(std::move(Attributes)), Id(std::move(Id)),
       Notify(Notify) {}
 
 void ActiveRequest::startAttempt(ConnectionPool &Pool, const RequestMetadataProtocol &Protocol,
@@ -30,26 +30,36 @@
   auto New = std::make_unique<RequestAttempt>(Pool, Protocol, *this, Command);
   RequestAttempt &Started = *New;
   this->Attempts[Command.Attempt] = std::move(New);
-  Started.start(this->Exchange.head(), this->Exchange.body(), this->Id, RemainingTime);
+  Started.start(this->Exchange->head(), this->Exchange->body(), this->Id, RemainingTime);
 }
 
 void ActiveRequest::cancelAttempt(AttemptNumber Attempt) { this->Attempts.erase(Attempt); }
 
+HttpExchange &ActiveRequest::releaseExchange() {
+  HttpExchange &Released = *std::exchange(this->Exchange, nullptr);
+  for (const auto &[AttemptIndex, Each] : this->Attempts) {
+    Each->cancel();
+  }
+  Released.setDrainedCallback(nullptr);
+  this->Notify.OnExchangeReleased(*this, Released);
+  return Released;
+}
+
 void ActiveRequest::deliver(AttemptNumber Attempt) {
   const RequestAttempt &Completed = *this->Attempts.at(Attempt);
   const int Status = Completed.head().Status;
-  this->Exchange.respond(forwardedHead(Completed.head()), Completed.body());
+  this->releaseExchange().respond(forwardedHead(Completed.head()), Completed.body());
   this->Notify.OnResponseEnd(*this, Status, true);
 }
 
 void ActiveRequest::abort() {
-  this->Exchange.abort();
+  this->releaseExchange().abort();
   this->Notify.OnResponseEnd(*this, this->StreamedStatus, false);
 }
 
 void ActiveRequest::reject(ResponseHead Head, const std::string &Text) {
   const int Status = Head.Status;
-  this->Exchange.respond(std::move(Head), Text);
+  this->releaseExchange().respond(std::move(Head), Text);
   this->Notify.OnResponseEnd(*this, Status, true);
 }
 
@@ -61,24 +71,35 @@
 void ActiveRequest::onAttemptStreaming(RequestAttempt &Attempt) {
   this->StreamedAttempt = Attempt.command().Attempt;
   this->StreamedStatus = Attempt.head().Status;
-  this->Notify.OnCommitted(*this, Attempt.command().Attempt);
-  this->Exchange.begin(forwardedHead(Attempt.head()));
-  this->Exchange.addBody(Attempt.body());
-  Attempt.continueStreaming();
+  const bool MayBegin = this->Notify.OnCommitted(*this, Attempt.command().Attempt);
+  if (!MayBegin || !this->Exchange) {
+    return;
+  }
+  this->Exchange->begin(forwardedHead(Attempt.head()));
+  // Writing to the caller may show that it has disconnected.
+  if (this->Exchange) {
+    this->Exchange->addBody(Attempt.body());
+  }
+  if (this->Exchange) {
+    Attempt.continueStreaming();
+  }
 }
 
 void ActiveRequest::onAttemptData(RequestAttempt &Attempt, std::string Bytes, bool IsEnd) {
-  this->Exchange.addBody(Bytes);
+  this->Exchange->addBody(Bytes);
+  if (!this->Exchange) {
+    return;
+  }
   if (IsEnd) {
-    this->Exchange.end();
+    this->releaseExchange().end();
     this->Notify.OnResponseEnd(*this, this->StreamedStatus, true);
     return;
   }
-  if (this->Exchange.unsentBytes() <= MaxUnsentBytes) {
+  if (this->Exchange->unsentBytes() <= MaxUnsentBytes) {
     Attempt.continueStreaming();
     return;
   }
-  this->Exchange.setDrainedCallback([this] { this->continueStreaming(); });
+  this->Exchange->setDrainedCallback([this] { this->continueStreaming(); });
 }
 
 void ActiveRequest::continueStreaming() {
--- a/src/libs/transport/ActiveRequest.h
+++ b/src/libs/transport/ActiveRequest.h
@@ -13,21 +13,29 @@
 
 class HttpExchange;
 
-/// One request of a caller and its attempts at targets or other entries. Not thread-safe.
+/// One request of a caller and its attempts at targets or other entries.
+///
+/// The request holds the caller's exchange until it gives it up with the end of the response, or
+/// because the caller disconnected. Doing so cancels all attempts, so that no event of an attempt
+/// finds an exchange that the connection has deleted. Not thread-safe.
 class ActiveRequest final : public AttemptListener {
 public:
-  /// Notifications to the owner. Each function may destroy the request.
+  /// Notifications to the owner. No function may destroy the request.
   struct Callbacks {
     std::function<void(ActiveRequest &, AttemptNumber, const AttemptResult &,
                        const std::string &Detail)>
         OnAttemptEnd;
     /// The response of this attempt is about to be sent to the caller; no other can replace it.
-    std::function<void(ActiveRequest &, AttemptNumber)> OnCommitted;
+    /// Returns false if the request has already got its final response, which will be delivered.
+    std::function<bool(ActiveRequest &, AttemptNumber)> OnCommitted;
+    /// The request gives up its exchange, which can be deleted from now on.
+    std::function<void(ActiveRequest &, const HttpExchange &)> OnExchangeReleased;
     /// The response has ended; `Complete` is false if it was truncated.
     std::function<void(ActiveRequest &, int Status, bool Complete)> OnResponseEnd;
   };
 
-  /// Precondition: the exchange is pending, and the callbacks outlive the request.
+  /// Precondition: the exchange is pending, and the callbacks outlive the request. The other
+  /// functions must not be called once the request has given up its exchange.
   ActiveRequest(RequestNumber Number, HttpExchange &Exchange, RequestAttributes Attributes,
                 std::string Id, const Callbacks &Notify);
 
@@ -35,7 +43,6 @@
   const RequestAttributes &attributes() const { return this->Attributes; }
   /// The request id that the caller sent.
   const std::string &id() const { return this->Id; }
-  HttpExchange &exchange() { return this->Exchange; }
 
   void startAttempt(ConnectionPool &Pool, const RequestMetadataProtocol &Protocol,
                     const SendAttempt &Command, Duration RemainingTime);
@@ -48,6 +55,8 @@
   void abort();
   /// Sends a local response instead of a target's.
   void reject(ResponseHead Head, const std::string &Text);
+  /// Ends the request because its caller disconnected.
+  void onCallerDisconnected() { this->releaseExchange(); }
 
   void onAttemptEnd(RequestAttempt &Attempt, const AttemptResult &End,
                     const std::string &Detail) override;
@@ -56,10 +65,14 @@
   void onAttemptTruncated(RequestAttempt &Attempt, const std::string &Detail) override;
 
 private:
+  /// Cancels all attempts and gives up the exchange, which the caller of this function may still
+  /// use to complete the response.
+  HttpExchange &releaseExchange();
   void continueStreaming();
 
   RequestNumber Number;
-  HttpExchange &Exchange;
+  /// Null once the request has given up the exchange.
+  HttpExchange *Exchange;
   RequestAttributes Attributes;
   std::string Id;
   const Callbacks &Notify;
--- a/src/libs/transport/HttpCall.h
+++ b/src/libs/transport/HttpCall.h
@@ -68,6 +68,9 @@
   /// called from onResponseHead() for a response whose framing marks its end; readMore() must not
   /// follow.
   void skipResponse();
+  /// Closes the connection, which cancels the request. The listener is not called any more. May be
+  /// called from the listener's functions and more than once.
+  void cancel() { this->end(); }
   /// False only if no byte of the request left this process.
   bool hasStartedSending() const { return this->StartedSending; }
   /// The connection has carried other requests before.
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -113,7 +113,11 @@
       [this](ActiveRequest &Request, AttemptNumber Attempt, const AttemptResult &End,
              const std::string &Detail) { this->onAttemptEnd(Request, Attempt, End, Detail); };
   this->RequestCallbacks.OnCommitted = [this](ActiveRequest &Request, AttemptNumber Attempt) {
-    this->onCommitted(Request, Attempt);
+    return this->onCommitted(Request, Attempt);
+  };
+  this->RequestCallbacks.OnExchangeReleased = [this](ActiveRequest &Request,
+                                                     const HttpExchange &Exchange) {
+    this->onExchangeReleased(Request, Exchange);
   };
   this->RequestCallbacks.OnResponseEnd = [this](ActiveRequest &Request, int Status, bool Complete) {
     this->onResponseEnd(Request, Status, Complete);
@@ -243,7 +247,7 @@
       {{"request", Request.id()},
        {"reason", toString(Reason)},
        {"after_ms", formatMilliseconds(this->Deps.Time.now() - Request.attributes().ReceivedAt)}});
-  this->erase(Request);
+  Request.onCallerDisconnected();
   this->Deps.RequestDispatcher.onCallerDisconnected(Number, this->Deps.Time.now());
   this->Deps.ApplyEffects();
 }
@@ -261,12 +265,8 @@
   return Found == this->Requests.end() ? nullptr : Found->second.get();
 }
 
-void ProxyHandler::erase(ActiveRequest &Request) {
-  // The connection may have deleted the exchange and created the next one at its address.
-  const auto Number = this->NumberByExchange.find(&Request.exchange());
-  if (Number != this->NumberByExchange.end() && Number->second == Request.number()) {
-    this->NumberByExchange.erase(Number);
-  }
+void ProxyHandler::onExchangeReleased(ActiveRequest &Request, const HttpExchange &Exchange) {
+  this->NumberByExchange.erase(&Exchange);
   const auto Found = this->Requests.find(Request.number());
   this->EndedRequests.add(std::move(Found->second));
   this->Requests.erase(Found);
@@ -345,10 +345,11 @@
   this->Deps.ApplyEffects();
 }
 
-void ProxyHandler::onCommitted(ActiveRequest &Request, AttemptNumber Attempt) {
-  this->Deps.RequestDispatcher.onResponseCommitted(Request.number(), Attempt,
-                                                   this->Deps.Time.now());
+bool ProxyHandler::onCommitted(ActiveRequest &Request, AttemptNumber Attempt) {
+  const bool IsCommitted = this->Deps.RequestDispatcher.onResponseCommitted(
+      Request.number(), Attempt, this->Deps.Time.now());
   this->Deps.ApplyEffects();
+  return IsCommitted;
 }
 
 void ProxyHandler::onResponseEnd(ActiveRequest &Request, int Status, bool Complete) {
@@ -363,9 +364,6 @@
             {"service", Request.attributes().Service.str()},
             {"version", std::to_string(Request.attributes().ConfigurationVersion)},
             {"after_ms", formatMilliseconds(Latency)}});
-  if (this->find(Request.number()) == &Request) {
-    this->erase(Request);
-  }
   this->Deps.RequestDispatcher.onCommittedResponseEnd(Request.number(), Now);
   this->Deps.ApplyEffects();
 }
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -81,10 +81,11 @@
   void rejectRoutedDifferently(HttpExchange &Exchange, const std::string &Id,
                                const ServiceName &Service);
   ActiveRequest *find(RequestNumber Number);
-  void erase(ActiveRequest &Request);
+  /// Removes the request from those in progress, before the connection may delete its exchange.
+  void onExchangeReleased(ActiveRequest &Request, const HttpExchange &Exchange);
   void onAttemptEnd(ActiveRequest &Request, AttemptNumber Attempt, const AttemptResult &End,
                     const std::string &Detail);
-  void onCommitted(ActiveRequest &Request, AttemptNumber Attempt);
+  bool onCommitted(ActiveRequest &Request, AttemptNumber Attempt);
   void onResponseEnd(ActiveRequest &Request, int Status, bool Complete);
 
   Dependencies Deps;
--- a/src/libs/transport/RequestAttempt.h
+++ b/src/libs/transport/RequestAttempt.h
@@ -42,6 +42,10 @@
   /// time until its deadline.
   void start(const RequestHead &Head, const std::string &Body, const std::string &RequestId,
              Duration RemainingTime);
+  /// Closes the connection, which cancels the request. The listener is not called any more; a
+  /// response that has arrived can still be read. May be called from the listener's functions.
+  /// Precondition: start() was called.
+  void cancel() { this->Call->cancel(); }
   const SendAttempt &command() const { return this->Command; }
   /// Precondition: the response head has arrived.
   const ResponseHead &head() const { return this->Head; }
--- a/tests/auto/libs/coordination/DispatcherHarness.cpp
+++ b/tests/auto/libs/coordination/DispatcherHarness.cpp
@@ -126,6 +126,9 @@
       } else if (const auto *Send = std::get_if<SendAttempt>(&Each)) {
         this->send(*Send);
       } else if (const auto *Cancel = std::get_if<CancelAttempt>(&Each)) {
+        if (this->Completions.contains(Cancel->Request)) {
+          this->Violations.emplace_back("an attempt was cancelled after the end of its request");
+        }
         for (SentAttempt &Attempt : this->Sent) {
           if (Attempt.Send.Request == Cancel->Request && Attempt.Send.Attempt == Cancel->Attempt) {
             Attempt.Cancelled = true;
--- a/tests/auto/libs/coordination/tst_dispatcher.cpp
+++ b/tests/auto/libs/coordination/tst_dispatcher.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(refusesUnservableRequests);
   CPPUNIT_TEST(disconnectedCallers);
   CPPUNIT_TEST(timeouts);
+  CPPUNIT_TEST(attemptsEndBeforeTheirRequest);
   CPPUNIT_TEST(committedResponsesKeepTheirDeadline);
   CPPUNIT_TEST(lateRequestsOfAShutdown);
   CPPUNIT_TEST(requestsInProgressAtAShutdown);
@@ -540,6 +541,36 @@
     }
   }
 
+  /// Guards against an attempt that still runs when the final response of its request is delivered
+  /// and then writes to a caller's exchange that is gone.
+  void attemptsEndBeforeTheirRequest() {
+    struct Case {
+      const char *Name;
+      Behavior First;
+      bool IsDelivered;
+    };
+    const Case Table[] = {
+        {"error at the deadline", {50ms, AttemptOutcome::TargetError}, true},
+        {"no answer at the deadline", {50ms, AttemptOutcome::Interrupted}, false},
+        {"hedged", {1s, AttemptOutcome::Succeeded}, true},
+    };
+    for (const Case &Each : Table) {
+      DispatcherHarness Harness;
+      Harness.addTarget("x", "a1");
+      Harness.addTarget("y", "a1");
+      Harness.OnSend = [&Each](const SendAttempt &Send) {
+        return Send.Attempt == 0 ? Each.First : Behavior{10s, AttemptOutcome::Succeeded};
+      };
+      const RequestNumber Number = Harness.request(Harness.attributes());
+      Harness.run(5s);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{2}, Harness.sentOf(Number).size());
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Harness.sentOf(Number).back().Cancelled);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsDelivered,
+                                   Harness.completionOf(Number)->DeliveredAttempt.has_value());
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Harness.Violations.empty());
+    }
+  }
+
   /// Guards against responses that are held past the time of their request because they had already
   /// begun, and against aborting one that ended in time.
   void committedResponsesKeepTheirDeadline() {
@@ -566,7 +597,8 @@
       Attributes.Deadline = Start + 2s;
       const RequestNumber Number = Harness.request(Attributes);
       Harness.run(100ms);
-      Harness.TestedDispatcher.onResponseCommitted(Number, 0, Harness.Now);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name,
+                             Harness.TestedDispatcher.onResponseCommitted(Number, 0, Harness.Now));
       if (Each.ShutdownTime) {
         Harness.TestedDispatcher.beginShutdown(Start + *Each.ShutdownTime, Harness.Now);
       }
--- a/tests/auto/libs/transport/Loopback.h
+++ b/tests/auto/libs/transport/Loopback.h
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include <gio/gio.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace anvilsaddle {
@@ -79,6 +81,14 @@
     const gssize Count = g_socket_send(Socket, Text.data(), Text.size(), nullptr, nullptr);
     return Count > 0 ? static_cast<std::size_t>(Count) : 0;
   }
+  /// Waits until the socket of the peer has received all bytes, without running the main loop, so
+  /// that several connections become readable in the same iteration.
+  void waitUntilDelivered() const {
+    const int Descriptor = g_socket_get_fd(g_socket_connection_get_socket(this->Connection.get()));
+    int Undelivered = 1;
+    while (Undelivered > 0 && ioctl(Descriptor, SIOCOUTQ, &Undelivered) == 0) {
+    }
+  }
   /// Stops reading, so that the socket buffers of the peer fill up.
   void pauseReading() { this->IsReadingPaused = true; }
   void resumeReading() {
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -28,6 +28,18 @@
   return Result;
 }
 
+/// The system clock, which a test can advance.
+class AdvancingClock final : public Clock {
+public:
+  TimePoint now() const override { return this->System.now() + this->Advance; }
+  std::int64_t unixMilliseconds() const override { return this->System.unixMilliseconds(); }
+
+  Duration Advance{0};
+
+private:
+  SystemClock System;
+};
+
 /// The request path of one entry, from the socket of the caller to the socket of the target.
 class TestEntry {
 public:
@@ -89,7 +101,19 @@
                                             this->Time.now());
   }
 
-  SystemClock Time;
+  void removeTarget(const std::string &Name) {
+    this->RequestDispatcher.targets().apply(batch(false, {TargetRemoved{TargetName(Name)}}),
+                                            this->Time.now());
+  }
+
+  /// Advances the clock, and lets the timers that are due then run in the next iteration of the
+  /// main loop, before its other sources.
+  void advanceTime(Duration Advance) {
+    this->Time.Advance += Advance;
+    g_source_set_ready_time(g_main_context_find_source_by_id(nullptr, this->TickTimer), 0);
+  }
+
+  AdvancingClock Time;
   SeededRandom Random;
   FakeProtocol Protocol;
   Metrics RequestMetrics;
@@ -132,11 +156,14 @@
             return;
           }
           ++this->Requests;
+          this->RequestConnections.push_back(&Caller);
           Caller.send(this->Response);
         }) {}
 
   std::string Response;
   int Requests = 0;
+  /// The connection of each request, in order of arrival.
+  std::vector<RawConnection *> RequestConnections;
   ScriptedServer Server;
 };
 
@@ -169,6 +196,8 @@
   CPPUNIT_TEST(shutdown);
   CPPUNIT_TEST(requestsThatDidNotRunCanBeRepeatedAfterShutdown);
   CPPUNIT_TEST(callersLeaveDuringALaterRequest);
+  CPPUNIT_TEST(attemptsEndWithTheirRequest);
+  CPPUNIT_TEST(attemptsEndWithTheirConnection);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -599,6 +628,132 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.Proxy.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.RequestDispatcher.requestCount());
   }
+
+  /// Guards against an attempt that writes to the deleted exchange of its request, or to the next
+  /// one at the same address, because its bytes arrive in the main loop iteration in which the
+  /// request ends.
+  void attemptsEndWithTheirRequest() {
+    enum class RequestEnd { Deadline, OtherResponse, CallerLeaves };
+    struct Case {
+      const char *Name;
+      RequestEnd End;
+      bool IsFirstAttemptFailed;
+      std::string NextRequest;
+      /// Status lines that the caller gets.
+      std::vector<std::string> Expected;
+    };
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    const std::string Next = makeRequest("GET", "/safe/2");
+    const Case Table[] = {
+        {"error at the deadline", RequestEnd::Deadline, true, "", {"HTTP/1.1 500 No\r\n"}},
+        {"error before a request", RequestEnd::Deadline, true, Next, {"HTTP/1.1 500 No\r\n", Ok}},
+        {"refused", RequestEnd::Deadline, false, "", {"HTTP/1.1 504 Gateway Timeout\r\n"}},
+        {"hedged", RequestEnd::OtherResponse, false, "", {Ok}},
+        {"hedged before a request", RequestEnd::OtherResponse, false, Next, {Ok, Ok}},
+        {"caller leaves", RequestEnd::CallerLeaves, true, "", {}},
+        {"caller leaves, hedged", RequestEnd::CallerLeaves, false, "", {}},
+    };
+    constexpr Duration Timeout = 3s;
+    const std::string Good = makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good");
+    for (const Case &Each : Table) {
+      TestEntry Entry;
+      Entry.configure({{ServiceName("s"), 1}}, Timeout);
+      FakeTarget First(
+          Each.IsFirstAttemptFailed ? makeResponse("500 No", "Id: 7\r\nSigned: s\r\n", "why") : "");
+      FakeTarget Second(HeadOfStreamedResponse);
+      Entry.addTarget("first", First.Server.Port);
+      const auto Caller = RawConnection::connect(Entry.Server.port());
+      // The next request waits for this one, as its method is not safe.
+      Caller->send(makeRequest("POST", "/safe/1") + Each.NextRequest);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return First.Requests == 1; }));
+      Entry.addTarget("second", Second.Server.Port);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Second.Requests == 1; }));
+      Second.RequestConnections[0]->send(bodyBytes(BufferedBytes));
+      runPending();
+      Entry.removeTarget("second");
+      First.Response = Good;
+      Second.RequestConnections[0]->send(bodyBytes(StreamingBytes));
+      Second.RequestConnections[0]->waitUntilDelivered();
+      switch (Each.End) {
+      case RequestEnd::Deadline:
+        Entry.advanceTime(Timeout);
+        break;
+      case RequestEnd::OtherResponse:
+        First.RequestConnections[0]->send(Good);
+        First.RequestConnections[0]->waitUntilDelivered();
+        break;
+      case RequestEnd::CallerLeaves:
+        Caller->close();
+        break;
+      }
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] {
+                               return statusLines(Caller->Received).size() >=
+                                          Each.Expected.size() &&
+                                      Second.RequestConnections[0]->Closed;
+                             }));
+      runPending();
+      CPPUNIT_ASSERT_MESSAGE(Each.Name + (": " + Caller->Received.substr(0, 500)),
+                             statusLines(Caller->Received) == Each.Expected);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Caller->Received.find(BodyByte) == std::string::npos);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{0}, Entry.Proxy.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{0},
+                                   Entry.RequestDispatcher.requestCount());
+    }
+  }
+
+  /// Guards against the same where the exchange is deleted because the response ahead of it is the
+  /// last one of its connection.
+  void attemptsEndWithTheirConnection() {
+    TestEntry Entry;
+    Entry.configure({{ServiceName("s"), 1}}, 3s);
+    FakeTarget Target(
+        "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+    Entry.addTarget("t1", Target.Server.Port);
+    const auto Caller = RawConnection::connect(Entry.Server.port());
+    for (const char *Path : {"/safe/1", "/safe/2"}) {
+      std::string Request = makeRequest("GET", Path);
+      // Without chunks, the end of the connection marks the end of the response.
+      Request.replace(Request.find("HTTP/1.1\r\n"), 10, "HTTP/1.0\r\nConnection: keep-alive\r\n");
+      Caller->send(Request);
+      const std::size_t Sent = Target.RequestConnections.size();
+      CPPUNIT_ASSERT(runUntil([&] { return Target.RequestConnections.size() == Sent + 1; }));
+    }
+    RawConnection &First = *Target.RequestConnections[0];
+    RawConnection &Second = *Target.RequestConnections[1];
+    const std::string FirstBody(BufferedBytes + StreamingBytes, 'a');
+    First.send(writeChunk(FirstBody));
+    Second.send(writeChunk(bodyBytes(BufferedBytes)));
+    CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.ends_with(FirstBody); }));
+    runPending();
+    First.send(std::string(LastChunk));
+    Second.send(writeChunk(bodyBytes(StreamingBytes)));
+    First.waitUntilDelivered();
+    Second.waitUntilDelivered();
+    CPPUNIT_ASSERT(runUntil([&] { return Caller->Closed && Second.Closed; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, statusLines(Caller->Received).size());
+    CPPUNIT_ASSERT(Caller->Received.ends_with(FirstBody));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.Proxy.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.RequestDispatcher.requestCount());
+  }
+
+private:
+  /// Both together are too large to be buffered; the second part arrives in one segment.
+  static constexpr std::size_t BufferedBytes = 262'000;
+  static constexpr std::size_t StreamingBytes = 1'000;
+  static constexpr char BodyByte = '~';
+  static constexpr const char *HeadOfStreamedResponse =
+      "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nContent-Length: 999999\r\n\r\n";
+
+  static std::string bodyBytes(std::size_t Count) { return std::string(Count, BodyByte); }
+
+  static std::vector<std::string> statusLines(const std::string &Text) {
+    std::vector<std::string> Result;
+    for (std::size_t At = Text.find("HTTP/1.1 "); At != std::string::npos;
+         At = Text.find("HTTP/1.1 ", At + 1)) {
+      Result.push_back(Text.substr(At, Text.find("\r\n", At) + 2 - At));
+    }
+    return Result;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProxyHandlerTest);
