Ask in one place whether a request still has its exchange

cppcheck takes a check of the pointer after its use for a contradiction, although the call in between may release the exchange. A test avoids capturing a structured binding, which clang rejects in C++20.

--- a/src/libs/transport/ActiveRequest.cpp
+++ b/src/libs/transport/ActiveRequest.cpp
@@ -72,22 +72,22 @@
   this->StreamedAttempt = Attempt.command().Attempt;
   this->StreamedStatus = Attempt.head().Status;
   const bool MayBegin = this->Notify.OnCommitted(*this, Attempt);
-  if (!MayBegin || !this->Exchange) {
+  if (!MayBegin || !this->hasExchange()) {
     return;
   }
   this->Exchange->begin(forwardedHead(Attempt.head()));
   // Writing to the caller may show that it has disconnected.
-  if (this->Exchange) {
+  if (this->hasExchange()) {
     this->Exchange->addBody(Attempt.body());
   }
-  if (this->Exchange) {
+  if (this->hasExchange()) {
     Attempt.continueStreaming();
   }
 }
 
 void ActiveRequest::onAttemptData(RequestAttempt &Attempt, std::string Bytes, bool IsEnd) {
   this->Exchange->addBody(Bytes);
-  if (!this->Exchange) {
+  if (!this->hasExchange()) {
     return;
   }
   if (IsEnd) {
--- a/src/libs/transport/ActiveRequest.h
+++ b/src/libs/transport/ActiveRequest.h
@@ -68,6 +68,7 @@
   /// Cancels all attempts and gives up the exchange, which the caller of this function may still
   /// use to complete the response.
   HttpExchange &releaseExchange();
+  bool hasExchange() const { return this->Exchange != nullptr; }
   void continueStreaming();
 
   RequestNumber Number;
--- a/tests/auto/libs/coordination/tst_dispatcher.cpp
+++ b/tests/auto/libs/coordination/tst_dispatcher.cpp
@@ -372,9 +372,10 @@
         {"hedged", false, false, Behavior{1500ms, AttemptOutcome::Succeeded}},
     };
     const TargetConditions Leaving{std::nullopt, true};
-    for (const auto &[AnnouncementName, How] : Announcements) {
+    for (const auto &Announcement : Announcements) {
+      const Announced How = Announcement.second;
       for (const Case &Each : Table) {
-        const std::string Name = std::string(AnnouncementName) + ", " + Each.Name;
+        const std::string Name = std::string(Announcement.first) + ", " + Each.Name;
         DispatcherHarness Harness;
         Harness.addTarget("leaving", "a1");
         bool IsLeaving = false;
