Hold the body of an upload once, however many attempts send it

Cause: a body was in memory three times while it was sent (exchange, outgoing request, output of the call), two more for each retry, and ended attempts kept their copies.

Change: the exchange holds the body as shared immutable bytes, the attempts refer to it, and calls write head and body from where they are.

RequestAttemptTest::attemptsShareTheBody fails with one copy put back.

--- a/src/libs/transport/HttpCall.cpp
+++ b/src/libs/transport/HttpCall.cpp
@@ -52,7 +52,6 @@
       Parser(std::make_unique<ResponseParser>(this->Request.IsHead)) {}
 
 void HttpCall::send() {
-  this->Output = std::move(this->Request.Head) + this->Request.Body;
   this->Socket = this->Pool.takeIdle(this->Request.Destination, this->Request.MaxIdleTime);
   if (!this->Socket) {
     if (std::string Error = this->connect(); !Error.empty()) {
@@ -116,6 +115,7 @@
   this->ConnectTimer.cancel();
   this->Watch.reset();
   this->Socket.reset();
+  this->Request.Body.reset();
 }
 
 void HttpCall::fail(const std::string &Reason) {
@@ -144,12 +144,27 @@
   this->updateWatch();
 }
 
+bool HttpCall::hasWrittenAll() const {
+  return this->BytesWritten == this->Request.Head.size() + this->bodySize();
+}
+
+gssize HttpCall::sendUnwritten(GError **Error) {
+  const std::string &Head = this->Request.Head;
+  const std::size_t HeadBytes = std::min(this->BytesWritten, Head.size());
+  const std::size_t BodyBytes = this->BytesWritten - HeadBytes;
+  std::array<GOutputVector, 2> Parts = {{{Head.data() + HeadBytes, Head.size() - HeadBytes}, {}}};
+  if (this->Request.Body) {
+    Parts[1] = {this->Request.Body->data() + BodyBytes, this->bodySize() - BodyBytes};
+  }
+  return g_socket_send_message(this->Socket.get(), nullptr, Parts.data(), Parts.size(), nullptr, 0,
+                               G_SOCKET_MSG_NONE, nullptr, Error);
+}
+
 void HttpCall::write() {
-  while (!this->WriteFailed && this->BytesWritten < this->Output.size()) {
+  while (!this->WriteFailed && !this->hasWrittenAll()) {
     this->StartedSending = true;
     GError *Error = nullptr;
-    const gssize Count = g_socket_send(this->Socket.get(), this->Output.data() + this->BytesWritten,
-                                       this->Output.size() - this->BytesWritten, nullptr, &Error);
+    const gssize Count = this->sendUnwritten(&Error);
     const GErrorPointer Failure(Error);
     if (Count < 0) {
       // The server may have responded before it closed the connection; reading will tell.
@@ -166,8 +181,7 @@
       this->CurrentState == State::Skipping) {
     Conditions = G_IO_IN;
   }
-  if (this->CurrentState != State::Ended && !this->WriteFailed &&
-      this->BytesWritten < this->Output.size()) {
+  if (this->CurrentState != State::Ended && !this->WriteFailed && !this->hasWrittenAll()) {
     Conditions = Conditions | G_IO_OUT;
   }
   if (this->Watch) {
@@ -265,7 +279,7 @@
   this->CurrentState = State::Paused;
   this->updateWatch();
   if (IsEnd) {
-    const bool AllSent = !this->WriteFailed && this->BytesWritten == this->Output.size();
+    const bool AllSent = !this->WriteFailed && this->hasWrittenAll();
     GObjectPointer<GSocket> Unused = std::move(this->Socket);
     this->end();
     if (AllSent && this->Parser->isReusable()) {
--- a/src/libs/transport/HttpCall.h
+++ b/src/libs/transport/HttpCall.h
@@ -39,7 +39,9 @@
   std::string Head;
   /// True for the method HEAD, whose response has no body.
   bool IsHead = false;
-  std::string Body;
+  /// Null if the request has no body. Shared, because a large body must not be in memory once for
+  /// each attempt that sends it.
+  std::shared_ptr<const std::string> Body;
   /// An idle connection is reused only if its last use is not longer ago than this.
   Duration MaxIdleTime{0};
   /// Closes a new connection within seconds if the peer stops acknowledging, even while waiting for
@@ -89,6 +91,11 @@
   void fail(const std::string &Reason);
   void onReady(GIOCondition Condition);
   void write();
+  std::size_t bodySize() const { return this->Request.Body ? this->Request.Body->size() : 0; }
+  /// True if the head and the body have been written completely.
+  bool hasWrittenAll() const;
+  /// Returns the number of bytes that the socket has accepted, or -1 and an error.
+  gssize sendUnwritten(GError **Error);
   void read();
   void parse();
   void deliverBody();
@@ -105,7 +112,7 @@
   ScheduledCall PendingFailure;
   ScheduledCall ConnectTimer;
   State CurrentState = State::Connecting;
-  std::string Output;
+  /// Of the head and the body together.
   std::size_t BytesWritten = 0;
   bool WriteFailed = false;
   bool StartedSending = false;
--- a/src/libs/transport/HttpExchange.cpp
+++ b/src/libs/transport/HttpExchange.cpp
@@ -8,8 +8,8 @@
 
 HttpExchange::HttpExchange(HttpConnection &Connection, RequestHead Head, std::string Body,
                            TimePoint Received)
-    : Connection(Connection), Request(std::move(Head)), RequestBody(std::move(Body)),
-      ReceivedAt(Received) {}
+    : Connection(Connection), Request(std::move(Head)),
+      RequestBody(std::make_shared<const std::string>(std::move(Body))), ReceivedAt(Received) {}
 
 void HttpExchange::respond(ResponseHead Head, std::string_view Body) {
   Head.Framing = BodyFraming::Length;
--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,7 +31,8 @@
   std::optional<ForwardOptions> takeForwardOptions() {
     return takeForwardHeader(this->Request.Fields);
   }
-  const std::string &body() const { return this->RequestBody; }
+  /// Not null; attempts that send the body share it.
+  const std::shared_ptr<const std::string> &body() const { return this->RequestBody; }
   /// Time at which the complete request had arrived.
   TimePoint received() const { return this->ReceivedAt; }
 
@@ -59,7 +61,7 @@
 
   HttpConnection &Connection;
   RequestHead Request;
-  std::string RequestBody;
+  std::shared_ptr<const std::string> RequestBody;
   TimePoint ReceivedAt;
   std::string Output;
   BodyFraming Framing = BodyFraming::Length;
--- a/src/libs/transport/RequestAttempt.cpp
+++ b/src/libs/transport/RequestAttempt.cpp
@@ -47,7 +47,7 @@
                                AttemptListener &Listener, SendAttempt Command)
     : Pool(Pool), Protocol(Protocol), Listener(Listener), Command(std::move(Command)) {}
 
-void RequestAttempt::start(const RequestHead &Head, const std::string &RequestBody,
+void RequestAttempt::start(const RequestHead &Head, std::shared_ptr<const std::string> RequestBody,
                            const std::string &Id, Duration RemainingTime) {
   this->RequestId = Id;
   RequestHead Forwarded = Head;
@@ -67,9 +67,9 @@
         this->Command.Idempotent ? IdempotentMaxIdleTime : NonIdempotentMaxIdleTime;
   }
   Request.Destination = this->Command.Address;
-  Request.Head = writeRequestHead(Forwarded, RequestBody.size());
+  Request.Head = writeRequestHead(Forwarded, RequestBody->size());
   Request.IsHead = Head.Method == "HEAD";
-  Request.Body = RequestBody;
+  Request.Body = std::move(RequestBody);
   this->Call = std::make_unique<HttpCall>(this->Pool, std::move(Request), *this);
   this->Call->send();
 }
--- a/src/libs/transport/RequestAttempt.h
+++ b/src/libs/transport/RequestAttempt.h
@@ -38,10 +38,10 @@
   RequestAttempt(ConnectionPool &Pool, const RequestMetadataProtocol &Protocol,
                  AttemptListener &Listener, SendAttempt Command);
 
-  /// Precondition: called once. `Head` and `Body` are the caller's request; `RemainingTime` is the
-  /// time until its deadline.
-  void start(const RequestHead &Head, const std::string &Body, const std::string &RequestId,
-             Duration RemainingTime);
+  /// Precondition: called once. `Head` and `Body` are the caller's request, and `Body` is not null;
+  /// `RemainingTime` is the time until its deadline.
+  void start(const RequestHead &Head, std::shared_ptr<const std::string> Body,
+             const std::string &RequestId, Duration RemainingTime);
   /// Closes the connection, which cancels the request. The listener is not called any more; a
   /// response that has arrived can still be read. May be called from the listener's functions.
   /// Precondition: start() was called.
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -23,7 +23,7 @@
 public:
   void onRequest(HttpExchange &Exchange) override {
     this->Received +=
-        Exchange.head().Method + Exchange.head().RequestTarget + Exchange.body() + ";";
+        Exchange.head().Method + Exchange.head().RequestTarget + *Exchange.body() + ";";
     this->Pending[Exchange.head().RequestTarget] = &Exchange;
     if (this->RespondImmediately) {
       this->respond(Exchange.head().RequestTarget);
--- a/tests/auto/libs/transport/tst_requestattempt.cpp
+++ b/tests/auto/libs/transport/tst_requestattempt.cpp
@@ -5,9 +5,13 @@
 #include "transport/RequestAttempt.h"
 #include "transport/SystemClock.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
+
+#include <malloc.h>
 
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
@@ -50,7 +54,8 @@
 
 struct TestAttempt {
   TestAttempt(std::uint16_t Port, ConnectionPool &Pool, const std::string &Method = "GET",
-              std::optional<ForwardOptions> Forward = std::nullopt) {
+              std::optional<ForwardOptions> Forward = std::nullopt,
+              std::shared_ptr<const std::string> Body = std::make_shared<std::string>("body")) {
     SendAttempt Command;
     Command.Forward = std::move(Forward);
     Command.Target = TargetName("me");
@@ -67,7 +72,7 @@
                             {"Connection", "Private"},
                             {"Private", "p"},
                             {"Expect", "100-continue"}}};
-    this->Attempt->start(Head, "body", "7", 1500ms);
+    this->Attempt->start(Head, std::move(Body), "7", 1500ms);
   }
   bool wait() {
     return runUntil([this] { return this->Listener.isFinished(); });
@@ -95,6 +100,7 @@
   CPPUNIT_TEST(largeResponses);
   CPPUNIT_TEST(notSent);
   CPPUNIT_TEST(leavingTargets);
+  CPPUNIT_TEST(attemptsShareTheBody);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -350,6 +356,39 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsLeaving, Heard.IsLeaving);
     }
   }
+
+  /// Guards against an entry that exceeds its memory because each attempt copies a large body, and
+  /// against a body that is changed or lost when it is sent in several parts.
+  void attemptsShareTheBody() {
+    // Large enough to be mapped by the allocator on its own, which can then be counted.
+    constexpr std::size_t Size = std::size_t{48} << 20;
+    std::string Bytes(Size, 'x');
+    for (std::size_t Offset = 0; Offset < Size; Offset += 4096) {
+      Bytes[Offset] = static_cast<char>('a' + Offset / 4096 % 23);
+    }
+    const auto Body = std::make_shared<const std::string>(std::move(Bytes));
+    const SystemClock Time;
+    ConnectionPool Pool(Time);
+    ScriptedServer Target([](RawConnection &Caller, int) { Caller.pauseReading(); });
+    const std::size_t MappedBefore = mallinfo2().hblkhd;
+    std::vector<std::unique_ptr<TestAttempt>> Attempts;
+    Attempts.resize(3);
+    for (std::unique_ptr<TestAttempt> &Each : Attempts) {
+      Each = std::make_unique<TestAttempt>(Target.Port, Pool, "POST", std::nullopt, Body);
+    }
+    CPPUNIT_ASSERT(runUntil([&] { return Target.Requests.size() == Attempts.size(); }));
+    CPPUNIT_ASSERT_EQUAL(4L, Body.use_count());
+    CPPUNIT_ASSERT_MESSAGE("the attempts hold copies", mallinfo2().hblkhd < MappedBefore + Size);
+    Attempts.resize(1);
+    CPPUNIT_ASSERT_EQUAL(2L, Body.use_count());
+    RawConnection &Connection = *Target.Connections.front();
+    Connection.resumeReading();
+    CPPUNIT_ASSERT(runUntil([&] { return Connection.Received.size() >= Size; }));
+    CPPUNIT_ASSERT(Connection.Received == *Body);
+    Connection.send(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", ""));
+    CPPUNIT_ASSERT(Attempts.front()->wait());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("an ended attempt holds the body", 1L, Body.use_count());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestAttemptTest);
