Divide the coordination layer by job

60 files in one folder hid which of them decide about requests, which hold limits, and which spread what entries know. They move to dispatch/, limits/, membership/ and publications/; only include paths change.

--- a/src/libs/coordination/PeerMessage.h
+++ b/src/libs/coordination/PeerMessage.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/Membership.h"
-#include "coordination/PublicationDistributor.h"
+#include "coordination/membership/Membership.h"
+#include "coordination/publications/PublicationDistributor.h"
 
 #include <variant>
 
--- a/src/libs/coordination/DispatchQueue.cpp
+++ b/src/libs/coordination/dispatch/DispatchQueue.cpp
@@ -1,4 +1,4 @@
-#include "coordination/DispatchQueue.h"
+#include "coordination/dispatch/DispatchQueue.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/libs/coordination/DispatchQueue.h
+++ b/src/libs/coordination/dispatch/DispatchQueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/DispatchTypes.h"
+#include "coordination/dispatch/DispatchTypes.h"
 
 #include <compare>
 #include <cstddef>
--- a/src/libs/coordination/DispatchRequest.cpp
+++ b/src/libs/coordination/dispatch/DispatchRequest.cpp
@@ -1,4 +1,4 @@
-#include "coordination/DispatchRequest.h"
+#include "coordination/dispatch/DispatchRequest.h"
 
 #include <algorithm>
 
--- a/src/libs/coordination/DispatchRequest.h
+++ b/src/libs/coordination/dispatch/DispatchRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/DispatchTypes.h"
-#include "coordination/TargetFinder.h"
+#include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/dispatch/TargetFinder.h"
 #include "state/Endpoint.h"
 #include "state/Time.h"
 
--- a/src/libs/coordination/DispatchTypes.cpp
+++ b/src/libs/coordination/dispatch/DispatchTypes.cpp
@@ -1,4 +1,4 @@
-#include "coordination/DispatchTypes.h"
+#include "coordination/dispatch/DispatchTypes.h"
 
 namespace anvilsaddle {
 
--- a/src/libs/coordination/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/LoadReport.h"
-#include "coordination/TargetConditions.h"
+#include "coordination/dispatch/LoadReport.h"
+#include "coordination/dispatch/TargetConditions.h"
 #include "state/Endpoint.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
--- a/src/libs/coordination/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Dispatcher.h"
+#include "coordination/dispatch/Dispatcher.h"
 
 #include "coordination/RandomSource.h"
 
--- a/src/libs/coordination/Dispatcher.h
+++ b/src/libs/coordination/dispatch/Dispatcher.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "coordination/DispatchRequest.h"
-#include "coordination/DispatchTypes.h"
-#include "coordination/Placement.h"
-#include "coordination/RemoteEntries.h"
-#include "coordination/RequestTimers.h"
-#include "coordination/ResponseEstimates.h"
-#include "coordination/RetryBudget.h"
-#include "coordination/ServiceQueue.h"
-#include "coordination/TargetFinder.h"
+#include "coordination/dispatch/DispatchRequest.h"
+#include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/dispatch/Placement.h"
+#include "coordination/dispatch/RemoteEntries.h"
+#include "coordination/dispatch/RequestTimers.h"
+#include "coordination/dispatch/ResponseEstimates.h"
+#include "coordination/dispatch/ServiceQueue.h"
+#include "coordination/dispatch/TargetFinder.h"
+#include "coordination/limits/RetryBudget.h"
 #include "state/Topology.h"
 
 #include <cstdint>
--- a/src/libs/coordination/LeavingTargets.cpp
+++ b/src/libs/coordination/dispatch/LeavingTargets.cpp
@@ -1,4 +1,4 @@
-#include "coordination/LeavingTargets.h"
+#include "coordination/dispatch/LeavingTargets.h"
 
 #include "coordination/EraseOldest.h"
 
--- a/src/libs/coordination/LoadReport.h
+++ b/src/libs/coordination/dispatch/LoadReport.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/TargetConditions.h"
+#include "coordination/dispatch/TargetConditions.h"
 #include "state/Time.h"
 
 #include <compare>
--- a/src/libs/coordination/Placement.cpp
+++ b/src/libs/coordination/dispatch/Placement.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Placement.h"
+#include "coordination/dispatch/Placement.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libs/coordination/Placement.h
+++ b/src/libs/coordination/dispatch/Placement.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/LoadReport.h"
-#include "coordination/ProcessingTimeEstimator.h"
+#include "coordination/dispatch/LoadReport.h"
+#include "coordination/dispatch/ProcessingTimeEstimator.h"
 #include "state/Time.h"
 #include "state/Topology.h"
 
--- a/src/libs/coordination/ProcessingTimeEstimator.cpp
+++ b/src/libs/coordination/dispatch/ProcessingTimeEstimator.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ProcessingTimeEstimator.h"
+#include "coordination/dispatch/ProcessingTimeEstimator.h"
 
 #include <algorithm>
 
--- a/src/libs/coordination/RemoteEntries.cpp
+++ b/src/libs/coordination/dispatch/RemoteEntries.cpp
@@ -1,6 +1,6 @@
-#include "coordination/RemoteEntries.h"
+#include "coordination/dispatch/RemoteEntries.h"
 
-#include "coordination/RendezvousHash.h"
+#include "coordination/membership/RendezvousHash.h"
 
 #include <algorithm>
 
--- a/src/libs/coordination/RequestTimers.cpp
+++ b/src/libs/coordination/dispatch/RequestTimers.cpp
@@ -1,4 +1,4 @@
-#include "coordination/RequestTimers.h"
+#include "coordination/dispatch/RequestTimers.h"
 
 namespace anvilsaddle {
 
--- a/src/libs/coordination/ResponseEstimates.cpp
+++ b/src/libs/coordination/dispatch/ResponseEstimates.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ResponseEstimates.h"
+#include "coordination/dispatch/ResponseEstimates.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/libs/coordination/ResponseEstimates.h
+++ b/src/libs/coordination/dispatch/ResponseEstimates.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "coordination/DispatchRequest.h"
-#include "coordination/DispatchTypes.h"
-#include "coordination/ProcessingTimeEstimator.h"
-#include "coordination/SaturationEstimator.h"
+#include "coordination/dispatch/DispatchRequest.h"
+#include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/dispatch/ProcessingTimeEstimator.h"
+#include "coordination/dispatch/SaturationEstimator.h"
 #include "state/Time.h"
 
 namespace anvilsaddle {
--- a/src/libs/coordination/RouteTable.cpp
+++ b/src/libs/coordination/dispatch/RouteTable.cpp
@@ -1,4 +1,4 @@
-#include "coordination/RouteTable.h"
+#include "coordination/dispatch/RouteTable.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/libs/coordination/SaturationEstimator.cpp
+++ b/src/libs/coordination/dispatch/SaturationEstimator.cpp
@@ -1,4 +1,4 @@
-#include "coordination/SaturationEstimator.h"
+#include "coordination/dispatch/SaturationEstimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libs/coordination/ServiceQueue.cpp
+++ b/src/libs/coordination/dispatch/ServiceQueue.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ServiceQueue.h"
+#include "coordination/dispatch/ServiceQueue.h"
 
 #include <algorithm>
 
--- a/src/libs/coordination/ServiceQueue.h
+++ b/src/libs/coordination/dispatch/ServiceQueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/DispatchQueue.h"
+#include "coordination/dispatch/DispatchQueue.h"
 #include "state/Time.h"
 
 #include <cstdint>
--- a/src/libs/coordination/ShutdownSchedule.cpp
+++ b/src/libs/coordination/dispatch/ShutdownSchedule.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ShutdownSchedule.h"
+#include "coordination/dispatch/ShutdownSchedule.h"
 
 #include <algorithm>
 
--- a/src/libs/coordination/TargetFinder.cpp
+++ b/src/libs/coordination/dispatch/TargetFinder.cpp
@@ -1,4 +1,4 @@
-#include "coordination/TargetFinder.h"
+#include "coordination/dispatch/TargetFinder.h"
 
 #include "coordination/RandomSource.h"
 
--- a/src/libs/coordination/TargetFinder.h
+++ b/src/libs/coordination/dispatch/TargetFinder.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "coordination/ColdStartLimiter.h"
-#include "coordination/DispatchTypes.h"
-#include "coordination/Placement.h"
-#include "coordination/ProcessingTimeEstimator.h"
-#include "coordination/RequestRateLimiter.h"
-#include "coordination/TargetTable.h"
+#include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/dispatch/Placement.h"
+#include "coordination/dispatch/ProcessingTimeEstimator.h"
+#include "coordination/dispatch/TargetTable.h"
+#include "coordination/limits/ColdStartLimiter.h"
+#include "coordination/limits/RequestRateLimiter.h"
 #include "state/Configuration.h"
 #include "state/Topology.h"
 
--- a/src/libs/coordination/TargetTable.cpp
+++ b/src/libs/coordination/dispatch/TargetTable.cpp
@@ -1,4 +1,4 @@
-#include "coordination/TargetTable.h"
+#include "coordination/dispatch/TargetTable.h"
 
 #include "coordination/EraseOldest.h"
 
--- a/src/libs/coordination/TargetTable.h
+++ b/src/libs/coordination/dispatch/TargetTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/LeavingTargets.h"
-#include "coordination/LoadReport.h"
+#include "coordination/dispatch/LeavingTargets.h"
+#include "coordination/dispatch/LoadReport.h"
 #include "state/Publication.h"
 #include "state/Target.h"
 #include "state/Time.h"
--- a/src/libs/coordination/ColdStartLimiter.cpp
+++ b/src/libs/coordination/limits/ColdStartLimiter.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ColdStartLimiter.h"
+#include "coordination/limits/ColdStartLimiter.h"
 
 #include <algorithm>
 
--- a/src/libs/coordination/ColdStartLimiter.h
+++ b/src/libs/coordination/limits/ColdStartLimiter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/SenderAssignment.h"
+#include "coordination/limits/SenderAssignment.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
 
--- a/src/libs/coordination/RequestRateLimiter.cpp
+++ b/src/libs/coordination/limits/RequestRateLimiter.cpp
@@ -1,4 +1,4 @@
-#include "coordination/RequestRateLimiter.h"
+#include "coordination/limits/RequestRateLimiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libs/coordination/RetryBudget.cpp
+++ b/src/libs/coordination/limits/RetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "coordination/RetryBudget.h"
+#include "coordination/limits/RetryBudget.h"
 
 namespace anvilsaddle {
 
--- a/src/libs/coordination/SenderAssignment.cpp
+++ b/src/libs/coordination/limits/SenderAssignment.cpp
@@ -1,6 +1,6 @@
-#include "coordination/SenderAssignment.h"
+#include "coordination/limits/SenderAssignment.h"
 
-#include "coordination/RendezvousHash.h"
+#include "coordination/membership/RendezvousHash.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/libs/coordination/AddressDirectory.cpp
+++ b/src/libs/coordination/membership/AddressDirectory.cpp
@@ -1,4 +1,4 @@
-#include "coordination/AddressDirectory.h"
+#include "coordination/membership/AddressDirectory.h"
 
 #include <functional>
 
--- a/src/libs/coordination/AddressDirectory.h
+++ b/src/libs/coordination/membership/AddressDirectory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Membership.h"
+#include "coordination/membership/Membership.h"
 #include "state/Configuration.h"
 #include "state/Topology.h"
 
--- a/src/libs/coordination/Membership.cpp
+++ b/src/libs/coordination/membership/Membership.cpp
@@ -1,4 +1,4 @@
-#include "coordination/Membership.h"
+#include "coordination/membership/Membership.h"
 
 #include "coordination/RandomSource.h"
 
--- a/src/libs/coordination/Membership.h
+++ b/src/libs/coordination/membership/Membership.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/SaturationEstimator.h"
+#include "coordination/dispatch/SaturationEstimator.h"
 #include "state/Identifiers.h"
 #include "state/Time.h"
 #include "state/Topology.h"
--- a/src/libs/coordination/RendezvousHash.cpp
+++ b/src/libs/coordination/membership/RendezvousHash.cpp
@@ -1,4 +1,4 @@
-#include "coordination/RendezvousHash.h"
+#include "coordination/membership/RendezvousHash.h"
 
 #include <xxhash.h>
 
--- a/src/libs/coordination/ConfigurationHistory.cpp
+++ b/src/libs/coordination/publications/ConfigurationHistory.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ConfigurationHistory.h"
+#include "coordination/publications/ConfigurationHistory.h"
 
 #include <algorithm>
 #include <map>
--- a/src/libs/coordination/PublicationDistributor.cpp
+++ b/src/libs/coordination/publications/PublicationDistributor.cpp
@@ -1,6 +1,6 @@
-#include "coordination/PublicationDistributor.h"
+#include "coordination/publications/PublicationDistributor.h"
 
-#include "coordination/RendezvousHash.h"
+#include "coordination/membership/RendezvousHash.h"
 
 #include <algorithm>
 
--- a/src/libs/coordination/PublicationDistributor.h
+++ b/src/libs/coordination/publications/PublicationDistributor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Membership.h"
+#include "coordination/membership/Membership.h"
 #include "state/SourcePosition.h"
 #include "state/Time.h"
 #include "state/Topology.h"
--- a/src/libs/coordination/PublicationLog.cpp
+++ b/src/libs/coordination/publications/PublicationLog.cpp
@@ -1,4 +1,4 @@
-#include "coordination/PublicationLog.h"
+#include "coordination/publications/PublicationLog.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/libs/model/DispatcherPolicy.cpp
+++ b/src/libs/model/DispatcherPolicy.cpp
@@ -1,7 +1,7 @@
 #include "model/DispatcherPolicy.h"
 
-#include "coordination/Membership.h"
 #include "coordination/RandomSource.h"
+#include "coordination/membership/Membership.h"
 #include "model/EventScheduler.h"
 #include "model/ModelTargets.h"
 
--- a/src/libs/model/DispatcherPolicy.h
+++ b/src/libs/model/DispatcherPolicy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Dispatcher.h"
+#include "coordination/dispatch/Dispatcher.h"
 #include "model/ModelPolicy.h"
 #include "model/ModelScenario.h"
 
--- a/src/libs/model/ModelTargets.cpp
+++ b/src/libs/model/ModelTargets.cpp
@@ -1,6 +1,6 @@
 #include "model/ModelTargets.h"
 
-#include "coordination/RendezvousHash.h"
+#include "coordination/membership/RendezvousHash.h"
 #include "model/EventScheduler.h"
 
 #include <algorithm>
--- a/src/libs/model/ModelTargets.h
+++ b/src/libs/model/ModelTargets.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/LoadReport.h"
+#include "coordination/dispatch/LoadReport.h"
 #include "model/ModelScenario.h"
 #include "state/Time.h"
 
--- a/src/libs/protocol/DaemonSettings.h
+++ b/src/libs/protocol/DaemonSettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Dispatcher.h"
+#include "coordination/dispatch/Dispatcher.h"
 #include "state/Diagnostic.h"
 #include "state/Endpoint.h"
 #include "state/Identifiers.h"
--- a/src/libs/protocol/PeerEnvelope.h
+++ b/src/libs/protocol/PeerEnvelope.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/Incarnation.h"
 #include "coordination/MessageAuthenticator.h"
+#include "coordination/membership/Incarnation.h"
 #include "protocol/PeerRejection.h"
 #include "state/Identifiers.h"
 
--- a/src/libs/protocol/ReplayGuard.h
+++ b/src/libs/protocol/ReplayGuard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Incarnation.h"
+#include "coordination/membership/Incarnation.h"
 #include "protocol/PeerRejection.h"
 #include "state/Identifiers.h"
 
--- a/src/libs/transport/ChangeRecorder.h
+++ b/src/libs/transport/ChangeRecorder.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/SaturationEstimator.h"
-#include "coordination/TargetTable.h"
+#include "coordination/dispatch/SaturationEstimator.h"
+#include "coordination/dispatch/TargetTable.h"
 #include "state/AuditTrail.h"
 #include "state/Publication.h"
 
--- a/src/libs/transport/EntryPageHandler.cpp
+++ b/src/libs/transport/EntryPageHandler.cpp
@@ -1,7 +1,7 @@
 #include "transport/EntryPageHandler.h"
 
-#include "coordination/AddressDirectory.h"
-#include "coordination/RouteTable.h"
+#include "coordination/dispatch/RouteTable.h"
+#include "coordination/membership/AddressDirectory.h"
 #include "transport/ProxyHandler.h"
 
 #include <utility>
--- a/src/libs/transport/EntryPageHandler.h
+++ b/src/libs/transport/EntryPageHandler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Membership.h"
+#include "coordination/membership/Membership.h"
 #include "protocol/RequestMetadataProtocol.h"
 #include "state/Endpoint.h"
 #include "transport/HttpExchange.h"
--- a/src/libs/transport/OperatorPages.cpp
+++ b/src/libs/transport/OperatorPages.cpp
@@ -1,7 +1,7 @@
 #include "transport/OperatorPages.h"
 
-#include "coordination/Dispatcher.h"
-#include "coordination/Membership.h"
+#include "coordination/dispatch/Dispatcher.h"
+#include "coordination/membership/Membership.h"
 #include "protocol/Metrics.h"
 #include "state/AuditTrail.h"
 #include "transport/Clock.h"
--- a/src/libs/transport/PeerSocket.h
+++ b/src/libs/transport/PeerSocket.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/Incarnation.h"
 #include "coordination/PeerMessage.h"
+#include "coordination/membership/Incarnation.h"
 #include "protocol/PeerCodec.h"
 #include "protocol/PeerEnvelope.h"
 #include "protocol/PeerTraffic.h"
--- a/src/libs/transport/ProbeRunner.h
+++ b/src/libs/transport/ProbeRunner.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/DispatchTypes.h"
+#include "coordination/dispatch/DispatchTypes.h"
 #include "protocol/RequestMetadataProtocol.h"
 #include "transport/DeferredDeletion.h"
 
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -1,7 +1,7 @@
 #include "transport/ProxyHandler.h"
 
-#include "coordination/Dispatcher.h"
 #include "coordination/RandomSource.h"
+#include "coordination/dispatch/Dispatcher.h"
 #include "protocol/Metrics.h"
 #include "protocol/RequestMetadataProtocol.h"
 #include "transport/Clock.h"
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/DispatchTypes.h"
-#include "coordination/RouteTable.h"
+#include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/dispatch/RouteTable.h"
 #include "state/Configuration.h"
 #include "transport/ActiveRequest.h"
 #include "transport/DeferredDeletion.h"
--- a/src/libs/transport/PublicationExchange.h
+++ b/src/libs/transport/PublicationExchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/ConfigurationHistory.h"
-#include "coordination/PublicationLog.h"
+#include "coordination/publications/ConfigurationHistory.h"
+#include "coordination/publications/PublicationLog.h"
 #include "protocol/PublicationTraffic.h"
 #include "state/Endpoint.h"
 #include "state/SourcePosition.h"
--- a/tests/auto/libs/coordination/DispatcherHarness.h
+++ b/tests/auto/libs/coordination/DispatcherHarness.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/Dispatcher.h"
+#include "coordination/dispatch/Dispatcher.h"
 #include "model/SeededRandom.h"
 
 #include <cstdint>
--- a/tests/auto/libs/coordination/tst_addressdirectory.cpp
+++ b/tests/auto/libs/coordination/tst_addressdirectory.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/AddressDirectory.h"
+#include "coordination/membership/AddressDirectory.h"
 
 using namespace anvilsaddle;
 
--- a/tests/auto/libs/coordination/tst_coldstartlimiter.cpp
+++ b/tests/auto/libs/coordination/tst_coldstartlimiter.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/ColdStartLimiter.h"
+#include "coordination/limits/ColdStartLimiter.h"
 #include "model/SeededRandom.h"
 
 #include <algorithm>
--- a/tests/auto/libs/coordination/tst_configurationhistory.cpp
+++ b/tests/auto/libs/coordination/tst_configurationhistory.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/ConfigurationHistory.h"
+#include "coordination/publications/ConfigurationHistory.h"
 
 #include <algorithm>
 
--- a/tests/auto/libs/coordination/tst_dispatchqueue.cpp
+++ b/tests/auto/libs/coordination/tst_dispatchqueue.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/DispatchQueue.h"
+#include "coordination/dispatch/DispatchQueue.h"
 
 #include <vector>
 
--- a/tests/auto/libs/coordination/tst_membership.cpp
+++ b/tests/auto/libs/coordination/tst_membership.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/Membership.h"
+#include "coordination/membership/Membership.h"
 #include "model/SeededRandom.h"
 
 #include <algorithm>
--- a/tests/auto/libs/coordination/tst_placement.cpp
+++ b/tests/auto/libs/coordination/tst_placement.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/Placement.h"
+#include "coordination/dispatch/Placement.h"
 
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
--- a/tests/auto/libs/coordination/tst_publicationdistributor.cpp
+++ b/tests/auto/libs/coordination/tst_publicationdistributor.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/PublicationDistributor.h"
+#include "coordination/publications/PublicationDistributor.h"
 
 #include <functional>
 #include <memory>
--- a/tests/auto/libs/coordination/tst_publicationlog.cpp
+++ b/tests/auto/libs/coordination/tst_publicationlog.cpp
@@ -1,6 +1,6 @@
 #include "Batches.h"
 #include "Property.h"
-#include "coordination/PublicationLog.h"
+#include "coordination/publications/PublicationLog.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/auto/libs/coordination/tst_remoteentries.cpp
+++ b/tests/auto/libs/coordination/tst_remoteentries.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/RemoteEntries.h"
+#include "coordination/dispatch/RemoteEntries.h"
 
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
--- a/tests/auto/libs/coordination/tst_requestratelimiter.cpp
+++ b/tests/auto/libs/coordination/tst_requestratelimiter.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/RequestRateLimiter.h"
+#include "coordination/limits/RequestRateLimiter.h"
 
 #include <cmath>
 #include <deque>
--- a/tests/auto/libs/coordination/tst_requesttimers.cpp
+++ b/tests/auto/libs/coordination/tst_requesttimers.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/RequestTimers.h"
+#include "coordination/dispatch/RequestTimers.h"
 
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
--- a/tests/auto/libs/coordination/tst_retrybudget.cpp
+++ b/tests/auto/libs/coordination/tst_retrybudget.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/RetryBudget.h"
+#include "coordination/limits/RetryBudget.h"
 
 #include <vector>
 
--- a/tests/auto/libs/coordination/tst_routetable.cpp
+++ b/tests/auto/libs/coordination/tst_routetable.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/RouteTable.h"
+#include "coordination/dispatch/RouteTable.h"
 
 using namespace anvilsaddle;
 
--- a/tests/auto/libs/coordination/tst_saturationestimator.cpp
+++ b/tests/auto/libs/coordination/tst_saturationestimator.cpp
@@ -1,6 +1,6 @@
 #include "Property.h"
-#include "coordination/Placement.h"
-#include "coordination/SaturationEstimator.h"
+#include "coordination/dispatch/Placement.h"
+#include "coordination/dispatch/SaturationEstimator.h"
 
 #include <cmath>
 #include <limits>
--- a/tests/auto/libs/coordination/tst_shutdownschedule.cpp
+++ b/tests/auto/libs/coordination/tst_shutdownschedule.cpp
@@ -1,5 +1,5 @@
 #include "Property.h"
-#include "coordination/ShutdownSchedule.h"
+#include "coordination/dispatch/ShutdownSchedule.h"
 
 #include <algorithm>
 #include <string>
--- a/tests/auto/libs/coordination/tst_targettable.cpp
+++ b/tests/auto/libs/coordination/tst_targettable.cpp
@@ -1,7 +1,7 @@
 #include "Batches.h"
 #include "Property.h"
-#include "coordination/PublicationLog.h"
-#include "coordination/TargetTable.h"
+#include "coordination/dispatch/TargetTable.h"
+#include "coordination/publications/PublicationLog.h"
 
 #include <functional>
 #include <optional>
--- a/tests/auto/libs/protocol/ArbitraryMessage.h
+++ b/tests/auto/libs/protocol/ArbitraryMessage.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/Incarnation.h"
 #include "coordination/PeerMessage.h"
+#include "coordination/membership/Incarnation.h"
 
 #include <algorithm>
 #include <string>
--- a/tests/auto/libs/protocol/tst_publicationspread.cpp
+++ b/tests/auto/libs/protocol/tst_publicationspread.cpp
@@ -1,6 +1,6 @@
 #include "Property.h"
-#include "coordination/PublicationDistributor.h"
-#include "coordination/PublicationLog.h"
+#include "coordination/publications/PublicationDistributor.h"
+#include "coordination/publications/PublicationLog.h"
 #include "protocol/PublicationCodec.h"
 
 #include <algorithm>
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -2,7 +2,7 @@
 #include "FakeProtocol.h"
 #include "Loopback.h"
 #include "Property.h"
-#include "coordination/Dispatcher.h"
+#include "coordination/dispatch/Dispatcher.h"
 #include "model/SeededRandom.h"
 #include "protocol/Metrics.h"
 #include "transport/ConnectionPool.h"
