--- a/src/libs/state/Configuration.h
+++ b/src/libs/state/Configuration.h
@@ -3,10 +3,12 @@
 #include "state/Identifiers.h"
 #include "state/Time.h"
 
+#include <array>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +44,8 @@
   std::vector<WeightedService> Services;
   /// Regions that may serve the requests; empty if all regions may.
   std::set<RegionName> HomeRegions;
+  /// Requests need no API key, also if the configuration has customers.
+  bool IsPublic = false;
 
   auto operator<=>(const Route &) const = default;
 };
@@ -56,6 +60,28 @@
   auto operator<=>(const Service &) const = default;
 };
 
+/// SHA-256 digest of an API key.
+using ApiKeyDigest = std::array<std::uint8_t, 32>;
+
+/// A customer, whose requests are recognized by API keys. Value type.
+struct Customer {
+  CustomerName Name;
+  /// Digests only, so that no dump or message can disclose a key.
+  std::set<ApiKeyDigest> Keys;
+  /// Takes precedence over the priority of the route; nothing if the route decides. 0 is the most
+  /// urgent.
+  std::optional<std::uint32_t> Priority;
+  /// Regions that may serve the requests, in addition to the restriction of the route; empty if all
+  /// regions may.
+  std::set<RegionName> HomeRegions;
+  /// Limit for all entries together; 0 means no limit.
+  double RequestsPerSecond = 0;
+  /// Requests that may exceed the rate at once.
+  double Burst = 0;
+
+  auto operator<=>(const Customer &) const = default;
+};
+
 /// Size limits and timeouts for the connections and requests of callers. Value type.
 struct CallerLimits {
   std::size_t HeadBytes = std::size_t{16} * 1024;
@@ -73,6 +99,8 @@
   std::vector<Route> Routes;
   std::map<ServiceName, Service> Services;
   CallerLimits Limits;
+  /// Empty if callers need no API keys.
+  std::map<CustomerName, Customer> Customers;
 
   auto operator<=>(const Configuration &) const = default;
 };
--- a/src/libs/state/Identifiers.h
+++ b/src/libs/state/Identifiers.h
@@ -30,6 +30,7 @@
 using RouteName = Identifier<struct RouteNameTag>;
 /// Identifies one run of a target; a target usually has another name after a restart.
 using TargetName = Identifier<struct TargetNameTag>;
+using CustomerName = Identifier<struct CustomerNameTag>;
 
 } // namespace anvilsaddle
 
