Don't take the end of a broken connection for the end of a response

A target that answers an upload early, without a length, and resets the connection had its partial body delivered as complete: the failed write takes the error of the socket, and the read after it sees an ordinary end. The end of a stream now completes a response only if no write has failed.

tst_requestattempt fails before the change in its first case in three of three runs (answered instead of broken) and passes after it in three of three.

--- a/src/libs/protocol/ResponseParser.cpp
+++ b/src/libs/protocol/ResponseParser.cpp
@@ -39,7 +39,7 @@
 
 void ResponseParser::add(std::string_view Bytes) { this->Buffer += Bytes; }
 
-void ResponseParser::addEndOfStream() { this->IsEndOfStream = true; }
+void ResponseParser::addEndOfStream(StreamEnd End) { this->End = End; }
 
 std::size_t ResponseParser::parse() {
   boost::beast::error_code Problem;
@@ -48,11 +48,15 @@
   this->Buffer.erase(0, Count);
   const bool NeedsMoreBytes =
       Problem == http::error::need_more || (!Problem && this->Buffer.empty());
-  if (this->IsEndOfStream && NeedsMoreBytes && !this->Inner->Beast.is_done()) {
+  if (this->End && NeedsMoreBytes && !this->Inner->Beast.is_done()) {
     if (!this->Inner->Beast.is_header_done()) {
       this->Error = "the connection closed before the response head was complete";
       return Count;
     }
+    if (*this->End == StreamEnd::Broken) {
+      this->Error = "the connection broke before the response was complete";
+      return Count;
+    }
     Problem = {};
     this->Inner->Beast.put_eof(Problem);
   }
@@ -132,14 +136,14 @@
 }
 
 bool ResponseParser::isReusable() const {
-  return this->isComplete() && this->Error.empty() && !this->IsEndOfStream &&
-         this->Buffer.empty() && !this->Inner->Beast.need_eof() && this->Inner->Beast.keep_alive();
+  return this->isComplete() && this->Error.empty() && !this->End && this->Buffer.empty() &&
+         !this->Inner->Beast.need_eof() && this->Inner->Beast.keep_alive();
 }
 
 std::unique_ptr<ResponseParser> ResponseParser::takeNext() {
   auto Result = std::make_unique<ResponseParser>(this->IsResponseToHead);
   Result->Buffer = std::move(this->Buffer);
-  Result->IsEndOfStream = this->IsEndOfStream;
+  Result->End = this->End;
   return Result;
 }
 
--- a/src/libs/protocol/ResponseParser.h
+++ b/src/libs/protocol/ResponseParser.h
@@ -4,11 +4,20 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace anvilsaddle {
 
+/// How the stream of bytes from a peer ended.
+enum class StreamEnd {
+  /// The peer closed its sending side after its last byte.
+  Closed,
+  /// The connection failed. Bytes may be missing.
+  Broken,
+};
+
 /// Parses one HTTP/1 response from bytes. Accepts only responses whose framing is unambiguous, and
 /// reports a response as complete only if its end was received. Skips interim (1xx) responses. Not
 /// thread-safe.
@@ -21,8 +30,10 @@
 
   /// Adds bytes from the connection.
   void add(std::string_view Bytes);
-  /// The peer closed the connection.
-  void addEndOfStream();
+  /// No more bytes follow. This is the only place that decides whether the end of a stream
+  /// completes a response: a response without a length is complete only if the peer closed the
+  /// stream.
+  void addEndOfStream(StreamEnd End);
   /// Parses the head. True once it is complete; false if more bytes are needed or on an error.
   bool parseHead();
   const ResponseHead &head() const { return this->Head; }
@@ -51,7 +62,7 @@
   bool IsResponseToHead;
   std::unique_ptr<Parser> Inner;
   std::string Buffer;
-  bool IsEndOfStream = false;
+  std::optional<StreamEnd> End;
   bool IsHeadComplete = false;
   ResponseHead Head;
   std::string Error;
--- a/src/libs/transport/HttpCall.cpp
+++ b/src/libs/transport/HttpCall.cpp
@@ -204,7 +204,9 @@
     return;
   }
   if (Count == 0) {
-    this->Parser->addEndOfStream();
+    // A failed write has taken the error of the socket, so that a reset looks like an ordinary
+    // close.
+    this->Parser->addEndOfStream(this->WriteFailed ? StreamEnd::Broken : StreamEnd::Closed);
   }
   this->Parser->add({Buffer.data(), static_cast<std::size_t>(Count)});
   this->parse();
--- a/tests/auto/libs/protocol/tst_responseparser.cpp
+++ b/tests/auto/libs/protocol/tst_responseparser.cpp
@@ -17,7 +17,7 @@
   ResponseParser Parser(IsResponseToHead);
   Parser.add(Text);
   if (IsClosed) {
-    Parser.addEndOfStream();
+    Parser.addEndOfStream(StreamEnd::Closed);
   }
   if (!Parser.parseHead()) {
     return Parser.error().empty() ? "?" : "!";
@@ -61,7 +61,7 @@
     Parser.add(Each);
     Parse();
   }
-  Parser.addEndOfStream();
+  Parser.addEndOfStream(StreamEnd::Closed);
   Parse();
   Result.HasFailed = !Parser.error().empty();
   Result.IsComplete = !Result.HasFailed && Parser.isComplete();
--- a/tests/auto/libs/transport/tst_requestattempt.cpp
+++ b/tests/auto/libs/transport/tst_requestattempt.cpp
@@ -101,6 +101,7 @@
   CPPUNIT_TEST(notSent);
   CPPUNIT_TEST(leavingTargets);
   CPPUNIT_TEST(attemptsShareTheBody);
+  CPPUNIT_TEST(resetsDuringUploads);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -389,6 +390,52 @@
     CPPUNIT_ASSERT(Attempts.front()->wait());
     CPPUNIT_ASSERT_EQUAL_MESSAGE("an ended attempt holds the body", 1L, Body.use_count());
   }
+
+  /// Guards against a response without a length that is taken for complete although the target
+  /// reset the connection. While an upload is being written, the socket reports the reset to the
+  /// write, and the next read sees an ordinary end of the stream.
+  void resetsDuringUploads() {
+    struct Case {
+      const char *Name;
+      std::string Sent;
+    };
+    const std::string Head = "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\n\r\n";
+    const std::vector<Case> Cases = {
+        {"part of a body", Head + "part"},
+        {"head without a body", Head},
+        {"part of a large body", Head + std::string(400 * 1024, 'b')},
+        {"without a signature", "HTTP/1.1 200 OK\r\nId: 7\r\n\r\npart"},
+        {"before the first byte", ""},
+        {"within the head", Head.substr(0, 20)},
+    };
+    const auto Upload = std::make_shared<const std::string>(std::size_t{16} << 20, 'u');
+    for (const bool IsForwarded : {false, true}) {
+      for (const Case &Each : Cases) {
+        ScriptedServer Target([&Each](RawConnection &Connection, int) {
+          Connection.pauseReading();
+          // The attempt may end the connection before it has read everything.
+          constexpr int MaxSends = 1000;
+          std::string Unsent = Each.Sent;
+          for (int Count = 0; Count < MaxSends && !Unsent.empty(); ++Count) {
+            Unsent.erase(0, Connection.send(Unsent));
+            g_main_context_iteration(nullptr, FALSE);
+          }
+          Connection.reset();
+        });
+        const SystemClock Time;
+        ConnectionPool Pool(Time);
+        const auto Forward = IsForwarded ? std::optional(ForwardOptions{}) : std::nullopt;
+        TestAttempt Tested(Target.Port, Pool, "PUT", Forward, Upload);
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Tested.wait());
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, !Tested.Listener.Complete);
+        if (Tested.Listener.End) {
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name,
+                                       std::string(toString(AttemptOutcome::Interrupted)),
+                                       std::string(toString(Tested.Listener.End->Outcome)));
+        }
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestAttemptTest);
