Refuse response heads that don't follow the grammar

The parser library joins folded lines and accepts any three digits as status; a status below 100 was skipped like an interim response, so that the entry waited for another one. Each line of a head is now checked before it is parsed, in the one parser that all readers of responses use.

tst_responseparser::malformedHeads fails before the change (status 000: more bytes awaited instead of an error) and passes after it.

--- a/src/libs/protocol/ResponseParser.cpp
+++ b/src/libs/protocol/ResponseParser.cpp
@@ -1,5 +1,7 @@
 #include "protocol/ResponseParser.h"
 
+#include "protocol/HeadGrammar.h"
+
 #include <algorithm>
 
 #include <boost/asio/buffer.hpp>
@@ -16,6 +18,7 @@
 /// Longest line of a chunk size with its extensions, and longest trailer section. They are only
 /// parsed once they are complete.
 constexpr std::size_t MaxUnparsedBytes = 65536;
+constexpr std::string_view LineEnd = "\r\n";
 constexpr int FirstFinalStatus = 200;
 constexpr int SwitchingProtocols = 101;
 } // namespace
@@ -35,6 +38,8 @@
   this->Inner->Beast.header_limit(MaxHeadBytes);
   this->Inner->Beast.body_limit(boost::none);
   this->Inner->Beast.skip(this->IsResponseToHead);
+  this->CheckedBytes = 0;
+  this->IsHeadChecked = false;
 }
 
 void ResponseParser::add(std::string_view Bytes) { this->Buffer += Bytes; }
@@ -49,10 +54,6 @@
   const bool NeedsMoreBytes =
       Problem == http::error::need_more || (!Problem && this->Buffer.empty());
   if (this->End && NeedsMoreBytes && !this->Inner->Beast.is_done()) {
-    if (!this->Inner->Beast.is_header_done()) {
-      this->Error = "the connection closed before the response head was complete";
-      return Count;
-    }
     if (*this->End == StreamEnd::Broken) {
       this->Error = "the connection broke before the response was complete";
       return Count;
@@ -69,8 +70,45 @@
   return Count;
 }
 
+bool ResponseParser::checkHead() {
+  while (!this->IsHeadChecked && this->Error.empty()) {
+    const std::string_view Unchecked = std::string_view(this->Buffer).substr(this->CheckedBytes);
+    const std::size_t End = Unchecked.find(LineEnd);
+    const bool IsStatusLine = this->CheckedBytes == 0;
+    if (End == std::string_view::npos) {
+      if (IsStatusLine) {
+        this->Error = headgrammar::findProblemOfStatusLineStart(Unchecked);
+      }
+      return this->failIncompleteHead();
+    }
+    const std::string_view Line = Unchecked.substr(0, End);
+    this->CheckedBytes += End + LineEnd.size();
+    if (IsStatusLine) {
+      this->Error = headgrammar::findProblemOfStatusLine(Line);
+    } else if (Line.empty()) {
+      this->IsHeadChecked = true;
+    } else {
+      this->Error = headgrammar::findProblemOfField(Line);
+    }
+  }
+  return this->Error.empty();
+}
+
+bool ResponseParser::failIncompleteHead() {
+  if (this->Error.empty() && this->Buffer.size() > MaxHeadBytes) {
+    this->Error = "the response head is too large";
+  }
+  if (this->Error.empty() && this->End) {
+    this->Error = "the connection closed before the response head was complete";
+  }
+  return false;
+}
+
 bool ResponseParser::parseHead() {
   while (!this->IsHeadComplete && this->Error.empty()) {
+    if (!this->checkHead()) {
+      return false;
+    }
     this->parse();
     if (!this->Inner->Beast.is_header_done()) {
       return false;
--- a/src/libs/protocol/ResponseParser.h
+++ b/src/libs/protocol/ResponseParser.h
@@ -56,6 +56,11 @@
   struct Parser;
 
   void startResponse();
+  /// Checks the lines of the head that have arrived. Returns true once the head is complete and
+  /// valid; nothing of it is parsed before.
+  bool checkHead();
+  /// Sets an error if the rest of the head can't follow. Returns false.
+  bool failIncompleteHead();
   /// Returns the number of bytes parsed.
   std::size_t parse();
 
@@ -63,6 +68,9 @@
   std::unique_ptr<Parser> Inner;
   std::string Buffer;
   std::optional<StreamEnd> End;
+  /// Bytes of the head that checkHead() has accepted.
+  std::size_t CheckedBytes = 0;
+  bool IsHeadChecked = false;
   bool IsHeadComplete = false;
   ResponseHead Head;
   std::string Error;
--- a/tests/auto/libs/protocol/tst_responseparser.cpp
+++ b/tests/auto/libs/protocol/tst_responseparser.cpp
@@ -103,12 +103,69 @@
   CPPUNIT_TEST_SUITE(ResponseParserTest);
   CPPUNIT_TEST(partsWithoutEnd);
   CPPUNIT_TEST(responses);
+  CPPUNIT_TEST(malformedHeads);
   CPPUNIT_TEST(takeNextKeepsBytes);
   CPPUNIT_TEST(responsesThatBreakOffAreIncomplete);
   CPPUNIT_TEST(anySplitGivesTheSameResponse);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /// Guards against a response of a target in trouble that reaches the caller although its head
+  /// does not follow the grammar, so that nobody knows which of its parts can be trusted.
+  void malformedHeads() {
+    struct Case {
+      const char *Name;
+      std::string Head;
+      bool IsValid;
+    };
+    using namespace std::string_literals;
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    const Case Table[] = {
+        {"plain", Ok + "A: b\r\n", true},
+        {"no blank behind the status", "HTTP/1.1 200\r\nA: b\r\n", false},
+        {"empty reason", "HTTP/1.1 200 \r\nA: b\r\n", true},
+        {"tab and bytes above 0x7F in a value", Ok + "A: b\tc \xC3\xA4\r\n", true},
+        {"all marks of a token", Ok + "!#$%&'*+-.^_`|~: b\r\n", true},
+        {"status 000", "HTTP/1.1 000 OK\r\n", false},
+        {"status 099", "HTTP/1.1 099 OK\r\n", false},
+        {"status 600", "HTTP/1.1 600 OK\r\n", false},
+        {"status 999", "HTTP/1.1 999 OK\r\n", false},
+        {"status 1000", "HTTP/1.1 1000 OK\r\n", false},
+        {"status 20", "HTTP/1.1 20 OK\r\n", false},
+        {"status 2x0", "HTTP/1.1 2x0 OK\r\n", false},
+        {"status -20", "HTTP/1.1 -20 OK\r\n", false},
+        {"control byte in the reason", "HTTP/1.1 200 O\x01K\r\n", false},
+        {"blank in a name", Ok + "A b: c\r\n", false},
+        {"blank before the colon", Ok + "A : b\r\n", false},
+        {"tab in a name", Ok + "A\tb: c\r\n", false},
+        {"byte 0x01 in a name", Ok + "A\x01: b\r\n", false},
+        {"byte 0x00 in a name", Ok + "A\0: b\r\n"s, false},
+        {"byte 0x7F in a name", Ok + "A\x7F: b\r\n", false},
+        {"byte 0x80 in a name", Ok + "A\x80: b\r\n", false},
+        {"empty name", Ok + ": b\r\n", false},
+        {"no colon", Ok + "A\r\n", false},
+        {"byte 0x01 in a value", Ok + "A: \x01\r\n", false},
+        {"byte 0x00 in a value", Ok + "A: b\0c\r\n"s, false},
+        {"return in a value", Ok + "A: b\rc\r\n", false},
+        {"line feed alone", Ok + "A: b\nC: d\r\n", false},
+        {"continued by a blank", Ok + "A: b\r\n c\r\n", false},
+        {"continued by a tab", Ok + "A: b\r\n\tc\r\n", false},
+        {"continued status line", Ok + " A: b\r\n", false},
+        {"in an interim response", "HTTP/1.1 100 Continue\r\nA : b\r\n\r\n" + Ok, false},
+        {"behind an interim response", "HTTP/1.1 100 Continue\r\n\r\n" + Ok + "A : b\r\n", false},
+    };
+    for (const Case &Each : Table) {
+      const std::string Response = Each.Head + "Content-Length: 2\r\n\r\nok";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.IsValid ? "200 ok+" : "!"),
+                                   parseResponse(Response, false));
+      std::vector<std::string> Bytes;
+      for (const char Byte : Response) {
+        Bytes.emplace_back(1, Byte);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, !Each.IsValid, parseParts(Bytes).HasFailed);
+    }
+  }
+
   /// Guards against a target that exhausts the memory by a part of a response which never ends.
   void partsWithoutEnd() {
     const std::string Chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/tests/auto/libs/transport/tst_proberunner.cpp
+++ b/tests/auto/libs/transport/tst_proberunner.cpp
@@ -1,5 +1,6 @@
 #include "FakeProtocol.h"
 #include "Loopback.h"
+#include "MalformedResponses.h"
 #include "Property.h"
 #include "transport/ConnectionPool.h"
 #include "transport/ProbeRunner.h"
@@ -56,9 +57,20 @@
   CPPUNIT_TEST(unreachableTargets);
   CPPUNIT_TEST(restartedProbes);
   CPPUNIT_TEST(lateResponsesThatBreakOff);
+  CPPUNIT_TEST(malformedResponses);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /// Guards against a target that counts as healthy although its response is malformed.
+  void malformedResponses() {
+    for (const std::string &Each : makeMalformedResponses("Instance: me\r\nLoad: 0\r\n")) {
+      ScriptedServer Target([&Each](RawConnection &Connection, int) { Connection.send(Each); });
+      Fixture Tested;
+      CPPUNIT_ASSERT_MESSAGE(Each, Tested.probe(Target.Port));
+      CPPUNIT_ASSERT_MESSAGE(Each, Tested.Failure);
+    }
+  }
+
   /// Guards against accepting a report that doesn't come from the probed target.
   void reports() {
     struct Case {
--- a/tests/auto/libs/transport/tst_requestattempt.cpp
+++ b/tests/auto/libs/transport/tst_requestattempt.cpp
@@ -1,5 +1,6 @@
 #include "FakeProtocol.h"
 #include "Loopback.h"
+#include "MalformedResponses.h"
 #include "Property.h"
 #include "transport/ConnectionPool.h"
 #include "transport/RequestAttempt.h"
@@ -102,6 +103,7 @@
   CPPUNIT_TEST(leavingTargets);
   CPPUNIT_TEST(attemptsShareTheBody);
   CPPUNIT_TEST(resetsDuringUploads);
+  CPPUNIT_TEST(malformedResponses);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -391,6 +393,24 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("an ended attempt holds the body", 1L, Body.use_count());
   }
 
+  /// Guards against a response with an impossible status or a malformed field that reaches the
+  /// caller, from targets and from other entries.
+  void malformedResponses() {
+    for (const bool IsForwarded : {false, true}) {
+      for (const std::string &Each : makeMalformedResponses("Id: 7\r\nSigned: s\r\n")) {
+        ScriptedServer Target([&Each](RawConnection &Connection, int) { Connection.send(Each); });
+        const SystemClock Time;
+        ConnectionPool Pool(Time);
+        const auto Forward = IsForwarded ? std::optional(ForwardOptions{}) : std::nullopt;
+        TestAttempt Tested(Target.Port, Pool, "GET", Forward);
+        CPPUNIT_ASSERT_MESSAGE(Each, Tested.wait());
+        CPPUNIT_ASSERT_MESSAGE(Each, Tested.Listener.End);
+        CPPUNIT_ASSERT_MESSAGE(Each, Tested.Listener.End->Outcome == AttemptOutcome::Interrupted);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each, std::size_t{0}, Pool.size());
+      }
+    }
+  }
+
   /// Guards against a response without a length that is taken for complete although the target
   /// reset the connection. While an upload is being written, the socket reports the reset to the
   /// write, and the next read sees an ordinary end of the stream.
