Judge a request by the size limits in force when its head is complete

Connections copied the size limits when they were opened and went on with them after a change (413 for proper requests). The limits are now passed to the parser before each parse and fixed once the head is complete.

tst_httpserver::sizeLimitsOfLaterConfigurations fails before the change in its first case and passes after it.

--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -33,9 +33,20 @@
 void RequestParser::start() {
   this->Inner = std::make_unique<Parser>();
   this->Inner->Beast.eager(true);
+  this->IsHeadComplete = false;
+  this->applyLimits();
+}
+
+void RequestParser::setLimits(Limits NewLimits) {
+  this->SizeLimits = NewLimits;
+  if (!this->IsHeadComplete) {
+    this->applyLimits();
+  }
+}
+
+void RequestParser::applyLimits() {
   this->Inner->Beast.header_limit(static_cast<std::uint32_t>(this->SizeLimits.HeadBytes));
   this->Inner->Beast.body_limit(this->SizeLimits.BodyBytes);
-  this->IsHeadComplete = false;
 }
 
 RequestParser::State RequestParser::fail(int Status, std::string Text) {
--- a/src/libs/protocol/RequestParser.h
+++ b/src/libs/protocol/RequestParser.h
@@ -31,6 +31,9 @@
   RequestParser(const RequestParser &) = delete;
   RequestParser &operator=(const RequestParser &) = delete;
 
+  /// Sets the limits for requests whose head is not complete yet. A request whose body is being
+  /// received keeps the limits by which it was accepted.
+  void setLimits(Limits NewLimits);
   /// Appends bytes received from the connection.
   void add(std::string_view Bytes);
   /// Parses the buffered bytes, up to the end of the current request.
@@ -57,6 +60,7 @@
   struct Parser;
 
   void start();
+  void applyLimits();
   State fail(int Status, std::string Text);
   State finishHead();
 
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -125,6 +125,7 @@
     if (!CanPipeline) {
       return;
     }
+    this->Parser.setLimits({this->Server.limits().HeadBytes, this->Server.limits().BodyBytes});
     const RequestParser::State Result = this->Parser.parse();
     if (Result == RequestParser::State::Failed) {
       this->rejectRequest(this->Parser.errorStatus(), this->Parser.errorText());
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(slowReaders);
   CPPUNIT_TEST(slowSendersAndIdleConnections);
   CPPUNIT_TEST(connectionsAreBounded);
+  CPPUNIT_TEST(sizeLimitsOfLaterConfigurations);
   CPPUNIT_TEST(keepAliveTimeIsAnnounced);
   CPPUNIT_TEST(announcedKeepAliveTimeIsKept);
   CPPUNIT_TEST(requestsThatWaitInTheSocketAreServed);
@@ -396,6 +397,61 @@
     CPPUNIT_ASSERT(!Callers[5]->Closed);
   }
 
+  /// Guards against a kept connection that goes on with the size limits of an older configuration.
+  /// A request is judged by those in force when its head is complete.
+  void sizeLimitsOfLaterConfigurations() {
+    constexpr std::size_t Small = 1000;
+    constexpr std::size_t Large = 100'000;
+    const std::string Body(Large, 'b');
+    const std::string Head = "POST /u HTTP/1.1\r\nHost: h\r\n";
+    const std::string LengthHead = Head + "Content-Length: 100000\r\n\r\n";
+    const std::string ChunkedHead = Head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string Chunks = "186a0\r\n" + Body + "\r\n0\r\n\r\n";
+    struct Case {
+      const char *Name;
+      std::size_t LimitBefore;
+      std::size_t LimitAfter;
+      std::string SentBefore;
+      std::string SentAfter;
+      bool IsServed;
+    };
+    const Case Table[] = {
+        {"raised before a body with a length", Small, Large, "", LengthHead + Body, true},
+        {"raised before chunks", Small, Large, "", ChunkedHead + Chunks, true},
+        {"raised within the head", Small, Large, Head, "Content-Length: 100000\r\n\r\n" + Body,
+         true},
+        {"lowered before a body with a length", Large, Small, "", LengthHead + Body, false},
+        {"lowered before chunks", Large, Small, "", ChunkedHead + Chunks, false},
+        {"lowered within a body with a length", Large, Small, LengthHead + "b", Body.substr(1),
+         true},
+        {"lowered within chunks", Large, Small, ChunkedHead, Chunks, true},
+        {"raised within chunks", Small, Large, ChunkedHead, Chunks, false},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test;
+      CallerLimits Limits;
+      Limits.BodyBytes = Each.LimitBefore;
+      Test.Server.setLimits(Limits);
+      Test.Handler.RespondImmediately = true;
+      Test.Caller->send(getRequest("/a"));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Test.received("response to /a"));
+      Test.Caller->send(Each.SentBefore);
+      runPending();
+      Limits.BodyBytes = Each.LimitAfter;
+      Test.Server.setLimits(Limits);
+      std::string Unsent = Each.SentAfter;
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] {
+                               Unsent.erase(0, Test.Caller->send(Unsent));
+                               const std::string &Received = Test.Caller->Received;
+                               return Received.find("response to /u") != std::string::npos ||
+                                      Received.find("HTTP/1.1 413") != std::string::npos;
+                             }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsServed,
+                                   Test.Caller->Received.find("response to /u") !=
+                                       std::string::npos);
+    }
+  }
+
   /// Guards against callers that reuse a connection at the moment at which the entry closes it as
   /// idle, because they don't know its timeout.
   void keepAliveTimeIsAnnounced() {
