Hold requests back behind responses that may be streamed

Requests are now passed on behind a route of downloads, or one that has streamed before, only when its response is complete; they keep their deadline meanwhile.

tst_proxyhandler::requestsBehindDownloads fails before the change and passes after it.

--- a/src/libs/protocol/PublicationCodec.cpp
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -24,6 +24,9 @@
   Result.host = Value.Host;
   Result.prefix = Value.PathPrefix;
   Result.idempotent = Value.Idempotent;
+  if (Value.HasLargeResponses) {
+    Result.__set_hasLargeResponses(true);
+  }
   Result.timeoutMicroseconds = Value.Timeout.count();
   Result.objectiveMicroseconds = Value.LatencyObjective.count();
   Result.priority = static_cast<std::int32_t>(Value.Priority);
@@ -123,6 +126,7 @@
   Result.Host = In.host;
   Result.PathPrefix = In.prefix;
   Result.Idempotent = In.idempotent;
+  Result.HasLargeResponses = In.__isset.hasLargeResponses && In.hasLargeResponses;
   Result.Timeout = readDuration(In.timeoutMicroseconds);
   Result.LatencyObjective = readDuration(In.objectiveMicroseconds);
   Result.Priority = readCount(In.priority);
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -918,6 +918,11 @@
 void Route::__set_homeRegions(const std::vector<std::string> & val) {
   this->homeRegions = val;
 }
+
+void Route::__set_hasLargeResponses(const bool val) {
+  this->hasLargeResponses = val;
+__isset.hasLargeResponses = true;
+}
 std::ostream& operator<<(std::ostream& out, const Route& obj)
 {
   obj.printTo(out);
@@ -1060,6 +1065,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasLargeResponses);
+          this->__isset.hasLargeResponses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1153,6 +1166,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.hasLargeResponses) {
+    xfer += oprot->writeFieldBegin("hasLargeResponses", ::apache::thrift::protocol::T_BOOL, 12);
+    xfer += oprot->writeBool(this->hasLargeResponses);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1170,6 +1188,8 @@
   swap(a.maxTargets, b.maxTargets);
   swap(a.services, b.services);
   swap(a.homeRegions, b.homeRegions);
+  swap(a.hasLargeResponses, b.hasLargeResponses);
+  swap(a.__isset, b.__isset);
 }
 
 Route::Route(const Route& other58) {
@@ -1183,6 +1203,8 @@
   maxTargets = other58.maxTargets;
   services = other58.services;
   homeRegions = other58.homeRegions;
+  hasLargeResponses = other58.hasLargeResponses;
+  __isset = other58.__isset;
 }
 Route& Route::operator=(const Route& other59) {
   name = other59.name;
@@ -1195,6 +1217,8 @@
   maxTargets = other59.maxTargets;
   services = other59.services;
   homeRegions = other59.homeRegions;
+  hasLargeResponses = other59.hasLargeResponses;
+  __isset = other59.__isset;
   return *this;
 }
 void Route::printTo(std::ostream& out) const {
@@ -1210,6 +1234,7 @@
   out << ", " << "maxTargets=" << to_string(maxTargets);
   out << ", " << "services=" << to_string(services);
   out << ", " << "homeRegions=" << to_string(homeRegions);
+  out << ", " << "hasLargeResponses="; (__isset.hasLargeResponses ? (out << to_string(hasLargeResponses)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -325,6 +325,10 @@
 
 std::ostream& operator<<(std::ostream& out, const WeightedService& obj);
 
+typedef struct _Route__isset {
+  _Route__isset() : hasLargeResponses(false) {}
+  bool hasLargeResponses :1;
+} _Route__isset;
 
 class Route : public virtual ::apache::thrift::TBase {
  public:
@@ -339,7 +343,8 @@
           timeoutMicroseconds(0),
           objectiveMicroseconds(0),
           priority(0),
-          maxTargets(0) {
+          maxTargets(0),
+          hasLargeResponses(0) {
   }
 
   virtual ~Route() noexcept;
@@ -353,6 +358,9 @@
   int32_t maxTargets;
   std::vector<WeightedService>  services;
   std::vector<std::string>  homeRegions;
+  bool hasLargeResponses;
+
+  _Route__isset __isset;
 
   void __set_name(const std::string& val);
 
@@ -374,6 +382,8 @@
 
   void __set_homeRegions(const std::vector<std::string> & val);
 
+  void __set_hasLargeResponses(const bool val);
+
   bool operator == (const Route & rhs) const
   {
     if (!(name == rhs.name))
@@ -396,6 +406,10 @@
       return false;
     if (!(homeRegions == rhs.homeRegions))
       return false;
+    if (__isset.hasLargeResponses != rhs.__isset.hasLargeResponses)
+      return false;
+    else if (__isset.hasLargeResponses && !(hasLargeResponses == rhs.hasLargeResponses))
+      return false;
     return true;
   }
   bool operator != (const Route &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -59,6 +59,8 @@
   8: required i32 maxTargets
   9: required list<WeightedService> services
   10: required list<string> homeRegions
+  // Missing means false.
+  12: optional bool hasLargeResponses
 }
 
 struct Service {
--- a/src/libs/state/Configuration.h
+++ b/src/libs/state/Configuration.h
@@ -44,6 +44,9 @@
   std::vector<WeightedService> Services;
   /// Regions that may serve the requests; empty if all regions may.
   std::set<RegionName> HomeRegions;
+  /// Responses are usually too large to be buffered, so that their end is not known when they
+  /// begin.
+  bool HasLargeResponses = false;
   /// Requests need no API key, also if the configuration has customers.
   bool IsPublic = false;
 
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -41,7 +41,7 @@
       Watch(g_socket_get_fd(this->Socket.get()),
             [this](GIOCondition Condition) { this->onReady(Condition); }),
       Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}), LastActivity(Now),
-      IdleTimeout(Server.limits().IdleTimeout) {
+      IdleTimeout(Server.limits().IdleTimeout), LastRead(Now) {
   this->updateWatch();
 }
 
@@ -105,7 +105,8 @@
     if (!this->Parser.isStarted()) {
       this->RequestStarted = this->Server.now();
     }
-    this->LastActivity = this->Server.now();
+    this->LastRead = this->Server.now();
+    this->LastActivity = this->LastRead;
     this->Parser.add({Buffer.data(), static_cast<std::size_t>(Count)});
     Total += static_cast<std::size_t>(Count);
     if (static_cast<std::size_t>(Count) < Buffer.size()) {
@@ -120,9 +121,11 @@
          this->Exchanges.size() < MaxPipelinedRequests) {
     const bool CanPipeline =
         std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
-          return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive && !Each->CloseAfter;
+          return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive &&
+                 !Each->CloseAfter && !Each->HoldsLaterRequests;
         });
     if (!CanPipeline) {
+      this->IsHeldBack = this->Exchanges.back()->HoldsLaterRequests;
       return;
     }
     this->Parser.setLimits({this->Server.limits().HeadBytes, this->Server.limits().BodyBytes});
@@ -141,7 +144,8 @@
     }
     this->ContinueSent = false;
     this->Exchanges.push_back(std::make_unique<HttpExchange>(
-        *this, this->Parser.head(), this->Parser.takeBody(), this->Server.now()));
+        *this, this->Parser.head(), this->Parser.takeBody(),
+        std::exchange(this->IsHeldBack, false) ? this->LastRead : this->Server.now()));
     this->Parser.next();
     this->RequestStarted = this->Server.now();
     this->Server.handler().onRequest(*this->Exchanges.back());
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -22,7 +22,7 @@
 
 /// One connection of a caller. Reads requests, passes them to the handler and writes the responses
 /// in the order of the requests. Pipelined requests run concurrently as long as all requests ahead
-/// of them have safe methods. Not thread-safe.
+/// of them have safe methods and no response ahead of them may be streamed. Not thread-safe.
 class HttpConnection {
 public:
   /// Precondition: the server outlives the connection.
@@ -87,6 +87,8 @@
   TimePoint LastActivity;
   /// The idle timeout by which the last response announced how long the connection may be reused.
   Duration IdleTimeout;
+  /// Time at which bytes of a request were read last.
+  TimePoint LastRead;
   /// Time at which bytes of a response were sent; nothing before the first response.
   std::optional<TimePoint> LastWrite;
   /// Arrival of the first byte of the request that is being received.
@@ -97,6 +99,8 @@
   bool HasReportedUnread = false;
   /// A request was malformed or too slow; the connection reads no further ones.
   bool IsRejected = false;
+  /// The next request is held back behind a response that may be streamed, and keeps its deadline.
+  bool IsHeldBack = false;
   bool IsFlushing = false;
   bool ContinueSent = false;
 };
--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -36,6 +36,12 @@
   /// Time at which the complete request had arrived.
   TimePoint received() const { return this->ReceivedAt; }
 
+  /// Holds later requests of the connection back until the response to this one is complete. Called
+  /// for responses that may be streamed: if one breaks off, the connection must be reset, and the
+  /// responses to requests that were passed on behind it would be lost. Precondition: the response
+  /// has not begun.
+  void holdLaterRequests() { this->HoldsLaterRequests = true; }
+
   /// Sends a complete response.
   void respond(ResponseHead Head, std::string_view Body);
   /// Sends a complete response that consists of a text.
@@ -69,6 +75,7 @@
   bool Pending = true;
   bool Complete = false;
   bool CloseAfter = false;
+  bool HoldsLaterRequests = false;
   std::function<void()> OnDrained;
 };
 
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -131,6 +131,12 @@
   this->Routes.reset();
   this->CurrentConfiguration = NewConfiguration;
   this->Routes.emplace(*this->CurrentConfiguration);
+  std::set<RouteName> Names;
+  for (const Route &Each : this->CurrentConfiguration->Routes) {
+    Names.insert(Each.Name);
+  }
+  std::erase_if(this->StreamedRoutes,
+                [&Names](const RouteName &Each) { return !Names.contains(Each); });
 }
 
 const Route *ProxyHandler::findRoute(const RequestHead &Head) const {
@@ -201,6 +207,9 @@
     // The latency objective is measured from the arrival at the first entry.
     Attributes.ReceivedAt -= Forward->Elapsed;
   }
+  if (MatchedRoute->HasLargeResponses || this->StreamedRoutes.contains(MatchedRoute->Name)) {
+    Exchange.holdLaterRequests();
+  }
   const RequestNumber Number = ++this->LastNumber;
   this->Requests[Number] = std::make_unique<ActiveRequest>(
       Number, Exchange, Attributes, Metadata.RequestId, this->RequestCallbacks);
@@ -347,6 +356,7 @@
 }
 
 bool ProxyHandler::onCommitted(ActiveRequest &Request, const RequestAttempt &Attempt) {
+  this->StreamedRoutes.insert(Request.attributes().Route);
   const bool IsCommitted = this->Deps.RequestDispatcher.onResponseCommitted(
       Request.number(), Attempt.command().Attempt, Attempt.conditions(), this->Deps.Time.now());
   this->Deps.ApplyEffects();
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace anvilsaddle {
@@ -93,6 +94,8 @@
   std::optional<Configuration> CurrentConfiguration;
   std::optional<RouteTable> Routes;
   RequestNumber LastNumber = 0;
+  /// Routes of the current configuration of which a response was too large to be buffered.
+  std::set<RouteName> StreamedRoutes;
   bool RejectsNewRequests = false;
   std::map<RequestNumber, std::unique_ptr<ActiveRequest>> Requests;
   std::map<const HttpExchange *, RequestNumber> NumberByExchange;
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -73,7 +73,7 @@
   TestEntry &operator=(const TestEntry &) = delete;
 
   void configure(const std::vector<WeightedService> &Services = {{ServiceName("s"), 1}},
-                 Duration Timeout = 400ms) {
+                 Duration Timeout = 400ms, bool HasLargeResponses = false) {
     Configuration NewConfiguration;
     NewConfiguration.Version = 1;
     for (const bool Idempotent : {true, false}) {
@@ -83,6 +83,7 @@
       NewRoute.PathPrefix = Idempotent ? "/safe/" : "/unsafe/";
       NewRoute.Idempotent = Idempotent;
       NewRoute.Timeout = Timeout;
+      NewRoute.HasLargeResponses = HasLargeResponses;
       NewRoute.LatencyObjective = 200ms;
       NewRoute.MaxTargets = 2;
       NewRoute.Services = Services;
@@ -189,6 +190,8 @@
   CPPUNIT_TEST(forwardedRequestsKeepTheirService);
   CPPUNIT_TEST(unresponsiveTargets);
   CPPUNIT_TEST(pathsAreForwardedUnchanged);
+  CPPUNIT_TEST(requestsBehindDownloads);
+  CPPUNIT_TEST(requestsBehindCompleteDownloads);
   CPPUNIT_TEST(slowCallersPauseDownloads);
   CPPUNIT_TEST(streamedResponsesEndAtTheirDeadline);
   CPPUNIT_TEST(responsesWithoutEnd);
@@ -390,6 +393,73 @@
     }
   }
 
+  /// Guards against requests that are passed on behind a download and lose their responses when it
+  /// breaks off, since the connection must be reset then.
+  void requestsBehindDownloads() {
+    const std::string Large(std::size_t{300} * 1024, 'x');
+    const std::string LargeHead =
+        "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nContent-Length: " + std::to_string(Large.size()) +
+        "\r\n\r\n";
+    struct Case {
+      const char *Name;
+      bool IsLargeRoute;
+      /// A complete download came before.
+      bool HasStreamed;
+      int PassedOn;
+    };
+    const Case Table[] = {
+        {"small responses", false, false, 2},
+        {"route of downloads", true, false, 1},
+        {"route with a large response before", false, true, 1},
+    };
+    for (const Case &Each : Table) {
+      TestEntry Entry;
+      Entry.configure({{ServiceName("s"), 1}}, 60s, Each.IsLargeRoute);
+      FakeTarget Target(Each.HasStreamed ? LargeHead + Large : "");
+      Entry.addTarget("t1", Target.Server.Port);
+      const auto Caller = RawConnection::connect(Entry.Server.port());
+      if (Each.HasStreamed) {
+        Caller->send(makeRequest("GET", "/safe/0", 60s));
+        CPPUNIT_ASSERT_MESSAGE(Each.Name,
+                               runUntil([&] { return Caller->Received.ends_with(Large); }));
+        Target.Response.clear();
+        Target.Requests = 0;
+      }
+      Caller->send(makeRequest("GET", "/safe/1", 60s) + makeRequest("GET", "/safe/2", 60s));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Target.Requests == Each.PassedOn; }));
+      runPending();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.PassedOn, Target.Requests);
+      if (Each.PassedOn == 1) {
+        RawConnection &Download = *Target.RequestConnections.back();
+        Download.send(LargeHead + Large.substr(1));
+        runPending();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, 1, Target.Requests);
+        Download.close();
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Caller->Closed; }));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, 1, Target.Requests);
+      }
+    }
+  }
+
+  /// Guards against a request behind a download that is never passed on, or that counts its waiting
+  /// time from when it is passed on.
+  void requestsBehindCompleteDownloads() {
+    TestEntry Entry;
+    Entry.configure({{ServiceName("s"), 1}}, 60s, true);
+    FakeTarget Target("");
+    Entry.addTarget("t1", Target.Server.Port);
+    const auto Caller = RawConnection::connect(Entry.Server.port());
+    Caller->send(makeRequest("GET", "/safe/1", 60s) + makeRequest("GET", "/safe/2", 5s));
+    CPPUNIT_ASSERT(runUntil([&] { return Target.Requests == 1; }));
+    runPending();
+    Entry.advanceTime(2s);
+    Target.RequestConnections.back()->send(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "ok"));
+    CPPUNIT_ASSERT(runUntil([&] { return Target.Requests == 2; }));
+    const std::string &Head = Target.Server.Requests.back();
+    const int Left = std::stoi(Head.substr(Head.find("Left: ") + 6));
+    CPPUNIT_ASSERT_MESSAGE(Head, Left <= 3000);
+  }
+
   /// Guards against a large response that fills the memory because its caller reads slowly.
   void slowCallersPauseDownloads() {
     constexpr std::size_t Megabyte = std::size_t{1} << 20;
