Believe a response without an ID on a reused connection only of a probe

Responses that may belong to a probe are now skipped there, and probes skip responses that have an ID.

tst_requestattempt::lateCopiesOnReusedConnections and probesBehindLateCopies fail before the change and pass after it.

--- a/src/libs/transport/ProbeRunner.cpp
+++ b/src/libs/transport/ProbeRunner.cpp
@@ -51,9 +51,10 @@
 
   void onResponseHead(const ResponseHead &Head) override {
     const ResponseMetadata Metadata = this->Owner.Protocol.readResponse(Head);
-    // Only responses to forwarded requests are signed, so this is the late response to an earlier
-    // request on the same connection.
-    if (Metadata.IsSigned && Head.Framing != BodyFraming::UntilClose) {
+    // Only responses to requests are signed or have an ID, so this is the late response to an
+    // earlier request on the same connection.
+    const bool BelongsToRequest = Metadata.IsSigned || !Metadata.RequestId.empty();
+    if (BelongsToRequest && Head.Framing != BodyFraming::UntilClose) {
       this->Call->skipResponse();
       return;
     }
--- a/src/libs/transport/RequestAttempt.cpp
+++ b/src/libs/transport/RequestAttempt.cpp
@@ -76,8 +76,7 @@
 
 void RequestAttempt::onResponseHead(const ResponseHead &Response) {
   this->Metadata = this->Protocol.readResponse(Response);
-  const std::string &Id = this->Metadata.RequestId;
-  if (!Id.empty() && Id != this->RequestId) {
+  if (!this->belongsToRequest()) {
     if (Response.Framing == BodyFraming::UntilClose) {
       this->reportEnd(AttemptOutcome::Interrupted,
                       "a response without a length belongs to another request");
@@ -115,6 +114,18 @@
   this->Listener.onAttemptStreaming(*this);
 }
 
+bool RequestAttempt::belongsToRequest() const {
+  if (!this->Metadata.RequestId.empty()) {
+    return this->Metadata.RequestId == this->RequestId;
+  }
+  // Only probes get responses without an ID. On a connection that has carried other exchanges, such
+  // a response may be the late copy of one to a probe. Entries send no copies.
+  const bool MayBelongToProbe =
+      this->Metadata.NotExecuted || this->Metadata.Load || !this->Metadata.Instance.empty();
+  return this->Command.Forward || !this->Call->isReused() || this->Metadata.IsSigned ||
+         !MayBelongToProbe;
+}
+
 TargetConditions RequestAttempt::conditions() const {
   if (this->Metadata.NotExecuted) {
     return {};
--- a/src/libs/transport/RequestAttempt.h
+++ b/src/libs/transport/RequestAttempt.h
@@ -62,6 +62,8 @@
   void onCallFailed(const std::string &Reason) override;
 
 private:
+  /// Decides which responses on the connection can be the one to this request.
+  bool belongsToRequest() const;
   void evaluateResponse();
   void reportEnd(AttemptOutcome Outcome, const std::string &Detail);
 
--- a/tests/auto/libs/transport/tst_requestattempt.cpp
+++ b/tests/auto/libs/transport/tst_requestattempt.cpp
@@ -3,6 +3,7 @@
 #include "MalformedResponses.h"
 #include "Property.h"
 #include "transport/ConnectionPool.h"
+#include "transport/ProbeRunner.h"
 #include "transport/RequestAttempt.h"
 #include "transport/SystemClock.h"
 
@@ -104,6 +105,8 @@
   CPPUNIT_TEST(attemptsShareTheBody);
   CPPUNIT_TEST(resetsDuringUploads);
   CPPUNIT_TEST(malformedResponses);
+  CPPUNIT_TEST(lateCopiesOnReusedConnections);
+  CPPUNIT_TEST(probesBehindLateCopies);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -393,6 +396,97 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("an ended attempt holds the body", 1L, Body.use_count());
   }
 
+  /// Guards against the late copy of another response that is taken for the response to a request.
+  /// Probes have no ID, so neither have copies of their responses; taken for a rejection, such a
+  /// copy lets a request run twice.
+  void lateCopiesOnReusedConnections() {
+    using enum AttemptOutcome;
+    struct Case {
+      const char *Name;
+      /// Sent ahead of the response to the request, which is a success.
+      std::string Copies;
+      AttemptOutcome Expected;
+    };
+    const std::string Load = "Instance: me\r\nLoad: 1\r\n";
+    const std::string Rejection = makeResponse("503 Full", "Not-Run: 1\r\n", "full");
+    const std::string Misdirected =
+        makeResponse("421 Other", "Instance: you\r\nNot-Run: 1\r\n", "");
+    const std::string Other = makeResponse("200 OK", "Id: 6\r\nSigned: s\r\n", "other");
+    const std::string OtherRejection = makeResponse("503 Full", "Id: 6\r\nNot-Run: 1\r\n", "");
+    const Case Table[] = {
+        {"no copy", "", Succeeded},
+        {"rejected probe", Rejection, Succeeded},
+        {"rejected probe, twice", Rejection + Rejection, Succeeded},
+        {"rejected probe with load", makeResponse("503 Full", Load + "Not-Run: 1\r\n", ""),
+         Succeeded},
+        {"successful probe", makeResponse("200 OK", Load, ""), Succeeded},
+        {"probe of a leaving target", makeResponse("503 No", Load + "Leaving: 1\r\n", ""),
+         Succeeded},
+        {"misdirected", Misdirected, Succeeded},
+        {"success of another request", Other, Succeeded},
+        {"rejection of another request", OtherRejection, Succeeded},
+        {"all of them", Other + Rejection + Misdirected + OtherRejection, Succeeded},
+        {"rejected probe without an end", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n", Interrupted},
+        {"own rejection", makeResponse("503 Full", "Id: 7\r\nNot-Run: 1\r\n", ""), NotExecuted},
+    };
+    const std::string Success = makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good");
+    for (const bool IsSplit : {false, true}) {
+      for (const Case &Each : Table) {
+        ScriptedServer Target([&](RawConnection &Connection, int Count) {
+          if (Count == 1) {
+            Connection.send(Rejection);
+            return;
+          }
+          const std::string Response = Each.Copies + Success;
+          const std::size_t Cut = IsSplit ? Each.Copies.size() / 2 : Response.size();
+          Connection.send(Response.substr(0, Cut));
+          runPending();
+          Connection.send(Response.substr(Cut));
+        });
+        const SystemClock Time;
+        ConnectionPool Pool(Time);
+        const FakeProtocol Protocol;
+        bool IsProbed = false;
+        ProbeRunner Probes(Pool, Protocol,
+                           {[&](const TargetName &, const ProbeReport &) { IsProbed = true; },
+                            [](const TargetName &, ProbeFailure, const std::string &) {}});
+        Probes.start({TargetName("me"), {"127.0.0.1", Target.Port}, "/health"});
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return IsProbed; }));
+        TestAttempt Tested(Target.Port, Pool, "POST");
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Tested.wait());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::size_t{1}, Target.Connections.size());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(toString(Each.Expected)),
+                                     std::string(toString(Tested.Listener.End->Outcome)));
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, !Tested.Listener.End->Conditions.IsLeaving);
+      }
+    }
+  }
+
+  /// Guards against a probe that takes the late response to a request for its own.
+  void probesBehindLateCopies() {
+    for (const char *Fields : {"Id: 7\r\nSigned: s\r\n", "Id: 7\r\nNot-Run: 1\r\n", "Id: 7\r\n"}) {
+      const std::string Copy = makeResponse("503 Full", Fields, "late");
+      ScriptedServer Target([&](RawConnection &Connection, int Count) {
+        const std::string Healthy = makeResponse("200 OK", "Instance: me\r\nLoad: 1\r\n", "");
+        Connection.send(Count == 1 ? Copy : Copy + Healthy);
+      });
+      const SystemClock Time;
+      ConnectionPool Pool(Time);
+      TestAttempt First(Target.Port, Pool);
+      CPPUNIT_ASSERT_MESSAGE(Fields, First.wait());
+      const FakeProtocol Protocol;
+      std::optional<ProbeReport> Report;
+      ProbeRunner Probes(
+          Pool, Protocol,
+          {[&](const TargetName &, const ProbeReport &Received) { Report = Received; },
+           [](const TargetName &, ProbeFailure, const std::string &) {}});
+      Probes.start({TargetName("me"), {"127.0.0.1", Target.Port}, "/health"});
+      CPPUNIT_ASSERT_MESSAGE(Fields, runUntil([&] { return Report.has_value(); }));
+      CPPUNIT_ASSERT_MESSAGE(Fields, Report->Healthy);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Fields, std::size_t{1}, Target.Connections.size());
+    }
+  }
+
   /// Guards against a response with an impossible status or a malformed field that reaches the
   /// caller, from targets and from other entries.
   void malformedResponses() {
