--- a/src/libs/coordination/dispatch/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -45,6 +45,8 @@
   /// False if the request is refused at once when no target has free capacity, because the entry
   /// that forwarded it then tries other targets.
   bool MayQueue = true;
+  /// Empty if the request belongs to no customer.
+  CustomerName Customer{};
 
   auto operator<=>(const RequestAttributes &) const = default;
 };
--- a/src/libs/coordination/publications/ConfigurationHistory.cpp
+++ b/src/libs/coordination/publications/ConfigurationHistory.cpp
@@ -37,6 +37,23 @@
   return Result;
 }
 
+std::set<CustomerName> changedCustomers(const std::map<CustomerName, Customer> &Old,
+                                        const std::map<CustomerName, Customer> &Newer) {
+  std::set<CustomerName> Result;
+  for (const auto &[Name, Each] : Newer) {
+    const auto Known = Old.find(Name);
+    if (Known == Old.end() || Known->second != Each) {
+      Result.insert(Name);
+    }
+  }
+  for (const auto &[Name, Each] : Old) {
+    if (!Newer.contains(Name)) {
+      Result.insert(Name);
+    }
+  }
+  return Result;
+}
+
 } // namespace
 
 void ConfigurationHistory::onConfiguration(const Configuration *Old, const Configuration &Newer) {
@@ -49,7 +66,8 @@
     this->Changes.clear();
     return;
   }
-  this->Changes.push_back({Old->Version, changedRoutes(*OldRoutes, *NewerRoutes)});
+  this->Changes.push_back({Old->Version, changedRoutes(*OldRoutes, *NewerRoutes),
+                           changedCustomers(Old->Customers, Newer.Customers)});
   if (this->Changes.size() > MaxRetainedChanges) {
     this->Changes.pop_front();
   }
@@ -64,8 +82,10 @@
     return std::nullopt;
   }
   std::set<RouteName> Names;
+  std::set<CustomerName> Customers;
   for (auto Each = First; Each != this->Changes.end(); ++Each) {
     Names.insert(Each->Routes.begin(), Each->Routes.end());
+    Customers.insert(Each->Customers.begin(), Each->Customers.end());
   }
   ConfigurationDelta Result;
   Result.BaseVersion = BaseVersion;
@@ -78,6 +98,14 @@
     }
   }
   Result.RemovedRoutes.assign(Names.begin(), Names.end());
+  for (const CustomerName &Each : Customers) {
+    const auto Found = Current.Customers.find(Each);
+    if (Found == Current.Customers.end()) {
+      Result.RemovedCustomers.push_back(Each);
+    } else {
+      Result.ChangedCustomers.insert(*Found);
+    }
+  }
   return Result;
 }
 
--- a/src/libs/coordination/publications/ConfigurationHistory.h
+++ b/src/libs/coordination/publications/ConfigurationHistory.h
@@ -12,8 +12,8 @@
 
 namespace anvilsaddle {
 
-/// Remembers which routes the last versions of the configuration changed, so that an entry that
-/// has one of them can be sent the difference. Holds names only. Not thread-safe.
+/// Remembers which routes and customers the last versions of the configuration changed, so that an
+/// entry that has one of them can be sent the difference. Holds names only. Not thread-safe.
 class ConfigurationHistory {
 public:
   /// Number of versions that are remembered.
@@ -21,9 +21,9 @@
 
   /// Records that a version replaces another one; null if it is the first one.
   void onConfiguration(const Configuration *Old, const Configuration &Newer);
-  /// Returns what changed from a version to the current one, which is no route if both are the same
-  /// version; nothing if that is not known.
-  /// Precondition: `Current` is the version that was recorded last.
+  /// Returns what changed from a version to the current one, which is no route and no customer if
+  /// both are the same version; nothing if that is not known. Precondition: `Current` is the
+  /// version that was recorded last.
   std::optional<ConfigurationDelta> deltaSince(std::uint64_t BaseVersion,
                                                const Configuration &Current) const;
 
@@ -31,6 +31,7 @@
   struct Change {
     std::uint64_t BaseVersion = 0;
     std::set<RouteName> Routes;
+    std::set<CustomerName> Customers;
   };
 
   std::deque<Change> Changes;
--- a/src/libs/protocol/PublicationCodec.cpp
+++ b/src/libs/protocol/PublicationCodec.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
+#include <cstring>
 #include <limits>
 #include <string>
 #include <utility>
@@ -37,6 +39,31 @@
   for (const RegionName &Each : Value.HomeRegions) {
     Result.homeRegions.push_back(Each.str());
   }
+  if (Value.IsPublic) {
+    Result.__set_isPublic(true);
+  }
+  return Result;
+}
+
+wire::Customer toWire(const Customer &Value) {
+  wire::Customer Result;
+  Result.name = Value.Name.str();
+  for (const ApiKeyDigest &Each : Value.Keys) {
+    Result.keyDigests.append(Each.begin(), Each.end());
+  }
+  if (Value.Priority) {
+    Result.__set_priority(static_cast<std::int32_t>(*Value.Priority));
+  }
+  for (const RegionName &Each : Value.HomeRegions) {
+    Result.homeRegions.push_back(Each.str());
+  }
+  Result.__isset.homeRegions = !Result.homeRegions.empty();
+  if (Value.RequestsPerSecond > 0) {
+    Result.__set_requestsPerSecond(Value.RequestsPerSecond);
+  }
+  if (Value.Burst > 0) {
+    Result.__set_burst(Value.Burst);
+  }
   return Result;
 }
 
@@ -57,6 +84,10 @@
   Result.bodyBytes = static_cast<std::int64_t>(Value.Limits.BodyBytes);
   Result.headTimeoutMicroseconds = Value.Limits.HeadTimeout.count();
   Result.idleTimeoutMicroseconds = Value.Limits.IdleTimeout.count();
+  for (const auto &[Name, Each] : Value.Customers) {
+    Result.customers.push_back(toWire(Each));
+  }
+  Result.__isset.customers = !Result.customers.empty();
   return Result;
 }
 
@@ -98,12 +129,17 @@
   Changes.Routes = Value.ChangedRoutes;
   Changes.Services = Value.Services;
   Changes.Limits = Value.Limits;
+  Changes.Customers = Value.ChangedCustomers;
   wire::ConfigurationDelta Part;
   Part.baseVersion = static_cast<std::int64_t>(Value.BaseVersion);
   Part.changes = toWire(Changes);
   for (const RouteName &Each : Value.RemovedRoutes) {
     Part.removedRoutes.push_back(Each.str());
   }
+  for (const CustomerName &Each : Value.RemovedCustomers) {
+    Part.removedCustomers.push_back(Each.str());
+  }
+  Part.__isset.removedCustomers = !Part.removedCustomers.empty();
   wire::Publication Result;
   Result.__set_configurationDelta(Part);
   return Result;
@@ -133,6 +169,30 @@
   for (const std::string &Each : In.homeRegions) {
     Result.HomeRegions.insert(RegionName(Each));
   }
+  Result.IsPublic = In.__isset.isPublic && In.isPublic;
+  return Result;
+}
+
+/// Returns 0 for values that are no rate, which means no limit.
+double readRate(double Value) { return std::isfinite(Value) && Value > 0 ? Value : 0; }
+
+Customer fromWire(const wire::Customer &In) {
+  Customer Result;
+  Result.Name = CustomerName(In.name);
+  ApiKeyDigest Digest{};
+  for (std::size_t Start = 0; Start + Digest.size() <= In.keyDigests.size();
+       Start += Digest.size()) {
+    std::memcpy(Digest.data(), In.keyDigests.data() + Start, Digest.size());
+    Result.Keys.insert(Digest);
+  }
+  if (In.__isset.priority) {
+    Result.Priority = readCount(In.priority);
+  }
+  for (const std::string &Each : In.homeRegions) {
+    Result.HomeRegions.insert(RegionName(Each));
+  }
+  Result.RequestsPerSecond = In.__isset.requestsPerSecond ? readRate(In.requestsPerSecond) : 0;
+  Result.Burst = In.__isset.burst ? readRate(In.burst) : 0;
   return Result;
 }
 
@@ -152,6 +212,9 @@
   Result.Limits = {static_cast<std::size_t>(In.headBytes), static_cast<std::size_t>(In.bodyBytes),
                    readDuration(In.headTimeoutMicroseconds),
                    readDuration(In.idleTimeoutMicroseconds)};
+  for (const wire::Customer &Each : In.customers) {
+    Result.Customers[CustomerName(Each.name)] = fromWire(Each);
+  }
   return Result;
 }
 
@@ -192,6 +255,10 @@
   }
   Result.Services = std::move(Changes.Services);
   Result.Limits = Changes.Limits;
+  Result.ChangedCustomers = std::move(Changes.Customers);
+  for (const std::string &Each : In.removedCustomers) {
+    Result.RemovedCustomers.emplace_back(Each);
+  }
   return Result;
 }
 
--- a/src/libs/protocol/RequestMetadataProtocol.h
+++ b/src/libs/protocol/RequestMetadataProtocol.h
@@ -10,6 +10,7 @@
 #include <compare>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace anvilsaddle {
@@ -56,6 +57,8 @@
   /// only instance that may execute the request.
   virtual void setTargetHeaders(FieldList &Fields, const TargetName &Expected,
                                 Duration RemainingTime) const = 0;
+  /// Name of the header field that tells targets the customer of a request.
+  virtual std::string_view customerFieldName() const = 0;
   virtual ResponseMetadata readResponse(const ResponseHead &Head) const = 0;
 };
 
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -918,6 +918,11 @@
 void Route::__set_homeRegions(const std::vector<std::string> & val) {
   this->homeRegions = val;
 }
+
+void Route::__set_isPublic(const bool val) {
+  this->isPublic = val;
+__isset.isPublic = true;
+}
 std::ostream& operator<<(std::ostream& out, const Route& obj)
 {
   obj.printTo(out);
@@ -1060,6 +1065,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isPublic);
+          this->__isset.isPublic = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1153,6 +1166,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.isPublic) {
+    xfer += oprot->writeFieldBegin("isPublic", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->isPublic);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1170,6 +1188,8 @@
   swap(a.maxTargets, b.maxTargets);
   swap(a.services, b.services);
   swap(a.homeRegions, b.homeRegions);
+  swap(a.isPublic, b.isPublic);
+  swap(a.__isset, b.__isset);
 }
 
 Route::Route(const Route& other58) {
@@ -1183,6 +1203,8 @@
   maxTargets = other58.maxTargets;
   services = other58.services;
   homeRegions = other58.homeRegions;
+  isPublic = other58.isPublic;
+  __isset = other58.__isset;
 }
 Route& Route::operator=(const Route& other59) {
   name = other59.name;
@@ -1195,6 +1217,8 @@
   maxTargets = other59.maxTargets;
   services = other59.services;
   homeRegions = other59.homeRegions;
+  isPublic = other59.isPublic;
+  __isset = other59.__isset;
   return *this;
 }
 void Route::printTo(std::ostream& out) const {
@@ -1210,6 +1234,7 @@
   out << ", " << "maxTargets=" << to_string(maxTargets);
   out << ", " << "services=" << to_string(services);
   out << ", " << "homeRegions=" << to_string(homeRegions);
+  out << ", " << "isPublic="; (__isset.isPublic ? (out << to_string(isPublic)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1352,6 +1377,232 @@
 }
 
 
+Customer::~Customer() noexcept {
+}
+
+
+void Customer::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Customer::__set_keyDigests(const std::string& val) {
+  this->keyDigests = val;
+}
+
+void Customer::__set_priority(const int32_t val) {
+  this->priority = val;
+__isset.priority = true;
+}
+
+void Customer::__set_homeRegions(const std::vector<std::string> & val) {
+  this->homeRegions = val;
+__isset.homeRegions = true;
+}
+
+void Customer::__set_requestsPerSecond(const double val) {
+  this->requestsPerSecond = val;
+__isset.requestsPerSecond = true;
+}
+
+void Customer::__set_burst(const double val) {
+  this->burst = val;
+__isset.burst = true;
+}
+std::ostream& operator<<(std::ostream& out, const Customer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Customer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_name = false;
+  bool isset_keyDigests = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          isset_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->keyDigests);
+          isset_keyDigests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->homeRegions.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->homeRegions.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += iprot->readString(this->homeRegions[_i66]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.homeRegions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requestsPerSecond);
+          this->__isset.requestsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_keyDigests)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Customer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Customer");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keyDigests", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->keyDigests);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.priority) {
+    xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->priority);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.homeRegions) {
+    xfer += oprot->writeFieldBegin("homeRegions", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->homeRegions.size()));
+      std::vector<std::string> ::const_iterator _iter67;
+      for (_iter67 = this->homeRegions.begin(); _iter67 != this->homeRegions.end(); ++_iter67)
+      {
+        xfer += oprot->writeString((*_iter67));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.requestsPerSecond) {
+    xfer += oprot->writeFieldBegin("requestsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 5);
+    xfer += oprot->writeDouble(this->requestsPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.burst) {
+    xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 6);
+    xfer += oprot->writeDouble(this->burst);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Customer &a, Customer &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.keyDigests, b.keyDigests);
+  swap(a.priority, b.priority);
+  swap(a.homeRegions, b.homeRegions);
+  swap(a.requestsPerSecond, b.requestsPerSecond);
+  swap(a.burst, b.burst);
+  swap(a.__isset, b.__isset);
+}
+
+Customer::Customer(const Customer& other68) {
+  name = other68.name;
+  keyDigests = other68.keyDigests;
+  priority = other68.priority;
+  homeRegions = other68.homeRegions;
+  requestsPerSecond = other68.requestsPerSecond;
+  burst = other68.burst;
+  __isset = other68.__isset;
+}
+Customer& Customer::operator=(const Customer& other69) {
+  name = other69.name;
+  keyDigests = other69.keyDigests;
+  priority = other69.priority;
+  homeRegions = other69.homeRegions;
+  requestsPerSecond = other69.requestsPerSecond;
+  burst = other69.burst;
+  __isset = other69.__isset;
+  return *this;
+}
+void Customer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Customer(";
+  out << "name=" << to_string(name);
+  out << ", " << "keyDigests=" << to_string(keyDigests);
+  out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
+  out << ", " << "homeRegions="; (__isset.homeRegions ? (out << to_string(homeRegions)) : (out << "<null>"));
+  out << ", " << "requestsPerSecond="; (__isset.requestsPerSecond ? (out << to_string(requestsPerSecond)) : (out << "<null>"));
+  out << ", " << "burst="; (__isset.burst ? (out << to_string(burst)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Configuration::~Configuration() noexcept {
 }
 
@@ -1383,6 +1634,11 @@
 void Configuration::__set_idleTimeoutMicroseconds(const int64_t val) {
   this->idleTimeoutMicroseconds = val;
 }
+
+void Configuration::__set_customers(const std::vector<Customer> & val) {
+  this->customers = val;
+__isset.customers = true;
+}
 std::ostream& operator<<(std::ostream& out, const Configuration& obj)
 {
   obj.printTo(out);
@@ -1430,14 +1686,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->routes.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->routes.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->routes[_i66].read(iprot);
+              xfer += this->routes[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1450,14 +1706,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->services.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->services.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->services[_i71].read(iprot);
+              xfer += this->services[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1498,6 +1754,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->customers.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->customers.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += this->customers[_i84].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.customers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1536,10 +1812,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter72;
-    for (_iter72 = this->routes.begin(); _iter72 != this->routes.end(); ++_iter72)
+    std::vector<Route> ::const_iterator _iter85;
+    for (_iter85 = this->routes.begin(); _iter85 != this->routes.end(); ++_iter85)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1548,10 +1824,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<Service> ::const_iterator _iter73;
-    for (_iter73 = this->services.begin(); _iter73 != this->services.end(); ++_iter73)
+    std::vector<Service> ::const_iterator _iter86;
+    for (_iter86 = this->services.begin(); _iter86 != this->services.end(); ++_iter86)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1573,6 +1849,19 @@
   xfer += oprot->writeI64(this->idleTimeoutMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.customers) {
+    xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
+      std::vector<Customer> ::const_iterator _iter87;
+      for (_iter87 = this->customers.begin(); _iter87 != this->customers.end(); ++_iter87)
+      {
+        xfer += (*_iter87).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1587,25 +1876,31 @@
   swap(a.bodyBytes, b.bodyBytes);
   swap(a.headTimeoutMicroseconds, b.headTimeoutMicroseconds);
   swap(a.idleTimeoutMicroseconds, b.idleTimeoutMicroseconds);
+  swap(a.customers, b.customers);
+  swap(a.__isset, b.__isset);
 }
 
-Configuration::Configuration(const Configuration& other74) {
-  version = other74.version;
-  routes = other74.routes;
-  services = other74.services;
-  headBytes = other74.headBytes;
-  bodyBytes = other74.bodyBytes;
-  headTimeoutMicroseconds = other74.headTimeoutMicroseconds;
-  idleTimeoutMicroseconds = other74.idleTimeoutMicroseconds;
-}
-Configuration& Configuration::operator=(const Configuration& other75) {
-  version = other75.version;
-  routes = other75.routes;
-  services = other75.services;
-  headBytes = other75.headBytes;
-  bodyBytes = other75.bodyBytes;
-  headTimeoutMicroseconds = other75.headTimeoutMicroseconds;
-  idleTimeoutMicroseconds = other75.idleTimeoutMicroseconds;
+Configuration::Configuration(const Configuration& other88) {
+  version = other88.version;
+  routes = other88.routes;
+  services = other88.services;
+  headBytes = other88.headBytes;
+  bodyBytes = other88.bodyBytes;
+  headTimeoutMicroseconds = other88.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other88.idleTimeoutMicroseconds;
+  customers = other88.customers;
+  __isset = other88.__isset;
+}
+Configuration& Configuration::operator=(const Configuration& other89) {
+  version = other89.version;
+  routes = other89.routes;
+  services = other89.services;
+  headBytes = other89.headBytes;
+  bodyBytes = other89.bodyBytes;
+  headTimeoutMicroseconds = other89.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other89.idleTimeoutMicroseconds;
+  customers = other89.customers;
+  __isset = other89.__isset;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -1618,6 +1913,7 @@
   out << ", " << "bodyBytes=" << to_string(bodyBytes);
   out << ", " << "headTimeoutMicroseconds=" << to_string(headTimeoutMicroseconds);
   out << ", " << "idleTimeoutMicroseconds=" << to_string(idleTimeoutMicroseconds);
+  out << ", " << "customers="; (__isset.customers ? (out << to_string(customers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1637,6 +1933,11 @@
 void ConfigurationDelta::__set_removedRoutes(const std::vector<std::string> & val) {
   this->removedRoutes = val;
 }
+
+void ConfigurationDelta::__set_removedCustomers(const std::vector<std::string> & val) {
+  this->removedCustomers = val;
+__isset.removedCustomers = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigurationDelta& obj)
 {
   obj.printTo(out);
@@ -1688,14 +1989,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedRoutes.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->removedRoutes.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->removedRoutes.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += iprot->readString(this->removedRoutes[_i80]);
+              xfer += iprot->readString(this->removedRoutes[_i94]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1704,6 +2005,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removedCustomers.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->removedCustomers.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += iprot->readString(this->removedCustomers[_i99]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removedCustomers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1738,15 +2059,28 @@
   xfer += oprot->writeFieldBegin("removedRoutes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedRoutes.size()));
-    std::vector<std::string> ::const_iterator _iter81;
-    for (_iter81 = this->removedRoutes.begin(); _iter81 != this->removedRoutes.end(); ++_iter81)
+    std::vector<std::string> ::const_iterator _iter100;
+    for (_iter100 = this->removedRoutes.begin(); _iter100 != this->removedRoutes.end(); ++_iter100)
     {
-      xfer += oprot->writeString((*_iter81));
+      xfer += oprot->writeString((*_iter100));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.removedCustomers) {
+    xfer += oprot->writeFieldBegin("removedCustomers", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedCustomers.size()));
+      std::vector<std::string> ::const_iterator _iter101;
+      for (_iter101 = this->removedCustomers.begin(); _iter101 != this->removedCustomers.end(); ++_iter101)
+      {
+        xfer += oprot->writeString((*_iter101));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1757,17 +2091,23 @@
   swap(a.baseVersion, b.baseVersion);
   swap(a.changes, b.changes);
   swap(a.removedRoutes, b.removedRoutes);
+  swap(a.removedCustomers, b.removedCustomers);
+  swap(a.__isset, b.__isset);
 }
 
-ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other82) {
-  baseVersion = other82.baseVersion;
-  changes = other82.changes;
-  removedRoutes = other82.removedRoutes;
+ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other102) {
+  baseVersion = other102.baseVersion;
+  changes = other102.changes;
+  removedRoutes = other102.removedRoutes;
+  removedCustomers = other102.removedCustomers;
+  __isset = other102.__isset;
 }
-ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other83) {
-  baseVersion = other83.baseVersion;
-  changes = other83.changes;
-  removedRoutes = other83.removedRoutes;
+ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other103) {
+  baseVersion = other103.baseVersion;
+  changes = other103.changes;
+  removedRoutes = other103.removedRoutes;
+  removedCustomers = other103.removedCustomers;
+  __isset = other103.__isset;
   return *this;
 }
 void ConfigurationDelta::printTo(std::ostream& out) const {
@@ -1776,6 +2116,7 @@
   out << "baseVersion=" << to_string(baseVersion);
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "removedRoutes=" << to_string(removedRoutes);
+  out << ", " << "removedCustomers="; (__isset.removedCustomers ? (out << to_string(removedCustomers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2037,31 +2378,31 @@
   swap(a.__isset, b.__isset);
 }
 
-Target::Target(const Target& other84) {
-  name = other84.name;
-  serviceName = other84.serviceName;
-  address = other84.address;
-  port = other84.port;
-  domain = other84.domain;
-  slots = other84.slots;
-  draining = other84.draining;
-  coldMicroseconds = other84.coldMicroseconds;
-  startedUnixMilliseconds = other84.startedUnixMilliseconds;
-  sequence = other84.sequence;
-  __isset = other84.__isset;
-}
-Target& Target::operator=(const Target& other85) {
-  name = other85.name;
-  serviceName = other85.serviceName;
-  address = other85.address;
-  port = other85.port;
-  domain = other85.domain;
-  slots = other85.slots;
-  draining = other85.draining;
-  coldMicroseconds = other85.coldMicroseconds;
-  startedUnixMilliseconds = other85.startedUnixMilliseconds;
-  sequence = other85.sequence;
-  __isset = other85.__isset;
+Target::Target(const Target& other104) {
+  name = other104.name;
+  serviceName = other104.serviceName;
+  address = other104.address;
+  port = other104.port;
+  domain = other104.domain;
+  slots = other104.slots;
+  draining = other104.draining;
+  coldMicroseconds = other104.coldMicroseconds;
+  startedUnixMilliseconds = other104.startedUnixMilliseconds;
+  sequence = other104.sequence;
+  __isset = other104.__isset;
+}
+Target& Target::operator=(const Target& other105) {
+  name = other105.name;
+  serviceName = other105.serviceName;
+  address = other105.address;
+  port = other105.port;
+  domain = other105.domain;
+  slots = other105.slots;
+  draining = other105.draining;
+  coldMicroseconds = other105.coldMicroseconds;
+  startedUnixMilliseconds = other105.startedUnixMilliseconds;
+  sequence = other105.sequence;
+  __isset = other105.__isset;
   return *this;
 }
 void Target::printTo(std::ostream& out) const {
@@ -2178,13 +2519,13 @@
   swap(a.active, b.active);
 }
 
-Evacuation::Evacuation(const Evacuation& other86) {
-  domain = other86.domain;
-  active = other86.active;
+Evacuation::Evacuation(const Evacuation& other106) {
+  domain = other106.domain;
+  active = other106.active;
 }
-Evacuation& Evacuation::operator=(const Evacuation& other87) {
-  domain = other87.domain;
-  active = other87.active;
+Evacuation& Evacuation::operator=(const Evacuation& other107) {
+  domain = other107.domain;
+  active = other107.active;
   return *this;
 }
 void Evacuation::printTo(std::ostream& out) const {
@@ -2349,21 +2690,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Publication::Publication(const Publication& other88) {
-  configuration = other88.configuration;
-  registered = other88.registered;
-  removed = other88.removed;
-  evacuation = other88.evacuation;
-  configurationDelta = other88.configurationDelta;
-  __isset = other88.__isset;
-}
-Publication& Publication::operator=(const Publication& other89) {
-  configuration = other89.configuration;
-  registered = other89.registered;
-  removed = other89.removed;
-  evacuation = other89.evacuation;
-  configurationDelta = other89.configurationDelta;
-  __isset = other89.__isset;
+Publication::Publication(const Publication& other108) {
+  configuration = other108.configuration;
+  registered = other108.registered;
+  removed = other108.removed;
+  evacuation = other108.evacuation;
+  configurationDelta = other108.configurationDelta;
+  __isset = other108.__isset;
+}
+Publication& Publication::operator=(const Publication& other109) {
+  configuration = other109.configuration;
+  registered = other109.registered;
+  removed = other109.removed;
+  evacuation = other109.evacuation;
+  configurationDelta = other109.configurationDelta;
+  __isset = other109.__isset;
   return *this;
 }
 void Publication::printTo(std::ostream& out) const {
@@ -2514,19 +2855,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionGap::RevisionGap(const RevisionGap& other90) noexcept {
-  first = other90.first;
-  last = other90.last;
-  firstEpoch = other90.firstEpoch;
-  lastEpoch = other90.lastEpoch;
-  __isset = other90.__isset;
+RevisionGap::RevisionGap(const RevisionGap& other110) noexcept {
+  first = other110.first;
+  last = other110.last;
+  firstEpoch = other110.firstEpoch;
+  lastEpoch = other110.lastEpoch;
+  __isset = other110.__isset;
 }
-RevisionGap& RevisionGap::operator=(const RevisionGap& other91) noexcept {
-  first = other91.first;
-  last = other91.last;
-  firstEpoch = other91.firstEpoch;
-  lastEpoch = other91.lastEpoch;
-  __isset = other91.__isset;
+RevisionGap& RevisionGap::operator=(const RevisionGap& other111) noexcept {
+  first = other111.first;
+  last = other111.last;
+  firstEpoch = other111.firstEpoch;
+  lastEpoch = other111.lastEpoch;
+  __isset = other111.__isset;
   return *this;
 }
 void RevisionGap::printTo(std::ostream& out) const {
@@ -2647,14 +2988,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->changes.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->changes.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->changes[_i96].read(iprot);
+              xfer += this->changes[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2667,14 +3008,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gaps.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->gaps.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->gaps.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->gaps[_i101].read(iprot);
+              xfer += this->gaps[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2745,10 +3086,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Publication> ::const_iterator _iter102;
-    for (_iter102 = this->changes.begin(); _iter102 != this->changes.end(); ++_iter102)
+    std::vector<Publication> ::const_iterator _iter122;
+    for (_iter122 = this->changes.begin(); _iter122 != this->changes.end(); ++_iter122)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2758,10 +3099,10 @@
     xfer += oprot->writeFieldBegin("gaps", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gaps.size()));
-      std::vector<RevisionGap> ::const_iterator _iter103;
-      for (_iter103 = this->gaps.begin(); _iter103 != this->gaps.end(); ++_iter103)
+      std::vector<RevisionGap> ::const_iterator _iter123;
+      for (_iter123 = this->gaps.begin(); _iter123 != this->gaps.end(); ++_iter123)
       {
-        xfer += (*_iter103).write(oprot);
+        xfer += (*_iter123).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2795,27 +3136,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PublicationBatch::PublicationBatch(const PublicationBatch& other104) {
-  complete = other104.complete;
-  since = other104.since;
-  revision = other104.revision;
-  removalsWaitMicroseconds = other104.removalsWaitMicroseconds;
-  changes = other104.changes;
-  gaps = other104.gaps;
-  epoch = other104.epoch;
-  sinceEpoch = other104.sinceEpoch;
-  __isset = other104.__isset;
-}
-PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other105) {
-  complete = other105.complete;
-  since = other105.since;
-  revision = other105.revision;
-  removalsWaitMicroseconds = other105.removalsWaitMicroseconds;
-  changes = other105.changes;
-  gaps = other105.gaps;
-  epoch = other105.epoch;
-  sinceEpoch = other105.sinceEpoch;
-  __isset = other105.__isset;
+PublicationBatch::PublicationBatch(const PublicationBatch& other124) {
+  complete = other124.complete;
+  since = other124.since;
+  revision = other124.revision;
+  removalsWaitMicroseconds = other124.removalsWaitMicroseconds;
+  changes = other124.changes;
+  gaps = other124.gaps;
+  epoch = other124.epoch;
+  sinceEpoch = other124.sinceEpoch;
+  __isset = other124.__isset;
+}
+PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other125) {
+  complete = other125.complete;
+  since = other125.since;
+  revision = other125.revision;
+  removalsWaitMicroseconds = other125.removalsWaitMicroseconds;
+  changes = other125.changes;
+  gaps = other125.gaps;
+  epoch = other125.epoch;
+  sinceEpoch = other125.sinceEpoch;
+  __isset = other125.__isset;
   return *this;
 }
 void PublicationBatch::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -35,6 +35,8 @@
 
 class Service;
 
+class Customer;
+
 class Configuration;
 
 class ConfigurationDelta;
@@ -325,6 +327,10 @@
 
 std::ostream& operator<<(std::ostream& out, const WeightedService& obj);
 
+typedef struct _Route__isset {
+  _Route__isset() : isPublic(false) {}
+  bool isPublic :1;
+} _Route__isset;
 
 class Route : public virtual ::apache::thrift::TBase {
  public:
@@ -339,7 +345,8 @@
           timeoutMicroseconds(0),
           objectiveMicroseconds(0),
           priority(0),
-          maxTargets(0) {
+          maxTargets(0),
+          isPublic(0) {
   }
 
   virtual ~Route() noexcept;
@@ -353,6 +360,9 @@
   int32_t maxTargets;
   std::vector<WeightedService>  services;
   std::vector<std::string>  homeRegions;
+  bool isPublic;
+
+  _Route__isset __isset;
 
   void __set_name(const std::string& val);
 
@@ -374,6 +384,8 @@
 
   void __set_homeRegions(const std::vector<std::string> & val);
 
+  void __set_isPublic(const bool val);
+
   bool operator == (const Route & rhs) const
   {
     if (!(name == rhs.name))
@@ -396,6 +408,10 @@
       return false;
     if (!(homeRegions == rhs.homeRegions))
       return false;
+    if (__isset.isPublic != rhs.__isset.isPublic)
+      return false;
+    else if (__isset.isPublic && !(isPublic == rhs.isPublic))
+      return false;
     return true;
   }
   bool operator != (const Route &rhs) const {
@@ -463,6 +479,93 @@
 
 std::ostream& operator<<(std::ostream& out, const Service& obj);
 
+typedef struct _Customer__isset {
+  _Customer__isset() : priority(false), homeRegions(false), requestsPerSecond(false), burst(false) {}
+  bool priority :1;
+  bool homeRegions :1;
+  bool requestsPerSecond :1;
+  bool burst :1;
+} _Customer__isset;
+
+class Customer : public virtual ::apache::thrift::TBase {
+ public:
+
+  Customer(const Customer&);
+  Customer& operator=(const Customer&);
+  Customer() noexcept
+           : name(),
+             keyDigests(),
+             priority(0),
+             requestsPerSecond(0),
+             burst(0) {
+  }
+
+  virtual ~Customer() noexcept;
+  std::string name;
+  std::string keyDigests;
+  int32_t priority;
+  std::vector<std::string>  homeRegions;
+  double requestsPerSecond;
+  double burst;
+
+  _Customer__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_keyDigests(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_homeRegions(const std::vector<std::string> & val);
+
+  void __set_requestsPerSecond(const double val);
+
+  void __set_burst(const double val);
+
+  bool operator == (const Customer & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(keyDigests == rhs.keyDigests))
+      return false;
+    if (__isset.priority != rhs.__isset.priority)
+      return false;
+    else if (__isset.priority && !(priority == rhs.priority))
+      return false;
+    if (__isset.homeRegions != rhs.__isset.homeRegions)
+      return false;
+    else if (__isset.homeRegions && !(homeRegions == rhs.homeRegions))
+      return false;
+    if (__isset.requestsPerSecond != rhs.__isset.requestsPerSecond)
+      return false;
+    else if (__isset.requestsPerSecond && !(requestsPerSecond == rhs.requestsPerSecond))
+      return false;
+    if (__isset.burst != rhs.__isset.burst)
+      return false;
+    else if (__isset.burst && !(burst == rhs.burst))
+      return false;
+    return true;
+  }
+  bool operator != (const Customer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Customer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Customer &a, Customer &b);
+
+std::ostream& operator<<(std::ostream& out, const Customer& obj);
+
+typedef struct _Configuration__isset {
+  _Configuration__isset() : customers(false) {}
+  bool customers :1;
+} _Configuration__isset;
 
 class Configuration : public virtual ::apache::thrift::TBase {
  public:
@@ -485,6 +588,9 @@
   int64_t bodyBytes;
   int64_t headTimeoutMicroseconds;
   int64_t idleTimeoutMicroseconds;
+  std::vector<Customer>  customers;
+
+  _Configuration__isset __isset;
 
   void __set_version(const int64_t val);
 
@@ -500,6 +606,8 @@
 
   void __set_idleTimeoutMicroseconds(const int64_t val);
 
+  void __set_customers(const std::vector<Customer> & val);
+
   bool operator == (const Configuration & rhs) const
   {
     if (!(version == rhs.version))
@@ -516,6 +624,10 @@
       return false;
     if (!(idleTimeoutMicroseconds == rhs.idleTimeoutMicroseconds))
       return false;
+    if (__isset.customers != rhs.__isset.customers)
+      return false;
+    else if (__isset.customers && !(customers == rhs.customers))
+      return false;
     return true;
   }
   bool operator != (const Configuration &rhs) const {
@@ -534,6 +646,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Configuration& obj);
 
+typedef struct _ConfigurationDelta__isset {
+  _ConfigurationDelta__isset() : removedCustomers(false) {}
+  bool removedCustomers :1;
+} _ConfigurationDelta__isset;
 
 class ConfigurationDelta : public virtual ::apache::thrift::TBase {
  public:
@@ -548,6 +664,9 @@
   int64_t baseVersion;
   Configuration changes;
   std::vector<std::string>  removedRoutes;
+  std::vector<std::string>  removedCustomers;
+
+  _ConfigurationDelta__isset __isset;
 
   void __set_baseVersion(const int64_t val);
 
@@ -555,6 +674,8 @@
 
   void __set_removedRoutes(const std::vector<std::string> & val);
 
+  void __set_removedCustomers(const std::vector<std::string> & val);
+
   bool operator == (const ConfigurationDelta & rhs) const
   {
     if (!(baseVersion == rhs.baseVersion))
@@ -563,6 +684,10 @@
       return false;
     if (!(removedRoutes == rhs.removedRoutes))
       return false;
+    if (__isset.removedCustomers != rhs.__isset.removedCustomers)
+      return false;
+    else if (__isset.removedCustomers && !(removedCustomers == rhs.removedCustomers))
+      return false;
     return true;
   }
   bool operator != (const ConfigurationDelta &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -59,6 +59,7 @@
   8: required i32 maxTargets
   9: required list<WeightedService> services
   10: required list<string> homeRegions
+  11: optional bool isPublic
 }
 
 struct Service {
@@ -67,6 +68,17 @@
   3: required double coldRate
 }
 
+struct Customer {
+  1: required string name
+  // SHA-256 digests of the API keys, 32 bytes each, one after the other.
+  2: required binary keyDigests
+  // Missing if the priority of the route applies.
+  3: optional i32 priority
+  4: optional list<string> homeRegions
+  5: optional double requestsPerSecond
+  6: optional double burst
+}
+
 struct Configuration {
   1: required i64 version
   2: required list<Route> routes
@@ -75,14 +87,17 @@
   5: required i64 bodyBytes
   6: required i64 headTimeoutMicroseconds
   7: required i64 idleTimeoutMicroseconds
+  // Missing if callers need no API keys.
+  8: optional list<Customer> customers
 }
 
 // Difference of a configuration to an earlier version.
 struct ConfigurationDelta {
   1: required i64 baseVersion
-  // The newer version, with the routes only that are new or have changed.
+  // The newer version, with only the routes and customers that are new or have changed.
   2: required Configuration changes
   3: required list<string> removedRoutes
+  4: optional list<string> removedCustomers
 }
 
 struct Target {
--- a/src/libs/state/ConfigurationDelta.cpp
+++ b/src/libs/state/ConfigurationDelta.cpp
@@ -18,6 +18,13 @@
   Result.Version = Delta.Version;
   Result.Services = Delta.Services;
   Result.Limits = Delta.Limits;
+  Result.Customers = Base.Customers;
+  for (const CustomerName &Each : Delta.RemovedCustomers) {
+    Result.Customers.erase(Each);
+  }
+  for (const auto &[Name, Each] : Delta.ChangedCustomers) {
+    Result.Customers[Name] = Each;
+  }
   for (const Route &Each : Base.Routes) {
     if (const auto Replacement = Changed.extract(Each.Name); !Replacement.empty()) {
       Result.Routes.push_back(*Replacement.mapped());
--- a/src/libs/state/ConfigurationDelta.h
+++ b/src/libs/state/ConfigurationDelta.h
@@ -22,6 +22,9 @@
   /// All services and limits of the newer version.
   std::map<ServiceName, Service> Services;
   CallerLimits Limits;
+  /// Customers that are new or differ from the base.
+  std::map<CustomerName, Customer> ChangedCustomers{};
+  std::vector<CustomerName> RemovedCustomers{};
 
   auto operator<=>(const ConfigurationDelta &) const = default;
 };
--- a/src/libs/transport/ActiveRequest.cpp
+++ b/src/libs/transport/ActiveRequest.cpp
@@ -25,12 +25,16 @@
     : Number(Number), Exchange(&Exchange), Attributes(std::move(Attributes)), Id(std::move(Id)),
       Notify(Notify) {}
 
+const RequestHead &ActiveRequest::head() const { return this->Exchange->head(); }
+
 void ActiveRequest::startAttempt(ConnectionPool &Pool, const RequestMetadataProtocol &Protocol,
-                                 const SendAttempt &Command, Duration RemainingTime) {
+                                 const SendAttempt &Command, Duration RemainingTime,
+                                 const FieldList &AddedFields) {
   auto New = std::make_unique<RequestAttempt>(Pool, Protocol, *this, Command);
   RequestAttempt &Started = *New;
   this->Attempts[Command.Attempt] = std::move(New);
-  Started.start(this->Exchange->head(), this->Exchange->body(), this->Id, RemainingTime);
+  Started.start(this->Exchange->head(), this->Exchange->body(), this->Id, RemainingTime,
+                AddedFields);
 }
 
 void ActiveRequest::cancelAttempt(AttemptNumber Attempt) { this->Attempts.erase(Attempt); }
--- a/src/libs/transport/ActiveRequest.h
+++ b/src/libs/transport/ActiveRequest.h
@@ -41,11 +41,15 @@
 
   RequestNumber number() const { return this->Number; }
   const RequestAttributes &attributes() const { return this->Attributes; }
+  /// Precondition: the request has not given up its exchange.
+  const RequestHead &head() const;
   /// The request id that the caller sent.
   const std::string &id() const { return this->Id; }
 
+  /// `AddedFields` are header fields that replace those of the caller with the same names.
   void startAttempt(ConnectionPool &Pool, const RequestMetadataProtocol &Protocol,
-                    const SendAttempt &Command, Duration RemainingTime);
+                    const SendAttempt &Command, Duration RemainingTime,
+                    const FieldList &AddedFields);
   /// Aborts an attempt by closing its connection.
   void cancelAttempt(AttemptNumber Attempt);
   /// Sends the complete response of an attempt to the caller. Precondition: the attempt ended with
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -91,7 +91,7 @@
            [this] { return this->Proxy.configuration(); },
            [this] { return this->RequestDispatcher.targets().removalDelay(this->now()); }}),
       Proxy({this->RequestDispatcher, this->Connections, Deps.Protocol, this->EntryMetrics,
-             Deps.Time, Deps.Random, [this] { this->applyEffects(); }}),
+             Deps.Time, Deps.Random, [this] { this->applyEffects(); }, this->Authenticator}),
       ForwardedRequests(this->Proxy),
       PageHandler(Deps.Queries, this->Members, this->Settings.FleetTopology, this->Proxy,
                   this->Settings.CallerEndpoint.Port, this->Settings.AddressTtl),
--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -26,6 +26,8 @@
   HttpExchange &operator=(const HttpExchange &) = delete;
 
   const RequestHead &head() const { return this->Request; }
+  /// For changes to the header fields before the request is passed on.
+  RequestHead &head() { return this->Request; }
   /// Removes the forward header of another entry from the request head and returns its content;
   /// nothing if the header is missing or malformed.
   std::optional<ForwardOptions> takeForwardOptions() {
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/RandomSource.h"
 #include "coordination/dispatch/Dispatcher.h"
+#include "protocol/ApiKey.h"
+#include "protocol/ForwardedCustomer.h"
 #include "protocol/Metrics.h"
 #include "protocol/RequestMetadataProtocol.h"
 #include "transport/Clock.h"
@@ -18,6 +20,7 @@
 using namespace std::chrono_literals;
 
 constexpr int BadRequest = 400;
+constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
@@ -129,8 +132,10 @@
 
 void ProxyHandler::setConfiguration(const Configuration &NewConfiguration) {
   this->Routes.reset();
+  this->Customers.reset();
   this->CurrentConfiguration = NewConfiguration;
   this->Routes.emplace(*this->CurrentConfiguration);
+  this->Customers.emplace(*this->CurrentConfiguration);
 }
 
 const Route *ProxyHandler::findRoute(const RequestHead &Head) const {
@@ -140,6 +145,7 @@
 
 RequestAttributes ProxyHandler::makeAttributes(const HttpExchange &Exchange,
                                                const Route &MatchedRoute,
+                                               const CustomerName &Customer,
                                                const std::optional<Duration> &RemainingTime) const {
   RequestAttributes Result;
   Result.ConfigurationVersion = this->CurrentConfiguration->Version;
@@ -147,7 +153,10 @@
   Result.Idempotent = MatchedRoute.Idempotent;
   Result.Priority = MatchedRoute.Priority;
   Result.MaxTargets = std::max<std::uint32_t>(1, MatchedRoute.MaxTargets);
-  Result.HomeRegions = MatchedRoute.HomeRegions;
+  Result.Customer = Customer;
+  if (const auto *Known = this->Customers->find(Customer)) {
+    Result.Priority = Known->Priority.value_or(Result.Priority);
+  }
   Result.ReceivedAt = Exchange.received();
   Result.Objective = MatchedRoute.LatencyObjective;
   Result.Deadline = Result.ReceivedAt +
@@ -180,7 +189,20 @@
     Exchange.respond(localResponse(Unavailable, RetryAfterShutdown), "the entry ends\n");
     return;
   }
+  if (!this->CurrentConfiguration) {
+    this->rejectUnrouted(Exchange, Metadata.RequestId);
+    return;
+  }
   const Route *MatchedRoute = this->findRoute(Exchange.head());
+  // Before the check of the route, so that callers without a key don't learn which routes exist.
+  const AuthenticationDecision Authentication =
+      Forward ? this->acceptForwarded(Exchange, Metadata.RequestId)
+              : this->authenticate(Exchange, MatchedRoute);
+  if (!Authentication.IsAccepted) {
+    this->rejectUnauthenticated(Exchange, Metadata.RequestId, Authentication.Reason,
+                                Forward.has_value());
+    return;
+  }
   if (!MatchedRoute) {
     this->rejectUnrouted(Exchange, Metadata.RequestId);
     return;
@@ -189,8 +211,17 @@
     this->rejectRoutedDifferently(Exchange, Metadata.RequestId, Forward->Service);
     return;
   }
-  RequestAttributes Attributes =
-      this->makeAttributes(Exchange, *MatchedRoute, Metadata.RemainingTime);
+  const Customer *KnownCustomer = this->Customers->find(Authentication.Customer);
+  const auto HomeRegions =
+      commonHomeRegions(MatchedRoute->HomeRegions,
+                        KnownCustomer ? KnownCustomer->HomeRegions : std::set<RegionName>());
+  if (!HomeRegions) {
+    this->rejectWithoutRegion(Exchange, Metadata.RequestId, *MatchedRoute, Authentication.Customer);
+    return;
+  }
+  RequestAttributes Attributes = this->makeAttributes(
+      Exchange, *MatchedRoute, Authentication.Customer, Metadata.RemainingTime);
+  Attributes.HomeRegions = *HomeRegions;
   Attributes.Service = Forward && !Forward->Service.empty()
                            ? Forward->Service
                            : chooseService(*MatchedRoute, this->Deps.Random.uniform());
@@ -201,6 +232,8 @@
     // The latency objective is measured from the arrival at the first entry.
     Attributes.ReceivedAt -= Forward->Elapsed;
   }
+  // Admission checks by customer belong here: the customer (`Attributes.Customer`, empty if there
+  // is none) and the route are known, and the request has not been passed to the dispatcher.
   const RequestNumber Number = ++this->LastNumber;
   this->Requests[Number] = std::make_unique<ActiveRequest>(
       Number, Exchange, Attributes, Metadata.RequestId, this->RequestCallbacks);
@@ -209,6 +242,87 @@
   this->Deps.ApplyEffects();
 }
 
+AuthenticationDecision ProxyHandler::authenticate(HttpExchange &Exchange,
+                                                  const Route *MatchedRoute) {
+  AuthenticationDecision Result = this->Customers->authenticate(
+      readCredential(Exchange.head().Fields), MatchedRoute && MatchedRoute->IsPublic);
+  this->removeEntryFields(Exchange.head());
+  return Result;
+}
+
+AuthenticationDecision ProxyHandler::acceptForwarded(HttpExchange &Exchange,
+                                                     const std::string &Id) {
+  const ForwardedCustomer Stated =
+      takeForwardedCustomer(Exchange.head(), Id, this->Deps.Authenticator);
+  this->removeEntryFields(Exchange.head());
+  switch (Stated.Signature) {
+  case ForwardedCustomer::Proof::Valid:
+    // The decision of the first entry holds, also if the entries have different versions in force.
+    return {true, Stated.Name, {}};
+  case ForwardedCustomer::Proof::None:
+    // Entries of a version without customers don't sign.
+    if (this->Customers->empty()) {
+      return {true, {}, {}};
+    }
+    return {false, {}, "forwarded without a customer signature"};
+  case ForwardedCustomer::Proof::Invalid:
+    break;
+  }
+  return {false, {}, "forwarded with an invalid customer signature"};
+}
+
+void ProxyHandler::removeEntryFields(RequestHead &Head) const {
+  // Without customers, both fields are those of an application behind the entry.
+  if (this->Customers->empty()) {
+    return;
+  }
+  removeCredentials(Head.Fields);
+  std::erase_if(Head.Fields, [this](const auto &Each) {
+    return equalsIgnoreCase(Each.first, this->Deps.Protocol.customerFieldName());
+  });
+}
+
+void ProxyHandler::rejectUnauthenticated(HttpExchange &Exchange, const std::string &Id,
+                                         const std::string &Reason, bool IsForwarded) {
+  // The other entry tries elsewhere after 503. Its caller has been authenticated there.
+  const int Status = IsForwarded ? Unavailable : Unauthorized;
+  this->Deps.RequestMetrics.onRefused(Reason, Status);
+  logEvent(IsForwarded ? LogLevel::Warning : LogLevel::Info, "refused",
+           {{"request", Id},
+            {"reason", Reason},
+            {"version", std::to_string(this->CurrentConfiguration->Version)}});
+  ResponseHead Head = localResponse(Status, Duration(0));
+  if (!IsForwarded) {
+    Head.Fields.emplace_back("WWW-Authenticate", "Bearer");
+  }
+  Exchange.respond(std::move(Head), Reason + "\n");
+}
+
+void ProxyHandler::rejectWithoutRegion(HttpExchange &Exchange, const std::string &Id,
+                                       const Route &MatchedRoute, const CustomerName &Customer) {
+  const std::string Reason = "no region is home region of both route and customer";
+  this->Deps.RequestMetrics.onRefused(Reason, Unavailable);
+  logEvent(LogLevel::Info, "refused",
+           {{"request", Id},
+            {"reason", Reason},
+            {"route", MatchedRoute.Name.str()},
+            {"customer", Customer.str()},
+            {"version", std::to_string(this->CurrentConfiguration->Version)}});
+  Exchange.respond(localResponse(Unavailable, Duration(0)), Reason + "\n");
+}
+
+FieldList ProxyHandler::customerFields(const ActiveRequest &Request,
+                                       const SendAttempt &Command) const {
+  const CustomerName &Name = Request.attributes().Customer;
+  if (Command.Forward) {
+    return forwardedCustomerFields(Request.head(), Request.id(), Name, this->Deps.Authenticator);
+  }
+  if (Name.empty()) {
+    return {};
+  }
+  return {{std::string(this->Deps.Protocol.customerFieldName()), Name.str()}};
+}
+
 void ProxyHandler::rejectUnrouted(HttpExchange &Exchange, const std::string &Id) {
   const bool IsConfigured = this->CurrentConfiguration.has_value();
   const int Status = IsConfigured ? NotFound : Unavailable;
@@ -285,7 +399,8 @@
     logEvent(LogLevel::Info, "sent", sentLogFields(Request->id(), Command));
   }
   Request->startAttempt(this->Deps.Pool, this->Deps.Protocol, Command,
-                        Command.Deadline - this->Deps.Time.now());
+                        Command.Deadline - this->Deps.Time.now(),
+                        this->customerFields(*Request, Command));
 }
 
 void ProxyHandler::apply(const CancelAttempt &Command) {
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/customers/CustomerTable.h"
 #include "coordination/dispatch/DispatchTypes.h"
 #include "coordination/dispatch/RouteTable.h"
 #include "state/Configuration.h"
@@ -18,6 +19,7 @@
 
 class Clock;
 class Dispatcher;
+class MessageAuthenticator;
 class RequestMetadataProtocol;
 class Metrics;
 class RandomSource;
@@ -37,6 +39,8 @@
     /// Applies the pending effects of the dispatcher. Called after each event that may have caused
     /// any.
     std::function<void()> ApplyEffects;
+    /// Signs the customers of forwarded requests with the fleet key.
+    const MessageAuthenticator &Authenticator;
   };
 
   /// Precondition: all dependencies outlive this object.
@@ -45,11 +49,14 @@
   ProxyHandler(const ProxyHandler &) = delete;
   ProxyHandler &operator=(const ProxyHandler &) = delete;
 
-  /// Applies to new requests; requests that are already in progress keep their route and limits.
+  /// Applies to new requests; requests that are already in progress keep their route,
+  /// limits and customer, also if the customer's key is revoked.
   void setConfiguration(const Configuration &NewConfiguration);
   const Configuration *configuration() const {
     return this->CurrentConfiguration ? &*this->CurrentConfiguration : nullptr;
   }
+  /// Null without a configuration.
+  const CustomerTable *customers() const { return this->Customers ? &*this->Customers : nullptr; }
   const RouteTable *routes() const { return this->Routes ? &*this->Routes : nullptr; }
   /// Called when the entry shuts down: from now on, new requests get status 503, which tells the
   /// caller that they did not run.
@@ -74,12 +81,26 @@
 private:
   void handleRequest(HttpExchange &Exchange, const std::optional<ForwardOptions> &Forward);
   RequestAttributes makeAttributes(const HttpExchange &Exchange, const Route &MatchedRoute,
+                                   const CustomerName &Customer,
                                    const std::optional<Duration> &RemainingTime) const;
   const Route *findRoute(const RequestHead &Head) const;
   void rejectUnrouted(HttpExchange &Exchange, const std::string &Id);
   /// Rejects a forwarded request that the first entry routed by another configuration.
   void rejectRoutedDifferently(HttpExchange &Exchange, const std::string &Id,
                                const ServiceName &Service);
+  /// Decides from the API key whether to accept the request of a caller, and removes everything
+  /// from its head that only entries may set or read. `MatchedRoute` may be null.
+  AuthenticationDecision authenticate(HttpExchange &Exchange, const Route *MatchedRoute);
+  /// The same for a request that another entry has authenticated.
+  AuthenticationDecision acceptForwarded(HttpExchange &Exchange, const std::string &Id);
+  /// Removes API keys, and the header field by which entries tell targets the customer.
+  void removeEntryFields(RequestHead &Head) const;
+  void rejectUnauthenticated(HttpExchange &Exchange, const std::string &Id,
+                             const std::string &Reason, bool IsForwarded);
+  void rejectWithoutRegion(HttpExchange &Exchange, const std::string &Id, const Route &MatchedRoute,
+                           const CustomerName &Customer);
+  /// Header fields that tell a target or another entry the customer of a request.
+  FieldList customerFields(const ActiveRequest &Request, const SendAttempt &Command) const;
   ActiveRequest *find(RequestNumber Number);
   /// Removes the request from those in progress, before the connection may delete its exchange.
   void onExchangeReleased(ActiveRequest &Request, const HttpExchange &Exchange);
@@ -92,6 +113,7 @@
   ActiveRequest::Callbacks RequestCallbacks;
   std::optional<Configuration> CurrentConfiguration;
   std::optional<RouteTable> Routes;
+  std::optional<CustomerTable> Customers;
   RequestNumber LastNumber = 0;
   bool RejectsNewRequests = false;
   std::map<RequestNumber, std::unique_ptr<ActiveRequest>> Requests;
--- a/src/libs/transport/RequestAttempt.cpp
+++ b/src/libs/transport/RequestAttempt.cpp
@@ -48,12 +48,19 @@
     : Pool(Pool), Protocol(Protocol), Listener(Listener), Command(std::move(Command)) {}
 
 void RequestAttempt::start(const RequestHead &Head, std::shared_ptr<const std::string> RequestBody,
-                           const std::string &Id, Duration RemainingTime) {
+                           const std::string &Id, Duration RemainingTime,
+                           const FieldList &AddedFields) {
   this->RequestId = Id;
   RequestHead Forwarded = Head;
   Forwarded.Fields = endToEndFields(Head.Fields);
   std::erase_if(Forwarded.Fields,
                 [](const auto &Each) { return equalsIgnoreCase(Each.first, "Expect"); });
+  // After the fields that the caller's `Connection` field names have been dropped.
+  for (const auto &Added : AddedFields) {
+    std::erase_if(Forwarded.Fields,
+                  [&Added](const auto &Each) { return equalsIgnoreCase(Each.first, Added.first); });
+    Forwarded.Fields.push_back(Added);
+  }
   OutgoingRequest Request;
   if (this->Command.Forward) {
     this->Protocol.setRemainingTime(Forwarded.Fields, RemainingTime);
--- a/src/libs/transport/RequestAttempt.h
+++ b/src/libs/transport/RequestAttempt.h
@@ -39,9 +39,11 @@
                  AttemptListener &Listener, SendAttempt Command);
 
   /// Precondition: called once. `Head` and `Body` are the caller's request, and `Body` is not null;
-  /// `RemainingTime` is the time until its deadline.
+  /// `RemainingTime` is the time until its deadline. `AddedFields` replace fields of the caller's
+  /// request with the same names.
   void start(const RequestHead &Head, std::shared_ptr<const std::string> Body,
-             const std::string &RequestId, Duration RemainingTime);
+             const std::string &RequestId, Duration RemainingTime,
+             const FieldList &AddedFields = {});
   /// Closes the connection, which cancels the request. The listener is not called any more; a
   /// response that has arrived can still be read. May be called from the listener's functions.
   /// Precondition: start() was called.
--- a/tests/auto/libs/coordination/tst_configurationhistory.cpp
+++ b/tests/auto/libs/coordination/tst_configurationhistory.cpp
@@ -26,6 +26,14 @@
   return Result;
 }
 
+void addCustomer(Configuration &To, const std::string &Name, double RequestsPerSecond = 1) {
+  Customer Added;
+  Added.Name = CustomerName(Name);
+  Added.Keys = {ApiKeyDigest{static_cast<std::uint8_t>(Name.front())}};
+  Added.RequestsPerSecond = RequestsPerSecond;
+  To.Customers[Added.Name] = Added;
+}
+
 Configuration sorted(Configuration Value) {
   std::sort(Value.Routes.begin(), Value.Routes.end());
   return Value;
@@ -38,6 +46,7 @@
   CPPUNIT_TEST(deltas);
   CPPUNIT_TEST(deltasLeadToTheCurrentVersion);
   CPPUNIT_TEST(unknownBases);
+  CPPUNIT_TEST(customers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,7 +94,12 @@
             Routes.push_back(makeRoute(std::string(1, Name), Weight));
           }
         }
-        const Configuration Newer = makeConfiguration(Version, Routes);
+        Configuration Newer = makeConfiguration(Version, Routes);
+        for (const char Name : {'x', 'y', 'z'}) {
+          if (const auto Rate = *rc::gen::inRange(0, 3); Rate > 0) {
+            addCustomer(Newer, std::string(1, Name), Rate);
+          }
+        }
         History.onConfiguration(Versions.empty() ? nullptr : &Versions.back(), Newer);
         Versions.push_back(Newer);
       }
@@ -103,6 +117,30 @@
     CPPUNIT_ASSERT(IsCorrect);
   }
 
+  /// Guards against sending all customers with each change, and against a revoked key or a removed
+  /// customer that stays valid.
+  void customers() {
+    Configuration Old = makeConfiguration(3, {makeRoute("a")});
+    addCustomer(Old, "kept");
+    addCustomer(Old, "revoked");
+    addCustomer(Old, "gone");
+    Configuration Newer = makeConfiguration(7, {makeRoute("a")});
+    addCustomer(Newer, "kept");
+    addCustomer(Newer, "revoked");
+    Newer.Customers[CustomerName("revoked")].Keys.clear();
+    addCustomer(Newer, "added");
+    ConfigurationHistory History;
+    History.onConfiguration(&Old, Newer);
+    const auto Delta = History.deltaSince(3, Newer);
+    CPPUNIT_ASSERT(Delta && Delta->ChangedRoutes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Delta->ChangedCustomers.size());
+    CPPUNIT_ASSERT(Delta->RemovedCustomers == std::vector{CustomerName("gone")});
+    CPPUNIT_ASSERT(applyDelta(Old, *Delta) == Newer);
+    Configuration Open = makeConfiguration(8, {makeRoute("a")});
+    History.onConfiguration(&Newer, Open);
+    CPPUNIT_ASSERT(applyDelta(Old, *History.deltaSince(3, Open)) == Open);
+  }
+
   /// Guards against a delta that is applied to another version than the one it was made for.
   void unknownBases() {
     const Configuration First = makeConfiguration(1, {makeRoute("a")});
--- a/tests/auto/libs/protocol/tst_publicationcodec.cpp
+++ b/tests/auto/libs/protocol/tst_publicationcodec.cpp
@@ -19,6 +19,20 @@
   Settings.Routes = {RouteValue};
   Settings.Services = {{ServiceName("s"), {ServiceName("s"), "/health", 4.5}}};
   Settings.Limits = {100, 200, 3s, 4s};
+  RouteValue.Name = RouteName("public");
+  RouteValue.IsPublic = true;
+  Settings.Routes.push_back(RouteValue);
+  const auto MakeKey = [](std::uint8_t Byte) {
+    ApiKeyDigest Digest;
+    Digest.fill(Byte);
+    return Digest;
+  };
+  const CustomerName Full("full");
+  const CustomerName Bare("bare");
+  Settings.Customers[Full] = {Full, {MakeKey(0), MakeKey(10), MakeKey(255)},
+                              0,    {RegionName("a"), RegionName("b")},
+                              90.5, 7};
+  Settings.Customers[Bare] = {Bare, {}, std::nullopt, {}, 0, 0};
   const Target TargetValue{TargetName("t1"),
                            ServiceName("s"),
                            {"10.0.0.1", 80},
@@ -45,6 +59,7 @@
 class PublicationCodecTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublicationCodecTest);
   CPPUNIT_TEST(roundTrip);
+  CPPUNIT_TEST(customerDeltas);
   CPPUNIT_TEST(invalidTexts);
   CPPUNIT_TEST(invalidTargetsAreRemoved);
   CPPUNIT_TEST(extremeDurationsAreLimited);
@@ -59,6 +74,21 @@
     CPPUNIT_ASSERT(readBatch(writeBatch({})) == PublicationBatch{});
   }
 
+  /// Guards against a revoked key or a removed customer that stays valid in an entry which gets the
+  /// difference between two versions.
+  void customerDeltas() {
+    PublicationBatch Sent = batchOfAllTypes();
+    const auto Base = std::get<Configuration>(Sent.Changes.front());
+    auto &Newer = std::get<Configuration>(Sent.Changes.front());
+    Newer.Version = 13;
+    Newer.Customers.at(CustomerName("full")).Keys.clear();
+    Newer.Customers.erase(CustomerName("bare"));
+    ConfigurationDelta Delta{12, 13, {}, {}, Newer.Services, Newer.Limits, {}, {}};
+    Delta.ChangedCustomers = Newer.Customers;
+    Delta.RemovedCustomers = {CustomerName("bare")};
+    CPPUNIT_ASSERT(readBatch(writeBatch(Sent, Delta), &Base) == Sent);
+  }
+
   /// Guards against crashes and partially decoded batches.
   void invalidTexts() {
     const std::string Good = writeBatch(batchOfAllTypes());
--- a/tests/auto/libs/transport/FakeProtocol.h
+++ b/tests/auto/libs/transport/FakeProtocol.h
@@ -8,7 +8,7 @@
 namespace anvilsaddle {
 
 /// Protocol with the headers `Id`, `Left` (milliseconds), `Expect-Instance`, `Signed`, `Not-Run`,
-/// `Load` (`running,slots`), `Instance`, `Cold` (milliseconds) and `Leaving`.
+/// `Load` (`running,slots`), `Instance`, `Cold` (milliseconds), `Leaving` and `Customer`.
 class FakeProtocol final : public RequestMetadataProtocol, public EntryQueryProtocol {
 public:
   RequestMetadata readRequest(const RequestHead &Head) const override {
@@ -31,6 +31,8 @@
     Fields.emplace_back("Expect-Instance", Expected.str());
   }
 
+  std::string_view customerFieldName() const override { return "Customer"; }
+
   ResponseMetadata readResponse(const ResponseHead &Head) const override {
     ResponseMetadata Result;
     Result.RequestId = Head.field("Id");
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -4,6 +4,9 @@
 #include "Property.h"
 #include "coordination/dispatch/Dispatcher.h"
 #include "model/SeededRandom.h"
+#include "protocol/ApiKey.h"
+#include "protocol/ForwardedCustomer.h"
+#include "protocol/GlibMessageAuthenticator.h"
 #include "protocol/Metrics.h"
 #include "transport/ConnectionPool.h"
 #include "transport/ForwardHandler.h"
@@ -24,7 +27,8 @@
   Topology Result;
   Result.OwnDomain = FailureDomainName("a1");
   Result.OwnRegion = RegionName("a");
-  Result.RegionByDomain = {{FailureDomainName("a1"), RegionName("a")}};
+  Result.RegionByDomain = {{FailureDomainName("a1"), RegionName("a")},
+                           {FailureDomainName("b1"), RegionName("b")}};
   return Result;
 }
 
@@ -55,7 +59,7 @@
                   this->applyEffects();
                 }}),
         Proxy({RequestDispatcher, Pool, Protocol, RequestMetrics, Time, Random,
-               [this] { this->applyEffects(); }}),
+               [this] { this->applyEffects(); }, Authenticator}),
         Server(Proxy, Time, 100) {
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Server.listen({"127.0.0.1", 0}));
     this->TickTimer = g_timeout_add(
@@ -91,12 +95,43 @@
     this->Proxy.setConfiguration(NewConfiguration);
   }
 
-  void addTarget(const std::string &Name, std::uint16_t Port, const std::string &Service = "s") {
+  /// Adds two customers and a public route to the configuration, as its next version. The keys of
+  /// the first customer are `key-1` and `key-2`; the second one, with the key `key-b`, has the home
+  /// region `b`.
+  void addCustomers() {
+    Configuration NewConfiguration = *this->Proxy.configuration();
+    ++NewConfiguration.Version;
+    Route Public = NewConfiguration.Routes.front();
+    Public.Name = RouteName("public");
+    Public.PathPrefix = "/public/";
+    Public.IsPublic = true;
+    NewConfiguration.Routes.push_back(Public);
+    Customer First;
+    First.Name = CustomerName("first");
+    First.Keys = {digestOf("key-1"), digestOf("key-2")};
+    Customer Second;
+    Second.Name = CustomerName("second");
+    Second.Keys = {digestOf("key-b")};
+    Second.HomeRegions = {RegionName("b")};
+    NewConfiguration.Customers = {{First.Name, First}, {Second.Name, Second}};
+    this->Proxy.setConfiguration(NewConfiguration);
+  }
+
+  /// Publishes a version of the configuration that differs from the current one.
+  void changeConfiguration(const std::function<void(Configuration &)> &Change) {
+    Configuration NewConfiguration = *this->Proxy.configuration();
+    ++NewConfiguration.Version;
+    Change(NewConfiguration);
+    this->Proxy.setConfiguration(NewConfiguration);
+  }
+
+  void addTarget(const std::string &Name, std::uint16_t Port, const std::string &Service = "s",
+                 const std::string &Domain = "a1") {
     Target NewTarget;
     NewTarget.Name = TargetName(Name);
     NewTarget.Service = ServiceName(Service);
     NewTarget.Address = {"127.0.0.1", Port};
-    NewTarget.Domain = FailureDomainName("a1");
+    NewTarget.Domain = FailureDomainName(Domain);
     this->RequestDispatcher.targets().apply(batch(false, {TargetRegistered{NewTarget}}),
                                             this->Time.now());
   }
@@ -116,6 +151,7 @@
   AdvancingClock Time;
   SeededRandom Random;
   FakeProtocol Protocol;
+  GlibMessageAuthenticator Authenticator{"fleet key"};
   Metrics RequestMetrics;
   Dispatcher RequestDispatcher;
   ConnectionPool Pool;
@@ -180,11 +216,50 @@
          "\r\n" + (Method == "POST" ? "Content-Length: 2\r\n\r\nab" : "\r\n");
 }
 
+/// Adds header fields to the text of a request.
+std::string withFields(std::string Request, const std::string &Fields) {
+  return Request.insert(Request.find("Id: 7"), Fields);
+}
+
+/// Returns all values of a header field in the text of a message, each followed by a semicolon.
+/// Field names are compared case-insensitively.
+std::string valuesOf(const std::string &Name, const std::string &Message) {
+  std::string Result;
+  std::size_t At = Message.find("\r\n") + 2;
+  for (std::size_t End = Message.find("\r\n", At); End != At && End != std::string::npos;
+       End = Message.find("\r\n", At)) {
+    const std::string Line = Message.substr(At, End - At);
+    const std::size_t Colon = Line.find(": ");
+    if (Colon != std::string::npos && equalsIgnoreCase(Line.substr(0, Colon), Name)) {
+      Result += Line.substr(Colon + 2) + ";";
+    }
+    At = End + 2;
+  }
+  return Result;
+}
+
+/// Sends a request on a new connection and returns the response once its head is complete.
+std::string exchangeWith(std::uint16_t Port, const std::string &Request) {
+  const auto Caller = RawConnection::connect(Port);
+  Caller->send(Request);
+  CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.find("\r\n\r\n") != std::string::npos; }));
+  runPending();
+  return Caller->Received;
+}
+
+std::string statusOf(const std::string &Response) { return Response.substr(9, 3); }
+
 } // namespace
 
 class ProxyHandlerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ProxyHandlerTest);
   CPPUNIT_TEST(responses);
+  CPPUNIT_TEST(customers);
+  CPPUNIT_TEST(applicationsWithoutCustomers);
+  CPPUNIT_TEST(revokedKeys);
+  CPPUNIT_TEST(homeRegionsOfCustomers);
+  CPPUNIT_TEST(forwardedCustomers);
+  CPPUNIT_TEST(customersOfOtherEntries);
   CPPUNIT_TEST(forwardedRequests);
   CPPUNIT_TEST(forwardedRequestsKeepTheirService);
   CPPUNIT_TEST(unresponsiveTargets);
@@ -263,6 +338,270 @@
     CPPUNIT_ASSERT(Caller->Received.find("Retry-After: 0.3") != std::string::npos);
   }
 
+  /// Guards against requests that are accepted without a valid key or refused with one, against
+  /// keys that reach a target or the caller, and against targets that see another customer than the
+  /// one of the key, because the caller sends the field itself, in any spelling and number, or
+  /// names it in `Connection`.
+  void customers() {
+    struct Case {
+      std::string Path;
+      std::string Fields;
+      std::string Status;
+      std::string Customer;
+    };
+    const std::string Key = "Authorization: Bearer key-1\r\n";
+    const std::string Forged = "Customer: second\r\nCUSTOMER: third\r\n";
+    const Case Table[] = {
+        {"/safe/1", Key, "200", "first;"},
+        {"/safe/1", "authorization: bearer key-2\r\n", "200", "first;"},
+        {"/safe/1", Forged + Key + "cusTomer: \r\n", "200", "first;"},
+        {"/safe/1", Key + "Connection: Customer, Authorization\r\n" + Forged, "200", "first;"},
+        {"/public/1", Key, "200", "first;"},
+        {"/public/1", "", "200", ""},
+        {"/public/1", Forged, "200", ""},
+        {"/safe/1", "", "401", ""},
+        {"/safe/1", Forged, "401", ""},
+        {"/safe/1", "Authorization: Bearer key-3\r\n", "401", ""},
+        {"/safe/1", "Authorization: Bearer key-\r\n", "401", ""},
+        {"/safe/1", "Authorization: key-1\r\n", "401", ""},
+        {"/safe/1", "Authorization: Basic key-1\r\n", "401", ""},
+        {"/safe/1", "Authorization: Bearer key-1 key-1\r\n", "401", ""},
+        {"/safe/1", "Authorization: Bearer " + std::string(9000, 'k') + "\r\n", "401", ""},
+        {"/safe/1", Key + Key, "401", ""},
+        {"/public/1", "Authorization: Bearer key-3\r\n", "401", ""},
+        {"/public/1", Key + "AUTHORIZATION: Bearer key-2\r\n", "401", ""},
+        {"/other/", "", "401", ""},
+        {"/other/", Key, "404", ""},
+    };
+    TestEntry Entry;
+    Entry.configure();
+    Entry.addCustomers();
+    FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+    Entry.addTarget("t1", Target.Server.Port);
+    for (const Case &Each : Table) {
+      const std::string Name = Each.Path + " " + Each.Fields;
+      const int Before = Target.Requests;
+      const std::string Response =
+          exchangeWith(Entry.Server.port(), withFields(makeRequest("GET", Each.Path), Each.Fields));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, Each.Status, statusOf(Response));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, std::string(Each.Status == "401" ? "Bearer;" : ""),
+                                   valuesOf("WWW-Authenticate", Response));
+      CPPUNIT_ASSERT_MESSAGE(Name, Response.find("key-") == std::string::npos);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, Each.Status == "200" ? 1 : 0, Target.Requests - Before);
+      if (Each.Status == "200") {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, Each.Customer,
+                                     valuesOf("Customer", Target.Server.Requests.back()));
+      }
+    }
+    for (const std::string &Head : Target.Server.Requests) {
+      CPPUNIT_ASSERT_MESSAGE(Head, Head.find("key-") == std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(Head, valuesOf("Authorization", Head).empty());
+    }
+  }
+
+  /// Guards against a deployment without customers whose applications no longer get the fields that
+  /// their callers send.
+  void applicationsWithoutCustomers() {
+    TestEntry Entry;
+    Entry.configure();
+    FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+    Entry.addTarget("t1", Target.Server.Port);
+    for (const char *Value : {"Bearer key-1", "Basic a2V5"}) {
+      const std::string Response = exchangeWith(
+          Entry.Server.port(),
+          withFields(makeRequest("GET", "/safe/1"),
+                     std::string("Customer: own\r\nAuthorization: ") + Value + "\r\n"));
+      CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(Response));
+      const std::string &Head = Target.Server.Requests.back();
+      CPPUNIT_ASSERT_EQUAL(std::string(Value) + ";", valuesOf("Authorization", Head));
+      CPPUNIT_ASSERT_EQUAL(std::string("own;"), valuesOf("Customer", Head));
+    }
+  }
+
+  /// Guards against a revoked key that stays valid, a moved one that counts for its former
+  /// customer, and against ending requests that were accepted before the version arrived.
+  void revokedKeys() {
+    TestEntry Entry;
+    Entry.configure();
+    Entry.addCustomers();
+    FakeTarget Target("");
+    Entry.addTarget("t1", Target.Server.Port);
+    const std::string Request =
+        withFields(makeRequest("GET", "/safe/1"), "Authorization: Bearer key-1\r\n");
+    const auto Running = RawConnection::connect(Entry.Server.port());
+    Running->send(Request);
+    CPPUNIT_ASSERT(runUntil([&] { return Target.Requests == 1; }));
+    Entry.changeConfiguration([](Configuration &Value) {
+      Value.Customers.at(CustomerName("first")).Keys = {digestOf("key-2")};
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("401"), statusOf(exchangeWith(Entry.Server.port(), Request)));
+    Target.RequestConnections.front()->send(
+        makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+    CPPUNIT_ASSERT(runUntil([&] { return Running->Received.ends_with("good"); }));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the connection is still open", false, Running->Closed);
+    Running->Received.clear();
+    Running->send(Request);
+    CPPUNIT_ASSERT(runUntil([&] { return !Running->Received.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("401"), statusOf(Running->Received));
+    Entry.changeConfiguration([](Configuration &Value) {
+      Value.Customers.at(CustomerName("second")).Keys.insert(digestOf("key-1"));
+      Value.Customers.at(CustomerName("second")).HomeRegions.clear();
+    });
+    Target.Response = makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good");
+    CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(exchangeWith(Entry.Server.port(), Request)));
+    CPPUNIT_ASSERT_EQUAL(std::string("second;"),
+                         valuesOf("Customer", Target.Server.Requests.back()));
+    Entry.changeConfiguration([](Configuration &Value) { Value.Customers.clear(); });
+    CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(exchangeWith(Entry.Server.port(), Request)));
+  }
+
+  /// Guards against requests that are served outside of the home regions of their customer, and
+  /// against holding a request that no region may serve until its deadline.
+  void homeRegionsOfCustomers() {
+    struct Case {
+      std::set<RegionName> OfRoute;
+      const char *Key;
+      const char *Status;
+    };
+    const RegionName A("a");
+    const RegionName B("b");
+    const Case Table[] = {{{}, "key-1", "200"},  {{A}, "key-1", "200"},    {{A}, "key-b", "503"},
+                          {{A, B}, "key-b", ""}, {{A, B}, "key-1", "200"}, {{}, "key-b", ""}};
+    for (const Case &Each : Table) {
+      TestEntry Entry;
+      Entry.configure();
+      Entry.addCustomers();
+      Entry.changeConfiguration([&Each](Configuration &Value) {
+        for (Route &Changed : Value.Routes) {
+          Changed.HomeRegions = Each.OfRoute;
+        }
+      });
+      FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+      Entry.addTarget("t1", Target.Server.Port);
+      const auto Caller = RawConnection::connect(Entry.Server.port());
+      Caller->send(withFields(makeRequest("GET", "/safe/1"),
+                              std::string("Authorization: Bearer ") + Each.Key + "\r\n"));
+      if (std::string(Each.Status).empty()) {
+        // The customer's region has no target. The request must not run in the entry's region.
+        CPPUNIT_ASSERT(runUntil([&] { return !Caller->Received.empty(); }));
+        CPPUNIT_ASSERT_EQUAL(0, Target.Requests);
+        continue;
+      }
+      CPPUNIT_ASSERT(runUntil([&] { return !Caller->Received.empty(); }));
+      CPPUNIT_ASSERT_EQUAL(std::string(Each.Status), statusOf(Caller->Received));
+      const bool IsRefused = statusOf(Caller->Received) == "503";
+      CPPUNIT_ASSERT_EQUAL(IsRefused ? 0 : 1, Target.Requests);
+      if (IsRefused) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Entry.RequestDispatcher.requestCount());
+        CPPUNIT_ASSERT(Caller->Received.ends_with(
+            "\r\n\r\nno region is home region of both route and customer\n"));
+      }
+    }
+  }
+
+  /// Guards against callers that take the part of another entry to get around the authentication or
+  /// to act as another customer, and against another entry's decision that is not followed.
+  void forwardedCustomers() {
+    const GlibMessageAuthenticator Fleet("fleet key");
+    const GlibMessageAuthenticator Forger("other key");
+    const auto MakeSignature = [](const GlibMessageAuthenticator &Authenticator,
+                                  const std::string &Customer) {
+      RequestHead Head;
+      Head.Method = "POST";
+      Head.RequestTarget = "/unsafe/1";
+      Head.Fields = {{"Host", "h"}};
+      std::string Result;
+      for (const auto &[Name, Value] :
+           forwardedCustomerFields(Head, "7", CustomerName(Customer), Authenticator)) {
+        Result.append(Name).append(": ").append(Value).append("\r\n");
+      }
+      return Result;
+    };
+    struct Case {
+      const char *Name;
+      std::string Fields;
+      bool HasCustomers;
+      std::string Status;
+      std::string Customer;
+    };
+    const Case Table[] = {
+        {"customer", MakeSignature(Fleet, "first"), true, "200", "first;"},
+        {"unknown customer", MakeSignature(Fleet, "newer"), true, "200", "newer;"},
+        {"public", MakeSignature(Fleet, ""), true, "200", ""},
+        {"own field", "Customer: x\r\n" + MakeSignature(Fleet, ""), true, "200", ""},
+        {"key", "Authorization: Bearer key-1\r\n" + MakeSignature(Fleet, ""), true, "200", ""},
+        {"key only", "Authorization: Bearer key-1\r\n", true, "503", ""},
+        {"no signature", "Anvilsaddle-Forwarded-Customer: first\r\n", true, "503", ""},
+        {"forged", MakeSignature(Forger, "first"), true, "503", ""},
+        {"forged, public", MakeSignature(Forger, ""), true, "503", ""},
+        {"older version here", MakeSignature(Fleet, "first"), false, "200", "first;"},
+        {"older entry", "", false, "200", ""},
+    };
+    for (const Case &Each : Table) {
+      TestEntry Entry;
+      Entry.configure();
+      if (Each.HasCustomers) {
+        Entry.addCustomers();
+      }
+      ForwardHandler Handler(Entry.Proxy);
+      HttpServer ForwardServer(Handler, Entry.Time, 10);
+      CPPUNIT_ASSERT_EQUAL(std::string(), ForwardServer.listen({"127.0.0.1", 0}));
+      FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+      Entry.addTarget("t1", Target.Server.Port);
+      const std::string Response = exchangeWith(
+          ForwardServer.port(), withFields(makeRequest("POST", "/unsafe/1"),
+                                           "Anvilsaddle-Forwarded: 1 0 30\r\n" + Each.Fields));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Status, statusOf(Response));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Status == "200" ? 1 : 0, Target.Requests);
+      if (Target.Requests == 1) {
+        const std::string &Head = Target.Server.Requests.back();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Customer, valuesOf("Customer", Head));
+        CPPUNIT_ASSERT_MESSAGE(Head, Head.find("key-") == std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(Head, Head.find("Forwarded") == std::string::npos);
+      }
+    }
+  }
+
+  /// Guards against a customer that is lost or a key that is passed on when another region serves
+  /// the request, also if the caller sends the fields of entries itself.
+  void customersOfOtherEntries() {
+    struct Case {
+      const char *Path;
+      std::string Fields;
+      std::string Customer;
+    };
+    const std::string Forged = "Anvilsaddle-Forwarded-Customer: second\r\n"
+                               "Anvilsaddle-Forwarded-Signature: 00\r\nCustomer: second\r\n";
+    const Case Table[] = {{"/safe/1", "Authorization: Bearer key-1\r\n", "first;"},
+                          {"/safe/1", Forged + "Authorization: Bearer key-1\r\n", "first;"},
+                          {"/public/1", "", ""},
+                          {"/public/1", Forged, ""}};
+    for (const Case &Each : Table) {
+      TestEntry Serving;
+      Serving.configure();
+      Serving.addCustomers();
+      FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+      Serving.addTarget("t1", Target.Server.Port);
+      ForwardHandler Handler(Serving.Proxy);
+      HttpServer ForwardServer(Handler, Serving.Time, 10);
+      CPPUNIT_ASSERT_EQUAL(std::string(), ForwardServer.listen({"127.0.0.1", 0}));
+      TestEntry Entry;
+      Entry.configure();
+      Entry.addCustomers();
+      // The port is closed, so that only a forwarded request succeeds.
+      Entry.addTarget("t1", 1, "s", "b1");
+      Entry.RequestDispatcher.setRemoteEntries(
+          {{RegionName("b"), {{"127.0.0.1", ForwardServer.port()}}}});
+      const std::string Response =
+          exchangeWith(Entry.Server.port(), withFields(makeRequest("GET", Each.Path), Each.Fields));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Fields, std::string("200"), statusOf(Response));
+      const std::string &Head = Target.Server.Requests.back();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Fields, Each.Customer, valuesOf("Customer", Head));
+      CPPUNIT_ASSERT_MESSAGE(Head, Head.find("key-") == std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(Head, Head.find("Forwarded") == std::string::npos);
+    }
+  }
+
   /// Guards against accepting forwarded requests without a valid forward header, against sending
   /// this header to a target, and against queueing a request for which the other entry did not
   /// allow it.
--- a/tests/auto/platform/tst_platformprotocol.cpp
+++ b/tests/auto/platform/tst_platformprotocol.cpp
@@ -24,6 +24,7 @@
 class PlatformProtocolTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformProtocolTest);
   CPPUNIT_TEST(requestMetadata);
+  CPPUNIT_TEST(customerField);
   CPPUNIT_TEST(loadReports);
   CPPUNIT_TEST(requestLimits);
   CPPUNIT_TEST(leavingTargets);
@@ -54,6 +55,12 @@
     }
   }
 
+  /// Guards against another name of the field, by which targets would not learn the customer.
+  void customerField() {
+    CPPUNIT_ASSERT_EQUAL(std::string("X-Anvilsaddle-Tenant"),
+                         std::string(Protocol.customerFieldName()));
+  }
+
   /// Guards against numbers that wrap around, so that a target with a long queue seems to be idle.
   void loadReports() {
     const std::pair<const char *, std::optional<LoadReport>> Table[] = {
--- a/tests/auto/platform/tst_storedecoder.cpp
+++ b/tests/auto/platform/tst_storedecoder.cpp
@@ -1,5 +1,6 @@
 #include "Property.h"
 #include "platform/StoreDecoder.h"
+#include "protocol/ApiKey.h"
 
 using namespace anvilsaddle;
 using namespace anvilsaddle::platform;
@@ -11,6 +12,20 @@
     R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"kaskelen","version":"v1",)"
     R"("slots":3,"state":"ready","coldRemainingS":1.5,"sequence":4,"born":1700000000123})";
 
+/// Returns a configuration with two routes and the given field `tenants`.
+std::string withCustomers(const std::string &Customers) {
+  return R"({"version":"1f","routes":{"columns":["name","host","pathPrefix","kind","service",)"
+         R"("public"],"rows":[["r-1","h","/x/","safe","s",true],["r-2","h","/y/","safe","s",null]]},)"
+         R"("services":{"columns":["name"],"rows":[["s"]]},"tenants":)" +
+         Customers + "}";
+}
+
+std::string withCustomerRow(const std::string &Row) {
+  return withCustomers(R"({"columns":["name","apiKeys","priority","requestsPerS","burst",)"
+                       R"("allowedRegions"],"rows":[)" +
+                       Row + "]}");
+}
+
 const char *const GoodConfiguration =
     R"({"version":"0000001f","routes":{"columns":["name","host","pathPrefix","kind","timeoutS",)"
     R"("targetLatencyS","priority","service","attempts","allowedRegions","trafficSplit"],"rows":[)"
@@ -29,6 +44,8 @@
   CPPUNIT_TEST(invalidTargets);
   CPPUNIT_TEST(sequencesOfTargets);
   CPPUNIT_TEST(configurations);
+  CPPUNIT_TEST(customers);
+  CPPUNIT_TEST(invalidCustomers);
   CPPUNIT_TEST(otherItems);
   CPPUNIT_TEST(arbitraryBytesAreHandled);
   CPPUNIT_TEST_SUITE_END();
@@ -153,6 +170,62 @@
     CPPUNIT_ASSERT(std::holds_alternative<Diagnostic>(readItem({"op/config", "{}"})));
   }
 
+  /// Guards against keys and restrictions that are not taken over, and against a configuration
+  /// without customers that is refused or needs keys.
+  void customers() {
+    const auto ReadCustomers = [](const std::string &Text) {
+      return std::get<Configuration>(std::get<Publication>(readItem({"op/config", Text})));
+    };
+    const Configuration Settings = ReadCustomers(withCustomerRow(
+        R"(["sese880",["63is47qdqiqrh4jcda9r","gy35ieispuxsr7i427ey"],1,90,45.5,["a","b"]],)"
+        R"(["null",null,null,null,null,null],["short",[]])"));
+    const Customer Full{CustomerName("sese880"),
+                        {digestOf("63is47qdqiqrh4jcda9r"), digestOf("gy35ieispuxsr7i427ey")},
+                        1,
+                        {RegionName("a"), RegionName("b")},
+                        90,
+                        45.5};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Settings.Customers.size());
+    CPPUNIT_ASSERT(Settings.Customers.at(CustomerName("sese880")) == Full);
+    for (const char *Name : {"null", "short"}) {
+      Customer Expected;
+      Expected.Name = CustomerName(Name);
+      CPPUNIT_ASSERT(Settings.Customers.at(CustomerName(Name)) == Expected);
+    }
+    CPPUNIT_ASSERT(Settings.Routes[0].IsPublic && !Settings.Routes[1].IsPublic);
+    CPPUNIT_ASSERT(ReadCustomers(withCustomers("null")).Customers.empty());
+    CPPUNIT_ASSERT(ReadCustomers(GoodConfiguration).Customers.empty());
+  }
+
+  /// Guards against invalid customers, and against error texts that contain a key.
+  void invalidCustomers() {
+    const char *const Table[] = {R"([null,["secretkey"]])",
+                                 R"(["",["secretkey"]])",
+                                 R"([3,["secretkey"]])",
+                                 R"(["t\r\nX: y",["secretkey"]])",
+                                 R"(["t",["secretkey",3]])",
+                                 R"(["t",["secretkey",""]])",
+                                 R"(["t",["secretkey","secretkey "]])",
+                                 R"(["t","secretkey"])",
+                                 R"(["t",["secretkey"],-1])",
+                                 R"(["t",["secretkey"],"secretkey"])",
+                                 R"(["t",["secretkey"],1.5])",
+                                 R"(["t",["secretkey"],1,-3])",
+                                 R"(["t",["secretkey"],1,3,"secretkey"])",
+                                 R"(["t",["secretkey"],1,3,4,[7]])",
+                                 R"(["t",{"secretkey":1}])"};
+    for (const char *Row : Table) {
+      const auto Decoded = readItem({"op/config", withCustomerRow(Row)});
+      CPPUNIT_ASSERT_MESSAGE(Row, std::holds_alternative<Diagnostic>(Decoded));
+      CPPUNIT_ASSERT_MESSAGE(Row, std::get<Diagnostic>(Decoded).Message.find("secretkey") ==
+                                      std::string::npos);
+    }
+    for (const char *Text : {"[]", "3", R"({"rows":[]})"}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          Text, std::holds_alternative<Diagnostic>(readItem({"op/config", withCustomers(Text)})));
+    }
+  }
+
   void otherItems() {
     const auto Started = readItem({"op/evacuate/lenger", "{}"});
     CPPUNIT_ASSERT(std::get<DomainEvacuation>(std::get<Publication>(Started)) ==
