Let customers of one priority take turns in the queue

A customer that sends many requests took the slots of all others: the queue ordered requests by objective, and in an overload the newest came first.

The queue now keeps the requests of each customer apart and chooses between them by start-time fair queueing, with one dispatch as the unit. Within a customer the order is as before, so deployments without customers keep it. A customer whose requests all miss their objective comes after those who can still meet theirs; such a request costs four dispatches, so that it still gets a quarter of the mean rate. The request in the last place, which is refused first, is one of the customer with the most. New requests no longer search at once while another customer's wait.

The new test of floods plays a customer with ten times the capacity against 1 to 39 others for 60 virtual seconds.

--- a/src/libs/coordination/dispatch/DispatchQueue.h
+++ b/src/libs/coordination/dispatch/DispatchQueue.h
@@ -12,8 +12,13 @@
 namespace anvilsaddle {
 
 /// Queue of the requests of one service that wait at this entry for a target with free capacity.
-/// The order is by priority; then requests that can still meet their objective come before those
-/// that can't; then the one that must be sent first to meet it comes first.
+/// The order is by priority. Customers of one priority take turns by start-time fair queueing: each
+/// has a virtual time that advances with its dispatches, and the one with the lowest comes first.
+/// The requests without a customer count as one. A customer whose requests all miss their objective
+/// comes after those who can still meet theirs, but gets at least a quarter of their rate.
+///
+/// Of one customer, requests that can still meet their objective come before those that can't; then
+/// the one that must be sent first to meet it comes first.
 ///
 /// This order works for short waits. In an overload it would send each request just before its time
 /// expires, so that all responses would be late. Therefore, once the first request has waited for
@@ -34,6 +39,8 @@
   /// True if all queued requests miss their objective, so that requests of other entries that can
   /// still meet theirs should go first. False if the queue is empty.
   bool allMissObjective(TimePoint Now) const;
+  /// True if a request of the same priority and another customer is in the queue.
+  bool hasOtherCustomers(const RequestAttributes &Attributes) const;
   /// Returns the request in the last place; nothing if the queue is empty.
   std::optional<RequestNumber> back() const;
   /// Expected wait of the last request; nothing as long as there are too few dispatches.
@@ -41,8 +48,9 @@
   bool empty() const { return this->Requests.empty(); }
   std::size_t size() const { return this->Requests.size(); }
 
-  /// Records that a request of the service was sent to a target.
-  void onDispatched(TimePoint Now);
+  /// Records that a request of the service was sent to a target. `ProcessingTime` is the usual time
+  /// at a target.
+  void onDispatched(const RequestAttributes &Attributes, Duration ProcessingTime, TimePoint Now);
   /// Expected wait of a request that arrives now, estimated from the dispatches while the queue was
   /// not empty; nothing as long as these are too few. Dispatches without a queue only reflect how
   /// many requests arrived.
@@ -51,7 +59,6 @@
 
 private:
   struct SortKey {
-    std::uint32_t Priority = 0;
     bool MissesObjective = false;
     /// Latest time of dispatch that meets the objective.
     TimePoint LatestDispatch{};
@@ -60,23 +67,51 @@
     auto operator<=>(const SortKey &) const = default;
   };
 
+  /// Requests of one customer and priority.
+  struct Lane {
+    std::set<SortKey> Order;
+    /// Number of dispatches, counted from the virtual time at which the customer became active.
+    double VirtualTime = 0;
+
+    bool canMeetObjective() const {
+      return !this->Order.empty() && !this->Order.begin()->MissesObjective;
+    }
+  };
+
+  /// Requests of one priority.
+  struct Level {
+    std::map<CustomerName, Lane> Lanes;
+    /// Virtual time of the last dispatch, at which customers begin that become active.
+    double VirtualTime = 0;
+
+    bool empty() const;
+  };
+
   /// Mean time between two dispatches while requests wait; nothing as long as there are too few
   /// dispatches.
   std::optional<Duration> dispatchInterval(TimePoint Now) const;
   /// Number of requests ahead of a new one.
-  std::size_t countAhead(const SortKey &New, TimePoint Now) const;
-  bool isOverloaded(TimePoint Now) const;
-  void demote(const SortKey &Key);
+  std::size_t countAhead(const RequestAttributes &Attributes, const SortKey &New,
+                         TimePoint Now) const;
+  /// Returns the request of the lane to send next. Precondition: the lane is not empty.
+  RequestNumber frontOf(Lane &From, TimePoint Now);
+  bool isOverloaded(const Lane &Value, TimePoint Now) const;
+  /// Whether the most urgent requests wait too long: those of the customer, or those of another one
+  /// if it has none among them.
+  bool isOverloaded(const CustomerName &Customer, TimePoint Now) const;
+  void demote(Lane &From, const SortKey &Key);
   static SortKey makeKey(RequestNumber Request, const RequestAttributes &Attributes,
                          Duration ProcessingTime, TimePoint Now);
 
   struct QueuedRequest {
     SortKey Key;
+    std::uint32_t Priority = 0;
+    CustomerName Customer;
     /// Time at which half of the possible waiting time has passed.
     TimePoint HalfWaitTime{};
   };
 
-  std::set<SortKey> Order;
+  std::map<std::uint32_t, Level> Levels;
   std::map<RequestNumber, QueuedRequest> Requests;
   /// Time since when the queue has not been empty.
   TimePoint NonEmptySince{};
--- a/src/libs/coordination/dispatch/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -50,7 +50,9 @@
   }
   this->State.updateTimer(Number, Request);
   ServiceQueue &Queue = this->State.Queues[Request.Attributes.Service];
-  if (!Queue.Requests.empty() && !Queue.Requests.allMissObjective(Now)) {
+  // A request that searches at once would take the turn of another customer's.
+  if (!Queue.Requests.empty() && (!Queue.Requests.allMissObjective(Now) ||
+                                  Queue.Requests.hasOtherCustomers(Request.Attributes))) {
     this->Queueing.enqueue(Number, false, Now);
     return;
   }
--- a/src/libs/coordination/dispatch/RequestSearches.cpp
+++ b/src/libs/coordination/dispatch/RequestSearches.cpp
@@ -143,12 +143,12 @@
   Attempted.Slowdown = Details.Load.Slowdown;
   Attempted.Occupancy = Choice.Occupancy;
   Request.Attempts.push_back(std::move(Attempted));
-  Request.HedgeAt =
-      Request.hedgeTime(this->State.Estimates.estimate(Request.Attributes, Now).ProcessingTime,
-                        Details.ExpectedCost, Now);
+  const Duration ProcessingTime =
+      this->State.Estimates.estimate(Request.Attributes, Now).ProcessingTime;
+  Request.HedgeAt = Request.hedgeTime(ProcessingTime, Details.ExpectedCost, Now);
   this->State.updateTimer(Number, Request);
   const ServiceName Service = Request.Attributes.Service;
-  this->State.Queues[Service].onDispatched(Now);
+  this->State.Queues[Service].onDispatched(Request.Attributes, ProcessingTime, Now);
   this->State.Effects.emplace_back(
       SendAttempt{Number, Attempt, Name, Selected.Registration.Address, Request.Attributes.Deadline,
                   Request.Attributes.Idempotent, Details, std::nullopt});
--- a/src/libs/coordination/dispatch/ServiceQueue.cpp
+++ b/src/libs/coordination/dispatch/ServiceQueue.cpp
@@ -19,8 +19,9 @@
   this->SearchInterval = std::min(MaxSearchInterval, this->SearchInterval * 2);
 }
 
-void ServiceQueue::onDispatched(TimePoint Now) {
-  this->Requests.onDispatched(Now);
+void ServiceQueue::onDispatched(const RequestAttributes &Attributes, Duration ProcessingTime,
+                                TimePoint Now) {
+  this->Requests.onDispatched(Attributes, ProcessingTime, Now);
   this->SearchInterval = MinSearchInterval;
 }
 
--- a/src/libs/coordination/dispatch/ServiceQueue.h
+++ b/src/libs/coordination/dispatch/ServiceQueue.h
@@ -20,7 +20,7 @@
   void onSearchEnded() { this->RunningSearches -= this->RunningSearches > 0 ? 1 : 0; }
   void onSearchFailed();
   /// Records that a request was sent to a target.
-  void onDispatched(TimePoint Now);
+  void onDispatched(const RequestAttributes &Attributes, Duration ProcessingTime, TimePoint Now);
   /// Called before the first request is added. `IsFromQueue` tells that the request was taken from
   /// the queue for a search.
   void onNonEmpty(bool IsFromQueue);
--- a/tests/auto/libs/coordination/tst_dispatchqueue.cpp
+++ b/tests/auto/libs/coordination/tst_dispatchqueue.cpp
@@ -1,6 +1,10 @@
 #include "Property.h"
 #include "coordination/dispatch/DispatchQueue.h"
 
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 using namespace anvilsaddle;
@@ -20,6 +24,49 @@
   return Result;
 }
 
+RequestAttributes makeAttributes(const std::string &Customer, Duration Objective,
+                                 TimePoint Received = Start, std::uint32_t Priority = 2) {
+  RequestAttributes Result = makeAttributes(Priority, Objective, Received);
+  Result.Customer = CustomerName(Customer);
+  return Result;
+}
+
+/// A queue that knows the attributes of its requests.
+class RequestQueue {
+public:
+  void push(const RequestAttributes &Attributes, TimePoint Now) {
+    this->Attributes[++this->LastNumber] = Attributes;
+    this->Queue.push(this->LastNumber, Attributes, 100ms, false, Now);
+  }
+  /// Takes the first request and returns its customer; nothing if the queue is empty.
+  std::optional<std::string> dispatch(TimePoint Now) {
+    const auto First = this->Queue.front(Now);
+    if (!First) {
+      return std::nullopt;
+    }
+    const RequestAttributes Dispatched = this->Attributes.at(*First);
+    this->Queue.remove(*First);
+    this->Queue.onDispatched(Dispatched, 100ms, Now);
+    return Dispatched.Customer.str();
+  }
+  /// Removes what waits for longer than its callers do.
+  void removeExpired(TimePoint Now) {
+    std::erase_if(this->Attributes, [&](const auto &Each) {
+      const bool IsExpired = Each.second.ReceivedAt + 3s < Now;
+      if (IsExpired) {
+        this->Queue.remove(Each.first);
+      }
+      return IsExpired;
+    });
+  }
+
+  DispatchQueue Queue;
+
+private:
+  RequestNumber LastNumber = 0;
+  std::map<RequestNumber, RequestAttributes> Attributes;
+};
+
 } // namespace
 
 class DispatchQueueTest : public CppUnit::TestFixture {
@@ -28,6 +75,9 @@
   CPPUNIT_TEST(newestFirstInOverload);
   CPPUNIT_TEST(knowsWhetherAllMissTheirObjective);
   CPPUNIT_TEST(estimatesWaits);
+  CPPUNIT_TEST(customersTakeTurns);
+  CPPUNIT_TEST(floodsLeaveOthersTheirShare);
+  CPPUNIT_TEST(waitsAmongCustomers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,7 +154,7 @@
     DispatchQueue Queue;
     const RequestAttributes Attributes = makeAttributes(2, 5s);
     for (int Index = 0; Index < 3; ++Index) {
-      Queue.onDispatched(Start - 100ms);
+      Queue.onDispatched(Attributes, 100ms, Start - 100ms);
     }
     for (RequestNumber Number = 1; Number <= 5; ++Number) {
       Queue.push(Number, makeAttributes(2, 4s), 100ms, false, Start);
@@ -112,7 +162,7 @@
     CPPUNIT_ASSERT_MESSAGE("no dispatches yet",
                            !Queue.expectedWait(Attributes, 100ms, Start + 300ms));
     for (int Index = 1; Index <= 10; ++Index) {
-      Queue.onDispatched(Start + Index * 50ms);
+      Queue.onDispatched(Attributes, 100ms, Start + Index * 50ms);
     }
     CPPUNIT_ASSERT_MESSAGE("too early", !Queue.expectedWait(Attributes, 100ms, Start + 200ms));
     struct Case {
@@ -140,6 +190,118 @@
     Queue.push(9, Attributes, 100ms, false, Start + 2s);
     CPPUNIT_ASSERT_MESSAGE("a new queue", !Queue.expectedWait(Attributes, 100ms, Start + 2300ms));
   }
+
+  /// Guards against a customer with many requests that are served before those of others, against
+  /// customers that save up turns while they send nothing, and against turns that come before the
+  /// priority.
+  void customersTakeTurns() {
+    RequestQueue Requests;
+    const auto PushSome = [&Requests](const char *Customer, int Count, std::uint32_t Priority) {
+      for (int Index = 0; Index < Count; ++Index) {
+        Requests.push(makeAttributes(Customer, 5s, Start, Priority), Start);
+      }
+    };
+    const auto DispatchSome = [&Requests](int Count) {
+      std::string Result;
+      for (int Index = 0; Index < Count; ++Index) {
+        const std::string Customer = Requests.dispatch(Start).value_or("?");
+        Result += Customer.empty() ? "-" : Customer;
+      }
+      return Result;
+    };
+    PushSome("f", 100, 2);
+    CPPUNIT_ASSERT_EQUAL(std::string("ffff"), DispatchSome(4));
+    // The others begin at the virtual time of the last dispatch, which is one before that of f.
+    PushSome("a", 3, 2);
+    PushSome("", 2, 2);
+    PushSome("u", 2, 1);
+    CPPUNIT_ASSERT_EQUAL(std::string("uu"), DispatchSome(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("-a-afafff"), DispatchSome(9));
+    PushSome("a", 100, 2);
+    const std::string Turns = DispatchSome(20);
+    // Again it begins one before f, however long it sent nothing.
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{11}, std::count(Turns.begin(), Turns.end(), 'a'));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{9}, std::count(Turns.begin(), Turns.end(), 'f'));
+  }
+
+  /// Guards against a flood of one customer that takes the turns of others: each other one must get
+  /// at least a quarter of the mean rate, also if all its requests miss their objective, and as
+  /// much as it asks for if that is less than its share and its requests can meet their objective.
+  void floodsLeaveOthersTheirShare() {
+    struct Case {
+      const char *Name;
+      int Customers;
+      Duration Objective;
+      double DemandInShares;
+      double MinServedInShares;
+    };
+    const Case Table[] = {
+        {"two customers", 2, 500ms, 1, 0.25},
+        {"ten customers", 10, 500ms, 1, 0.25},
+        {"forty customers", 40, 500ms, 1, 0.25},
+        {"all overloaded", 10, 500ms, 3, 0.25},
+        {"always late, two customers", 2, 50ms, 1, 0.25},
+        {"always late, ten customers", 10, 50ms, 1, 0.25},
+        {"half of the share", 10, 500ms, 0.5, 0.45},
+    };
+    constexpr Duration Step = 10ms;
+    constexpr int Steps = 6000;
+    for (const Case &Each : Table) {
+      RequestQueue Requests;
+      std::map<std::string, int> Served;
+      std::vector<double> Demands(static_cast<std::size_t>(Each.Customers), 0.0);
+      for (int Index = 0; Index < Steps; ++Index) {
+        const TimePoint Now = Start + Index * Step;
+        // One dispatch in a step; the flood is ten requests in a step.
+        for (int Customer = 0; Customer < Each.Customers; ++Customer) {
+          double &Demand = Demands[static_cast<std::size_t>(Customer)];
+          Demand += Customer == 0 ? 10 : Each.DemandInShares / Each.Customers;
+          const int Arrivals = static_cast<int>(Demand);
+          Demand -= Arrivals;
+          for (int Arrival = 0; Arrival < Arrivals; ++Arrival) {
+            Requests.push(makeAttributes(std::to_string(Customer),
+                                         Customer == 0 ? 500ms : Each.Objective, Now),
+                          Now);
+          }
+        }
+        if (Index % 100 == 0) {
+          Requests.removeExpired(Now);
+        }
+        ++Served[Requests.dispatch(Now).value_or("none")];
+      }
+      const double Share = static_cast<double>(Steps) / Each.Customers;
+      for (int Customer = 1; Customer < Each.Customers; ++Customer) {
+        const int Count = Served[std::to_string(Customer)];
+        CPPUNIT_ASSERT_MESSAGE(std::string(Each.Name) + ": " + std::to_string(Count) + " of " +
+                                   std::to_string(Share),
+                               Count >= Each.MinServedInShares * Share);
+      }
+    }
+  }
+
+  /// Guards against refusing requests of one customer because another one has many in the queue.
+  void waitsAmongCustomers() {
+    RequestQueue Requests;
+    for (int Index = 0; Index < 20; ++Index) {
+      Requests.push(makeAttributes("f", 5s), Start);
+    }
+    for (int Index = 1; Index <= 10; ++Index) {
+      Requests.dispatch(Start + Index * 50ms);
+    }
+    const TimePoint Now = Start + 500ms;
+    const RequestAttributes Flood = makeAttributes("f", 6s);
+    const RequestAttributes Other = makeAttributes("o", 6s);
+    DispatchQueue &Queue = Requests.Queue;
+    CPPUNIT_ASSERT(Queue.expectedWait(Flood, 100ms, Now) == 500ms);
+    CPPUNIT_ASSERT(Queue.expectedWait(Other, 100ms, Now) == 0ms);
+    CPPUNIT_ASSERT(Queue.hasOtherCustomers(Other) && !Queue.hasOtherCustomers(Flood));
+    Requests.push(Other, Now);
+    Requests.push(Other, Now);
+    CPPUNIT_ASSERT(Queue.expectedWait(Other, 100ms, Now) <= 200ms);
+    CPPUNIT_ASSERT(Queue.expectedWait(Flood, 100ms, Now) == 600ms);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("a request of the flood is in the last place", RequestNumber{20},
+                                 *Queue.back());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchQueueTest);
