Refuse unauthenticated requests before their body is read

A caller without a valid key could make an entry hold bodies up to the size limit, because the key was checked with the complete request.

The handler is now asked about a request once its head is complete. It responds with 401 and closes the connection; the body is discarded, and no interim response invites the caller to send it. The check is repeated with the complete request, as another version may have come into force in between.

The lines "forwarded" and "answered" name the customer if there is one, and the refusal for want of a common region names the regions of both sides.

--- a/src/libs/protocol/RequestParser.h
+++ b/src/libs/protocol/RequestParser.h
@@ -35,7 +35,9 @@
   void add(std::string_view Bytes);
   /// Parses the buffered bytes, up to the end of the current request.
   State parse();
-  /// Head of the request. Precondition: parse() returned Complete.
+  /// Returns true if the head of the current request has been parsed.
+  bool isHeadComplete() const { return this->IsHeadComplete; }
+  /// Head of the request. Precondition: isHeadComplete().
   const RequestHead &head() const { return this->Head; }
   /// Moves the body of the request out. Precondition: parse() returned Complete.
   std::string takeBody();
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -131,6 +131,12 @@
       return;
     }
     if (Result == RequestParser::State::Incomplete) {
+      if (this->Parser.isHeadComplete() && !std::exchange(this->HasCheckedHead, true)) {
+        if (auto Rejection = this->Server.handler().onHead(this->Parser.head())) {
+          this->rejectRequest(std::move(*Rejection));
+          return;
+        }
+      }
       if (this->Parser.awaitsContinue() && this->Exchanges.empty() &&
           !std::exchange(this->ContinueSent, true)) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -139,6 +145,7 @@
       return;
     }
     this->ContinueSent = false;
+    this->HasCheckedHead = false;
     this->Exchanges.push_back(std::make_unique<HttpExchange>(
         *this, this->Parser.head(), this->Parser.takeBody(), this->Server.now()));
     this->Parser.next();
@@ -148,13 +155,21 @@
 }
 
 void HttpConnection::rejectRequest(int Status, const std::string &Text) {
+  ResponseHead Head;
+  Head.Status = Status;
+  Head.Reason = reasonPhrase(Status);
+  Head.Fields = {{"Content-Type", "text/plain"}};
+  this->rejectRequest({std::move(Head), Text + "\n"});
+}
+
+void HttpConnection::rejectRequest(HeadRejection Rejection) {
   this->IsRejected = true;
   RequestHead Placeholder;
   Placeholder.Method = "GET";
   Placeholder.KeepAlive = false;
   this->Exchanges.push_back(
       std::make_unique<HttpExchange>(*this, std::move(Placeholder), "", this->Server.now()));
-  this->Exchanges.back()->respondText(Status, "text/plain", Text + "\n");
+  this->Exchanges.back()->respond(std::move(Rejection.Head), Rejection.Text);
 }
 
 void HttpConnection::flush() {
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -64,6 +64,7 @@
   std::optional<CloseReason> readAvailable();
   void parse();
   void rejectRequest(int Status, const std::string &Text);
+  void rejectRequest(HeadRejection Rejection);
   void write();
   /// Returns true if there may be more to write.
   bool onFrontWritten();
@@ -99,6 +100,8 @@
   bool IsRejected = false;
   bool IsFlushing = false;
   bool ContinueSent = false;
+  /// The handler has been asked about the head of the request that is being received.
+  bool HasCheckedHead = false;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -74,11 +74,21 @@
   std::function<void()> OnDrained;
 };
 
+/// Response to a request whose body has not been read.
+struct HeadRejection {
+  ResponseHead Head;
+  std::string Text;
+};
+
 /// Receives the requests of an HttpServer. Not thread-safe.
 class HttpHandler {
 public:
   virtual ~HttpHandler() = default;
 
+  /// The head of a request has arrived, but not its body. Returns a response if the request is to
+  /// be rejected without its body, which closes the connection. The decision is repeated in
+  /// onRequest() if it is not rejected now.
+  virtual std::optional<HeadRejection> onHead(const RequestHead &) { return std::nullopt; }
   /// The complete request has arrived. The handler must end the exchange, either immediately or
   /// later.
   virtual void onRequest(HttpExchange &Exchange) = 0;
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -81,6 +81,22 @@
                      [&Service](const WeightedService &Each) { return Each.Service == Service; });
 }
 
+/// Adds the customer unless the request belongs to none.
+LogFields withCustomer(LogFields Fields, const CustomerName &Customer) {
+  if (!Customer.empty()) {
+    Fields.emplace_back("customer", Customer.str());
+  }
+  return Fields;
+}
+
+std::string joinNames(const std::set<RegionName> &Names) {
+  std::string Result;
+  for (const RegionName &Each : Names) {
+    Result += (Result.empty() ? "" : ",") + Each.str();
+  }
+  return Result;
+}
+
 LogFields forwardedLogFields(const ActiveRequest &Request, const SendAttempt &Command) {
   return {{"request", Request.id()},
           {"service", Request.attributes().Service.str()},
@@ -164,6 +180,20 @@
   return Result;
 }
 
+std::optional<HeadRejection> ProxyHandler::onHead(const RequestHead &Head) {
+  if (this->RejectsNewRequests || !this->CurrentConfiguration) {
+    return std::nullopt;
+  }
+  const Route *MatchedRoute = this->findRoute(Head);
+  const AuthenticationDecision Authentication = this->Customers->authenticate(
+      readCredential(Head.Fields), MatchedRoute && MatchedRoute->IsPublic);
+  if (Authentication.IsAccepted) {
+    return std::nullopt;
+  }
+  return this->rejectUnauthenticated(this->Deps.Protocol.readRequest(Head).RequestId,
+                                     Authentication.Reason, false);
+}
+
 void ProxyHandler::onRequest(HttpExchange &Exchange) {
   this->handleRequest(Exchange, std::nullopt);
 }
@@ -199,8 +229,9 @@
       Forward ? this->acceptForwarded(Exchange, Metadata.RequestId)
               : this->authenticate(Exchange, MatchedRoute);
   if (!Authentication.IsAccepted) {
-    this->rejectUnauthenticated(Exchange, Metadata.RequestId, Authentication.Reason,
-                                Forward.has_value());
+    HeadRejection Rejection =
+        this->rejectUnauthenticated(Metadata.RequestId, Authentication.Reason, Forward.has_value());
+    Exchange.respond(std::move(Rejection.Head), Rejection.Text);
     return;
   }
   if (!MatchedRoute) {
@@ -211,12 +242,13 @@
     this->rejectRoutedDifferently(Exchange, Metadata.RequestId, Forward->Service);
     return;
   }
+  // Without restrictions if there is no customer, or if only the other entry knows it.
+  static const Customer Unrestricted;
   const Customer *KnownCustomer = this->Customers->find(Authentication.Customer);
-  const auto HomeRegions =
-      commonHomeRegions(MatchedRoute->HomeRegions,
-                        KnownCustomer ? KnownCustomer->HomeRegions : std::set<RegionName>());
+  const Customer &Applied = KnownCustomer ? *KnownCustomer : Unrestricted;
+  const auto HomeRegions = commonHomeRegions(MatchedRoute->HomeRegions, Applied.HomeRegions);
   if (!HomeRegions) {
-    this->rejectWithoutRegion(Exchange, Metadata.RequestId, *MatchedRoute, Authentication.Customer);
+    this->rejectWithoutRegion(Exchange, Metadata.RequestId, *MatchedRoute, Applied);
     return;
   }
   RequestAttributes Attributes = this->makeAttributes(
@@ -243,7 +275,7 @@
 }
 
 AuthenticationDecision ProxyHandler::authenticate(HttpExchange &Exchange,
-                                                  const Route *MatchedRoute) {
+                                                  const Route *MatchedRoute) const {
   AuthenticationDecision Result = this->Customers->authenticate(
       readCredential(Exchange.head().Fields), MatchedRoute && MatchedRoute->IsPublic);
   this->removeEntryFields(Exchange.head());
@@ -282,8 +314,8 @@
   });
 }
 
-void ProxyHandler::rejectUnauthenticated(HttpExchange &Exchange, const std::string &Id,
-                                         const std::string &Reason, bool IsForwarded) {
+HeadRejection ProxyHandler::rejectUnauthenticated(const std::string &Id, const std::string &Reason,
+                                                  bool IsForwarded) {
   // The other entry tries elsewhere after 503. Its caller has been authenticated there.
   const int Status = IsForwarded ? Unavailable : Unauthorized;
   this->Deps.RequestMetrics.onRefused(Reason, Status);
@@ -295,18 +327,20 @@
   if (!IsForwarded) {
     Head.Fields.emplace_back("WWW-Authenticate", "Bearer");
   }
-  Exchange.respond(std::move(Head), Reason + "\n");
+  return {std::move(Head), Reason + "\n"};
 }
 
 void ProxyHandler::rejectWithoutRegion(HttpExchange &Exchange, const std::string &Id,
-                                       const Route &MatchedRoute, const CustomerName &Customer) {
+                                       const Route &MatchedRoute, const Customer &Customer) {
   const std::string Reason = "no region is home region of both route and customer";
   this->Deps.RequestMetrics.onRefused(Reason, Unavailable);
   logEvent(LogLevel::Info, "refused",
            {{"request", Id},
             {"reason", Reason},
             {"route", MatchedRoute.Name.str()},
-            {"customer", Customer.str()},
+            {"customer", Customer.Name.str()},
+            {"route_regions", joinNames(MatchedRoute.HomeRegions)},
+            {"customer_regions", joinNames(Customer.HomeRegions)},
             {"version", std::to_string(this->CurrentConfiguration->Version)}});
   Exchange.respond(localResponse(Unavailable, Duration(0)), Reason + "\n");
 }
@@ -394,7 +428,8 @@
   }
   this->Deps.RequestMetrics.onAttempt(Request->attributes().Service, Command.Attempt > 0);
   if (Command.Forward) {
-    logEvent(LogLevel::Info, "forwarded", forwardedLogFields(*Request, Command));
+    logEvent(LogLevel::Info, "forwarded",
+             withCustomer(forwardedLogFields(*Request, Command), Request->attributes().Customer));
   } else {
     logEvent(LogLevel::Info, "sent", sentLogFields(Request->id(), Command));
   }
@@ -473,13 +508,14 @@
   const Duration Latency = Now - Request.attributes().ReceivedAt;
   this->Deps.RequestMetrics.onResponse(Request.attributes().Service, Status, Latency, Now);
   logEvent(LogLevel::Info, "answered",
-           {{"request", Request.id()},
-            {"status", std::to_string(Status)},
-            {"complete", Complete ? "yes" : "no"},
-            {"route", Request.attributes().Route.str()},
-            {"service", Request.attributes().Service.str()},
-            {"version", std::to_string(Request.attributes().ConfigurationVersion)},
-            {"after_ms", formatMilliseconds(Latency)}});
+           withCustomer({{"request", Request.id()},
+                         {"status", std::to_string(Status)},
+                         {"complete", Complete ? "yes" : "no"},
+                         {"route", Request.attributes().Route.str()},
+                         {"service", Request.attributes().Service.str()},
+                         {"version", std::to_string(Request.attributes().ConfigurationVersion)},
+                         {"after_ms", formatMilliseconds(Latency)}},
+                        Request.attributes().Customer));
   this->Deps.RequestDispatcher.onCommittedResponseEnd(Request.number(), Now);
   this->Deps.ApplyEffects();
 }
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -72,6 +72,7 @@
   void apply(const AbortResponse &Command);
   void apply(const RefuseRequest &Command);
 
+  std::optional<HeadRejection> onHead(const RequestHead &Head) override;
   void onRequest(HttpExchange &Exchange) override;
   /// Handles a request that an entry of another region forwards.
   void onForwardedRequest(HttpExchange &Exchange);
@@ -90,15 +91,16 @@
                                const ServiceName &Service);
   /// Decides from the API key whether to accept the request of a caller, and removes everything
   /// from its head that only entries may set or read. `MatchedRoute` may be null.
-  AuthenticationDecision authenticate(HttpExchange &Exchange, const Route *MatchedRoute);
+  AuthenticationDecision authenticate(HttpExchange &Exchange, const Route *MatchedRoute) const;
   /// The same for a request that another entry has authenticated.
   AuthenticationDecision acceptForwarded(HttpExchange &Exchange, const std::string &Id);
   /// Removes API keys, and the header field by which entries tell targets the customer.
   void removeEntryFields(RequestHead &Head) const;
-  void rejectUnauthenticated(HttpExchange &Exchange, const std::string &Id,
-                             const std::string &Reason, bool IsForwarded);
+  /// Counts and logs the rejection and returns the response.
+  HeadRejection rejectUnauthenticated(const std::string &Id, const std::string &Reason,
+                                      bool IsForwarded);
   void rejectWithoutRegion(HttpExchange &Exchange, const std::string &Id, const Route &MatchedRoute,
-                           const CustomerName &Customer);
+                           const Customer &Refused);
   /// Header fields that tell a target or another entry the customer of a request.
   FieldList customerFields(const ActiveRequest &Request, const SendAttempt &Command) const;
   ActiveRequest *find(RequestNumber Number);
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -255,6 +255,7 @@
   CPPUNIT_TEST_SUITE(ProxyHandlerTest);
   CPPUNIT_TEST(responses);
   CPPUNIT_TEST(customers);
+  CPPUNIT_TEST(unauthenticatedUploads);
   CPPUNIT_TEST(applicationsWithoutCustomers);
   CPPUNIT_TEST(revokedKeys);
   CPPUNIT_TEST(homeRegionsOfCustomers);
@@ -399,6 +400,45 @@
     }
   }
 
+  /// Guards against callers without a valid key that fill the memory with their uploads, and
+  /// against a refusal that the body of an accepted upload has to wait for.
+  void unauthenticatedUploads() {
+    struct Case {
+      const char *Fields;
+      bool IsRejected;
+    };
+    const Case Table[] = {{"", true},
+                          {"Expect: 100-continue\r\n", true},
+                          {"Authorization: Bearer key-3\r\n", true},
+                          {"Authorization: Bearer key-1\r\n", false}};
+    TestEntry Entry;
+    Entry.configure();
+    Entry.addCustomers();
+    FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+    Entry.addTarget("t1", Target.Server.Port);
+    for (const Case &Each : Table) {
+      const auto Caller = RawConnection::connect(Entry.Server.port());
+      Caller->send(std::string("POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nId: 7\r\n") + Each.Fields +
+                   "Content-Length: 1000000\r\n\r\nx");
+      runPending();
+      if (Each.IsRejected) {
+        CPPUNIT_ASSERT_MESSAGE(Each.Fields, runUntil([&] { return Caller->Closed; }));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Fields, std::string("401"), statusOf(Caller->Received));
+        CPPUNIT_ASSERT_EQUAL(std::string("Bearer;"),
+                             valuesOf("WWW-Authenticate", Caller->Received));
+        CPPUNIT_ASSERT_EQUAL(std::string("close;"), valuesOf("Connection", Caller->Received));
+      } else {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Fields, std::string(), Caller->Received);
+        const std::string Rest(999'999, 'x');
+        for (std::size_t Sent = 0; Sent < Rest.size(); runPending()) {
+          Sent += Caller->send(Rest.substr(Sent));
+        }
+        CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.ends_with("good"); }));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(1, Target.Requests);
+  }
+
   /// Guards against a deployment without customers whose applications no longer get the fields that
   /// their callers send.
   void applicationsWithoutCustomers() {
