--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -26,6 +26,8 @@
   HttpExchange &operator=(const HttpExchange &) = delete;
 
   const RequestHead &head() const { return this->Request; }
+  /// For changes to the header fields before the request is passed on.
+  RequestHead &head() { return this->Request; }
   /// Removes the forward header of another entry from the request head and returns its content;
   /// nothing if the header is missing or malformed.
   std::optional<ForwardOptions> takeForwardOptions() {
@@ -79,11 +81,21 @@
   std::function<void()> OnDrained;
 };
 
+/// Response to a request whose body has not been read.
+struct HeadRejection {
+  ResponseHead Head;
+  std::string Text;
+};
+
 /// Receives the requests of an HttpServer. Not thread-safe.
 class HttpHandler {
 public:
   virtual ~HttpHandler() = default;
 
+  /// The head of a request has arrived, but not its body. Returns a response if the request is to
+  /// be rejected without its body, which closes the connection. The decision is repeated in
+  /// onRequest() if it is not rejected now.
+  virtual std::optional<HeadRejection> onHead(const RequestHead &) { return std::nullopt; }
   /// The complete request has arrived. The handler must end the exchange, either immediately or
   /// later.
   virtual void onRequest(HttpExchange &Exchange) = 0;
