--- a/src/libs/coordination/PeerMessage.h
+++ b/src/libs/coordination/PeerMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/limits/QuotaMessages.h"
 #include "coordination/membership/Membership.h"
 #include "coordination/publications/PublicationDistributor.h"
 
@@ -8,6 +9,6 @@
 namespace anvilsaddle {
 
 /// A message between entries.
-using PeerMessage = std::variant<Gossip, RevisionNotice>;
+using PeerMessage = std::variant<Gossip, RevisionNotice, QuotaReport, QuotaSums, QuotaShares>;
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/limits/QuotaCoordinator.cpp
+++ b/src/libs/coordination/limits/QuotaCoordinator.cpp
@@ -32,6 +32,8 @@
 /// A restriction is announced again in this interval, because announcements may be lost.
 constexpr Duration RefreshInterval = 3s;
 constexpr Duration MinAnnouncementInterval = 200ms;
+/// Leaves half of the control traffic of an entry to others in a large flood.
+constexpr Duration LastingAnnouncementInterval = 1s;
 constexpr Duration MaxAnnouncementInterval = 2500ms;
 /// In a flood that has just begun, the share is reduced without regard to the number of datagrams.
 constexpr Duration OnsetTime = 2s;
@@ -369,9 +371,10 @@
   const bool IsOnset =
       Of.Restricted && Now - *Of.Restricted < OnsetTime && Of.Share < Of.AnnouncedShare;
   const double Datagrams = static_cast<double>(this->Fleet.live().size());
-  const Duration Interval = IsOnset ? MinAnnouncementInterval
-                                    : std::clamp(scaled(1s, Datagrams / std::max(RequestRate, 1.0)),
-                                                 MinAnnouncementInterval, MaxAnnouncementInterval);
+  const Duration Interval = IsOnset
+                                ? MinAnnouncementInterval
+                                : std::clamp(scaled(1s, Datagrams / std::max(RequestRate, 1.0)),
+                                             LastingAnnouncementInterval, MaxAnnouncementInterval);
   const double Old = Of.AnnouncedShare;
   const bool IsChanged = std::abs(Of.Share - Old) > SignificantChange * Old;
   const bool IsEnd = Of.Share == FullShare && Elapsed >= EndInterval;
--- a/src/libs/protocol/PeerCodec.cpp
+++ b/src/libs/protocol/PeerCodec.cpp
@@ -206,7 +206,193 @@
   return Result;
 }
 
+constexpr std::uint32_t FullShare = 1000;
+
+std::int32_t toSigned(std::uint32_t Value) { return static_cast<std::int32_t>(Value); }
+
+/// Limits a count to the numbers that a message can contain.
+std::int32_t toCount(std::uint32_t Value) {
+  return static_cast<std::int32_t>(
+      std::min<std::uint32_t>(Value, std::numeric_limits<std::int32_t>::max()));
+}
+
+std::uint32_t readCount(std::int32_t Value) {
+  if (Value < 0) {
+    throw FieldError("negative count");
+  }
+  return static_cast<std::uint32_t>(Value);
+}
+
+std::uint32_t readShare(std::int32_t Value) {
+  const std::uint32_t Result = readCount(Value);
+  if (Result > FullShare) {
+    throw FieldError("share of more than 1000 thousandths");
+  }
+  return Result;
+}
+
+std::vector<std::int32_t> toCounts(const std::vector<std::uint32_t> &Values) {
+  std::vector<std::int32_t> Result;
+  Result.reserve(Values.size());
+  for (const std::uint32_t Each : Values) {
+    Result.push_back(toCount(Each));
+  }
+  return Result;
+}
+
+std::vector<std::uint32_t> readCounts(const std::vector<std::int32_t> &Values) {
+  std::vector<std::uint32_t> Result;
+  Result.reserve(Values.size());
+  for (const std::int32_t Each : Values) {
+    Result.push_back(readCount(Each));
+  }
+  return Result;
+}
+
+wire::QuotaUsage toWire(const QuotaUsage &Each) {
+  wire::QuotaUsage Result;
+  Result.customer = Each.Customer.str();
+  Result.admitted = toSigned(Each.Admitted);
+  Result.requested = toSigned(Each.Requested);
+  Result.newlyAdmitted = toCount(Each.NewlyAdmitted);
+  Result.newlyRequested = toCount(Each.NewlyRequested);
+  if (Each.RecentlyAdmitted != Each.NewlyAdmitted) {
+    Result.__set_recentlyAdmitted(toCount(Each.RecentlyAdmitted));
+  }
+  if (Each.RecentlyRequested != Each.NewlyRequested) {
+    Result.__set_recentlyRequested(toCount(Each.RecentlyRequested));
+  }
+  if (Each.AdmittedShare != FullShare) {
+    Result.__set_admittedShare(toCount(Each.AdmittedShare));
+  }
+  return Result;
+}
+
+QuotaUsage fromWire(const wire::QuotaUsage &In) {
+  QuotaUsage Result;
+  Result.Customer = CustomerName(In.customer);
+  Result.Admitted = static_cast<std::uint32_t>(In.admitted);
+  Result.Requested = static_cast<std::uint32_t>(In.requested);
+  Result.NewlyAdmitted = readCount(In.newlyAdmitted);
+  Result.NewlyRequested = readCount(In.newlyRequested);
+  Result.RecentlyAdmitted =
+      In.__isset.recentlyAdmitted ? readCount(In.recentlyAdmitted) : Result.NewlyAdmitted;
+  Result.RecentlyRequested =
+      In.__isset.recentlyRequested ? readCount(In.recentlyRequested) : Result.NewlyRequested;
+  Result.AdmittedShare = In.__isset.admittedShare ? readShare(In.admittedShare) : FullShare;
+  return Result;
+}
+
+wire::PeerMessage toWire(const QuotaReport &Message, Range Elements) {
+  wire::QuotaReport Content;
+  Content.run = Message.Run;
+  Content.sequence = toSigned(Message.Sequence);
+  Content.recentMilliseconds = toCount(Message.RecentMilliseconds);
+  if (Message.NeedsReply) {
+    Content.__set_needsReply(true);
+  }
+  for (std::size_t Index = Elements.Begin; Index < Elements.End; ++Index) {
+    Content.usages.push_back(toWire(Message.Usages[Index]));
+  }
+  wire::PeerMessage Result;
+  Result.__set_quotaReport(Content);
+  return Result;
+}
+
+wire::PeerMessage toWire(const QuotaSums &Message, Range Elements) {
+  wire::QuotaSums Content;
+  if (Message.NeedsReply) {
+    Content.__set_needsReply(true);
+  }
+  for (std::size_t Index = Elements.Begin; Index < Elements.End; ++Index) {
+    const QuotaSum &Each = Message.Sums[Index];
+    wire::QuotaSum Out;
+    Out.customer = Each.Customer.str();
+    Out.admitted = toCounts(Each.Admitted);
+    Out.requested = toCounts(Each.Requested);
+    Out.heardEntries = toCount(Each.HeardEntries);
+    Content.sums.push_back(std::move(Out));
+  }
+  wire::PeerMessage Result;
+  Result.__set_quotaSums(Content);
+  return Result;
+}
+
+wire::PeerMessage toWire(const QuotaShares &Message, Range Elements) {
+  wire::QuotaShares Content;
+  for (std::size_t Index = Elements.Begin; Index < Elements.End; ++Index) {
+    const QuotaShare &Each = Message.Shares[Index];
+    wire::QuotaShare Out;
+    Out.customer = Each.Customer.str();
+    Out.admittedShare = toCount(Each.AdmittedShare);
+    if (Each.NeedsReport) {
+      Out.__set_needsReport(true);
+    }
+    Content.shares.push_back(std::move(Out));
+  }
+  wire::PeerMessage Result;
+  Result.__set_quotaShares(Content);
+  return Result;
+}
+
+std::size_t listSize(const QuotaReport &Message) { return Message.Usages.size(); }
+std::size_t listSize(const QuotaSums &Message) { return Message.Sums.size(); }
+std::size_t listSize(const QuotaShares &Message) { return Message.Shares.size(); }
+
+template <typename MessageType>
+void encodeQuotaParts(const MessageType &Message, Range Elements, std::size_t Limit,
+                      std::vector<std::string> &Result) {
+  std::string Payload = writeThrift(toWire(Message, Elements));
+  if (Payload.size() <= Limit || Elements.End - Elements.Begin < 2) {
+    Result.push_back(std::move(Payload));
+    return;
+  }
+  const std::size_t Middle = Elements.Begin + (Elements.End - Elements.Begin) / 2;
+  encodeQuotaParts(Message, {Elements.Begin, Middle}, Limit, Result);
+  encodeQuotaParts(Message, {Middle, Elements.End}, Limit, Result);
+}
+
+QuotaReport fromWire(const wire::QuotaReport &In) {
+  QuotaReport Result;
+  Result.Run = In.run;
+  Result.Sequence = static_cast<std::uint32_t>(In.sequence);
+  Result.RecentMilliseconds = readCount(In.recentMilliseconds);
+  Result.NeedsReply = In.__isset.needsReply && In.needsReply;
+  for (const wire::QuotaUsage &Each : In.usages) {
+    Result.Usages.push_back(fromWire(Each));
+  }
+  return Result;
+}
+
+QuotaSums fromWire(const wire::QuotaSums &In) {
+  QuotaSums Result;
+  Result.NeedsReply = In.__isset.needsReply && In.needsReply;
+  for (const wire::QuotaSum &Each : In.sums) {
+    Result.Sums.push_back({CustomerName(Each.customer), readCounts(Each.admitted),
+                           readCounts(Each.requested), readCount(Each.heardEntries)});
+  }
+  return Result;
+}
+
+QuotaShares fromWire(const wire::QuotaShares &In) {
+  QuotaShares Result;
+  for (const wire::QuotaShare &Each : In.shares) {
+    Result.Shares.push_back({CustomerName(Each.customer), readShare(Each.admittedShare),
+                             Each.__isset.needsReport && Each.needsReport});
+  }
+  return Result;
+}
+
 PeerMessage fromWire(const wire::PeerMessage &In) {
+  if (In.__isset.quotaReport) {
+    return fromWire(In.quotaReport);
+  }
+  if (In.__isset.quotaSums) {
+    return fromWire(In.quotaSums);
+  }
+  if (In.__isset.quotaShares) {
+    return fromWire(In.quotaShares);
+  }
   if (In.__isset.notice) {
     return RevisionNotice{{In.notice.__isset.epoch ? In.notice.epoch : 0, In.notice.revision}};
   }
@@ -235,7 +421,19 @@
     Out.__set_notice(Content);
     return {writeThrift(Out)};
   }
-  return encodeGossip(std::get<Gossip>(Message), Limit);
+  if (const auto *Content = std::get_if<Gossip>(&Message)) {
+    return encodeGossip(*Content, Limit);
+  }
+  std::vector<std::string> Result;
+  std::visit(
+      [Limit, &Result](const auto &Content) {
+        using Type = std::decay_t<decltype(Content)>;
+        if constexpr (!std::is_same_v<Type, Gossip> && !std::is_same_v<Type, RevisionNotice>) {
+          encodeQuotaParts(Content, {0, listSize(Content)}, Limit, Result);
+        }
+      },
+      Message);
+  return Result;
 }
 
 std::variant<PeerMessage, PeerError> PeerCodec::decode(std::string_view Payload) const {
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -644,6 +644,1055 @@
 }
 
 
+QuotaUsage::~QuotaUsage() noexcept {
+}
+
+
+void QuotaUsage::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void QuotaUsage::__set_admitted(const int32_t val) {
+  this->admitted = val;
+}
+
+void QuotaUsage::__set_requested(const int32_t val) {
+  this->requested = val;
+}
+
+void QuotaUsage::__set_newlyAdmitted(const int32_t val) {
+  this->newlyAdmitted = val;
+}
+
+void QuotaUsage::__set_newlyRequested(const int32_t val) {
+  this->newlyRequested = val;
+}
+
+void QuotaUsage::__set_recentlyAdmitted(const int32_t val) {
+  this->recentlyAdmitted = val;
+__isset.recentlyAdmitted = true;
+}
+
+void QuotaUsage::__set_recentlyRequested(const int32_t val) {
+  this->recentlyRequested = val;
+__isset.recentlyRequested = true;
+}
+
+void QuotaUsage::__set_admittedShare(const int32_t val) {
+  this->admittedShare = val;
+__isset.admittedShare = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaUsage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_customer = false;
+  bool isset_admitted = false;
+  bool isset_requested = false;
+  bool isset_newlyAdmitted = false;
+  bool isset_newlyRequested = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admitted);
+          isset_admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requested);
+          isset_requested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->newlyAdmitted);
+          isset_newlyAdmitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->newlyRequested);
+          isset_newlyRequested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->recentlyAdmitted);
+          this->__isset.recentlyAdmitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->recentlyRequested);
+          this->__isset.recentlyRequested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admittedShare);
+          this->__isset.admittedShare = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_admitted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_requested)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_newlyAdmitted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_newlyRequested)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaUsage");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->admitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requested", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->requested);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newlyAdmitted", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->newlyAdmitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newlyRequested", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->newlyRequested);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.recentlyAdmitted) {
+    xfer += oprot->writeFieldBegin("recentlyAdmitted", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->recentlyAdmitted);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recentlyRequested) {
+    xfer += oprot->writeFieldBegin("recentlyRequested", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->recentlyRequested);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.admittedShare) {
+    xfer += oprot->writeFieldBegin("admittedShare", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->admittedShare);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaUsage &a, QuotaUsage &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.admitted, b.admitted);
+  swap(a.requested, b.requested);
+  swap(a.newlyAdmitted, b.newlyAdmitted);
+  swap(a.newlyRequested, b.newlyRequested);
+  swap(a.recentlyAdmitted, b.recentlyAdmitted);
+  swap(a.recentlyRequested, b.recentlyRequested);
+  swap(a.admittedShare, b.admittedShare);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaUsage::QuotaUsage(const QuotaUsage& other42) {
+  customer = other42.customer;
+  admitted = other42.admitted;
+  requested = other42.requested;
+  newlyAdmitted = other42.newlyAdmitted;
+  newlyRequested = other42.newlyRequested;
+  recentlyAdmitted = other42.recentlyAdmitted;
+  recentlyRequested = other42.recentlyRequested;
+  admittedShare = other42.admittedShare;
+  __isset = other42.__isset;
+}
+QuotaUsage& QuotaUsage::operator=(const QuotaUsage& other43) {
+  customer = other43.customer;
+  admitted = other43.admitted;
+  requested = other43.requested;
+  newlyAdmitted = other43.newlyAdmitted;
+  newlyRequested = other43.newlyRequested;
+  recentlyAdmitted = other43.recentlyAdmitted;
+  recentlyRequested = other43.recentlyRequested;
+  admittedShare = other43.admittedShare;
+  __isset = other43.__isset;
+  return *this;
+}
+void QuotaUsage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaUsage(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "requested=" << to_string(requested);
+  out << ", " << "newlyAdmitted=" << to_string(newlyAdmitted);
+  out << ", " << "newlyRequested=" << to_string(newlyRequested);
+  out << ", " << "recentlyAdmitted="; (__isset.recentlyAdmitted ? (out << to_string(recentlyAdmitted)) : (out << "<null>"));
+  out << ", " << "recentlyRequested="; (__isset.recentlyRequested ? (out << to_string(recentlyRequested)) : (out << "<null>"));
+  out << ", " << "admittedShare="; (__isset.admittedShare ? (out << to_string(admittedShare)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaReport::~QuotaReport() noexcept {
+}
+
+
+void QuotaReport::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void QuotaReport::__set_sequence(const int32_t val) {
+  this->sequence = val;
+}
+
+void QuotaReport::__set_recentMilliseconds(const int32_t val) {
+  this->recentMilliseconds = val;
+}
+
+void QuotaReport::__set_usages(const std::vector<QuotaUsage> & val) {
+  this->usages = val;
+}
+
+void QuotaReport::__set_needsReply(const bool val) {
+  this->needsReply = val;
+__isset.needsReply = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_run = false;
+  bool isset_sequence = false;
+  bool isset_recentMilliseconds = false;
+  bool isset_usages = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          isset_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->recentMilliseconds);
+          isset_recentMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usages.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->usages.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->usages[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_usages = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsReply);
+          this->__isset.needsReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_run)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_recentMilliseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_usages)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaReport");
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recentMilliseconds", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->recentMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usages", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usages.size()));
+    std::vector<QuotaUsage> ::const_iterator _iter49;
+    for (_iter49 = this->usages.begin(); _iter49 != this->usages.end(); ++_iter49)
+    {
+      xfer += (*_iter49).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.needsReply) {
+    xfer += oprot->writeFieldBegin("needsReply", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->needsReply);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaReport &a, QuotaReport &b) {
+  using ::std::swap;
+  swap(a.run, b.run);
+  swap(a.sequence, b.sequence);
+  swap(a.recentMilliseconds, b.recentMilliseconds);
+  swap(a.usages, b.usages);
+  swap(a.needsReply, b.needsReply);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaReport::QuotaReport(const QuotaReport& other50) {
+  run = other50.run;
+  sequence = other50.sequence;
+  recentMilliseconds = other50.recentMilliseconds;
+  usages = other50.usages;
+  needsReply = other50.needsReply;
+  __isset = other50.__isset;
+}
+QuotaReport& QuotaReport::operator=(const QuotaReport& other51) {
+  run = other51.run;
+  sequence = other51.sequence;
+  recentMilliseconds = other51.recentMilliseconds;
+  usages = other51.usages;
+  needsReply = other51.needsReply;
+  __isset = other51.__isset;
+  return *this;
+}
+void QuotaReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaReport(";
+  out << "run=" << to_string(run);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "recentMilliseconds=" << to_string(recentMilliseconds);
+  out << ", " << "usages=" << to_string(usages);
+  out << ", " << "needsReply="; (__isset.needsReply ? (out << to_string(needsReply)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaSum::~QuotaSum() noexcept {
+}
+
+
+void QuotaSum::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void QuotaSum::__set_admitted(const std::vector<int32_t> & val) {
+  this->admitted = val;
+}
+
+void QuotaSum::__set_requested(const std::vector<int32_t> & val) {
+  this->requested = val;
+}
+
+void QuotaSum::__set_heardEntries(const int32_t val) {
+  this->heardEntries = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaSum& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaSum::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_customer = false;
+  bool isset_admitted = false;
+  bool isset_requested = false;
+  bool isset_heardEntries = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->admitted.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->admitted.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += iprot->readI32(this->admitted[_i56]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requested.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->requested.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += iprot->readI32(this->requested[_i61]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_requested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->heardEntries);
+          isset_heardEntries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_admitted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_requested)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_heardEntries)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaSum::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaSum");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->admitted.size()));
+    std::vector<int32_t> ::const_iterator _iter62;
+    for (_iter62 = this->admitted.begin(); _iter62 != this->admitted.end(); ++_iter62)
+    {
+      xfer += oprot->writeI32((*_iter62));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requested", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->requested.size()));
+    std::vector<int32_t> ::const_iterator _iter63;
+    for (_iter63 = this->requested.begin(); _iter63 != this->requested.end(); ++_iter63)
+    {
+      xfer += oprot->writeI32((*_iter63));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardEntries", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->heardEntries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaSum &a, QuotaSum &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.admitted, b.admitted);
+  swap(a.requested, b.requested);
+  swap(a.heardEntries, b.heardEntries);
+}
+
+QuotaSum::QuotaSum(const QuotaSum& other64) {
+  customer = other64.customer;
+  admitted = other64.admitted;
+  requested = other64.requested;
+  heardEntries = other64.heardEntries;
+}
+QuotaSum& QuotaSum::operator=(const QuotaSum& other65) {
+  customer = other65.customer;
+  admitted = other65.admitted;
+  requested = other65.requested;
+  heardEntries = other65.heardEntries;
+  return *this;
+}
+void QuotaSum::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaSum(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "requested=" << to_string(requested);
+  out << ", " << "heardEntries=" << to_string(heardEntries);
+  out << ")";
+}
+
+
+QuotaSums::~QuotaSums() noexcept {
+}
+
+
+void QuotaSums::__set_sums(const std::vector<QuotaSum> & val) {
+  this->sums = val;
+}
+
+void QuotaSums::__set_needsReply(const bool val) {
+  this->needsReply = val;
+__isset.needsReply = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaSums& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaSums::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sums = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->sums.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->sums.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->sums[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_sums = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsReply);
+          this->__isset.needsReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sums)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaSums::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaSums");
+
+  xfer += oprot->writeFieldBegin("sums", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sums.size()));
+    std::vector<QuotaSum> ::const_iterator _iter71;
+    for (_iter71 = this->sums.begin(); _iter71 != this->sums.end(); ++_iter71)
+    {
+      xfer += (*_iter71).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.needsReply) {
+    xfer += oprot->writeFieldBegin("needsReply", ::apache::thrift::protocol::T_BOOL, 2);
+    xfer += oprot->writeBool(this->needsReply);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaSums &a, QuotaSums &b) {
+  using ::std::swap;
+  swap(a.sums, b.sums);
+  swap(a.needsReply, b.needsReply);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaSums::QuotaSums(const QuotaSums& other72) {
+  sums = other72.sums;
+  needsReply = other72.needsReply;
+  __isset = other72.__isset;
+}
+QuotaSums& QuotaSums::operator=(const QuotaSums& other73) {
+  sums = other73.sums;
+  needsReply = other73.needsReply;
+  __isset = other73.__isset;
+  return *this;
+}
+void QuotaSums::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaSums(";
+  out << "sums=" << to_string(sums);
+  out << ", " << "needsReply="; (__isset.needsReply ? (out << to_string(needsReply)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaShare::~QuotaShare() noexcept {
+}
+
+
+void QuotaShare::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void QuotaShare::__set_admittedShare(const int32_t val) {
+  this->admittedShare = val;
+}
+
+void QuotaShare::__set_needsReport(const bool val) {
+  this->needsReport = val;
+__isset.needsReport = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaShare& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaShare::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_customer = false;
+  bool isset_admittedShare = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admittedShare);
+          isset_admittedShare = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsReport);
+          this->__isset.needsReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_admittedShare)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaShare::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaShare");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admittedShare", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->admittedShare);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.needsReport) {
+    xfer += oprot->writeFieldBegin("needsReport", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->needsReport);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaShare &a, QuotaShare &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.admittedShare, b.admittedShare);
+  swap(a.needsReport, b.needsReport);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaShare::QuotaShare(const QuotaShare& other74) {
+  customer = other74.customer;
+  admittedShare = other74.admittedShare;
+  needsReport = other74.needsReport;
+  __isset = other74.__isset;
+}
+QuotaShare& QuotaShare::operator=(const QuotaShare& other75) {
+  customer = other75.customer;
+  admittedShare = other75.admittedShare;
+  needsReport = other75.needsReport;
+  __isset = other75.__isset;
+  return *this;
+}
+void QuotaShare::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaShare(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "admittedShare=" << to_string(admittedShare);
+  out << ", " << "needsReport="; (__isset.needsReport ? (out << to_string(needsReport)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaShares::~QuotaShares() noexcept {
+}
+
+
+void QuotaShares::__set_shares(const std::vector<QuotaShare> & val) {
+  this->shares = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaShares& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaShares::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_shares = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shares.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->shares.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->shares[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_shares)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaShares::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaShares");
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<QuotaShare> ::const_iterator _iter81;
+    for (_iter81 = this->shares.begin(); _iter81 != this->shares.end(); ++_iter81)
+    {
+      xfer += (*_iter81).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaShares &a, QuotaShares &b) {
+  using ::std::swap;
+  swap(a.shares, b.shares);
+}
+
+QuotaShares::QuotaShares(const QuotaShares& other82) {
+  shares = other82.shares;
+}
+QuotaShares& QuotaShares::operator=(const QuotaShares& other83) {
+  shares = other83.shares;
+  return *this;
+}
+void QuotaShares::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaShares(";
+  out << "shares=" << to_string(shares);
+  out << ")";
+}
+
+
 PeerMessage::~PeerMessage() noexcept {
 }
 
@@ -657,6 +1706,21 @@
   this->gossip = val;
 __isset.gossip = true;
 }
+
+void PeerMessage::__set_quotaReport(const QuotaReport& val) {
+  this->quotaReport = val;
+__isset.quotaReport = true;
+}
+
+void PeerMessage::__set_quotaSums(const QuotaSums& val) {
+  this->quotaSums = val;
+__isset.quotaSums = true;
+}
+
+void PeerMessage::__set_quotaShares(const QuotaShares& val) {
+  this->quotaShares = val;
+__isset.quotaShares = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
@@ -701,6 +1765,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaReport.read(iprot);
+          this->__isset.quotaReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaSums.read(iprot);
+          this->__isset.quotaSums = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaShares.read(iprot);
+          this->__isset.quotaShares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -728,6 +1816,21 @@
     xfer += this->gossip.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quotaReport) {
+    xfer += oprot->writeFieldBegin("quotaReport", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->quotaReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quotaSums) {
+    xfer += oprot->writeFieldBegin("quotaSums", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->quotaSums.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quotaShares) {
+    xfer += oprot->writeFieldBegin("quotaShares", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->quotaShares.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -737,18 +1840,27 @@
   using ::std::swap;
   swap(a.notice, b.notice);
   swap(a.gossip, b.gossip);
+  swap(a.quotaReport, b.quotaReport);
+  swap(a.quotaSums, b.quotaSums);
+  swap(a.quotaShares, b.quotaShares);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other42) {
-  notice = other42.notice;
-  gossip = other42.gossip;
-  __isset = other42.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other84) {
+  notice = other84.notice;
+  gossip = other84.gossip;
+  quotaReport = other84.quotaReport;
+  quotaSums = other84.quotaSums;
+  quotaShares = other84.quotaShares;
+  __isset = other84.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other43) {
-  notice = other43.notice;
-  gossip = other43.gossip;
-  __isset = other43.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other85) {
+  notice = other85.notice;
+  gossip = other85.gossip;
+  quotaReport = other85.quotaReport;
+  quotaSums = other85.quotaSums;
+  quotaShares = other85.quotaShares;
+  __isset = other85.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -756,6 +1868,9 @@
   out << "PeerMessage(";
   out << "notice="; (__isset.notice ? (out << to_string(notice)) : (out << "<null>"));
   out << ", " << "gossip="; (__isset.gossip ? (out << to_string(gossip)) : (out << "<null>"));
+  out << ", " << "quotaReport="; (__isset.quotaReport ? (out << to_string(quotaReport)) : (out << "<null>"));
+  out << ", " << "quotaSums="; (__isset.quotaSums ? (out << to_string(quotaSums)) : (out << "<null>"));
+  out << ", " << "quotaShares="; (__isset.quotaShares ? (out << to_string(quotaShares)) : (out << "<null>"));
   out << ")";
 }
 
@@ -857,13 +1972,13 @@
   swap(a.weight, b.weight);
 }
 
-WeightedService::WeightedService(const WeightedService& other44) {
-  serviceName = other44.serviceName;
-  weight = other44.weight;
+WeightedService::WeightedService(const WeightedService& other86) {
+  serviceName = other86.serviceName;
+  weight = other86.weight;
 }
-WeightedService& WeightedService::operator=(const WeightedService& other45) {
-  serviceName = other45.serviceName;
-  weight = other45.weight;
+WeightedService& WeightedService::operator=(const WeightedService& other87) {
+  serviceName = other87.serviceName;
+  weight = other87.weight;
   return *this;
 }
 void WeightedService::printTo(std::ostream& out) const {
@@ -1024,14 +2139,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->services.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->services.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->services[_i50].read(iprot);
+              xfer += this->services[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1044,14 +2159,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->homeRegions.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->homeRegions.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->homeRegions.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += iprot->readString(this->homeRegions[_i55]);
+              xfer += iprot->readString(this->homeRegions[_i97]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1132,10 +2247,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<WeightedService> ::const_iterator _iter56;
-    for (_iter56 = this->services.begin(); _iter56 != this->services.end(); ++_iter56)
+    std::vector<WeightedService> ::const_iterator _iter98;
+    for (_iter98 = this->services.begin(); _iter98 != this->services.end(); ++_iter98)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter98).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1144,10 +2259,10 @@
   xfer += oprot->writeFieldBegin("homeRegions", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->homeRegions.size()));
-    std::vector<std::string> ::const_iterator _iter57;
-    for (_iter57 = this->homeRegions.begin(); _iter57 != this->homeRegions.end(); ++_iter57)
+    std::vector<std::string> ::const_iterator _iter99;
+    for (_iter99 = this->homeRegions.begin(); _iter99 != this->homeRegions.end(); ++_iter99)
     {
-      xfer += oprot->writeString((*_iter57));
+      xfer += oprot->writeString((*_iter99));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1172,29 +2287,29 @@
   swap(a.homeRegions, b.homeRegions);
 }
 
-Route::Route(const Route& other58) {
-  name = other58.name;
-  host = other58.host;
-  prefix = other58.prefix;
-  idempotent = other58.idempotent;
-  timeoutMicroseconds = other58.timeoutMicroseconds;
-  objectiveMicroseconds = other58.objectiveMicroseconds;
-  priority = other58.priority;
-  maxTargets = other58.maxTargets;
-  services = other58.services;
-  homeRegions = other58.homeRegions;
-}
-Route& Route::operator=(const Route& other59) {
-  name = other59.name;
-  host = other59.host;
-  prefix = other59.prefix;
-  idempotent = other59.idempotent;
-  timeoutMicroseconds = other59.timeoutMicroseconds;
-  objectiveMicroseconds = other59.objectiveMicroseconds;
-  priority = other59.priority;
-  maxTargets = other59.maxTargets;
-  services = other59.services;
-  homeRegions = other59.homeRegions;
+Route::Route(const Route& other100) {
+  name = other100.name;
+  host = other100.host;
+  prefix = other100.prefix;
+  idempotent = other100.idempotent;
+  timeoutMicroseconds = other100.timeoutMicroseconds;
+  objectiveMicroseconds = other100.objectiveMicroseconds;
+  priority = other100.priority;
+  maxTargets = other100.maxTargets;
+  services = other100.services;
+  homeRegions = other100.homeRegions;
+}
+Route& Route::operator=(const Route& other101) {
+  name = other101.name;
+  host = other101.host;
+  prefix = other101.prefix;
+  idempotent = other101.idempotent;
+  timeoutMicroseconds = other101.timeoutMicroseconds;
+  objectiveMicroseconds = other101.objectiveMicroseconds;
+  priority = other101.priority;
+  maxTargets = other101.maxTargets;
+  services = other101.services;
+  homeRegions = other101.homeRegions;
   return *this;
 }
 void Route::printTo(std::ostream& out) const {
@@ -1331,15 +2446,15 @@
   swap(a.coldRate, b.coldRate);
 }
 
-Service::Service(const Service& other60) {
-  name = other60.name;
-  healthPath = other60.healthPath;
-  coldRate = other60.coldRate;
+Service::Service(const Service& other102) {
+  name = other102.name;
+  healthPath = other102.healthPath;
+  coldRate = other102.coldRate;
 }
-Service& Service::operator=(const Service& other61) {
-  name = other61.name;
-  healthPath = other61.healthPath;
-  coldRate = other61.coldRate;
+Service& Service::operator=(const Service& other103) {
+  name = other103.name;
+  healthPath = other103.healthPath;
+  coldRate = other103.coldRate;
   return *this;
 }
 void Service::printTo(std::ostream& out) const {
@@ -1430,14 +2545,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->routes.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->routes.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->routes[_i66].read(iprot);
+              xfer += this->routes[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1450,14 +2565,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->services.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->services.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->services[_i71].read(iprot);
+              xfer += this->services[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1536,10 +2651,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter72;
-    for (_iter72 = this->routes.begin(); _iter72 != this->routes.end(); ++_iter72)
+    std::vector<Route> ::const_iterator _iter114;
+    for (_iter114 = this->routes.begin(); _iter114 != this->routes.end(); ++_iter114)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter114).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1548,10 +2663,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<Service> ::const_iterator _iter73;
-    for (_iter73 = this->services.begin(); _iter73 != this->services.end(); ++_iter73)
+    std::vector<Service> ::const_iterator _iter115;
+    for (_iter115 = this->services.begin(); _iter115 != this->services.end(); ++_iter115)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1589,23 +2704,23 @@
   swap(a.idleTimeoutMicroseconds, b.idleTimeoutMicroseconds);
 }
 
-Configuration::Configuration(const Configuration& other74) {
-  version = other74.version;
-  routes = other74.routes;
-  services = other74.services;
-  headBytes = other74.headBytes;
-  bodyBytes = other74.bodyBytes;
-  headTimeoutMicroseconds = other74.headTimeoutMicroseconds;
-  idleTimeoutMicroseconds = other74.idleTimeoutMicroseconds;
-}
-Configuration& Configuration::operator=(const Configuration& other75) {
-  version = other75.version;
-  routes = other75.routes;
-  services = other75.services;
-  headBytes = other75.headBytes;
-  bodyBytes = other75.bodyBytes;
-  headTimeoutMicroseconds = other75.headTimeoutMicroseconds;
-  idleTimeoutMicroseconds = other75.idleTimeoutMicroseconds;
+Configuration::Configuration(const Configuration& other116) {
+  version = other116.version;
+  routes = other116.routes;
+  services = other116.services;
+  headBytes = other116.headBytes;
+  bodyBytes = other116.bodyBytes;
+  headTimeoutMicroseconds = other116.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other116.idleTimeoutMicroseconds;
+}
+Configuration& Configuration::operator=(const Configuration& other117) {
+  version = other117.version;
+  routes = other117.routes;
+  services = other117.services;
+  headBytes = other117.headBytes;
+  bodyBytes = other117.bodyBytes;
+  headTimeoutMicroseconds = other117.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other117.idleTimeoutMicroseconds;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -1688,14 +2803,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedRoutes.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->removedRoutes.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->removedRoutes.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += iprot->readString(this->removedRoutes[_i80]);
+              xfer += iprot->readString(this->removedRoutes[_i122]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1738,10 +2853,10 @@
   xfer += oprot->writeFieldBegin("removedRoutes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedRoutes.size()));
-    std::vector<std::string> ::const_iterator _iter81;
-    for (_iter81 = this->removedRoutes.begin(); _iter81 != this->removedRoutes.end(); ++_iter81)
+    std::vector<std::string> ::const_iterator _iter123;
+    for (_iter123 = this->removedRoutes.begin(); _iter123 != this->removedRoutes.end(); ++_iter123)
     {
-      xfer += oprot->writeString((*_iter81));
+      xfer += oprot->writeString((*_iter123));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1759,15 +2874,15 @@
   swap(a.removedRoutes, b.removedRoutes);
 }
 
-ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other82) {
-  baseVersion = other82.baseVersion;
-  changes = other82.changes;
-  removedRoutes = other82.removedRoutes;
+ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other124) {
+  baseVersion = other124.baseVersion;
+  changes = other124.changes;
+  removedRoutes = other124.removedRoutes;
 }
-ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other83) {
-  baseVersion = other83.baseVersion;
-  changes = other83.changes;
-  removedRoutes = other83.removedRoutes;
+ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other125) {
+  baseVersion = other125.baseVersion;
+  changes = other125.changes;
+  removedRoutes = other125.removedRoutes;
   return *this;
 }
 void ConfigurationDelta::printTo(std::ostream& out) const {
@@ -2037,31 +3152,31 @@
   swap(a.__isset, b.__isset);
 }
 
-Target::Target(const Target& other84) {
-  name = other84.name;
-  serviceName = other84.serviceName;
-  address = other84.address;
-  port = other84.port;
-  domain = other84.domain;
-  slots = other84.slots;
-  draining = other84.draining;
-  coldMicroseconds = other84.coldMicroseconds;
-  startedUnixMilliseconds = other84.startedUnixMilliseconds;
-  sequence = other84.sequence;
-  __isset = other84.__isset;
-}
-Target& Target::operator=(const Target& other85) {
-  name = other85.name;
-  serviceName = other85.serviceName;
-  address = other85.address;
-  port = other85.port;
-  domain = other85.domain;
-  slots = other85.slots;
-  draining = other85.draining;
-  coldMicroseconds = other85.coldMicroseconds;
-  startedUnixMilliseconds = other85.startedUnixMilliseconds;
-  sequence = other85.sequence;
-  __isset = other85.__isset;
+Target::Target(const Target& other126) {
+  name = other126.name;
+  serviceName = other126.serviceName;
+  address = other126.address;
+  port = other126.port;
+  domain = other126.domain;
+  slots = other126.slots;
+  draining = other126.draining;
+  coldMicroseconds = other126.coldMicroseconds;
+  startedUnixMilliseconds = other126.startedUnixMilliseconds;
+  sequence = other126.sequence;
+  __isset = other126.__isset;
+}
+Target& Target::operator=(const Target& other127) {
+  name = other127.name;
+  serviceName = other127.serviceName;
+  address = other127.address;
+  port = other127.port;
+  domain = other127.domain;
+  slots = other127.slots;
+  draining = other127.draining;
+  coldMicroseconds = other127.coldMicroseconds;
+  startedUnixMilliseconds = other127.startedUnixMilliseconds;
+  sequence = other127.sequence;
+  __isset = other127.__isset;
   return *this;
 }
 void Target::printTo(std::ostream& out) const {
@@ -2178,13 +3293,13 @@
   swap(a.active, b.active);
 }
 
-Evacuation::Evacuation(const Evacuation& other86) {
-  domain = other86.domain;
-  active = other86.active;
+Evacuation::Evacuation(const Evacuation& other128) {
+  domain = other128.domain;
+  active = other128.active;
 }
-Evacuation& Evacuation::operator=(const Evacuation& other87) {
-  domain = other87.domain;
-  active = other87.active;
+Evacuation& Evacuation::operator=(const Evacuation& other129) {
+  domain = other129.domain;
+  active = other129.active;
   return *this;
 }
 void Evacuation::printTo(std::ostream& out) const {
@@ -2349,21 +3464,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Publication::Publication(const Publication& other88) {
-  configuration = other88.configuration;
-  registered = other88.registered;
-  removed = other88.removed;
-  evacuation = other88.evacuation;
-  configurationDelta = other88.configurationDelta;
-  __isset = other88.__isset;
-}
-Publication& Publication::operator=(const Publication& other89) {
-  configuration = other89.configuration;
-  registered = other89.registered;
-  removed = other89.removed;
-  evacuation = other89.evacuation;
-  configurationDelta = other89.configurationDelta;
-  __isset = other89.__isset;
+Publication::Publication(const Publication& other130) {
+  configuration = other130.configuration;
+  registered = other130.registered;
+  removed = other130.removed;
+  evacuation = other130.evacuation;
+  configurationDelta = other130.configurationDelta;
+  __isset = other130.__isset;
+}
+Publication& Publication::operator=(const Publication& other131) {
+  configuration = other131.configuration;
+  registered = other131.registered;
+  removed = other131.removed;
+  evacuation = other131.evacuation;
+  configurationDelta = other131.configurationDelta;
+  __isset = other131.__isset;
   return *this;
 }
 void Publication::printTo(std::ostream& out) const {
@@ -2514,19 +3629,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionGap::RevisionGap(const RevisionGap& other90) noexcept {
-  first = other90.first;
-  last = other90.last;
-  firstEpoch = other90.firstEpoch;
-  lastEpoch = other90.lastEpoch;
-  __isset = other90.__isset;
+RevisionGap::RevisionGap(const RevisionGap& other132) noexcept {
+  first = other132.first;
+  last = other132.last;
+  firstEpoch = other132.firstEpoch;
+  lastEpoch = other132.lastEpoch;
+  __isset = other132.__isset;
 }
-RevisionGap& RevisionGap::operator=(const RevisionGap& other91) noexcept {
-  first = other91.first;
-  last = other91.last;
-  firstEpoch = other91.firstEpoch;
-  lastEpoch = other91.lastEpoch;
-  __isset = other91.__isset;
+RevisionGap& RevisionGap::operator=(const RevisionGap& other133) noexcept {
+  first = other133.first;
+  last = other133.last;
+  firstEpoch = other133.firstEpoch;
+  lastEpoch = other133.lastEpoch;
+  __isset = other133.__isset;
   return *this;
 }
 void RevisionGap::printTo(std::ostream& out) const {
@@ -2647,14 +3762,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->changes.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->changes.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->changes[_i96].read(iprot);
+              xfer += this->changes[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2667,14 +3782,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gaps.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->gaps.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->gaps.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->gaps[_i101].read(iprot);
+              xfer += this->gaps[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2745,10 +3860,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Publication> ::const_iterator _iter102;
-    for (_iter102 = this->changes.begin(); _iter102 != this->changes.end(); ++_iter102)
+    std::vector<Publication> ::const_iterator _iter144;
+    for (_iter144 = this->changes.begin(); _iter144 != this->changes.end(); ++_iter144)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter144).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2758,10 +3873,10 @@
     xfer += oprot->writeFieldBegin("gaps", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gaps.size()));
-      std::vector<RevisionGap> ::const_iterator _iter103;
-      for (_iter103 = this->gaps.begin(); _iter103 != this->gaps.end(); ++_iter103)
+      std::vector<RevisionGap> ::const_iterator _iter145;
+      for (_iter145 = this->gaps.begin(); _iter145 != this->gaps.end(); ++_iter145)
       {
-        xfer += (*_iter103).write(oprot);
+        xfer += (*_iter145).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2795,27 +3910,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PublicationBatch::PublicationBatch(const PublicationBatch& other104) {
-  complete = other104.complete;
-  since = other104.since;
-  revision = other104.revision;
-  removalsWaitMicroseconds = other104.removalsWaitMicroseconds;
-  changes = other104.changes;
-  gaps = other104.gaps;
-  epoch = other104.epoch;
-  sinceEpoch = other104.sinceEpoch;
-  __isset = other104.__isset;
-}
-PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other105) {
-  complete = other105.complete;
-  since = other105.since;
-  revision = other105.revision;
-  removalsWaitMicroseconds = other105.removalsWaitMicroseconds;
-  changes = other105.changes;
-  gaps = other105.gaps;
-  epoch = other105.epoch;
-  sinceEpoch = other105.sinceEpoch;
-  __isset = other105.__isset;
+PublicationBatch::PublicationBatch(const PublicationBatch& other146) {
+  complete = other146.complete;
+  since = other146.since;
+  revision = other146.revision;
+  removalsWaitMicroseconds = other146.removalsWaitMicroseconds;
+  changes = other146.changes;
+  gaps = other146.gaps;
+  epoch = other146.epoch;
+  sinceEpoch = other146.sinceEpoch;
+  __isset = other146.__isset;
+}
+PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other147) {
+  complete = other147.complete;
+  since = other147.since;
+  revision = other147.revision;
+  removalsWaitMicroseconds = other147.removalsWaitMicroseconds;
+  changes = other147.changes;
+  gaps = other147.gaps;
+  epoch = other147.epoch;
+  sinceEpoch = other147.sinceEpoch;
+  __isset = other147.__isset;
   return *this;
 }
 void PublicationBatch::printTo(std::ostream& out) const {
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -27,6 +27,18 @@
 
 class RevisionNotice;
 
+class QuotaUsage;
+
+class QuotaReport;
+
+class QuotaSum;
+
+class QuotaSums;
+
+class QuotaShare;
+
+class QuotaShares;
+
 class PeerMessage;
 
 class WeightedService;
@@ -230,10 +242,370 @@
 
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj);
 
+typedef struct _QuotaUsage__isset {
+  _QuotaUsage__isset() : recentlyAdmitted(false), recentlyRequested(false), admittedShare(false) {}
+  bool recentlyAdmitted :1;
+  bool recentlyRequested :1;
+  bool admittedShare :1;
+} _QuotaUsage__isset;
+
+class QuotaUsage : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaUsage(const QuotaUsage&);
+  QuotaUsage& operator=(const QuotaUsage&);
+  QuotaUsage() noexcept
+             : customer(),
+               admitted(0),
+               requested(0),
+               newlyAdmitted(0),
+               newlyRequested(0),
+               recentlyAdmitted(0),
+               recentlyRequested(0),
+               admittedShare(0) {
+  }
+
+  virtual ~QuotaUsage() noexcept;
+  std::string customer;
+  int32_t admitted;
+  int32_t requested;
+  int32_t newlyAdmitted;
+  int32_t newlyRequested;
+  int32_t recentlyAdmitted;
+  int32_t recentlyRequested;
+  int32_t admittedShare;
+
+  _QuotaUsage__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_admitted(const int32_t val);
+
+  void __set_requested(const int32_t val);
+
+  void __set_newlyAdmitted(const int32_t val);
+
+  void __set_newlyRequested(const int32_t val);
+
+  void __set_recentlyAdmitted(const int32_t val);
+
+  void __set_recentlyRequested(const int32_t val);
+
+  void __set_admittedShare(const int32_t val);
+
+  bool operator == (const QuotaUsage & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    if (!(requested == rhs.requested))
+      return false;
+    if (!(newlyAdmitted == rhs.newlyAdmitted))
+      return false;
+    if (!(newlyRequested == rhs.newlyRequested))
+      return false;
+    if (__isset.recentlyAdmitted != rhs.__isset.recentlyAdmitted)
+      return false;
+    else if (__isset.recentlyAdmitted && !(recentlyAdmitted == rhs.recentlyAdmitted))
+      return false;
+    if (__isset.recentlyRequested != rhs.__isset.recentlyRequested)
+      return false;
+    else if (__isset.recentlyRequested && !(recentlyRequested == rhs.recentlyRequested))
+      return false;
+    if (__isset.admittedShare != rhs.__isset.admittedShare)
+      return false;
+    else if (__isset.admittedShare && !(admittedShare == rhs.admittedShare))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaUsage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaUsage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaUsage &a, QuotaUsage &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaUsage& obj);
+
+typedef struct _QuotaReport__isset {
+  _QuotaReport__isset() : needsReply(false) {}
+  bool needsReply :1;
+} _QuotaReport__isset;
+
+class QuotaReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReport(const QuotaReport&);
+  QuotaReport& operator=(const QuotaReport&);
+  QuotaReport() noexcept
+              : run(0),
+                sequence(0),
+                recentMilliseconds(0),
+                needsReply(0) {
+  }
+
+  virtual ~QuotaReport() noexcept;
+  int64_t run;
+  int32_t sequence;
+  int32_t recentMilliseconds;
+  std::vector<QuotaUsage>  usages;
+  bool needsReply;
+
+  _QuotaReport__isset __isset;
+
+  void __set_run(const int64_t val);
+
+  void __set_sequence(const int32_t val);
+
+  void __set_recentMilliseconds(const int32_t val);
+
+  void __set_usages(const std::vector<QuotaUsage> & val);
+
+  void __set_needsReply(const bool val);
+
+  bool operator == (const QuotaReport & rhs) const
+  {
+    if (!(run == rhs.run))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(recentMilliseconds == rhs.recentMilliseconds))
+      return false;
+    if (!(usages == rhs.usages))
+      return false;
+    if (__isset.needsReply != rhs.__isset.needsReply)
+      return false;
+    else if (__isset.needsReply && !(needsReply == rhs.needsReply))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReport &a, QuotaReport &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReport& obj);
+
+
+class QuotaSum : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaSum(const QuotaSum&);
+  QuotaSum& operator=(const QuotaSum&);
+  QuotaSum() noexcept
+           : customer(),
+             heardEntries(0) {
+  }
+
+  virtual ~QuotaSum() noexcept;
+  std::string customer;
+  std::vector<int32_t>  admitted;
+  std::vector<int32_t>  requested;
+  int32_t heardEntries;
+
+  void __set_customer(const std::string& val);
+
+  void __set_admitted(const std::vector<int32_t> & val);
+
+  void __set_requested(const std::vector<int32_t> & val);
+
+  void __set_heardEntries(const int32_t val);
+
+  bool operator == (const QuotaSum & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    if (!(requested == rhs.requested))
+      return false;
+    if (!(heardEntries == rhs.heardEntries))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaSum &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaSum & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaSum &a, QuotaSum &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaSum& obj);
+
+typedef struct _QuotaSums__isset {
+  _QuotaSums__isset() : needsReply(false) {}
+  bool needsReply :1;
+} _QuotaSums__isset;
+
+class QuotaSums : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaSums(const QuotaSums&);
+  QuotaSums& operator=(const QuotaSums&);
+  QuotaSums() noexcept
+            : needsReply(0) {
+  }
+
+  virtual ~QuotaSums() noexcept;
+  std::vector<QuotaSum>  sums;
+  bool needsReply;
+
+  _QuotaSums__isset __isset;
+
+  void __set_sums(const std::vector<QuotaSum> & val);
+
+  void __set_needsReply(const bool val);
+
+  bool operator == (const QuotaSums & rhs) const
+  {
+    if (!(sums == rhs.sums))
+      return false;
+    if (__isset.needsReply != rhs.__isset.needsReply)
+      return false;
+    else if (__isset.needsReply && !(needsReply == rhs.needsReply))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaSums &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaSums & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaSums &a, QuotaSums &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaSums& obj);
+
+typedef struct _QuotaShare__isset {
+  _QuotaShare__isset() : needsReport(false) {}
+  bool needsReport :1;
+} _QuotaShare__isset;
+
+class QuotaShare : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaShare(const QuotaShare&);
+  QuotaShare& operator=(const QuotaShare&);
+  QuotaShare() noexcept
+             : customer(),
+               admittedShare(0),
+               needsReport(0) {
+  }
+
+  virtual ~QuotaShare() noexcept;
+  std::string customer;
+  int32_t admittedShare;
+  bool needsReport;
+
+  _QuotaShare__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_admittedShare(const int32_t val);
+
+  void __set_needsReport(const bool val);
+
+  bool operator == (const QuotaShare & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(admittedShare == rhs.admittedShare))
+      return false;
+    if (__isset.needsReport != rhs.__isset.needsReport)
+      return false;
+    else if (__isset.needsReport && !(needsReport == rhs.needsReport))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaShare &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaShare & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaShare &a, QuotaShare &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaShare& obj);
+
+
+class QuotaShares : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaShares(const QuotaShares&);
+  QuotaShares& operator=(const QuotaShares&);
+  QuotaShares() noexcept {
+  }
+
+  virtual ~QuotaShares() noexcept;
+  std::vector<QuotaShare>  shares;
+
+  void __set_shares(const std::vector<QuotaShare> & val);
+
+  bool operator == (const QuotaShares & rhs) const
+  {
+    if (!(shares == rhs.shares))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaShares &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaShares & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaShares &a, QuotaShares &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaShares& obj);
+
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : notice(false), gossip(false) {}
+  _PeerMessage__isset() : notice(false), gossip(false), quotaReport(false), quotaSums(false), quotaShares(false) {}
   bool notice :1;
   bool gossip :1;
+  bool quotaReport :1;
+  bool quotaSums :1;
+  bool quotaShares :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -247,6 +619,9 @@
   virtual ~PeerMessage() noexcept;
   RevisionNotice notice;
   Gossip gossip;
+  QuotaReport quotaReport;
+  QuotaSums quotaSums;
+  QuotaShares quotaShares;
 
   _PeerMessage__isset __isset;
 
@@ -254,6 +629,12 @@
 
   void __set_gossip(const Gossip& val);
 
+  void __set_quotaReport(const QuotaReport& val);
+
+  void __set_quotaSums(const QuotaSums& val);
+
+  void __set_quotaShares(const QuotaShares& val);
+
   bool operator == (const PeerMessage & rhs) const
   {
     if (__isset.notice != rhs.__isset.notice)
@@ -264,6 +645,18 @@
       return false;
     else if (__isset.gossip && !(gossip == rhs.gossip))
       return false;
+    if (__isset.quotaReport != rhs.__isset.quotaReport)
+      return false;
+    else if (__isset.quotaReport && !(quotaReport == rhs.quotaReport))
+      return false;
+    if (__isset.quotaSums != rhs.__isset.quotaSums)
+      return false;
+    else if (__isset.quotaSums && !(quotaSums == rhs.quotaSums))
+      return false;
+    if (__isset.quotaShares != rhs.__isset.quotaShares)
+      return false;
+    else if (__isset.quotaShares && !(quotaShares == rhs.quotaShares))
+      return false;
     return true;
   }
   bool operator != (const PeerMessage &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -37,10 +37,66 @@
   2: optional i64 epoch
 }
 
+// Requests of one customer at the sender.
+struct QuotaUsage {
+  1: required string customer
+  // Since the start of the sender, modulo 2^32.
+  2: required i32 admitted
+  3: required i32 requested
+  // Recent ones that no earlier report contained.
+  4: required i32 newlyAdmitted
+  5: required i32 newlyRequested
+  // Recent ones; as many as the new ones if the field is missing.
+  6: optional i32 recentlyAdmitted
+  7: optional i32 recentlyRequested
+  // In thousandths; all requests are admitted if the field is missing.
+  8: optional i32 admittedShare
+}
+
+struct QuotaReport {
+  1: required i64 run
+  2: required i32 sequence
+  3: required i32 recentMilliseconds
+  4: required list<QuotaUsage> usages
+  // Missing means false.
+  5: optional bool needsReply
+}
+
+// Requests of one customer at the entries that report to the sender.
+struct QuotaSum {
+  1: required string customer
+  // Tenths of requests in slots of 250 ms, newest first.
+  2: required list<i32> admitted
+  3: required list<i32> requested
+  // 0 if the sender does not know it.
+  4: required i32 heardEntries
+}
+
+struct QuotaSums {
+  1: required list<QuotaSum> sums
+  // Missing means false.
+  2: optional bool needsReply
+}
+
+struct QuotaShare {
+  1: required string customer
+  // In thousandths.
+  2: required i32 admittedShare
+  // Missing means false.
+  3: optional bool needsReport
+}
+
+struct QuotaShares {
+  1: required list<QuotaShare> shares
+}
+
 // Exactly one field is set.
 union PeerMessage {
   8: RevisionNotice notice
   9: Gossip gossip
+  10: QuotaReport quotaReport
+  11: QuotaSums quotaSums
+  12: QuotaShares quotaShares
 }
 
 struct WeightedService {
--- a/tests/auto/libs/coordination/QuotaHarness.h
+++ b/tests/auto/libs/coordination/QuotaHarness.h
@@ -128,6 +128,15 @@
     return Result;
   }
 
+  std::size_t indexOf(const std::string &Address) {
+    if (this->Indexes.size() != this->Entries.size()) {
+      for (std::size_t Index = 0; Index < this->Entries.size(); ++Index) {
+        this->Indexes[addressOf(Index)] = Index;
+      }
+    }
+    return this->Indexes.at(Address);
+  }
+
   /// Largest number of admitted requests in any window.
   std::size_t maxInWindow(const std::string &Name) const {
     const auto Found = this->Results.find(CustomerName(Name));
@@ -289,15 +298,6 @@
     }
   }
 
-  std::size_t indexOf(const std::string &Address) {
-    if (this->Indexes.size() != this->Entries.size()) {
-      for (std::size_t Index = 0; Index < this->Entries.size(); ++Index) {
-        this->Indexes[addressOf(Index)] = Index;
-      }
-    }
-    return this->Indexes.at(Address);
-  }
-
   void deliver() {
     while (!this->InFlight.empty() && this->InFlight.begin()->first <= this->Now) {
       const Datagram Each = this->InFlight.begin()->second;
--- a/tests/auto/libs/protocol/ArbitraryMessage.h
+++ b/tests/auto/libs/protocol/ArbitraryMessage.h
@@ -48,4 +48,40 @@
   return Result;
 }
 
+/// Returns an arbitrary message about quotas with up to `MaxList` elements. Call it inside a
+/// property.
+inline PeerMessage arbitraryQuotaMessage(std::size_t MaxList) {
+  const auto Size = *rc::gen::inRange<std::size_t>(0, MaxList + 1);
+  const auto Kind = *rc::gen::inRange(0, 3);
+  const auto Name = [] { return CustomerName((*shortText()).substr(0, 20)); };
+  const auto Count = [] { return *rc::gen::inRange<std::uint32_t>(0, 1u << 31); };
+  const auto Share = [] { return *rc::gen::inRange<std::uint32_t>(0, 1001); };
+  if (Kind == 0) {
+    QuotaReport Result;
+    Result.Run = *rc::gen::arbitrary<std::int64_t>();
+    Result.Sequence = *rc::gen::arbitrary<std::uint32_t>();
+    Result.NeedsReply = *rc::gen::arbitrary<bool>();
+    Result.RecentMilliseconds = Count();
+    for (std::size_t Index = 0; Index < Size; ++Index) {
+      Result.Usages.push_back({Name(), *rc::gen::arbitrary<std::uint32_t>(),
+                               *rc::gen::arbitrary<std::uint32_t>(), Count(), Count(), Count(),
+                               Count(), Share()});
+    }
+    return Result;
+  }
+  if (Kind == 1) {
+    QuotaSums Result;
+    Result.NeedsReply = *rc::gen::arbitrary<bool>();
+    for (std::size_t Index = 0; Index < Size; ++Index) {
+      Result.Sums.push_back({Name(), {Count(), Count()}, {Count(), 0, Count()}, Count()});
+    }
+    return Result;
+  }
+  QuotaShares Result;
+  for (std::size_t Index = 0; Index < Size; ++Index) {
+    Result.Shares.push_back({Name(), Share(), *rc::gen::arbitrary<bool>()});
+  }
+  return Result;
+}
+
 } // namespace anvilsaddle
--- a/tests/auto/libs/protocol/tst_peercodec.cpp
+++ b/tests/auto/libs/protocol/tst_peercodec.cpp
@@ -9,6 +9,9 @@
   CPPUNIT_TEST(roundTrip);
   CPPUNIT_TEST(longListsAreSplit);
   CPPUNIT_TEST(recordsAreCompact);
+  CPPUNIT_TEST(quotaRoundTrip);
+  CPPUNIT_TEST(longQuotaListsAreSplit);
+  CPPUNIT_TEST(invalidQuotaValues);
   CPPUNIT_TEST(invalidPayloads);
   CPPUNIT_TEST(arbitraryBytesAreHandled);
   CPPUNIT_TEST_SUITE_END();
@@ -59,6 +62,43 @@
     CPPUNIT_ASSERT(Payloads.front().size() <= 8 * Message.Entries.size());
   }
 
+  /// Guards against lost or modified fields of messages about quotas.
+  void quotaRoundTrip() {
+    checkProperty("any message about quotas is decoded unchanged", [] {
+      const PeerMessage Message = arbitraryQuotaMessage(8);
+      const auto Payloads = PeerCodec().encode(Message);
+      RC_ASSERT(Payloads.size() == 1U);
+      RC_ASSERT(std::get<PeerMessage>(PeerCodec().decode(Payloads.front())) == Message);
+    });
+  }
+
+  /// Guards against datagrams beyond the limit, and against customers that are lost or repeated
+  /// between the payloads.
+  void longQuotaListsAreSplit() {
+    QuotaReport Message;
+    Message.Run = 1'800'000'000'000;
+    for (std::uint32_t Index = 0; Index < 500; ++Index) {
+      Message.Usages.push_back(
+          {CustomerName("customer-" + std::to_string(Index)), Index, Index, 1, 1, 1, 1});
+    }
+    QuotaReport Joined = Message;
+    Joined.Usages.clear();
+    for (const std::string &Payload : PeerCodec().encode(Message)) {
+      CPPUNIT_ASSERT(Payload.size() <= PeerCodec::MaxPayloadBytes);
+      const auto Part = std::get<QuotaReport>(std::get<PeerMessage>(PeerCodec().decode(Payload)));
+      Joined.Usages.insert(Joined.Usages.end(), Part.Usages.begin(), Part.Usages.end());
+    }
+    CPPUNIT_ASSERT(Joined == Message);
+  }
+
+  /// Guards against shares and counts outside their range, which an entry would apply.
+  void invalidQuotaValues() {
+    const std::string TooLarge =
+        PeerCodec().encode(QuotaShares{{{CustomerName("c"), 1001}}}).front();
+    CPPUNIT_ASSERT(std::get<PeerError>(PeerCodec().decode(TooLarge)).Reason ==
+                   PeerRejection::Malformed);
+  }
+
   /// Guards against payloads that are accepted although they are not a complete message.
   void invalidPayloads() {
     const std::string Good =
@@ -88,6 +128,12 @@
       Payload[Index] = *rc::gen::arbitrary<char>();
       PeerCodec().decode(Payload);
     });
+    checkProperty("any modified message about quotas is decoded or rejected", [] {
+      std::string Payload = PeerCodec().encode(arbitraryQuotaMessage(5)).front();
+      const auto Index = *rc::gen::inRange<std::size_t>(0, Payload.size());
+      Payload[Index] = *rc::gen::arbitrary<char>();
+      PeerCodec().decode(Payload);
+    });
   }
 };
 
