Apply the quotas of customers to callers' requests

Cause: entries decide on quotas, but no request, setting or datagram reached the decisions. Change: ProxyHandler asks for admission after routing, responds 429 with Retry-After, a log line with the inputs and counters, and gives back the quota of requests that the dispatcher refuses as not executed. EntryRuntime runs the timer, exchanges the messages and passes on live entries with their regions and the customers. RequestAttributes has the customer, which stays empty until requests are authenticated.

--- a/src/libs/coordination/dispatch/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -33,6 +33,8 @@
   std::uint32_t MaxTargets = 1;
   /// Regions that may serve the request; empty means all.
   std::set<RegionName> HomeRegions;
+  /// Empty if the request belongs to no customer.
+  CustomerName Customer;
   TimePoint ReceivedAt{};
   /// A response before ReceivedAt + Objective is worth most; a later one, up to the deadline, is
   /// worth less.
--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::int64_t MaxPort = 65535;
 constexpr std::size_t MinFleetKeyBytes = 16;
+/// The counts of a longer window do not fit into a datagram.
+constexpr Duration MaxQuotaWindow = 20s;
 
 Endpoint readEndpoint(TomlTable &Table, std::string_view Key) {
   const std::string Text = Table.requiredString(Key);
@@ -73,6 +75,10 @@
   ColdStartLimits &Cold = Result.Dispatch.ColdStart;
   Cold.BurstFactor = Limits.numberOr("cold_burst_factor", Cold.BurstFactor, 0, 100);
   Cold.Slack = Limits.numberOr("cold_slack", Cold.Slack, 0, 1e4);
+  QuotaBounds &Quotas = Result.Quotas;
+  Quotas.Window = Limits.secondsOr("quota_window_s", Quotas.Window, 1s, MaxQuotaWindow);
+  Quotas.Overshoot = Limits.numberOr("quota_overshoot", Quotas.Overshoot, 0, 10);
+  Quotas.Slack = Limits.numberOr("quota_slack", Quotas.Slack, 0, 1e4);
   Result.StopGracePeriod = Limits.secondsOr("stop_grace_s", Result.StopGracePeriod, 1s, 1h);
   Result.AddressTtl = Limits.secondsOr("address_lifetime_s", Result.AddressTtl, 100ms, 1h);
   Result.MaxConnections = Limits.integerOr("max_connections", Result.MaxConnections, 1, 100'000);
--- a/src/libs/protocol/DaemonSettings.h
+++ b/src/libs/protocol/DaemonSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/dispatch/Dispatcher.h"
+#include "coordination/limits/QuotaMessages.h"
 #include "state/Diagnostic.h"
 #include "state/Endpoint.h"
 #include "state/Identifiers.h"
@@ -41,6 +42,8 @@
   /// Key that authenticates messages between entries.
   std::string FleetKey;
   DispatchLimits Dispatch;
+  /// Bounds of the quotas of customers.
+  QuotaBounds Quotas;
   /// Time from the stop signal until the process is killed.
   Duration StopGracePeriod = std::chrono::seconds(6);
   /// Time for which callers may cache a response of the directory.
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -176,6 +176,10 @@
     Out.writeSample("refusals_total", {{"reason", Key.first}, {"status", statusLabel(Key.second)}},
                     Count);
   }
+  Out.writeFamily("quota_decisions_total", "counter",
+                  "Requests of customers by the decision of their quota.");
+  Out.writeSample("quota_decisions_total", {{"decision", "admitted"}}, this->QuotaAdmissions);
+  Out.writeSample("quota_decisions_total", {{"decision", "refused"}}, this->QuotaRefusals);
   Out.writeSingleSample("probes_total", "counter", "Load probes sent to targets.", this->Probes);
   Out.writeSingleSample("failed_probes_total", "counter", "Probes without a usable response.",
                         this->FailedProbes);
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -53,6 +53,10 @@
   void onAttempt(const ServiceName &Service, bool IsRetry);
   void onAttemptEnd(const ServiceName &Service, AttemptOutcome Outcome);
   void onProbe(bool HasFailed);
+  /// The quota of a customer admitted or refused a request.
+  void onQuotaDecision(bool IsAdmitted) {
+    ++(IsAdmitted ? this->QuotaAdmissions : this->QuotaRefusals);
+  }
   void onCallerDisconnected() { ++this->CallerDisconnects; }
   void setUnansweredRequests(const UnansweredCounts &Counts) { this->Unanswered = Counts; }
   void setLogLinesDropped(std::uint64_t Total) { this->LogLinesDropped = Total; }
@@ -93,6 +97,8 @@
   std::map<std::pair<std::string, int>, std::uint64_t> Refusals;
   std::uint64_t Probes = 0;
   std::uint64_t FailedProbes = 0;
+  std::uint64_t QuotaAdmissions = 0;
+  std::uint64_t QuotaRefusals = 0;
   std::uint64_t CallerDisconnects = 0;
   std::uint64_t LogLinesDropped = 0;
   UnansweredCounts Unanswered;
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <type_traits>
 #include <utility>
 
 namespace anvilsaddle {
@@ -56,6 +57,8 @@
       Audit(static_cast<std::size_t>(this->Settings.MaxAuditRecords)),
       RequestDispatcher(this->Settings.FleetTopology, this->Settings.Dispatch,
                         this->Settings.CallerEndpoint.Address, Deps.Random),
+      Quotas(this->Settings.CallerEndpoint.Address, this->OwnIncarnation.StartedUnixMilliseconds,
+             this->Settings.Quotas, Deps.Time.now()),
       Changes(this->Audit, this->RequestDispatcher.targets(), Deps.Time),
       Members(makeOwnRecord(this->Settings, this->OwnIncarnation.StartedUnixMilliseconds),
               this->Settings.FleetTopology, toSet(this->Settings.Seeds), Deps.Random,
@@ -91,7 +94,7 @@
            [this] { return this->Proxy.configuration(); },
            [this] { return this->RequestDispatcher.targets().removalDelay(this->now()); }}),
       Proxy({this->RequestDispatcher, this->Connections, Deps.Protocol, this->EntryMetrics,
-             Deps.Time, Deps.Random, [this] { this->applyEffects(); }}),
+             Deps.Time, Deps.Random, this->Quotas, [this] { this->applyEffects(); }}),
       ForwardedRequests(this->Proxy),
       PageHandler(Deps.Queries, this->Members, this->Settings.FleetTopology, this->Proxy,
                   this->Settings.CallerEndpoint.Port, this->Settings.AddressTtl),
@@ -191,6 +194,9 @@
   if (const auto DispatcherWakeup = this->RequestDispatcher.nextTick()) {
     Next = std::min(Next, *DispatcherWakeup);
   }
+  if (const auto QuotaWakeup = this->Quotas.nextTick()) {
+    Next = std::min(Next, *QuotaWakeup);
+  }
   const Duration Wait = std::max(Duration(0), Next - this->now());
   g_source_set_ready_time(this->Timer, g_get_monotonic_time() + Wait.count());
 }
@@ -198,6 +204,8 @@
 gboolean EntryRuntime::onTimer(gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
   Self.sendGossip(Self.withSaturation(Self.Members.onTick(Self.now())));
+  Self.Quotas.onTick(Self.now());
+  Self.sendQuotaMessages();
   Self.RequestDispatcher.onTick(Self.now());
   Self.applyEffects();
   return G_SOURCE_CONTINUE;
@@ -246,13 +254,36 @@
   }
 }
 
+void EntryRuntime::sendQuotaMessages() {
+  for (const OutgoingQuotaMessage &Each : this->Quotas.takeMessages()) {
+    std::visit(
+        [this, &Each](const auto &Message) {
+          this->Peers.send(VmName(Each.Receiver), Each.Receiver, this->Settings.PeerPort, Message);
+        },
+        Each.Message);
+  }
+}
+
 void EntryRuntime::onPeerMessage(const std::string &Sender, const PeerMessage &Message) {
   if (const auto *Notice = std::get_if<RevisionNotice>(&Message)) {
     this->Distributor.onNotice(Sender, *Notice, this->now());
     this->applyDistributionEffects();
     return;
   }
-  const auto &Received = std::get<Gossip>(Message);
+  const auto *Gossiped = std::get_if<Gossip>(&Message);
+  if (!Gossiped) {
+    std::visit(
+        [this, &Sender](const auto &Each) {
+          if constexpr (std::is_constructible_v<QuotaMessage, decltype(Each)>) {
+            this->Quotas.onMessage(Sender, Each, this->now());
+          }
+        },
+        Message);
+    this->sendQuotaMessages();
+    this->scheduleTimer();
+    return;
+  }
+  const Gossip &Received = *Gossiped;
   this->RequestDispatcher.saturation().add(Received.Saturation, this->now());
   auto Replies = this->Members.onMessage(Sender, Received, this->now());
   this->Peers.raiseIncarnation(this->Members.incarnation());
@@ -309,6 +340,15 @@
   this->RequestDispatcher.setEntries(std::move(OwnRegionEntries), Live.size());
   this->RequestDispatcher.setRemoteEntries(std::move(RemoteEntriesByRegion));
   this->Distributor.setEntries(Live);
+  std::vector<QuotaEntry> QuotaEntries;
+  QuotaEntries.reserve(Live.size());
+  for (const EntryRecord &Each : Live) {
+    QuotaEntries.push_back({Each.Address, this->Settings.FleetTopology.regionOf(Each.Domain),
+                            Each.State == EntryState::Leaving});
+  }
+  this->Quotas.setEntries(std::move(QuotaEntries), this->now());
+  this->sendQuotaMessages();
+  this->scheduleTimer();
   // A dead entry may restart after its clock was set back. Its messages would then be rejected as
   // old ones, so the state of the replay protection is removed for all entries that are not live.
   this->Peers.retainSenders(Senders);
@@ -385,6 +425,7 @@
   }
   this->PublicationTransfer.onConfiguration(Current, Newer);
   this->Proxy.setConfiguration(Newer);
+  this->Quotas.setCustomers(Newer.Customers, this->now());
 }
 
 void EntryRuntime::updateReadiness() {
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -2,6 +2,7 @@
 
 #include "coordination/dispatch/Dispatcher.h"
 #include "coordination/dispatch/ShutdownSchedule.h"
+#include "coordination/limits/CustomerQuotas.h"
 #include "coordination/membership/Incarnation.h"
 #include "coordination/membership/Membership.h"
 #include "coordination/publications/PublicationDistributor.h"
@@ -82,6 +83,7 @@
   /// Adds a part of the dispatcher's sums to each message.
   std::vector<OutgoingGossip> withSaturation(std::vector<OutgoingGossip> Messages);
   void sendGossip(const std::vector<OutgoingGossip> &Messages);
+  void sendQuotaMessages();
   void onPeerMessage(const std::string &Sender, const PeerMessage &Message);
   void applyDistributionEffects();
   /// `Source` is the origin of the publications, for the log: an entry's address, or the store.
@@ -99,6 +101,7 @@
   AuditTrail Audit;
   Metrics EntryMetrics;
   Dispatcher RequestDispatcher;
+  CustomerQuotas Quotas;
   ChangeRecorder Changes;
   Membership Members;
   PublicationLog Publications;
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/RandomSource.h"
 #include "coordination/dispatch/Dispatcher.h"
+#include "coordination/limits/CustomerQuotas.h"
 #include "protocol/Metrics.h"
 #include "protocol/RequestMetadataProtocol.h"
 #include "transport/Clock.h"
@@ -19,6 +20,7 @@
 
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
+constexpr int TooManyRequests = 429;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
@@ -27,12 +29,19 @@
 /// An entry receives its configuration within about a second of its start.
 constexpr Duration RetryWhileUnconfigured = 300ms;
 
-std::string formatSeconds(Duration Value) {
+/// Shares are in thousandths.
+constexpr double ShareRadix = 1000;
+
+std::string formatNumber(double Value) {
   std::array<char, G_ASCII_DTOSTR_BUF_SIZE> Text{};
-  g_ascii_formatd(Text.data(), Text.size(), "%.3f", std::chrono::duration<double>(Value).count());
+  g_ascii_formatd(Text.data(), Text.size(), "%.3f", Value);
   return Text.data();
 }
 
+std::string formatSeconds(Duration Value) {
+  return formatNumber(std::chrono::duration<double>(Value).count());
+}
+
 std::string formatMilliseconds(Duration Value) { return std::to_string(toMilliseconds(Value)); }
 
 ResponseHead localResponse(int Status, Duration RetryAfter) {
@@ -201,6 +210,10 @@
     // The latency objective is measured from the arrival at the first entry.
     Attributes.ReceivedAt -= Forward->Elapsed;
   }
+  if (!Forward && !Attributes.Customer.empty() &&
+      !this->admitToQuota(Exchange, Metadata.RequestId, Attributes.Customer)) {
+    return;
+  }
   const RequestNumber Number = ++this->LastNumber;
   this->Requests[Number] = std::make_unique<ActiveRequest>(
       Number, Exchange, Attributes, Metadata.RequestId, this->RequestCallbacks);
@@ -235,6 +248,35 @@
   Exchange.respond(localResponse(Unavailable, RetryWhileUnconfigured), Reason + "\n");
 }
 
+bool ProxyHandler::admitToQuota(HttpExchange &Exchange, const std::string &Id,
+                                const CustomerName &Customer) {
+  const QuotaDecision Decision = this->Deps.Quotas.admit(Customer, this->Deps.Time.now());
+  this->Deps.RequestMetrics.onQuotaDecision(Decision.IsAdmitted);
+  if (Decision.IsAdmitted) {
+    return true;
+  }
+  const std::string Reason = toString(Decision.Reason);
+  this->Deps.RequestMetrics.onRefused(Reason, TooManyRequests);
+  logEvent(LogLevel::Info, "refused",
+           {{"request", Id},
+            {"kind", "over_quota"},
+            {"reason", Reason},
+            {"customer", Customer.str()},
+            {"limit_per_s", formatNumber(Decision.RequestsPerSecond)},
+            {"burst", formatNumber(Decision.Burst)},
+            {"admitted_share", formatNumber(Decision.AdmittedShare / ShareRadix)},
+            {"entry_admitted", formatNumber(Decision.RecentlyAdmitted)},
+            {"entry_requested", formatNumber(Decision.RecentlyRequested)},
+            {"live_entries", std::to_string(Decision.LiveEntries)},
+            {"assumed_entries", std::to_string(Decision.AssumedEntries)},
+            {"coordinator", Decision.Coordinator},
+            {"retry_after_s", formatSeconds(Decision.RetryAfter)}});
+  Exchange.respond(localResponse(TooManyRequests, Decision.RetryAfter), Reason + "\n");
+  // The report of this decision is due at a later time.
+  this->Deps.ApplyEffects();
+  return false;
+}
+
 void ProxyHandler::onCallerDisconnected(HttpExchange &Exchange, CloseReason Reason) {
   const auto Found = this->NumberByExchange.find(&Exchange);
   if (Found == this->NumberByExchange.end()) {
@@ -315,6 +357,11 @@
     return;
   }
   const int Status = statusFor(Command.Kind);
+  const RequestAttributes &Attributes = Request->attributes();
+  if (Command.Kind == RefusalKind::NotExecuted && !Attributes.CameFromOtherEntry &&
+      !Attributes.Customer.empty()) {
+    this->Deps.Quotas.refund(Attributes.Customer, this->Deps.Time.now());
+  }
   this->Deps.RequestMetrics.onRefused(Command.Reason, Status);
   logEvent(LogLevel::Info, "refused",
            {{"request", Request->id()},
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -17,6 +17,8 @@
 namespace anvilsaddle {
 
 class Clock;
+class CustomerQuotas;
+struct QuotaDecision;
 class Dispatcher;
 class RequestMetadataProtocol;
 class Metrics;
@@ -34,6 +36,7 @@
     Metrics &RequestMetrics;
     const Clock &Time;
     RandomSource &Random;
+    CustomerQuotas &Quotas;
     /// Applies the pending effects of the dispatcher. Called after each event that may have caused
     /// any.
     std::function<void()> ApplyEffects;
@@ -80,6 +83,9 @@
   /// Rejects a forwarded request that the first entry routed by another configuration.
   void rejectRoutedDifferently(HttpExchange &Exchange, const std::string &Id,
                                const ServiceName &Service);
+  /// Decides whether a caller's request is within the quota of its customer, and rejects it if it
+  /// is not. Returns false if it was rejected.
+  bool admitToQuota(HttpExchange &Exchange, const std::string &Id, const CustomerName &Customer);
   ActiveRequest *find(RequestNumber Number);
   /// Removes the request from those in progress, before the connection may delete its exchange.
   void onExchangeReleased(ActiveRequest &Request, const HttpExchange &Exchange);
--- a/tests/auto/libs/protocol/tst_daemonsettings.cpp
+++ b/tests/auto/libs/protocol/tst_daemonsettings.cpp
@@ -27,6 +27,9 @@
 [limits]
 repeat_ratio = 0.25
 stop_grace_s = 2.5
+quota_window_s = 4
+quota_overshoot = 0.5
+quota_slack = 7
 )";
 
 std::string replaced(std::string Text, const std::string &Old, const std::string &New) {
@@ -57,6 +60,12 @@
                    RegionName("south"));
     CPPUNIT_ASSERT_EQUAL(0.25, Settings.Dispatch.Retries.Ratio);
     CPPUNIT_ASSERT(Settings.StopGracePeriod == 2500ms);
+    CPPUNIT_ASSERT(Settings.Quotas == (QuotaBounds{4s, 0.5, 7}));
+    // Deployments without quotas set no bounds.
+    const auto Without = std::get<DaemonSettings>(readDaemonSettings(
+        replaced(Good, "quota_window_s = 4\nquota_overshoot = 0.5\nquota_slack = 7\n", ""),
+        "entry.toml"));
+    CPPUNIT_ASSERT(Without.Quotas == QuotaBounds());
   }
 
   /// Guards against invalid settings with which a daemon starts and then behaves in an unintended
@@ -76,6 +85,9 @@
         {replaced(Good, "\"n-a\" = \"north\"\n", ""), "failure domain 'n-a'"},
         {replaced(Good, "= 0.25", "= -1"), "'repeat_ratio' must be a number from 0 to 10"},
         {replaced(Good, "= 0.25", "= \"x\""), "'repeat_ratio' must be a number"},
+        {replaced(Good, "quota_window_s = 4", "quota_window_s = 60"), "'quota_window_s'"},
+        {replaced(Good, "quota_overshoot = 0.5", "quota_overshoot = -1"), "'quota_overshoot'"},
+        {replaced(Good, "quota_slack = 7", "quota_slack = \"x\""), "'quota_slack'"},
         {replaced(Good, "stop_grace_s", "stop_grace"), "unknown key 'stop_grace'"},
         {replaced(Good, "10.2.0.9:8083", "nowhere"), "elements of 'seeds'"},
         {Good + "[log]\nlevel = \"loud\"\n", "'level' must be one of"},
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -42,6 +42,9 @@
     Counters.onAttempt(Board, true);
     Counters.onAttemptEnd(Board, AttemptOutcome::Interrupted);
     Counters.onProbe(true);
+    Counters.onQuotaDecision(true);
+    Counters.onQuotaDecision(false);
+    Counters.onQuotaDecision(false);
     Counters.onCallerDisconnected();
     UnansweredCounts Unanswered;
     Unanswered.add(CloseReason::IdleTimeout, RequestStage::Unread);
@@ -63,6 +66,8 @@
         "anvilsaddle_repeats_total{service=\"board\"} 1\n",
         "anvilsaddle_attempt_outcomes_total{service=\"board\",outcome=\"broken\"} 1\n",
         "anvilsaddle_failed_probes_total 1\n",
+        "anvilsaddle_quota_decisions_total{decision=\"admitted\"} 1\n",
+        "anvilsaddle_quota_decisions_total{decision=\"refused\"} 2\n",
         "anvilsaddle_callers_gone_total 1\n",
         "anvilsaddle_unanswered_requests_total{reason=\"idle_timeout\",stage=\"unread\"} 2\n",
         "anvilsaddle_queued_requests 2\n",
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -3,6 +3,7 @@
 #include "Loopback.h"
 #include "Property.h"
 #include "coordination/dispatch/Dispatcher.h"
+#include "coordination/limits/CustomerQuotas.h"
 #include "model/SeededRandom.h"
 #include "protocol/Metrics.h"
 #include "transport/ConnectionPool.h"
@@ -54,7 +55,8 @@
                   this->RequestDispatcher.onProbeFailed(Name, Failure, this->Time.now());
                   this->applyEffects();
                 }}),
-        Proxy({RequestDispatcher, Pool, Protocol, RequestMetrics, Time, Random,
+        Quotas("127.0.0.1", 1, {}, Time.now()),
+        Proxy({RequestDispatcher, Pool, Protocol, RequestMetrics, Time, Random, Quotas,
                [this] { this->applyEffects(); }}),
         Server(Proxy, Time, 100) {
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Server.listen({"127.0.0.1", 0}));
@@ -120,6 +122,7 @@
   Dispatcher RequestDispatcher;
   ConnectionPool Pool;
   ProbeRunner Probes;
+  CustomerQuotas Quotas;
   ProxyHandler Proxy;
   HttpServer Server;
 
