--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -644,6 +644,1055 @@
 }
 
 
+QuotaUsage::~QuotaUsage() noexcept {
+}
+
+
+void QuotaUsage::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void QuotaUsage::__set_admitted(const int32_t val) {
+  this->admitted = val;
+}
+
+void QuotaUsage::__set_requested(const int32_t val) {
+  this->requested = val;
+}
+
+void QuotaUsage::__set_newlyAdmitted(const int32_t val) {
+  this->newlyAdmitted = val;
+}
+
+void QuotaUsage::__set_newlyRequested(const int32_t val) {
+  this->newlyRequested = val;
+}
+
+void QuotaUsage::__set_recentlyAdmitted(const int32_t val) {
+  this->recentlyAdmitted = val;
+__isset.recentlyAdmitted = true;
+}
+
+void QuotaUsage::__set_recentlyRequested(const int32_t val) {
+  this->recentlyRequested = val;
+__isset.recentlyRequested = true;
+}
+
+void QuotaUsage::__set_admittedShare(const int32_t val) {
+  this->admittedShare = val;
+__isset.admittedShare = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaUsage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_customer = false;
+  bool isset_admitted = false;
+  bool isset_requested = false;
+  bool isset_newlyAdmitted = false;
+  bool isset_newlyRequested = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admitted);
+          isset_admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requested);
+          isset_requested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->newlyAdmitted);
+          isset_newlyAdmitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->newlyRequested);
+          isset_newlyRequested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->recentlyAdmitted);
+          this->__isset.recentlyAdmitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->recentlyRequested);
+          this->__isset.recentlyRequested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admittedShare);
+          this->__isset.admittedShare = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_admitted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_requested)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_newlyAdmitted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_newlyRequested)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaUsage");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->admitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requested", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->requested);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newlyAdmitted", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->newlyAdmitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("newlyRequested", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->newlyRequested);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.recentlyAdmitted) {
+    xfer += oprot->writeFieldBegin("recentlyAdmitted", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->recentlyAdmitted);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recentlyRequested) {
+    xfer += oprot->writeFieldBegin("recentlyRequested", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->recentlyRequested);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.admittedShare) {
+    xfer += oprot->writeFieldBegin("admittedShare", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->admittedShare);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaUsage &a, QuotaUsage &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.admitted, b.admitted);
+  swap(a.requested, b.requested);
+  swap(a.newlyAdmitted, b.newlyAdmitted);
+  swap(a.newlyRequested, b.newlyRequested);
+  swap(a.recentlyAdmitted, b.recentlyAdmitted);
+  swap(a.recentlyRequested, b.recentlyRequested);
+  swap(a.admittedShare, b.admittedShare);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaUsage::QuotaUsage(const QuotaUsage& other42) {
+  customer = other42.customer;
+  admitted = other42.admitted;
+  requested = other42.requested;
+  newlyAdmitted = other42.newlyAdmitted;
+  newlyRequested = other42.newlyRequested;
+  recentlyAdmitted = other42.recentlyAdmitted;
+  recentlyRequested = other42.recentlyRequested;
+  admittedShare = other42.admittedShare;
+  __isset = other42.__isset;
+}
+QuotaUsage& QuotaUsage::operator=(const QuotaUsage& other43) {
+  customer = other43.customer;
+  admitted = other43.admitted;
+  requested = other43.requested;
+  newlyAdmitted = other43.newlyAdmitted;
+  newlyRequested = other43.newlyRequested;
+  recentlyAdmitted = other43.recentlyAdmitted;
+  recentlyRequested = other43.recentlyRequested;
+  admittedShare = other43.admittedShare;
+  __isset = other43.__isset;
+  return *this;
+}
+void QuotaUsage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaUsage(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "requested=" << to_string(requested);
+  out << ", " << "newlyAdmitted=" << to_string(newlyAdmitted);
+  out << ", " << "newlyRequested=" << to_string(newlyRequested);
+  out << ", " << "recentlyAdmitted="; (__isset.recentlyAdmitted ? (out << to_string(recentlyAdmitted)) : (out << "<null>"));
+  out << ", " << "recentlyRequested="; (__isset.recentlyRequested ? (out << to_string(recentlyRequested)) : (out << "<null>"));
+  out << ", " << "admittedShare="; (__isset.admittedShare ? (out << to_string(admittedShare)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaReport::~QuotaReport() noexcept {
+}
+
+
+void QuotaReport::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void QuotaReport::__set_sequence(const int32_t val) {
+  this->sequence = val;
+}
+
+void QuotaReport::__set_recentMilliseconds(const int32_t val) {
+  this->recentMilliseconds = val;
+}
+
+void QuotaReport::__set_usages(const std::vector<QuotaUsage> & val) {
+  this->usages = val;
+}
+
+void QuotaReport::__set_needsReply(const bool val) {
+  this->needsReply = val;
+__isset.needsReply = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_run = false;
+  bool isset_sequence = false;
+  bool isset_recentMilliseconds = false;
+  bool isset_usages = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          isset_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->recentMilliseconds);
+          isset_recentMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usages.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->usages.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->usages[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_usages = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsReply);
+          this->__isset.needsReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_run)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_recentMilliseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_usages)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaReport");
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recentMilliseconds", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->recentMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usages", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usages.size()));
+    std::vector<QuotaUsage> ::const_iterator _iter49;
+    for (_iter49 = this->usages.begin(); _iter49 != this->usages.end(); ++_iter49)
+    {
+      xfer += (*_iter49).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.needsReply) {
+    xfer += oprot->writeFieldBegin("needsReply", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->needsReply);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaReport &a, QuotaReport &b) {
+  using ::std::swap;
+  swap(a.run, b.run);
+  swap(a.sequence, b.sequence);
+  swap(a.recentMilliseconds, b.recentMilliseconds);
+  swap(a.usages, b.usages);
+  swap(a.needsReply, b.needsReply);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaReport::QuotaReport(const QuotaReport& other50) {
+  run = other50.run;
+  sequence = other50.sequence;
+  recentMilliseconds = other50.recentMilliseconds;
+  usages = other50.usages;
+  needsReply = other50.needsReply;
+  __isset = other50.__isset;
+}
+QuotaReport& QuotaReport::operator=(const QuotaReport& other51) {
+  run = other51.run;
+  sequence = other51.sequence;
+  recentMilliseconds = other51.recentMilliseconds;
+  usages = other51.usages;
+  needsReply = other51.needsReply;
+  __isset = other51.__isset;
+  return *this;
+}
+void QuotaReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaReport(";
+  out << "run=" << to_string(run);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "recentMilliseconds=" << to_string(recentMilliseconds);
+  out << ", " << "usages=" << to_string(usages);
+  out << ", " << "needsReply="; (__isset.needsReply ? (out << to_string(needsReply)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaSum::~QuotaSum() noexcept {
+}
+
+
+void QuotaSum::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void QuotaSum::__set_admitted(const std::vector<int32_t> & val) {
+  this->admitted = val;
+}
+
+void QuotaSum::__set_requested(const std::vector<int32_t> & val) {
+  this->requested = val;
+}
+
+void QuotaSum::__set_heardEntries(const int32_t val) {
+  this->heardEntries = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaSum& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaSum::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_customer = false;
+  bool isset_admitted = false;
+  bool isset_requested = false;
+  bool isset_heardEntries = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->admitted.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->admitted.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += iprot->readI32(this->admitted[_i56]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requested.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->requested.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += iprot->readI32(this->requested[_i61]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_requested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->heardEntries);
+          isset_heardEntries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_admitted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_requested)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_heardEntries)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaSum::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaSum");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->admitted.size()));
+    std::vector<int32_t> ::const_iterator _iter62;
+    for (_iter62 = this->admitted.begin(); _iter62 != this->admitted.end(); ++_iter62)
+    {
+      xfer += oprot->writeI32((*_iter62));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requested", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->requested.size()));
+    std::vector<int32_t> ::const_iterator _iter63;
+    for (_iter63 = this->requested.begin(); _iter63 != this->requested.end(); ++_iter63)
+    {
+      xfer += oprot->writeI32((*_iter63));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardEntries", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->heardEntries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaSum &a, QuotaSum &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.admitted, b.admitted);
+  swap(a.requested, b.requested);
+  swap(a.heardEntries, b.heardEntries);
+}
+
+QuotaSum::QuotaSum(const QuotaSum& other64) {
+  customer = other64.customer;
+  admitted = other64.admitted;
+  requested = other64.requested;
+  heardEntries = other64.heardEntries;
+}
+QuotaSum& QuotaSum::operator=(const QuotaSum& other65) {
+  customer = other65.customer;
+  admitted = other65.admitted;
+  requested = other65.requested;
+  heardEntries = other65.heardEntries;
+  return *this;
+}
+void QuotaSum::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaSum(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "requested=" << to_string(requested);
+  out << ", " << "heardEntries=" << to_string(heardEntries);
+  out << ")";
+}
+
+
+QuotaSums::~QuotaSums() noexcept {
+}
+
+
+void QuotaSums::__set_sums(const std::vector<QuotaSum> & val) {
+  this->sums = val;
+}
+
+void QuotaSums::__set_needsReply(const bool val) {
+  this->needsReply = val;
+__isset.needsReply = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaSums& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaSums::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sums = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->sums.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->sums.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->sums[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_sums = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsReply);
+          this->__isset.needsReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sums)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaSums::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaSums");
+
+  xfer += oprot->writeFieldBegin("sums", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sums.size()));
+    std::vector<QuotaSum> ::const_iterator _iter71;
+    for (_iter71 = this->sums.begin(); _iter71 != this->sums.end(); ++_iter71)
+    {
+      xfer += (*_iter71).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.needsReply) {
+    xfer += oprot->writeFieldBegin("needsReply", ::apache::thrift::protocol::T_BOOL, 2);
+    xfer += oprot->writeBool(this->needsReply);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaSums &a, QuotaSums &b) {
+  using ::std::swap;
+  swap(a.sums, b.sums);
+  swap(a.needsReply, b.needsReply);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaSums::QuotaSums(const QuotaSums& other72) {
+  sums = other72.sums;
+  needsReply = other72.needsReply;
+  __isset = other72.__isset;
+}
+QuotaSums& QuotaSums::operator=(const QuotaSums& other73) {
+  sums = other73.sums;
+  needsReply = other73.needsReply;
+  __isset = other73.__isset;
+  return *this;
+}
+void QuotaSums::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaSums(";
+  out << "sums=" << to_string(sums);
+  out << ", " << "needsReply="; (__isset.needsReply ? (out << to_string(needsReply)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaShare::~QuotaShare() noexcept {
+}
+
+
+void QuotaShare::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void QuotaShare::__set_admittedShare(const int32_t val) {
+  this->admittedShare = val;
+}
+
+void QuotaShare::__set_needsReport(const bool val) {
+  this->needsReport = val;
+__isset.needsReport = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaShare& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaShare::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_customer = false;
+  bool isset_admittedShare = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admittedShare);
+          isset_admittedShare = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsReport);
+          this->__isset.needsReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_admittedShare)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaShare::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaShare");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admittedShare", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->admittedShare);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.needsReport) {
+    xfer += oprot->writeFieldBegin("needsReport", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->needsReport);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaShare &a, QuotaShare &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.admittedShare, b.admittedShare);
+  swap(a.needsReport, b.needsReport);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaShare::QuotaShare(const QuotaShare& other74) {
+  customer = other74.customer;
+  admittedShare = other74.admittedShare;
+  needsReport = other74.needsReport;
+  __isset = other74.__isset;
+}
+QuotaShare& QuotaShare::operator=(const QuotaShare& other75) {
+  customer = other75.customer;
+  admittedShare = other75.admittedShare;
+  needsReport = other75.needsReport;
+  __isset = other75.__isset;
+  return *this;
+}
+void QuotaShare::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaShare(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "admittedShare=" << to_string(admittedShare);
+  out << ", " << "needsReport="; (__isset.needsReport ? (out << to_string(needsReport)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaShares::~QuotaShares() noexcept {
+}
+
+
+void QuotaShares::__set_shares(const std::vector<QuotaShare> & val) {
+  this->shares = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaShares& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaShares::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_shares = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shares.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->shares.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->shares[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_shares)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaShares::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaShares");
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<QuotaShare> ::const_iterator _iter81;
+    for (_iter81 = this->shares.begin(); _iter81 != this->shares.end(); ++_iter81)
+    {
+      xfer += (*_iter81).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaShares &a, QuotaShares &b) {
+  using ::std::swap;
+  swap(a.shares, b.shares);
+}
+
+QuotaShares::QuotaShares(const QuotaShares& other82) {
+  shares = other82.shares;
+}
+QuotaShares& QuotaShares::operator=(const QuotaShares& other83) {
+  shares = other83.shares;
+  return *this;
+}
+void QuotaShares::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaShares(";
+  out << "shares=" << to_string(shares);
+  out << ")";
+}
+
+
 PeerMessage::~PeerMessage() noexcept {
 }
 
@@ -657,6 +1706,21 @@
   this->gossip = val;
 __isset.gossip = true;
 }
+
+void PeerMessage::__set_quotaReport(const QuotaReport& val) {
+  this->quotaReport = val;
+__isset.quotaReport = true;
+}
+
+void PeerMessage::__set_quotaSums(const QuotaSums& val) {
+  this->quotaSums = val;
+__isset.quotaSums = true;
+}
+
+void PeerMessage::__set_quotaShares(const QuotaShares& val) {
+  this->quotaShares = val;
+__isset.quotaShares = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
@@ -701,6 +1765,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaReport.read(iprot);
+          this->__isset.quotaReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaSums.read(iprot);
+          this->__isset.quotaSums = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaShares.read(iprot);
+          this->__isset.quotaShares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -728,6 +1816,21 @@
     xfer += this->gossip.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quotaReport) {
+    xfer += oprot->writeFieldBegin("quotaReport", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->quotaReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quotaSums) {
+    xfer += oprot->writeFieldBegin("quotaSums", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->quotaSums.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quotaShares) {
+    xfer += oprot->writeFieldBegin("quotaShares", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->quotaShares.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -737,18 +1840,27 @@
   using ::std::swap;
   swap(a.notice, b.notice);
   swap(a.gossip, b.gossip);
+  swap(a.quotaReport, b.quotaReport);
+  swap(a.quotaSums, b.quotaSums);
+  swap(a.quotaShares, b.quotaShares);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other42) {
-  notice = other42.notice;
-  gossip = other42.gossip;
-  __isset = other42.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other43) {
-  notice = other43.notice;
-  gossip = other43.gossip;
-  __isset = other43.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other84) {
+  notice = other84.notice;
+  gossip = other84.gossip;
+  quotaReport = other84.quotaReport;
+  quotaSums = other84.quotaSums;
+  quotaShares = other84.quotaShares;
+  __isset = other84.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other85) {
+  notice = other85.notice;
+  gossip = other85.gossip;
+  quotaReport = other85.quotaReport;
+  quotaSums = other85.quotaSums;
+  quotaShares = other85.quotaShares;
+  __isset = other85.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -756,6 +1868,9 @@
   out << "PeerMessage(";
   out << "notice="; (__isset.notice ? (out << to_string(notice)) : (out << "<null>"));
   out << ", " << "gossip="; (__isset.gossip ? (out << to_string(gossip)) : (out << "<null>"));
+  out << ", " << "quotaReport="; (__isset.quotaReport ? (out << to_string(quotaReport)) : (out << "<null>"));
+  out << ", " << "quotaSums="; (__isset.quotaSums ? (out << to_string(quotaSums)) : (out << "<null>"));
+  out << ", " << "quotaShares="; (__isset.quotaShares ? (out << to_string(quotaShares)) : (out << "<null>"));
   out << ")";
 }
 
@@ -857,13 +1972,13 @@
   swap(a.weight, b.weight);
 }
 
-WeightedService::WeightedService(const WeightedService& other44) {
-  serviceName = other44.serviceName;
-  weight = other44.weight;
+WeightedService::WeightedService(const WeightedService& other86) {
+  serviceName = other86.serviceName;
+  weight = other86.weight;
 }
-WeightedService& WeightedService::operator=(const WeightedService& other45) {
-  serviceName = other45.serviceName;
-  weight = other45.weight;
+WeightedService& WeightedService::operator=(const WeightedService& other87) {
+  serviceName = other87.serviceName;
+  weight = other87.weight;
   return *this;
 }
 void WeightedService::printTo(std::ostream& out) const {
@@ -1034,14 +2149,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->services.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->services.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->services[_i50].read(iprot);
+              xfer += this->services[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1054,14 +2169,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->homeRegions.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->homeRegions.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->homeRegions.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += iprot->readString(this->homeRegions[_i55]);
+              xfer += iprot->readString(this->homeRegions[_i97]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1158,10 +2273,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<WeightedService> ::const_iterator _iter56;
-    for (_iter56 = this->services.begin(); _iter56 != this->services.end(); ++_iter56)
+    std::vector<WeightedService> ::const_iterator _iter98;
+    for (_iter98 = this->services.begin(); _iter98 != this->services.end(); ++_iter98)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter98).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1170,10 +2285,10 @@
   xfer += oprot->writeFieldBegin("homeRegions", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->homeRegions.size()));
-    std::vector<std::string> ::const_iterator _iter57;
-    for (_iter57 = this->homeRegions.begin(); _iter57 != this->homeRegions.end(); ++_iter57)
+    std::vector<std::string> ::const_iterator _iter99;
+    for (_iter99 = this->homeRegions.begin(); _iter99 != this->homeRegions.end(); ++_iter99)
     {
-      xfer += oprot->writeString((*_iter57));
+      xfer += oprot->writeString((*_iter99));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1211,35 +2326,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Route::Route(const Route& other58) {
-  name = other58.name;
-  host = other58.host;
-  prefix = other58.prefix;
-  idempotent = other58.idempotent;
-  timeoutMicroseconds = other58.timeoutMicroseconds;
-  objectiveMicroseconds = other58.objectiveMicroseconds;
-  priority = other58.priority;
-  maxTargets = other58.maxTargets;
-  services = other58.services;
-  homeRegions = other58.homeRegions;
-  isPublic = other58.isPublic;
-  hasLargeResponses = other58.hasLargeResponses;
-  __isset = other58.__isset;
-}
-Route& Route::operator=(const Route& other59) {
-  name = other59.name;
-  host = other59.host;
-  prefix = other59.prefix;
-  idempotent = other59.idempotent;
-  timeoutMicroseconds = other59.timeoutMicroseconds;
-  objectiveMicroseconds = other59.objectiveMicroseconds;
-  priority = other59.priority;
-  maxTargets = other59.maxTargets;
-  services = other59.services;
-  homeRegions = other59.homeRegions;
-  isPublic = other59.isPublic;
-  hasLargeResponses = other59.hasLargeResponses;
-  __isset = other59.__isset;
+Route::Route(const Route& other100) {
+  name = other100.name;
+  host = other100.host;
+  prefix = other100.prefix;
+  idempotent = other100.idempotent;
+  timeoutMicroseconds = other100.timeoutMicroseconds;
+  objectiveMicroseconds = other100.objectiveMicroseconds;
+  priority = other100.priority;
+  maxTargets = other100.maxTargets;
+  services = other100.services;
+  homeRegions = other100.homeRegions;
+  isPublic = other100.isPublic;
+  hasLargeResponses = other100.hasLargeResponses;
+  __isset = other100.__isset;
+}
+Route& Route::operator=(const Route& other101) {
+  name = other101.name;
+  host = other101.host;
+  prefix = other101.prefix;
+  idempotent = other101.idempotent;
+  timeoutMicroseconds = other101.timeoutMicroseconds;
+  objectiveMicroseconds = other101.objectiveMicroseconds;
+  priority = other101.priority;
+  maxTargets = other101.maxTargets;
+  services = other101.services;
+  homeRegions = other101.homeRegions;
+  isPublic = other101.isPublic;
+  hasLargeResponses = other101.hasLargeResponses;
+  __isset = other101.__isset;
   return *this;
 }
 void Route::printTo(std::ostream& out) const {
@@ -1378,15 +2493,15 @@
   swap(a.coldRate, b.coldRate);
 }
 
-Service::Service(const Service& other60) {
-  name = other60.name;
-  healthPath = other60.healthPath;
-  coldRate = other60.coldRate;
+Service::Service(const Service& other102) {
+  name = other102.name;
+  healthPath = other102.healthPath;
+  coldRate = other102.coldRate;
 }
-Service& Service::operator=(const Service& other61) {
-  name = other61.name;
-  healthPath = other61.healthPath;
-  coldRate = other61.coldRate;
+Service& Service::operator=(const Service& other103) {
+  name = other103.name;
+  healthPath = other103.healthPath;
+  coldRate = other103.coldRate;
   return *this;
 }
 void Service::printTo(std::ostream& out) const {
@@ -1488,14 +2603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->homeRegions.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->homeRegions.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->homeRegions.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += iprot->readString(this->homeRegions[_i66]);
+              xfer += iprot->readString(this->homeRegions[_i108]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1558,10 +2673,10 @@
     xfer += oprot->writeFieldBegin("homeRegions", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->homeRegions.size()));
-      std::vector<std::string> ::const_iterator _iter67;
-      for (_iter67 = this->homeRegions.begin(); _iter67 != this->homeRegions.end(); ++_iter67)
+      std::vector<std::string> ::const_iterator _iter109;
+      for (_iter109 = this->homeRegions.begin(); _iter109 != this->homeRegions.end(); ++_iter109)
       {
-        xfer += oprot->writeString((*_iter67));
+        xfer += oprot->writeString((*_iter109));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1593,23 +2708,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Customer::Customer(const Customer& other68) {
-  name = other68.name;
-  keyDigests = other68.keyDigests;
-  priority = other68.priority;
-  homeRegions = other68.homeRegions;
-  requestsPerSecond = other68.requestsPerSecond;
-  burst = other68.burst;
-  __isset = other68.__isset;
-}
-Customer& Customer::operator=(const Customer& other69) {
-  name = other69.name;
-  keyDigests = other69.keyDigests;
-  priority = other69.priority;
-  homeRegions = other69.homeRegions;
-  requestsPerSecond = other69.requestsPerSecond;
-  burst = other69.burst;
-  __isset = other69.__isset;
+Customer::Customer(const Customer& other110) {
+  name = other110.name;
+  keyDigests = other110.keyDigests;
+  priority = other110.priority;
+  homeRegions = other110.homeRegions;
+  requestsPerSecond = other110.requestsPerSecond;
+  burst = other110.burst;
+  __isset = other110.__isset;
+}
+Customer& Customer::operator=(const Customer& other111) {
+  name = other111.name;
+  keyDigests = other111.keyDigests;
+  priority = other111.priority;
+  homeRegions = other111.homeRegions;
+  requestsPerSecond = other111.requestsPerSecond;
+  burst = other111.burst;
+  __isset = other111.__isset;
   return *this;
 }
 void Customer::printTo(std::ostream& out) const {
@@ -1708,14 +2823,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->routes.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->routes.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->routes[_i74].read(iprot);
+              xfer += this->routes[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1728,14 +2843,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->services.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->services.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->services[_i79].read(iprot);
+              xfer += this->services[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1780,14 +2895,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->customers.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->customers.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->customers[_i84].read(iprot);
+              xfer += this->customers[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1834,10 +2949,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter85;
-    for (_iter85 = this->routes.begin(); _iter85 != this->routes.end(); ++_iter85)
+    std::vector<Route> ::const_iterator _iter127;
+    for (_iter127 = this->routes.begin(); _iter127 != this->routes.end(); ++_iter127)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1846,10 +2961,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<Service> ::const_iterator _iter86;
-    for (_iter86 = this->services.begin(); _iter86 != this->services.end(); ++_iter86)
+    std::vector<Service> ::const_iterator _iter128;
+    for (_iter128 = this->services.begin(); _iter128 != this->services.end(); ++_iter128)
     {
-      xfer += (*_iter86).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1875,10 +2990,10 @@
     xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-      std::vector<Customer> ::const_iterator _iter87;
-      for (_iter87 = this->customers.begin(); _iter87 != this->customers.end(); ++_iter87)
+      std::vector<Customer> ::const_iterator _iter129;
+      for (_iter129 = this->customers.begin(); _iter129 != this->customers.end(); ++_iter129)
       {
-        xfer += (*_iter87).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1902,27 +3017,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Configuration::Configuration(const Configuration& other88) {
-  version = other88.version;
-  routes = other88.routes;
-  services = other88.services;
-  headBytes = other88.headBytes;
-  bodyBytes = other88.bodyBytes;
-  headTimeoutMicroseconds = other88.headTimeoutMicroseconds;
-  idleTimeoutMicroseconds = other88.idleTimeoutMicroseconds;
-  customers = other88.customers;
-  __isset = other88.__isset;
-}
-Configuration& Configuration::operator=(const Configuration& other89) {
-  version = other89.version;
-  routes = other89.routes;
-  services = other89.services;
-  headBytes = other89.headBytes;
-  bodyBytes = other89.bodyBytes;
-  headTimeoutMicroseconds = other89.headTimeoutMicroseconds;
-  idleTimeoutMicroseconds = other89.idleTimeoutMicroseconds;
-  customers = other89.customers;
-  __isset = other89.__isset;
+Configuration::Configuration(const Configuration& other130) {
+  version = other130.version;
+  routes = other130.routes;
+  services = other130.services;
+  headBytes = other130.headBytes;
+  bodyBytes = other130.bodyBytes;
+  headTimeoutMicroseconds = other130.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other130.idleTimeoutMicroseconds;
+  customers = other130.customers;
+  __isset = other130.__isset;
+}
+Configuration& Configuration::operator=(const Configuration& other131) {
+  version = other131.version;
+  routes = other131.routes;
+  services = other131.services;
+  headBytes = other131.headBytes;
+  bodyBytes = other131.bodyBytes;
+  headTimeoutMicroseconds = other131.headTimeoutMicroseconds;
+  idleTimeoutMicroseconds = other131.idleTimeoutMicroseconds;
+  customers = other131.customers;
+  __isset = other131.__isset;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -2011,14 +3126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedRoutes.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->removedRoutes.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->removedRoutes.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += iprot->readString(this->removedRoutes[_i94]);
+              xfer += iprot->readString(this->removedRoutes[_i136]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2031,14 +3146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedCustomers.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->removedCustomers.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->removedCustomers.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += iprot->readString(this->removedCustomers[_i99]);
+              xfer += iprot->readString(this->removedCustomers[_i141]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2081,10 +3196,10 @@
   xfer += oprot->writeFieldBegin("removedRoutes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedRoutes.size()));
-    std::vector<std::string> ::const_iterator _iter100;
-    for (_iter100 = this->removedRoutes.begin(); _iter100 != this->removedRoutes.end(); ++_iter100)
+    std::vector<std::string> ::const_iterator _iter142;
+    for (_iter142 = this->removedRoutes.begin(); _iter142 != this->removedRoutes.end(); ++_iter142)
     {
-      xfer += oprot->writeString((*_iter100));
+      xfer += oprot->writeString((*_iter142));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2094,10 +3209,10 @@
     xfer += oprot->writeFieldBegin("removedCustomers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedCustomers.size()));
-      std::vector<std::string> ::const_iterator _iter101;
-      for (_iter101 = this->removedCustomers.begin(); _iter101 != this->removedCustomers.end(); ++_iter101)
+      std::vector<std::string> ::const_iterator _iter143;
+      for (_iter143 = this->removedCustomers.begin(); _iter143 != this->removedCustomers.end(); ++_iter143)
       {
-        xfer += oprot->writeString((*_iter101));
+        xfer += oprot->writeString((*_iter143));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2117,19 +3232,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other102) {
-  baseVersion = other102.baseVersion;
-  changes = other102.changes;
-  removedRoutes = other102.removedRoutes;
-  removedCustomers = other102.removedCustomers;
-  __isset = other102.__isset;
+ConfigurationDelta::ConfigurationDelta(const ConfigurationDelta& other144) {
+  baseVersion = other144.baseVersion;
+  changes = other144.changes;
+  removedRoutes = other144.removedRoutes;
+  removedCustomers = other144.removedCustomers;
+  __isset = other144.__isset;
 }
-ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other103) {
-  baseVersion = other103.baseVersion;
-  changes = other103.changes;
-  removedRoutes = other103.removedRoutes;
-  removedCustomers = other103.removedCustomers;
-  __isset = other103.__isset;
+ConfigurationDelta& ConfigurationDelta::operator=(const ConfigurationDelta& other145) {
+  baseVersion = other145.baseVersion;
+  changes = other145.changes;
+  removedRoutes = other145.removedRoutes;
+  removedCustomers = other145.removedCustomers;
+  __isset = other145.__isset;
   return *this;
 }
 void ConfigurationDelta::printTo(std::ostream& out) const {
@@ -2400,31 +3515,31 @@
   swap(a.__isset, b.__isset);
 }
 
-Target::Target(const Target& other104) {
-  name = other104.name;
-  serviceName = other104.serviceName;
-  address = other104.address;
-  port = other104.port;
-  domain = other104.domain;
-  slots = other104.slots;
-  draining = other104.draining;
-  coldMicroseconds = other104.coldMicroseconds;
-  startedUnixMilliseconds = other104.startedUnixMilliseconds;
-  sequence = other104.sequence;
-  __isset = other104.__isset;
-}
-Target& Target::operator=(const Target& other105) {
-  name = other105.name;
-  serviceName = other105.serviceName;
-  address = other105.address;
-  port = other105.port;
-  domain = other105.domain;
-  slots = other105.slots;
-  draining = other105.draining;
-  coldMicroseconds = other105.coldMicroseconds;
-  startedUnixMilliseconds = other105.startedUnixMilliseconds;
-  sequence = other105.sequence;
-  __isset = other105.__isset;
+Target::Target(const Target& other146) {
+  name = other146.name;
+  serviceName = other146.serviceName;
+  address = other146.address;
+  port = other146.port;
+  domain = other146.domain;
+  slots = other146.slots;
+  draining = other146.draining;
+  coldMicroseconds = other146.coldMicroseconds;
+  startedUnixMilliseconds = other146.startedUnixMilliseconds;
+  sequence = other146.sequence;
+  __isset = other146.__isset;
+}
+Target& Target::operator=(const Target& other147) {
+  name = other147.name;
+  serviceName = other147.serviceName;
+  address = other147.address;
+  port = other147.port;
+  domain = other147.domain;
+  slots = other147.slots;
+  draining = other147.draining;
+  coldMicroseconds = other147.coldMicroseconds;
+  startedUnixMilliseconds = other147.startedUnixMilliseconds;
+  sequence = other147.sequence;
+  __isset = other147.__isset;
   return *this;
 }
 void Target::printTo(std::ostream& out) const {
@@ -2541,13 +3656,13 @@
   swap(a.active, b.active);
 }
 
-Evacuation::Evacuation(const Evacuation& other106) {
-  domain = other106.domain;
-  active = other106.active;
+Evacuation::Evacuation(const Evacuation& other148) {
+  domain = other148.domain;
+  active = other148.active;
 }
-Evacuation& Evacuation::operator=(const Evacuation& other107) {
-  domain = other107.domain;
-  active = other107.active;
+Evacuation& Evacuation::operator=(const Evacuation& other149) {
+  domain = other149.domain;
+  active = other149.active;
   return *this;
 }
 void Evacuation::printTo(std::ostream& out) const {
@@ -2712,21 +3827,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Publication::Publication(const Publication& other108) {
-  configuration = other108.configuration;
-  registered = other108.registered;
-  removed = other108.removed;
-  evacuation = other108.evacuation;
-  configurationDelta = other108.configurationDelta;
-  __isset = other108.__isset;
-}
-Publication& Publication::operator=(const Publication& other109) {
-  configuration = other109.configuration;
-  registered = other109.registered;
-  removed = other109.removed;
-  evacuation = other109.evacuation;
-  configurationDelta = other109.configurationDelta;
-  __isset = other109.__isset;
+Publication::Publication(const Publication& other150) {
+  configuration = other150.configuration;
+  registered = other150.registered;
+  removed = other150.removed;
+  evacuation = other150.evacuation;
+  configurationDelta = other150.configurationDelta;
+  __isset = other150.__isset;
+}
+Publication& Publication::operator=(const Publication& other151) {
+  configuration = other151.configuration;
+  registered = other151.registered;
+  removed = other151.removed;
+  evacuation = other151.evacuation;
+  configurationDelta = other151.configurationDelta;
+  __isset = other151.__isset;
   return *this;
 }
 void Publication::printTo(std::ostream& out) const {
@@ -2877,19 +3992,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionGap::RevisionGap(const RevisionGap& other110) noexcept {
-  first = other110.first;
-  last = other110.last;
-  firstEpoch = other110.firstEpoch;
-  lastEpoch = other110.lastEpoch;
-  __isset = other110.__isset;
+RevisionGap::RevisionGap(const RevisionGap& other152) noexcept {
+  first = other152.first;
+  last = other152.last;
+  firstEpoch = other152.firstEpoch;
+  lastEpoch = other152.lastEpoch;
+  __isset = other152.__isset;
 }
-RevisionGap& RevisionGap::operator=(const RevisionGap& other111) noexcept {
-  first = other111.first;
-  last = other111.last;
-  firstEpoch = other111.firstEpoch;
-  lastEpoch = other111.lastEpoch;
-  __isset = other111.__isset;
+RevisionGap& RevisionGap::operator=(const RevisionGap& other153) noexcept {
+  first = other153.first;
+  last = other153.last;
+  firstEpoch = other153.firstEpoch;
+  lastEpoch = other153.lastEpoch;
+  __isset = other153.__isset;
   return *this;
 }
 void RevisionGap::printTo(std::ostream& out) const {
@@ -3010,14 +4125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->changes.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->changes.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->changes[_i116].read(iprot);
+              xfer += this->changes[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3030,14 +4145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gaps.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->gaps.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->gaps.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += this->gaps[_i121].read(iprot);
+              xfer += this->gaps[_i163].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3108,10 +4223,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Publication> ::const_iterator _iter122;
-    for (_iter122 = this->changes.begin(); _iter122 != this->changes.end(); ++_iter122)
+    std::vector<Publication> ::const_iterator _iter164;
+    for (_iter164 = this->changes.begin(); _iter164 != this->changes.end(); ++_iter164)
     {
-      xfer += (*_iter122).write(oprot);
+      xfer += (*_iter164).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3121,10 +4236,10 @@
     xfer += oprot->writeFieldBegin("gaps", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gaps.size()));
-      std::vector<RevisionGap> ::const_iterator _iter123;
-      for (_iter123 = this->gaps.begin(); _iter123 != this->gaps.end(); ++_iter123)
+      std::vector<RevisionGap> ::const_iterator _iter165;
+      for (_iter165 = this->gaps.begin(); _iter165 != this->gaps.end(); ++_iter165)
       {
-        xfer += (*_iter123).write(oprot);
+        xfer += (*_iter165).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3158,27 +4273,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PublicationBatch::PublicationBatch(const PublicationBatch& other124) {
-  complete = other124.complete;
-  since = other124.since;
-  revision = other124.revision;
-  removalsWaitMicroseconds = other124.removalsWaitMicroseconds;
-  changes = other124.changes;
-  gaps = other124.gaps;
-  epoch = other124.epoch;
-  sinceEpoch = other124.sinceEpoch;
-  __isset = other124.__isset;
-}
-PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other125) {
-  complete = other125.complete;
-  since = other125.since;
-  revision = other125.revision;
-  removalsWaitMicroseconds = other125.removalsWaitMicroseconds;
-  changes = other125.changes;
-  gaps = other125.gaps;
-  epoch = other125.epoch;
-  sinceEpoch = other125.sinceEpoch;
-  __isset = other125.__isset;
+PublicationBatch::PublicationBatch(const PublicationBatch& other166) {
+  complete = other166.complete;
+  since = other166.since;
+  revision = other166.revision;
+  removalsWaitMicroseconds = other166.removalsWaitMicroseconds;
+  changes = other166.changes;
+  gaps = other166.gaps;
+  epoch = other166.epoch;
+  sinceEpoch = other166.sinceEpoch;
+  __isset = other166.__isset;
+}
+PublicationBatch& PublicationBatch::operator=(const PublicationBatch& other167) {
+  complete = other167.complete;
+  since = other167.since;
+  revision = other167.revision;
+  removalsWaitMicroseconds = other167.removalsWaitMicroseconds;
+  changes = other167.changes;
+  gaps = other167.gaps;
+  epoch = other167.epoch;
+  sinceEpoch = other167.sinceEpoch;
+  __isset = other167.__isset;
   return *this;
 }
 void PublicationBatch::printTo(std::ostream& out) const {
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -19,6 +19,8 @@
 namespace anvilsaddle {
 
 class Clock;
+class CustomerQuotas;
+struct QuotaDecision;
 class Dispatcher;
 class MessageAuthenticator;
 class RequestMetadataProtocol;
@@ -37,6 +39,7 @@
     Metrics &RequestMetrics;
     const Clock &Time;
     RandomSource &Random;
+    CustomerQuotas &Quotas;
     /// Applies the pending effects of the dispatcher. Called after each event that may have caused
     /// any.
     std::function<void()> ApplyEffects;
@@ -104,6 +107,9 @@
                            const Customer &Refused);
   /// Header fields that tell a target or another entry the customer of a request.
   FieldList customerFields(const ActiveRequest &Request, const SendAttempt &Command) const;
+  /// Decides whether a caller's request is within the quota of its customer, and rejects it if it
+  /// is not. Returns false if it was rejected.
+  bool admitToQuota(HttpExchange &Exchange, const std::string &Id, const CustomerName &Customer);
   ActiveRequest *find(RequestNumber Number);
   /// Removes the request from those in progress, before the connection may delete its exchange.
   void onExchangeReleased(ActiveRequest &Request, const HttpExchange &Exchange);
