Let operators limit the share of hedges

Cause: hedges share the retry budget only, so that operators can neither switch them off nor choose how much extra work they may cost.

Change: `[limits] hedge_share` (0 to 1; 0 switches hedging off). With it, HedgePolicy sends a hedge when the response is later than 95 in 100 of the route against the expectation from the target's report, and no earlier than the objective needs, to a target that keeps a free slot. HedgeBudget limits hedges to the share of callers' requests, and they take at most half of the retry budget. A lost hedge counts a little towards the failure score of the first target. Without the setting, decisions are as before.

Not measured on a real network.

--- a/src/libs/coordination/dispatch/DispatchRequest.h
+++ b/src/libs/coordination/dispatch/DispatchRequest.h
@@ -17,6 +17,8 @@
   Endpoint Address;
   TimePoint SentAt{};
   double Slowdown = 1;
+  /// Time that was expected of this attempt when it was sent.
+  Duration ExpectedTime{0};
   /// Occupancy of the target with this request; nothing if the request waits there for a slot, or
   /// if it is forwarded so that the target is not known.
   std::optional<SlotOccupancy> Occupancy;
@@ -41,6 +43,10 @@
   /// Attempt that ended with a complete response of status 500 or above.
   std::optional<AttemptNumber> ErrorResponse;
   std::optional<TimePoint> HedgeAt;
+  /// The attempt that is a hedge; only set if operators set a limit on hedges.
+  std::optional<AttemptNumber> HedgeAttempt;
+  /// A hedge was due and was not sent.
+  bool WasHedgeWithheld = false;
   /// The response of the only running attempt is being sent to the caller.
   bool IsCommitted = false;
 
--- a/src/libs/coordination/dispatch/DispatchState.cpp
+++ b/src/libs/coordination/dispatch/DispatchState.cpp
@@ -15,7 +15,8 @@
 DispatchState::DispatchState(Topology FleetTopology, const DispatchLimits &Limits, std::string Self,
                              RandomSource &Random)
     : Finder(std::move(FleetTopology), Limits.ColdStart, Self, Random),
-      EntriesOfOtherRegions(std::move(Self)), Retries(Limits.Retries), Random(Random) {}
+      EntriesOfOtherRegions(std::move(Self)), Retries(Limits.Retries), Hedges(Limits.Hedges),
+      Random(Random) {}
 
 Duration DispatchState::minProcessingTime(const RequestAttributes &Attributes,
                                           TimePoint Now) const {
--- a/src/libs/coordination/dispatch/DispatchState.h
+++ b/src/libs/coordination/dispatch/DispatchState.h
@@ -2,12 +2,14 @@
 
 #include "coordination/dispatch/DispatchRequest.h"
 #include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/dispatch/HedgePolicy.h"
 #include "coordination/dispatch/RemoteEntries.h"
 #include "coordination/dispatch/RequestTimers.h"
 #include "coordination/dispatch/ResponseEstimates.h"
 #include "coordination/dispatch/ServiceQueue.h"
 #include "coordination/dispatch/TargetFinder.h"
 #include "coordination/limits/ColdStartLimiter.h"
+#include "coordination/limits/HedgeBudget.h"
 #include "coordination/limits/RetryBudget.h"
 #include "state/Topology.h"
 
@@ -25,6 +27,7 @@
 struct DispatchLimits {
   RetryBudgetLimits Retries;
   ColdStartLimits ColdStart;
+  HedgeLimits Hedges;
 
   auto operator<=>(const DispatchLimits &) const = default;
 };
@@ -48,6 +51,7 @@
   TargetFinder Finder;
   RemoteEntries EntriesOfOtherRegions;
   RetryBudget Retries;
+  HedgePolicy Hedges;
   ResponseEstimates Estimates;
   RandomSource &Random;
   std::map<ServiceName, ServiceQueue> Queues;
--- a/src/libs/coordination/dispatch/DispatchTypes.cpp
+++ b/src/libs/coordination/dispatch/DispatchTypes.cpp
@@ -18,6 +18,20 @@
   return "unknown";
 }
 
+const char *toString(HedgeObstacle Obstacle) {
+  switch (Obstacle) {
+  case HedgeObstacle::Queue:
+    return "queue";
+  case HedgeObstacle::HedgeBudget:
+    return "hedge_budget";
+  case HedgeObstacle::RetryBudget:
+    return "retry_budget";
+  case HedgeObstacle::NoTarget:
+    return "no_target";
+  }
+  return "unknown";
+}
+
 const char *toString(RefusalKind Kind) {
   switch (Kind) {
   case RefusalKind::NotExecuted:
--- a/src/libs/coordination/dispatch/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -98,6 +98,36 @@
   auto operator<=>(const ProbeTarget &) const = default;
 };
 
+/// What a decision about a hedge was based on, for the log. Value type.
+struct HedgeInputs {
+  /// Time since the running attempt was sent.
+  Duration Elapsed{0};
+  /// Time that was expected of the running attempt when it was sent.
+  Duration ExpectedTime{0};
+  /// Factor of the expected time within which 95 in 100 responses of the route arrive.
+  double Factor = 0;
+  /// Credit of the hedge budget before the decision.
+  double Credit = 0;
+
+  auto operator<=>(const HedgeInputs &) const = default;
+};
+
+/// Why a hedge that was due was not sent.
+enum class HedgeObstacle : std::uint8_t {
+  /// Requests of the service wait for a target at this entry.
+  Queue,
+  HedgeBudget,
+  RetryBudget,
+  /// No other target has a slot to spare and is likely to respond sooner.
+  NoTarget,
+};
+
+/// Number of values of HedgeObstacle, for arrays of counters.
+inline constexpr std::size_t HedgeObstacleCount = 4;
+
+/// Short name for logs and metric labels, for example `no_target`.
+const char *toString(HedgeObstacle Obstacle);
+
 /// Reasons for the choice of a target, for the log.
 struct PlacementDetails {
   LoadReport Load;
@@ -105,6 +135,8 @@
   Duration ExpectedCost{0};
   std::size_t CandidateCount = 0;
   bool IsHedge = false;
+  /// Set for a hedge if operators set a limit on hedges.
+  std::optional<HedgeInputs> Hedge{};
 
   auto operator<=>(const PlacementDetails &) const = default;
 };
@@ -173,8 +205,18 @@
   auto operator<=>(const RefuseRequest &) const = default;
 };
 
+/// Reports that a hedge of the request was due and was not sent, for the log. Sent once per
+/// request.
+struct HedgeWithheld {
+  RequestNumber Request = 0;
+  HedgeObstacle Obstacle = HedgeObstacle::NoTarget;
+  HedgeInputs Inputs;
+
+  auto operator<=>(const HedgeWithheld &) const = default;
+};
+
 /// DeliverResponse, AbortResponse and RefuseRequest are the last effect of their request.
 using Effect = std::variant<ProbeTarget, SendAttempt, CancelAttempt, DeliverResponse, AbortResponse,
-                            RefuseRequest>;
+                            RefuseRequest, HedgeWithheld>;
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/dispatch/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -14,6 +14,7 @@
   this->State.Finder.setEntries(std::move(RegionEntries));
   const std::size_t EntryCount = std::max<std::size_t>(1, FleetEntryCount);
   this->State.Retries.setEntryCount(EntryCount);
+  this->State.Hedges.setEntryCount(EntryCount);
   this->State.Estimates.saturation().setEntryCount(EntryCount);
 }
 
@@ -39,6 +40,7 @@
 
 void Dispatcher::onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now) {
   this->State.Retries.onRequest(Attributes.Service, Now);
+  this->State.Hedges.onRequest(Attributes);
   DispatchRequest &Request = this->State.Requests[Number];
   Request.Attributes = std::move(Attributes);
   if (!this->Completion.canEndBeforeShutdown(Request, Now)) {
@@ -88,6 +90,7 @@
   switch (Result.Outcome) {
   case AttemptOutcome::Succeeded:
     this->State.Estimates.onResponse(Request.Attributes, Ended, Result, Now);
+    this->onDelivered(Request, Attempt, Now);
     this->Completion.deliver(Number, Attempt, Now);
     break;
   case AttemptOutcome::TargetError:
@@ -117,6 +120,18 @@
   }
 }
 
+void Dispatcher::onDelivered(const DispatchRequest &Request, AttemptNumber Attempt, TimePoint Now) {
+  this->State.Hedges.onDelivered(Request, Attempt, Now);
+  if (Request.HedgeAttempt != Attempt) {
+    return;
+  }
+  for (const DispatchAttempt &Each : Request.Attempts) {
+    if (Each.IsRunning && !Each.IsForwarded && Each.Target != Request.Attempts[Attempt].Target) {
+      this->State.targets().onHedgeLost(Each.Target, Now);
+    }
+  }
+}
+
 void Dispatcher::retryOrFinish(RequestNumber Number, TimePoint Now) {
   DispatchRequest &Request = this->State.Requests.at(Number);
   if (Request.hasRunningAttempt() || Request.Search) {
@@ -137,6 +152,7 @@
   }
   DispatchRequest &Request = Found->second;
   this->State.targets().onConditions(Request.Attempts.at(Attempt).Target, Conditions, Now);
+  this->onDelivered(Request, Attempt, Now);
   this->Completion.cancelAttempts(Number, Attempt, Now);
   this->Completion.stopWaiting(Number);
   Request.HedgeAt.reset();
--- a/src/libs/coordination/dispatch/Dispatcher.h
+++ b/src/libs/coordination/dispatch/Dispatcher.h
@@ -50,6 +50,7 @@
     this->State.EntriesOfOtherRegions.setReadyEntries(std::move(Ready));
   }
 
+  const HedgeCounts &hedgeCounts() const { return this->State.Hedges.counts(); }
   /// Estimates to exchange with other entries.
   SaturationEstimator &saturation() { return this->State.Estimates.saturation(); }
 
@@ -89,6 +90,8 @@
 private:
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
                        AttemptOutcome Outcome, TimePoint Now);
+  /// Records that the response of an attempt is delivered, before the others are cancelled.
+  void onDelivered(const DispatchRequest &Request, AttemptNumber Attempt, TimePoint Now);
   /// Does nothing while another attempt or a search of the request runs.
   void retryOrFinish(RequestNumber Number, TimePoint Now);
   void onRequestTimer(RequestNumber Number, TimePoint Now);
--- a/src/libs/coordination/dispatch/RequestSearches.cpp
+++ b/src/libs/coordination/dispatch/RequestSearches.cpp
@@ -5,6 +5,7 @@
 #include "coordination/dispatch/RequestQueueing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvilsaddle {
 
@@ -64,7 +65,10 @@
         this->State.Finder.reportedCandidates(*Request.Search, true, Now);
     auto Best = placement::chooseBest(Reported, Estimate, this->State.Random.uniform());
     const bool IsYielded = Best && Request.Search->LeavesLastSlot && Best->UsableSlotsLeft == 0;
-    if (Best && !IsYielded && placement::isGoodEnough(*Best, Estimate) &&
+    const bool IsLimitedHedge = this->isLimitedHedge(Request);
+    const bool IsWorthwhile =
+        !IsLimitedHedge || (Best && this->State.Hedges.isWorthwhile(Request, *Best, Now));
+    if (Best && !IsYielded && IsWorthwhile && placement::isGoodEnough(*Best, Estimate) &&
         this->trySend(Number, *Best, Reported.size(), Now)) {
       return;
     }
@@ -73,6 +77,14 @@
       this->State.updateTimer(Number, Request);
       return;
     }
+    if (IsLimitedHedge) {
+      // Targets that are cold, unhealthy or in another region are rarely sooner.
+      if (this->addNextStage(Request, SearchStage::WiderRegion, Now)) {
+        continue;
+      }
+      this->onSearchFailed(Number, Now);
+      return;
+    }
     if (Search.LeavesLastSlot && Best) {
       // Where there is no overload, nearly every target has more than one usable slot left.
       this->onSearchFailed(Number, Now);
@@ -118,15 +130,22 @@
       Now >= Request.Attributes.Deadline) {
     return false;
   }
-  if (!Request.Attempts.empty() &&
-      !this->State.Retries.tryAcquire(Request.Attributes.Service, Now)) {
+  PlacementDetails Details{*Selected->Load, Now - Selected->LoadTime, Choice.Cost, CandidateCount,
+                           Request.Search->IsHedge};
+  if (this->isLimitedHedge(Request)) {
+    if (!this->State.Hedges.canAcquire() ||
+        !this->State.Retries.tryAcquireHedge(Request.Attributes.Service, Now)) {
+      return false;
+    }
+    Details.Hedge = this->State.Hedges.inputs(Request, Now);
+    this->State.Hedges.acquire();
+    Request.HedgeAttempt = static_cast<AttemptNumber>(Request.Attempts.size());
+  } else if (!Request.Attempts.empty() &&
+             !this->State.Retries.tryAcquire(Request.Attributes.Service, Now)) {
     return false;
   }
-  const bool IsHedge = Request.Search->IsHedge;
   this->Completion.endSearch(Request);
-  this->send(Number, *Selected, Choice,
-             {*Selected->Load, Now - Selected->LoadTime, Choice.Cost, CandidateCount, IsHedge},
-             Now);
+  this->send(Number, *Selected, Choice, Details, Now);
   return true;
 }
 
@@ -141,11 +160,10 @@
   Attempted.Address = Selected.Registration.Address;
   Attempted.SentAt = Now;
   Attempted.Slowdown = Details.Load.Slowdown;
+  Attempted.ExpectedTime = Details.ExpectedCost;
   Attempted.Occupancy = Choice.Occupancy;
   Request.Attempts.push_back(std::move(Attempted));
-  Request.HedgeAt =
-      Request.hedgeTime(this->State.Estimates.estimate(Request.Attributes, Now).ProcessingTime,
-                        Details.ExpectedCost, Now);
+  Request.HedgeAt = this->hedgeTime(Request, Details.ExpectedCost, Now);
   this->State.updateTimer(Number, Request);
   const ServiceName Service = Request.Attributes.Service;
   this->State.Queues[Service].onDispatched(Now);
@@ -194,9 +212,7 @@
   Request.Attempts.push_back(std::move(Attempted));
   PlacementDetails Details;
   Details.ExpectedCost = AddedCost + Context.Estimate.ProcessingTime;
-  Request.HedgeAt =
-      Request.hedgeTime(this->State.Estimates.estimate(Request.Attributes, Now).ProcessingTime,
-                        Details.ExpectedCost, Now);
+  Request.HedgeAt = this->hedgeTime(Request, Details.ExpectedCost, Now);
   this->State.updateTimer(Number, Request);
   this->State.Effects.emplace_back(SendAttempt{Number, Attempt, Name, *Entry, Attributes.Deadline,
                                                Attributes.Idempotent, Details, Forward});
@@ -213,6 +229,10 @@
     Queue.onSearchFailed();
   }
   if (IsHedge && Request.hasRunningAttempt()) {
+    if (this->State.Hedges.isLimited()) {
+      this->withholdHedge(Number,
+                          this->hedgeObstacle(Request, Now).value_or(HedgeObstacle::NoTarget), Now);
+    }
     Request.HedgeAt = Now + HedgeRecheckInterval;
     this->State.updateTimer(Number, Request);
     return;
@@ -226,6 +246,13 @@
   if (Request.Search || Request.IsFromQueue || !Request.hasRunningAttempt()) {
     return;
   }
+  if (this->State.Hedges.isLimited()) {
+    if (const auto Obstacle = this->hedgeObstacle(Request, Now)) {
+      this->withholdHedge(Number, *Obstacle, Now);
+      Request.HedgeAt = Now + HedgeRecheckInterval;
+      return;
+    }
+  }
   if (!this->canRetry(Request, Now)) {
     Request.HedgeAt = Now + HedgeRecheckInterval;
     return;
@@ -233,6 +260,44 @@
   this->startSearch(Number, true, Now);
 }
 
+std::optional<TimePoint> RequestSearches::hedgeTime(const DispatchRequest &Request,
+                                                    Duration ExpectedTime, TimePoint Now) const {
+  const Duration ProcessingTime =
+      this->State.Estimates.estimate(Request.Attributes, Now).ProcessingTime;
+  return this->State.Hedges.isLimited()
+             ? this->State.Hedges.hedgeTime(Request, ProcessingTime, ExpectedTime, Now)
+             : Request.hedgeTime(ProcessingTime, ExpectedTime, Now);
+}
+
+bool RequestSearches::isLimitedHedge(const DispatchRequest &Request) const {
+  return this->State.Hedges.isLimited() && Request.Search->IsHedge && Request.hasRunningAttempt();
+}
+
+std::optional<HedgeObstacle> RequestSearches::hedgeObstacle(const DispatchRequest &Request,
+                                                            TimePoint Now) {
+  const ServiceName &Service = Request.Attributes.Service;
+  if (!this->State.Queues[Service].Requests.empty()) {
+    return HedgeObstacle::Queue;
+  }
+  if (!this->State.Hedges.canAcquire()) {
+    return HedgeObstacle::HedgeBudget;
+  }
+  if (!this->State.Retries.canAcquireHedge(Service, Now)) {
+    return HedgeObstacle::RetryBudget;
+  }
+  return std::nullopt;
+}
+
+void RequestSearches::withholdHedge(RequestNumber Number, HedgeObstacle Obstacle, TimePoint Now) {
+  DispatchRequest &Request = this->State.Requests.at(Number);
+  if (std::exchange(Request.WasHedgeWithheld, true)) {
+    return;
+  }
+  this->State.Hedges.onWithheld(Obstacle);
+  this->State.Effects.emplace_back(
+      HedgeWithheld{Number, Obstacle, this->State.Hedges.inputs(Request, Now)});
+}
+
 void RequestSearches::startSearchForQueued(const ServiceName &Service, TimePoint Now) {
   ServiceQueue &Queue = this->State.Queues[Service];
   if (Queue.Requests.empty()) {
--- a/src/libs/coordination/dispatch/RequestSearches.h
+++ b/src/libs/coordination/dispatch/RequestSearches.h
@@ -50,6 +50,15 @@
   /// Forwards the request to another region if it is served better there.
   bool tryForward(RequestNumber Number, TimePoint Now);
   void onSearchFailed(RequestNumber Number, TimePoint Now);
+  std::optional<TimePoint> hedgeTime(const DispatchRequest &Request, Duration ExpectedTime,
+                                     TimePoint Now) const;
+  /// True if the search looks for the target of a hedge and operators set a limit on hedges.
+  /// Precondition: the request has a search.
+  bool isLimitedHedge(const DispatchRequest &Request) const;
+  /// Returns why no hedge may be sent now, whatever the targets report.
+  std::optional<HedgeObstacle> hedgeObstacle(const DispatchRequest &Request, TimePoint Now);
+  /// Counts and logs the first time that a hedge of the request was due and was not sent.
+  void withholdHedge(RequestNumber Number, HedgeObstacle Obstacle, TimePoint Now);
   void send(RequestNumber Number, TargetState &Selected, const PlacementChoice &Choice,
             PlacementDetails Details, TimePoint Now);
 
--- a/src/libs/coordination/dispatch/TargetTable.cpp
+++ b/src/libs/coordination/dispatch/TargetTable.cpp
@@ -13,6 +13,10 @@
 
 /// Half-life of the failure score, so that a target that has recovered is used again soon.
 constexpr Duration FailureHalfLife = 2s;
+/// Failure score of a target whose response was overtaken by a hedge. Without it, a slow target
+/// whose load reports do not tell gets more requests with hedging than without; a larger one also
+/// diverts requests from targets with single slow runs.
+constexpr double LostHedgeScore = 0.05;
 /// Backoff after the first failed probe; it doubles with each further failure.
 constexpr Duration InitialBackoff = 200ms;
 constexpr Duration MaxBackoff = 2s;
@@ -417,6 +421,13 @@
   }
 }
 
+void TargetTable::onHedgeLost(const TargetName &Name, TimePoint Now) {
+  if (TargetState *State = this->find(Name)) {
+    State->FailureScore = decayedFailureScore(*State, Now) + LostHedgeScore;
+    State->FailureScoreTime = Now;
+  }
+}
+
 double TargetTable::decayedFailureScore(const TargetState &State, TimePoint Now) {
   if (State.FailureScore <= 0) {
     return 0;
--- a/src/libs/coordination/dispatch/TargetTable.h
+++ b/src/libs/coordination/dispatch/TargetTable.h
@@ -116,6 +116,9 @@
     return std::exchange(this->ChangedConditions, {});
   }
 
+  /// Records that another target responded to a hedge of a request first. A slow target whose
+  /// requests are cancelled has free slots, and would get more requests than others without this.
+  void onHedgeLost(const TargetName &Name, TimePoint Now);
   /// Failure score of a target, decayed up to `Now`.
   static double decayedFailureScore(const TargetState &State, TimePoint Now);
 
--- a/src/libs/coordination/limits/RetryBudget.h
+++ b/src/libs/coordination/limits/RetryBudget.h
@@ -39,13 +39,21 @@
   bool tryAcquire(const ServiceName &Service, TimePoint Now);
   /// True if a retry could be taken now.
   bool canAcquire(const ServiceName &Service, TimePoint Now);
+  /// The same for hedges that have a limit of their own. They leave half of the budget to retries
+  /// after failures, but may take one of a budget of less than two.
+  bool canAcquireHedge(const ServiceName &Service, TimePoint Now);
+  bool tryAcquireHedge(const ServiceName &Service, TimePoint Now);
 
 private:
   struct History {
     std::deque<TimePoint> Requests;
+    /// Retries and hedges.
     std::deque<TimePoint> Retries;
+    std::deque<TimePoint> Hedges;
   };
 
+  /// Retries and hedges within the window that the history of a service allows.
+  double limit(const History &Current) const;
   History &recentHistory(const ServiceName &Service, TimePoint Now);
 
   RetryBudgetLimits Limits;
--- a/src/libs/model/DispatcherPolicy.h
+++ b/src/libs/model/DispatcherPolicy.h
@@ -57,6 +57,8 @@
   void applyEffect(std::size_t, const CancelAttempt &) {}
   /// Responses of the model are never streamed.
   void applyEffect(std::size_t, const AbortResponse &) {}
+  /// The model keeps no log.
+  void applyEffect(std::size_t, const HedgeWithheld &) {}
   void applyEffect(std::size_t Index, const DeliverResponse &Delivery);
   void applyEffect(std::size_t Index, const RefuseRequest &Refusal);
   void forward(std::size_t Index, const SendAttempt &Send);
--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -73,6 +73,7 @@
   ColdStartLimits &Cold = Result.Dispatch.ColdStart;
   Cold.BurstFactor = Limits.numberOr("cold_burst_factor", Cold.BurstFactor, 0, 100);
   Cold.Slack = Limits.numberOr("cold_slack", Cold.Slack, 0, 1e4);
+  Result.Dispatch.Hedges.Share = Limits.optionalNumber("hedge_share", 0, 1);
   Result.StopGracePeriod = Limits.secondsOr("stop_grace_s", Result.StopGracePeriod, 1s, 1h);
   Result.AddressTtl = Limits.secondsOr("address_lifetime_s", Result.AddressTtl, 100ms, 1h);
   Result.MaxConnections = Limits.integerOr("max_connections", Result.MaxConnections, 1, 100'000);
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -113,6 +113,7 @@
   Writer Out;
   this->writeServices(Out, Now);
   this->writeEntry(Out);
+  this->writeHedges(Out);
   this->writeUnanswered(Out);
   this->writePeers(Out);
   this->writePublications(Out);
@@ -208,6 +209,20 @@
                         this->CurrentGauges.KnownPosition.Revision);
 }
 
+void Metrics::writeHedges(Writer &Out) const {
+  Out.writeSingleSample("hedges_total", "counter",
+                        "Hedges sent within the limit that operators set.", this->Hedges.Sent);
+  Out.writeSingleSample("hedges_won_total", "counter",
+                        "Hedges whose response was delivered to the caller.", this->Hedges.Won);
+  Out.writeFamily("hedges_withheld_total", "counter",
+                  "Requests for which a hedge was due and was not sent, by the first reason.");
+  for (std::size_t Index = 0; Index < HedgeObstacleCount; ++Index) {
+    Out.writeSample("hedges_withheld_total",
+                    {{"reason", toString(static_cast<HedgeObstacle>(Index))}},
+                    this->Hedges.Withheld.at(Index));
+  }
+}
+
 void Metrics::writeUnanswered(Writer &Out) const {
   Out.writeFamily("unanswered_requests_total", "counter",
                   "Requests whose connection ended before the response was complete, by the reason "
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/dispatch/HedgePolicy.h"
 #include "protocol/LatencyQuantiles.h"
 #include "protocol/PeerTraffic.h"
 #include "protocol/PublicationTraffic.h"
@@ -55,6 +56,7 @@
   void onProbe(bool HasFailed);
   void onCallerDisconnected() { ++this->CallerDisconnects; }
   void setUnansweredRequests(const UnansweredCounts &Counts) { this->Unanswered = Counts; }
+  void setHedges(const HedgeCounts &Counts) { this->Hedges = Counts; }
   void setLogLinesDropped(std::uint64_t Total) { this->LogLinesDropped = Total; }
   void setPeerTraffic(const PeerTraffic &Traffic) { this->Peers = Traffic; }
   void setPublicationTraffic(const PublicationTraffic &Traffic) { this->Publications = Traffic; }
@@ -85,6 +87,7 @@
   static void writeLatencies(Writer &Out, const std::string &Service, ServiceSeries &Series,
                              TimePoint Now);
   void writeEntry(Writer &Out) const;
+  void writeHedges(Writer &Out) const;
   void writeUnanswered(Writer &Out) const;
   void writePeers(Writer &Out) const;
   void writePublications(Writer &Out) const;
@@ -96,6 +99,7 @@
   std::uint64_t CallerDisconnects = 0;
   std::uint64_t LogLinesDropped = 0;
   UnansweredCounts Unanswered;
+  HedgeCounts Hedges;
   PeerTraffic Peers;
   PublicationTraffic Publications;
   Gauges CurrentGauges;
--- a/src/libs/protocol/TomlTable.cpp
+++ b/src/libs/protocol/TomlTable.cpp
@@ -105,6 +105,14 @@
   return *Number;
 }
 
+std::optional<double> TomlTable::optionalNumber(std::string_view Key, double Minimum,
+                                                double Maximum) {
+  if (!this->find(Key)) {
+    return std::nullopt;
+  }
+  return this->numberOr(Key, Minimum, Minimum, Maximum);
+}
+
 std::map<std::string, std::string> TomlTable::allStrings() {
   std::map<std::string, std::string> Result;
   for (const auto &[Key, Value] : this->Table) {
--- a/src/libs/protocol/TomlTable.h
+++ b/src/libs/protocol/TomlTable.h
@@ -38,6 +38,8 @@
   Duration secondsOr(std::string_view Key, Duration Default, Duration Minimum, Duration Maximum);
   /// An integer or floating-point number.
   double numberOr(std::string_view Key, double Default, double Minimum, double Maximum);
+  /// The same; nothing if the key is missing.
+  std::optional<double> optionalNumber(std::string_view Key, double Minimum, double Maximum);
   /// All keys of this table and their values, which must be non-empty strings.
   std::map<std::string, std::string> allStrings();
   /// An array of distinct strings. `Validate` returns an error message for an element, or an empty
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -213,6 +213,7 @@
   UnansweredCounts Unanswered = Self.CallerServer.unanswered();
   Unanswered += Self.ForwardServer.unanswered();
   Self.EntryMetrics.setUnansweredRequests(Unanswered);
+  Self.EntryMetrics.setHedges(Self.RequestDispatcher.hedgeCounts());
   Self.EntryMetrics.setLogLinesDropped(droppedLogLines());
   const Configuration *Current = Self.Proxy.configuration();
   Self.EntryMetrics.setGauges(
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -27,12 +27,16 @@
 /// An entry receives its configuration within about a second of its start.
 constexpr Duration RetryWhileUnconfigured = 300ms;
 
-std::string formatSeconds(Duration Value) {
+std::string formatDecimal(double Value) {
   std::array<char, G_ASCII_DTOSTR_BUF_SIZE> Text{};
-  g_ascii_formatd(Text.data(), Text.size(), "%.3f", std::chrono::duration<double>(Value).count());
+  g_ascii_formatd(Text.data(), Text.size(), "%.3f", Value);
   return Text.data();
 }
 
+std::string formatSeconds(Duration Value) {
+  return formatDecimal(std::chrono::duration<double>(Value).count());
+}
+
 std::string formatMilliseconds(Duration Value) { return std::to_string(toMilliseconds(Value)); }
 
 ResponseHead localResponse(int Status, Duration RetryAfter) {
@@ -90,20 +94,31 @@
           {"elapsed_ms", formatMilliseconds(Command.Forward->Elapsed)}};
 }
 
+void addHedgeInputs(LogFields &Fields, const HedgeInputs &Inputs) {
+  Fields.emplace_back("hedge_after_ms", formatMilliseconds(Inputs.Elapsed));
+  Fields.emplace_back("first_expected_ms", formatMilliseconds(Inputs.ExpectedTime));
+  Fields.emplace_back("hedge_factor", formatDecimal(Inputs.Factor));
+  Fields.emplace_back("hedge_credit", formatDecimal(Inputs.Credit));
+}
+
 LogFields sentLogFields(const std::string &RequestId, const SendAttempt &Command) {
   const PlacementDetails &Placement = Command.Details;
-  return {{"request", RequestId},
-          {"attempt", std::to_string(Command.Attempt)},
-          {"target", Command.Target.str()},
-          {"hedge", Placement.IsHedge ? "yes" : "no"},
-          {"running", std::to_string(Placement.Load.Running)},
-          {"waiting", std::to_string(Placement.Load.Waiting)},
-          {"slots", std::to_string(Placement.Load.Slots)},
-          {"slowdown",
-           formatSeconds(Duration(static_cast<std::int64_t>(Placement.Load.Slowdown * 1e6)))},
-          {"load_age_us", std::to_string(Placement.LoadAge.count())},
-          {"expected_ms", formatMilliseconds(Placement.ExpectedCost)},
-          {"candidates", std::to_string(Placement.CandidateCount)}};
+  LogFields Result{{"request", RequestId},
+                   {"attempt", std::to_string(Command.Attempt)},
+                   {"target", Command.Target.str()},
+                   {"hedge", Placement.IsHedge ? "yes" : "no"},
+                   {"running", std::to_string(Placement.Load.Running)},
+                   {"waiting", std::to_string(Placement.Load.Waiting)},
+                   {"slots", std::to_string(Placement.Load.Slots)},
+                   {"slowdown", formatSeconds(Duration(
+                                    static_cast<std::int64_t>(Placement.Load.Slowdown * 1e6)))},
+                   {"load_age_us", std::to_string(Placement.LoadAge.count())},
+                   {"expected_ms", formatMilliseconds(Placement.ExpectedCost)},
+                   {"candidates", std::to_string(Placement.CandidateCount)}};
+  if (Placement.Hedge) {
+    addHedgeInputs(Result, *Placement.Hedge);
+  }
+  return Result;
 }
 
 } // namespace
@@ -325,6 +340,14 @@
   Request->reject(localResponse(Status, Command.RetryAfter), Command.Reason + "\n");
 }
 
+void ProxyHandler::apply(const HedgeWithheld &Event) {
+  if (const ActiveRequest *Request = this->find(Event.Request)) {
+    LogFields Fields{{"request", Request->id()}, {"reason", toString(Event.Obstacle)}};
+    addHedgeInputs(Fields, Event.Inputs);
+    logEvent(LogLevel::Info, "hedge_withheld", Fields);
+  }
+}
+
 void ProxyHandler::failPendingRequests() {
   const TimePoint Now = this->Deps.Time.now();
   this->Deps.RequestDispatcher.beginShutdown(Now, Now);
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -64,6 +64,7 @@
   void apply(const DeliverResponse &Command);
   void apply(const AbortResponse &Command);
   void apply(const RefuseRequest &Command);
+  void apply(const HedgeWithheld &Event);
 
   void onRequest(HttpExchange &Exchange) override;
   /// Handles a request that an entry of another region forwards.
--- a/tests/auto/libs/coordination/DispatcherHarness.cpp
+++ b/tests/auto/libs/coordination/DispatcherHarness.cpp
@@ -21,16 +21,18 @@
   return Result;
 }
 
-DispatchLimits makeLimits() {
+DispatchLimits makeLimits(HedgeLimits Hedges) {
   DispatchLimits Result;
+  Result.Hedges = Hedges;
   Result.Retries = {0.2, 1000, 10s};
   return Result;
 }
 
 } // namespace
 
-DispatcherHarness::DispatcherHarness(std::uint64_t Seed, const std::string &Self)
-    : Random(Seed), TestedDispatcher(makeTopology(), makeLimits(), Self, this->Random) {
+DispatcherHarness::DispatcherHarness(std::uint64_t Seed, const std::string &Self,
+                                     HedgeLimits Hedges)
+    : Random(Seed), TestedDispatcher(makeTopology(), makeLimits(Hedges), Self, this->Random) {
   this->TestedDispatcher.setEntries({Self}, 1);
   Service TestService;
   TestService.Name = ServiceName("s");
@@ -138,6 +140,10 @@
         this->complete(Deliver->Request, {this->Now, Deliver->Attempt, std::nullopt});
       } else if (const auto *Abort = std::get_if<AbortResponse>(&Each)) {
         this->complete(Abort->Request, {this->Now, std::nullopt, std::nullopt});
+      } else if (const auto *Withheld = std::get_if<HedgeWithheld>(&Each)) {
+        if (this->Completions.contains(Withheld->Request)) {
+          this->Violations.emplace_back("a hedge was withheld after the end of its request");
+        }
       } else {
         const auto &Refusal = std::get<RefuseRequest>(Each);
         this->complete(Refusal.Request, {this->Now, std::nullopt, Refusal});
--- a/tests/auto/libs/protocol/tst_daemonsettings.cpp
+++ b/tests/auto/libs/protocol/tst_daemonsettings.cpp
@@ -40,6 +40,7 @@
 class DaemonSettingsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DaemonSettingsTest);
   CPPUNIT_TEST(validSettings);
+  CPPUNIT_TEST(hedgeShare);
   CPPUNIT_TEST(invalidSettings);
   CPPUNIT_TEST(allErrorsAreReported);
   CPPUNIT_TEST(arbitraryTextIsHandled);
@@ -57,6 +58,17 @@
                    RegionName("south"));
     CPPUNIT_ASSERT_EQUAL(0.25, Settings.Dispatch.Retries.Ratio);
     CPPUNIT_ASSERT(Settings.StopGracePeriod == 2500ms);
+    CPPUNIT_ASSERT(!Settings.Dispatch.Hedges.Share);
+  }
+
+  /// Guards against a limit on hedges of 0 that is taken for none, so that hedges are sent.
+  void hedgeShare() {
+    for (const double Share : {0.0, 0.03, 1.0}) {
+      const auto Result =
+          readDaemonSettings(Good + "hedge_share = " + std::to_string(Share) + "\n", "entry.toml");
+      CPPUNIT_ASSERT(std::holds_alternative<DaemonSettings>(Result));
+      CPPUNIT_ASSERT(std::get<DaemonSettings>(Result).Dispatch.Hedges.Share == Share);
+    }
   }
 
   /// Guards against invalid settings with which a daemon starts and then behaves in an unintended
@@ -76,6 +88,9 @@
         {replaced(Good, "\"n-a\" = \"north\"\n", ""), "failure domain 'n-a'"},
         {replaced(Good, "= 0.25", "= -1"), "'repeat_ratio' must be a number from 0 to 10"},
         {replaced(Good, "= 0.25", "= \"x\""), "'repeat_ratio' must be a number"},
+        {Good + "hedge_share = 1.01\n", "'hedge_share' must be a number from 0 to 1"},
+        {Good + "hedge_share = -0.01\n", "'hedge_share' must be a number from 0 to 1"},
+        {Good + "hedge_share = \"x\"\n", "'hedge_share' must be a number"},
         {replaced(Good, "stop_grace_s", "stop_grace"), "unknown key 'stop_grace'"},
         {replaced(Good, "10.2.0.9:8083", "nowhere"), "elements of 'seeds'"},
         {Good + "[log]\nlevel = \"loud\"\n", "'level' must be one of"},
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -47,10 +47,15 @@
     Unanswered.add(CloseReason::IdleTimeout, RequestStage::Unread);
     Unanswered += Unanswered;
     Counters.setUnansweredRequests(Unanswered);
+    Counters.setHedges({21, 22, {23, 24, 25, 26}});
     Counters.setGauges({1, 2, 3, 4, 5, 6, 13, 14, {3, 41}});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
     const char *const Table[] = {
+        "anvilsaddle_hedges_total 21\n",
+        "anvilsaddle_hedges_won_total 22\n",
+        "anvilsaddle_hedges_withheld_total{reason=\"hedge_budget\"} 24\n",
+        "anvilsaddle_hedges_withheld_total{reason=\"no_target\"} 26\n",
         "anvilsaddle_request_duration_seconds_bucket{service=\"board\",le=\"0.1\"} 1\n",
         "anvilsaddle_request_duration_seconds_bucket{service=\"board\",le=\"0.2\"} 2\n",
         "anvilsaddle_request_duration_seconds_bucket{service=\"board\",le=\"3.2\"} 3\n",
