Check configurations before they are published

Cause: `anvilsaddle check` reads settings files only. A configuration that entries ignore, or a route that no request matches, shows after publication.

Change: `check` also reads configurations as they are published and reports errors with line and column, parts that never match, limits that contradict each other, and with `--against FILE` what changes for callers. `--settings` and `--targets` add checks against the fleet. `--format json`; exit code 5 if there are warnings only.

--- a/src/anvilsaddle/CheckCommand.h
+++ b/src/anvilsaddle/CheckCommand.h
@@ -7,7 +7,7 @@
 
 namespace anvilsaddle {
 
-/// `anvilsaddle check`: checks settings files of daemons offline.
+/// `anvilsaddle check`: checks settings files of daemons and configurations offline.
 class CheckCommand final : public Command {
 public:
   void addTo(CLI::App &App) override;
@@ -15,6 +15,10 @@
 
 private:
   std::vector<std::string> Paths;
+  std::string AgainstPath;
+  std::string SettingsPath;
+  std::string TargetsPath;
+  std::string Format = "text";
   bool AsJson = false;
 };
 
--- a/src/anvilsaddle/Tool.cpp
+++ b/src/anvilsaddle/Tool.cpp
@@ -21,10 +21,11 @@
 namespace {
 
 constexpr const char *Footer =
-    "Exit codes: 0 success, 1 errors in the settings, 2 wrong usage, 3 daemon unreachable or its "
-    "response invalid, 4 request refused by the daemon.\n"
+    "Exit codes: 0 success, 1 errors found by check, 2 wrong usage, 3 daemon unreachable or its "
+    "response invalid, 4 request refused by the daemon, 5 only warnings found by check.\n"
     "Examples:\n"
     "  anvilsaddle check entry.toml\n"
+    "  anvilsaddle check next.json --against current.json --settings entry.toml\n"
     "  anvilsaddle status --address 127.0.0.1:9464\n"
     "  anvilsaddle explain shop.example /status/1 --address 127.0.0.1:9464\n"
     "  anvilsaddle trace 9c41d07be2a35f68 entry-1.log entry-2.log";
--- a/tests/auto/anvilsaddle/tst_tool.cpp
+++ b/tests/auto/anvilsaddle/tst_tool.cpp
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(outputAndExitCodes);
   CPPUNIT_TEST(queryParametersAreEscaped);
   CPPUNIT_TEST(checkReportsErrors);
+  CPPUNIT_TEST(checksConfigurations);
   CPPUNIT_TEST(traceIsInCausalOrder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -226,6 +227,87 @@
     const Run Fine = run({"check", Good});
     CPPUNIT_ASSERT_EQUAL_MESSAGE(Fine.Out, 0, Fine.Exit);
   }
+
+  /// Guards against a configuration that is published although the check found errors, against
+  /// warnings that scripts can't tell from errors, and against findings without their location.
+  void checksConfigurations() {
+    const TemporaryDirectory Directory;
+    const auto Write = [&Directory](const std::string &Name, const std::string &Version,
+                                    const std::string &Rows) {
+      return Directory.write(
+          Name, "{\"version\":\"" + Version +
+                    "\",\"routes\":{\"columns\":[\"name\",\"host\",\"pathPrefix\",\"kind\","
+                    "\"timeoutS\",\"targetLatencyS\",\"service\",\"allowedRegions\"],\"rows\":[\n" +
+                    Rows + "]},\n\"services\":{\"columns\":[\"name\"],\"rows\":[[\"board\"]]}}\n");
+    };
+    const std::string First = R"(["r-1","h","/","safe",2,0.5,"board",["north"]])";
+    const std::string Second = R"(["r-2","h","/x/","safe",2,0.5,"board",["north"]])";
+    const std::string Current = Write("current.json", "1", First + ",\n" + Second);
+    const std::string Same = Write("same.json", "2", First + ",\n" + Second);
+    const std::string Dropped = Write("dropped.json", "2", First);
+    const std::string Moved =
+        Write("moved.json", "2", First + ",\n" + R"(["r-2","h","/","safe",2,0.5,"board",[]])");
+    const std::string Invalid =
+        Write("invalid.json", "2", R"(["r-1","h","/","safe",-2,0.5,"board",[]])");
+    const std::string Settings = Directory.write("entry.toml", R"(vm = "front-1"
+region = "south"
+failure_domain = "s-a"
+[listen]
+callers = "10.1.0.9:8080"
+readiness = "10.1.0.9:8081"
+directory = "10.1.0.9:8082"
+control = "10.1.0.9:8083"
+operators = "10.1.0.9:9464"
+peer_ports = [7200]
+[store]
+address = "10.200.1.7:8384"
+[fleet]
+key = "a key of sixteen bytes"
+[fleet.regions]
+"s-a" = "south"
+"n-a" = "north"
+)");
+    const std::string Targets =
+        Directory.write("targets.json", R"([{"service":"board","failure_domain":"s-a"}])");
+    struct Case {
+      std::vector<std::string> Arguments;
+      int Exit;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {{Current}, 0, ""},
+        {{Current, Settings}, 0, ""},
+        {{Current, "--settings", Settings}, 0, ""},
+        {{Same, "--against", Current}, 0, ""},
+        {{Current, "--settings", Settings, "--targets", Targets},
+         1,
+         Current + ":3:1: error: route 'r-2': no registered target"},
+        {{Invalid}, 1, Invalid + ":2:1: routes row 1 'r-1': field 'timeoutS'"},
+        {{Moved}, 1, Moved + ":2:1: error: route 'r-1': no request matches"},
+        {{Dropped, "--against", Current},
+         5,
+         Current +
+             ":3:1: warning: change: route 'r-2': the route is dropped; requests for h/x/ are "
+             "served by route 'r-1' [route_dropped]"},
+        {{Current, "--against", Dropped}, 1, "version 1 is not newer than version 2"},
+        {{Same, "--against", Invalid}, 1, Invalid + ":2:1: routes row 1"},
+        {{Same, Current, "--against", Current}, 2, ""},
+        {{Same, "--targets", Targets}, 2, ""},
+        {{Same, "--format", "xml"}, 2, ""},
+        {{Dropped, "--against", Current, "--format", "json"}, 5, "\"kind\": \"route_dropped\""},
+    };
+    for (Case Each : Table) {
+      Each.Arguments.insert(Each.Arguments.begin(), "check");
+      const Run Result = run(Each.Arguments);
+      const std::string Text = Each.Expected + " in " + Result.Out + Result.ErrorOut;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Text, Each.Exit, Result.Exit);
+      CPPUNIT_ASSERT_MESSAGE(Text, Result.Out.find(Each.Expected) != std::string::npos);
+    }
+    const auto Parsed = nlohmann::json::parse(
+        run({"check", Dropped, "--against", Current, "--format", "json"}).Out);
+    CPPUNIT_ASSERT(Parsed["findings"].empty() && Parsed["changes"].size() == 1);
+    CPPUNIT_ASSERT(Parsed["changes"][0]["severity"] == "warning");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ToolTest);
