Tighten the tests of hedging; clamp credit when the fleet grows

Cause: removing the check for the last usable slot, the limit of one hedge per request or the comparison of times failed no test. Credit above the maximum stayed until the next request after the number of entries had grown.

Change: cases for each of them, for the queue and the retry budget. HedgeBudget clamps its credit at once. Entries without the setting no longer record quantiles that nothing reads.

Result: each of these rules, removed on its own, now fails tst_hedging; the comparison of times is tested by a case of its own.

--- a/src/libs/coordination/dispatch/HedgePolicy.cpp
+++ b/src/libs/coordination/dispatch/HedgePolicy.cpp
@@ -65,6 +65,9 @@
 
 void HedgePolicy::onDelivered(const DispatchRequest &Request, AttemptNumber Attempt,
                               TimePoint Now) {
+  if (!this->isLimited()) {
+    return;
+  }
   if (Request.HedgeAttempt == Attempt) {
     ++this->Counts.Won;
   }
--- a/src/libs/coordination/limits/HedgeBudget.h
+++ b/src/libs/coordination/limits/HedgeBudget.h
@@ -33,7 +33,7 @@
   explicit HedgeBudget(HedgeLimits Limits) : Limits(Limits) {}
 
   /// Precondition: the count is positive.
-  void setEntryCount(std::size_t Count) { this->EntryCount = Count; }
+  void setEntryCount(std::size_t Count);
   /// Counts a request that a caller sent to this entry.
   void onRequest();
   bool canAcquire() const { return this->Credit >= 1; }
--- a/tests/auto/libs/coordination/tst_hedgebudget.cpp
+++ b/tests/auto/libs/coordination/tst_hedgebudget.cpp
@@ -55,11 +55,16 @@
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Taken);
     }
+    HedgeBudget Grown({1});
+    for (int Index = 0; Index < 32; ++Index) {
+      Grown.onRequest();
+    }
+    Grown.setEntryCount(30);
+    CPPUNIT_ASSERT_EQUAL(3.0, Grown.credit());
   }
 
   /// Guards against hedges of a fleet that exceed the limit within some window, because entries
-  /// that know nothing of each other spend their credit at the same time. The number of entries
-  /// changes in between.
+  /// that know nothing of each other spend their credit at the same time.
   void fleetStaysWithinLimit() {
     checkProperty("hedges of the fleet are bounded in any window",
                   [](const std::vector<std::uint8_t> &Steps) {
--- a/tests/auto/libs/coordination/tst_hedging.cpp
+++ b/tests/auto/libs/coordination/tst_hedging.cpp
@@ -95,6 +95,7 @@
   std::size_t Requests = 0;
   std::size_t Late = 0;
   std::size_t Hedges = 0;
+  std::uint64_t WithheldByQueue = 0;
   /// Largest number of hedges in any window that exceeds the share of the requests in it.
   double Excess = 0;
 
@@ -145,6 +146,8 @@
     Excess = std::max(0.0, Excess + Step);
     Result.Excess = std::max(Result.Excess, Excess);
   }
+  Result.WithheldByQueue = Harness.TestedDispatcher.hedgeCounts().Withheld.at(
+      static_cast<std::size_t>(HedgeObstacle::Queue));
   CPPUNIT_ASSERT(Harness.Violations.empty());
   return Result;
 }
@@ -159,6 +162,7 @@
   CPPUNIT_TEST(sendsNoneAtZero);
   CPPUNIT_TEST(choosesTime);
   CPPUNIT_TEST(cancelsLoser);
+  CPPUNIT_TEST(judgesSecondTarget);
   CPPUNIT_TEST(withholds);
   CPPUNIT_TEST_SUITE_END();
 
@@ -226,6 +230,7 @@
     };
     const Outcome Without = Run(0);
     const Outcome With = Run(0.05);
+    CPPUNIT_ASSERT(With.WithheldByQueue > 0);
     // A hedge or two may be sent before the queue forms and after it has drained.
     CPPUNIT_ASSERT_MESSAGE(With.text(), With.extraShare() <= 0.002);
     CPPUNIT_ASSERT_MESSAGE(With.text() + " without: " + Without.text(),
@@ -300,6 +305,11 @@
       for (const char *Name : {"t0", "t1", "t2"}) {
         Harness.addTarget(Name, "a1");
       }
+      // Earns credit for more than one hedge.
+      for (int Index = 0; Index < 5; ++Index) {
+        Harness.request(Harness.attributes());
+        Harness.run(1s);
+      }
       Harness.OnSend = [&Each](const SendAttempt &Send) {
         return DispatcherHarness::AttemptBehavior{Send.Attempt == 0 ? Each.First : Each.Second,
                                                   AttemptOutcome::Succeeded};
@@ -318,6 +328,32 @@
     }
   }
 
+  /// Guards against a hedge to a target that needs longer than the first attempt has run, which is
+  /// rarely sooner, and against one that takes the last usable slot.
+  void judgesSecondTarget() {
+    struct Case {
+      Duration Elapsed;
+      Duration Cost;
+      std::uint32_t UsableSlotsLeft;
+      bool Expected;
+    };
+    const Case Table[] = {{120ms, 124ms, 1, false},
+                          {124ms, 124ms, 1, true},
+                          {130ms, 124ms, 0, false},
+                          {700ms, 124ms, 0, false}};
+    const HedgePolicy Policy({0.03});
+    const TimePoint Now(100s);
+    for (const Case &Each : Table) {
+      DispatchRequest Request;
+      Request.Attempts.resize(1);
+      Request.Attempts[0].SentAt = Now - Each.Elapsed;
+      PlacementChoice Choice;
+      Choice.Cost = Each.Cost;
+      Choice.UsableSlotsLeft = Each.UsableSlotsLeft;
+      CPPUNIT_ASSERT_EQUAL(Each.Expected, Policy.isWorthwhile(Request, Choice, Now));
+    }
+  }
+
   /// Guards against hedges of requests that must not run twice, hedges to targets that can't be
   /// sooner, and hedges that are withheld without a trace.
   void withholds() {
@@ -327,21 +363,25 @@
       bool Idempotent;
       std::uint32_t MaxTargets;
       bool FromOtherEntry;
+      std::size_t EntryCount;
       /// Requests that run at the second target and its slowdown.
       std::uint32_t Running;
       double Slowdown;
       std::optional<HedgeObstacle> Expected;
     };
     const Case Table[] = {
-        {"not idempotent", 1, false, 3, false, 0, 1, std::nullopt},
-        {"one target allowed", 1, true, 1, false, 0, 1, std::nullopt},
-        {"no credit", 0.4, true, 3, false, 0, 1, HedgeObstacle::HedgeBudget},
-        {"counted at another entry", 1, true, 3, true, 0, 1, HedgeObstacle::HedgeBudget},
-        {"last slot", 1, true, 3, false, 2, 1, HedgeObstacle::NoTarget},
-        {"second target is slow", 1, true, 3, false, 0, 4, HedgeObstacle::NoTarget},
+        {"not idempotent", 1, false, 3, false, 1, 0, 1, std::nullopt},
+        {"one target allowed", 1, true, 1, false, 1, 0, 1, std::nullopt},
+        {"no credit", 0.4, true, 3, false, 1, 0, 1, HedgeObstacle::HedgeBudget},
+        {"counted at another entry", 1, true, 3, true, 1, 0, 1, HedgeObstacle::HedgeBudget},
+        {"no share of the retry budget", 1, true, 3, false, 5000, 0, 1, HedgeObstacle::RetryBudget},
+        // Without responses of the fleet, two of three slots are usable.
+        {"last usable slot", 1, true, 3, false, 1, 1, 1, HedgeObstacle::NoTarget},
+        {"second target is slow", 1, true, 3, false, 1, 0, 4, HedgeObstacle::NoTarget},
     };
     for (const Case &Each : Table) {
       DispatcherHarness Harness(11, "10.0.0.1", {Each.Share});
+      Harness.TestedDispatcher.setEntries({"10.0.0.1"}, Each.EntryCount);
       Harness.addTarget("t0", "a1");
       Harness.OnSend = [](const SendAttempt &) {
         return DispatcherHarness::AttemptBehavior{1500ms, AttemptOutcome::Succeeded};
