--- a/src/libs/coordination/dispatch/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -34,7 +34,7 @@
   /// Regions that may serve the request; empty means all.
   std::set<RegionName> HomeRegions;
   /// Empty if the request belongs to no customer.
-  CustomerName Customer;
+  CustomerName Customer{};
   TimePoint ReceivedAt{};
   /// A response before ReceivedAt + Objective is worth most; a later one, up to the deadline, is
   /// worth less.
@@ -47,8 +47,6 @@
   /// False if the request is refused at once when no target has free capacity, because the entry
   /// that forwarded it then tries other targets.
   bool MayQueue = true;
-  /// Empty if the request belongs to no customer.
-  CustomerName Customer{};
 
   auto operator<=>(const RequestAttributes &) const = default;
 };
@@ -102,6 +100,36 @@
   auto operator<=>(const ProbeTarget &) const = default;
 };
 
+/// What a decision about a hedge was based on, for the log. Value type.
+struct HedgeInputs {
+  /// Time since the running attempt was sent.
+  Duration Elapsed{0};
+  /// Time that was expected of the running attempt when it was sent.
+  Duration ExpectedTime{0};
+  /// Factor of the expected time within which 95 in 100 responses of the route arrive.
+  double Factor = 0;
+  /// Credit of the hedge budget before the decision.
+  double Credit = 0;
+
+  auto operator<=>(const HedgeInputs &) const = default;
+};
+
+/// Why a hedge that was due was not sent.
+enum class HedgeObstacle : std::uint8_t {
+  /// Requests of the service wait for a target at this entry.
+  Queue,
+  HedgeBudget,
+  RetryBudget,
+  /// No other target has a slot to spare and is likely to respond sooner.
+  NoTarget,
+};
+
+/// Number of values of HedgeObstacle, for arrays of counters.
+inline constexpr std::size_t HedgeObstacleCount = 4;
+
+/// Short name for logs and metric labels, for example `no_target`.
+const char *toString(HedgeObstacle Obstacle);
+
 /// Reasons for the choice of a target, for the log.
 struct PlacementDetails {
   LoadReport Load;
@@ -109,6 +137,8 @@
   Duration ExpectedCost{0};
   std::size_t CandidateCount = 0;
   bool IsHedge = false;
+  /// Set for a hedge if operators set a limit on hedges.
+  std::optional<HedgeInputs> Hedge{};
 
   auto operator<=>(const PlacementDetails &) const = default;
 };
@@ -177,8 +207,18 @@
   auto operator<=>(const RefuseRequest &) const = default;
 };
 
+/// Reports that a hedge of the request was due and was not sent, for the log. Sent once per
+/// request.
+struct HedgeWithheld {
+  RequestNumber Request = 0;
+  HedgeObstacle Obstacle = HedgeObstacle::NoTarget;
+  HedgeInputs Inputs;
+
+  auto operator<=>(const HedgeWithheld &) const = default;
+};
+
 /// DeliverResponse, AbortResponse and RefuseRequest are the last effect of their request.
 using Effect = std::variant<ProbeTarget, SendAttempt, CancelAttempt, DeliverResponse, AbortResponse,
-                            RefuseRequest>;
+                            RefuseRequest, HedgeWithheld>;
 
 } // namespace anvilsaddle
--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -75,6 +75,7 @@
   ColdStartLimits &Cold = Result.Dispatch.ColdStart;
   Cold.BurstFactor = Limits.numberOr("cold_burst_factor", Cold.BurstFactor, 0, 100);
   Cold.Slack = Limits.numberOr("cold_slack", Cold.Slack, 0, 1e4);
+  Result.Dispatch.Hedges.Share = Limits.optionalNumber("hedge_share", 0, 1);
   QuotaBounds &Quotas = Result.Quotas;
   Quotas.Window = Limits.secondsOr("quota_window_s", Quotas.Window, 1s, MaxQuotaWindow);
   Quotas.Overshoot = Limits.numberOr("quota_overshoot", Quotas.Overshoot, 0, 10);
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -75,6 +75,7 @@
   void apply(const DeliverResponse &Command);
   void apply(const AbortResponse &Command);
   void apply(const RefuseRequest &Command);
+  void apply(const HedgeWithheld &Event);
 
   std::optional<HeadRejection> onHead(const RequestHead &Head) override;
   void onRequest(HttpExchange &Exchange) override;
