--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -12,6 +12,12 @@
 
 constexpr std::int64_t MaxPort = 65535;
 constexpr std::size_t MinFleetKeyBytes = 16;
+/// With less, the process itself leaves no room for requests.
+constexpr std::int64_t MinMemoryMb = 64;
+constexpr std::int64_t MaxMemoryMb = std::int64_t{1} << 20;
+/// Files, listening sockets and some connections of each kind.
+constexpr std::int64_t MinDescriptors = 400;
+constexpr std::int64_t MaxDescriptors = 1'000'000;
 
 Endpoint readEndpoint(TomlTable &Table, std::string_view Key) {
   const std::string Text = Table.requiredString(Key);
@@ -76,6 +82,9 @@
   Result.StopGracePeriod = Limits.secondsOr("stop_grace_s", Result.StopGracePeriod, 1s, 1h);
   Result.AddressTtl = Limits.secondsOr("address_lifetime_s", Result.AddressTtl, 100ms, 1h);
   Result.MaxConnections = Limits.integerOr("max_connections", Result.MaxConnections, 1, 100'000);
+  Result.MemoryMb = Limits.integerOr("memory_mb", Result.MemoryMb, MinMemoryMb, MaxMemoryMb);
+  Result.Descriptors =
+      Limits.integerOr("descriptors", Result.Descriptors, MinDescriptors, MaxDescriptors);
   Result.MaxAuditRecords = Limits.integerOr("audit_entries", Result.MaxAuditRecords, 1, 1'000'000);
   Limits.reportUnknownKeys();
 }
--- a/src/libs/protocol/DaemonSettings.h
+++ b/src/libs/protocol/DaemonSettings.h
@@ -46,6 +46,10 @@
   /// Time for which callers may cache a response of the directory.
   Duration AddressTtl = std::chrono::seconds(1);
   std::int64_t MaxConnections = 2000;
+  /// Memory and descriptors of the VM. The defaults are those of the smallest VM, so that they are
+  /// safe where the settings are missing.
+  std::int64_t MemoryMb = 112;
+  std::int64_t Descriptors = 2870;
   std::string LogLevel = "info";
   std::int64_t MaxAuditRecords = 500;
 
--- a/tests/auto/libs/protocol/tst_daemonsettings.cpp
+++ b/tests/auto/libs/protocol/tst_daemonsettings.cpp
@@ -27,6 +27,8 @@
 [limits]
 repeat_ratio = 0.25
 stop_grace_s = 2.5
+memory_mb = 260
+descriptors = 4096
 )";
 
 std::string replaced(std::string Text, const std::string &Old, const std::string &New) {
@@ -57,6 +59,8 @@
                    RegionName("south"));
     CPPUNIT_ASSERT_EQUAL(0.25, Settings.Dispatch.Retries.Ratio);
     CPPUNIT_ASSERT(Settings.StopGracePeriod == 2500ms);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{260}, Settings.MemoryMb);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{4096}, Settings.Descriptors);
   }
 
   /// Guards against invalid settings with which a daemon starts and then behaves in an unintended
@@ -77,6 +81,11 @@
         {replaced(Good, "= 0.25", "= -1"), "'repeat_ratio' must be a number from 0 to 10"},
         {replaced(Good, "= 0.25", "= \"x\""), "'repeat_ratio' must be a number"},
         {replaced(Good, "stop_grace_s", "stop_grace"), "unknown key 'stop_grace'"},
+        {replaced(Good, "memory_mb = 260", "memory_mb = 63"), "'memory_mb'"},
+        {replaced(Good, "memory_mb = 260", "memory_mb = 1048577"), "'memory_mb'"},
+        {replaced(Good, "memory_mb = 260", "memory_mb = \"260\""), "'memory_mb'"},
+        {replaced(Good, "descriptors = 4096", "descriptors = 399"), "'descriptors'"},
+        {replaced(Good, "descriptors = 4096", "descriptors = 1000001"), "'descriptors'"},
         {replaced(Good, "10.2.0.9:8083", "nowhere"), "elements of 'seeds'"},
         {Good + "[log]\nlevel = \"loud\"\n", "'level' must be one of"},
         {"vm = \n", "entry.toml:1:"},
