Hold the body of a request once while it is received

Cause: a body without a length grows as a string does, so that its bytes are copied and up to twice their number is in memory; the buffer of unparsed bytes kept its capacity (up to 256 KB for each connection); each tiny chunk moved the rest of the buffer. The C library kept freed blocks of up to 32 MB.

Change: above 64 KB a body without a length gets the address space of the largest permitted one, of which only written pages take memory. The buffer is moved once for each call of the parser and freed when it is empty. The daemon returns freed blocks above 128 KB to the system. The parser reports the size of a body in progress and can discard it.

--- a/src/anvilsaddled/main.cpp
+++ b/src/anvilsaddled/main.cpp
@@ -9,12 +9,18 @@
 #include <variant>
 
 #include <CLI/CLI.hpp>
+#include <malloc.h>
 
 using namespace anvilsaddle;
 
 namespace {
 
 constexpr int InvalidSettingsExitStatus = 2;
+/// Larger blocks are returned to the system when they are freed. Otherwise the C library raises the
+/// size with each block that is freed, up to 32 MB, and keeps later ones.
+constexpr int MaxHeapBlockBytes = 128 * 1024;
+/// Free memory at the end of the heap that is not returned to the system.
+constexpr int MaxFreeHeapBytes = 1024 * 1024;
 
 } // namespace
 
@@ -37,6 +43,8 @@
     }
     return InvalidSettingsExitStatus;
   }
+  mallopt(M_MMAP_THRESHOLD, MaxHeapBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, MaxFreeHeapBytes);
   // Writing to a connection that the peer has closed must only fail and not terminate the process.
   std::signal(SIGPIPE, SIG_IGN);
   const auto &Settings = std::get<DaemonSettings>(Parsed);
--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -17,6 +17,10 @@
 constexpr int RequestHeaderFieldsTooLarge = 431;
 constexpr int NotImplemented = 501;
 constexpr unsigned Http10 = 10;
+/// Bodies of unknown length up to this size grow as strings do.
+constexpr std::size_t MaxGrowingBodyBytes = std::size_t{64} * 1024;
+/// Capacity that the buffer of unparsed bytes keeps when it is empty.
+constexpr std::size_t MaxKeptCapacity = std::size_t{16} * 1024;
 
 std::string toStdString(boost::beast::string_view Text) { return {Text.data(), Text.size()}; }
 
@@ -48,15 +52,37 @@
   if (this->ErrorStatus != 0) {
     return State::Failed;
   }
-  while (!this->Buffer.empty() && !this->Inner->Beast.is_done()) {
+  // Parsed bytes are removed once at the end: removing them after each of thousands of tiny chunks
+  // would move the rest of the buffer as often.
+  std::size_t ParsedBytes = 0;
+  const State Result = this->parseBuffer(ParsedBytes);
+  this->Buffer.erase(0, ParsedBytes);
+  if (this->Buffer.empty() && this->Buffer.capacity() > MaxKeptCapacity) {
+    std::string().swap(this->Buffer);
+  }
+  if (Result == State::Failed) {
+    return Result;
+  }
+  if (!this->IsHeadComplete && this->Inner->Beast.is_header_done()) {
+    if (const State HeadResult = this->finishHead(); HeadResult == State::Failed) {
+      return HeadResult;
+    }
+  }
+  return this->Inner->Beast.is_done() ? State::Complete : State::Incomplete;
+}
+
+RequestParser::State RequestParser::parseBuffer(std::size_t &ParsedBytes) {
+  while (ParsedBytes < this->Buffer.size() && !this->Inner->Beast.is_done()) {
+    const std::size_t Remaining = this->Buffer.size() - ParsedBytes;
     boost::beast::error_code ErrorCode;
-    const std::size_t ParsedBytes = this->Inner->Beast.put(
-        boost::asio::const_buffer(this->Buffer.data(), this->Buffer.size()), ErrorCode);
-    this->Buffer.erase(0, ParsedBytes);
+    const std::size_t Count = this->Inner->Beast.put(
+        boost::asio::const_buffer(this->Buffer.data() + ParsedBytes, Remaining), ErrorCode);
+    ParsedBytes += Count;
+    this->reserveAddressSpace();
     if (ErrorCode == http::error::need_more) {
       // The line of a chunk size with its extensions and the trailer section are only parsed once
       // they are complete.
-      if (this->Buffer.size() > this->SizeLimits.HeadBytes) {
+      if (Remaining - Count > this->SizeLimits.HeadBytes) {
         return this->fail(RequestHeaderFieldsTooLarge, "a part of the request is too large");
       }
       break;
@@ -70,16 +96,19 @@
     if (ErrorCode) {
       return this->fail(BadRequest, "malformed request: " + ErrorCode.message());
     }
-    if (ParsedBytes == 0) {
+    if (Count == 0) {
       break;
     }
   }
-  if (!this->IsHeadComplete && this->Inner->Beast.is_header_done()) {
-    if (const State Result = this->finishHead(); Result == State::Failed) {
-      return Result;
-    }
+  return State::Incomplete;
+}
+
+void RequestParser::reserveAddressSpace() {
+  auto &Body = this->Inner->Beast.get().body();
+  if (Body.size() > MaxGrowingBodyBytes && Body.capacity() < this->SizeLimits.BodyBytes &&
+      this->Inner->Beast.chunked()) {
+    Body.reserve(this->SizeLimits.BodyBytes);
   }
-  return this->Inner->Beast.is_done() ? State::Complete : State::Incomplete;
 }
 
 RequestParser::State RequestParser::finishHead() {
@@ -104,6 +133,22 @@
 
 std::string RequestParser::takeBody() { return std::move(this->Inner->Beast.get().body()); }
 
+bool RequestParser::isReceivingBody() const {
+  return this->IsHeadComplete && !this->Inner->Beast.is_done();
+}
+
+std::size_t RequestParser::bodyBytes() const { return this->Inner->Beast.get().body().size(); }
+
+std::optional<std::uint64_t> RequestParser::announcedBodyBytes() const {
+  const auto Length = this->Inner->Beast.content_length();
+  return Length ? std::optional<std::uint64_t>(*Length) : std::nullopt;
+}
+
+void RequestParser::discard() {
+  std::string().swap(this->Inner->Beast.get().body());
+  std::string().swap(this->Buffer);
+}
+
 void RequestParser::add(std::string_view Bytes) {
   this->HasReceivedBytes = this->HasReceivedBytes || !Bytes.empty();
   this->Buffer += Bytes;
--- a/src/libs/protocol/RequestParser.h
+++ b/src/libs/protocol/RequestParser.h
@@ -3,7 +3,9 @@
 #include "protocol/HttpMessage.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,6 +41,14 @@
   const RequestHead &head() const { return this->Head; }
   /// Moves the body of the request out. Precondition: parse() returned Complete.
   std::string takeBody();
+  /// True while the head of the current request is complete and its body is not.
+  bool isReceivingBody() const;
+  /// Bytes of the body that have been received.
+  std::size_t bodyBytes() const;
+  /// Announced length of the body; nothing for a chunked one. Precondition: isReceivingBody().
+  std::optional<std::uint64_t> announcedBodyBytes() const;
+  /// Frees what has been received. Nothing may be parsed after this.
+  void discard();
   /// Starts parsing the next request. Precondition: parse() returned Complete.
   void next();
 
@@ -47,6 +57,7 @@
   /// Returns true if the client waits for an interim (100 Continue) response before it sends the
   /// body.
   bool awaitsContinue() const;
+  bool isHeadComplete() const { return this->IsHeadComplete; }
   /// Number of bytes that are not parsed yet.
   std::size_t buffered() const { return this->Buffer.size(); }
   /// Status of the error response: 400, 413, 431 or 501. Precondition: parse() returned Failed.
@@ -59,6 +70,10 @@
   void start();
   State fail(int Status, std::string Text);
   State finishHead();
+  State parseBuffer(std::size_t &ParsedBytes);
+  /// Gives a body of unknown length the address space of the largest one, so that it is never
+  /// copied while it grows. Pages that are not written take no memory.
+  void reserveAddressSpace();
 
   Limits SizeLimits;
   std::unique_ptr<Parser> Inner;
--- a/tests/auto/libs/protocol/tst_requestparser.cpp
+++ b/tests/auto/libs/protocol/tst_requestparser.cpp
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(anySplitGivesTheSameRequests);
   CPPUNIT_TEST(partsWithoutEnd);
   CPPUNIT_TEST(parserStates);
+  CPPUNIT_TEST(bodiesOfUnknownLengthAreNotCopied);
+  CPPUNIT_TEST(bodiesInProgress);
   CPPUNIT_TEST(arbitraryBytesAreHandled);
   CPPUNIT_TEST_SUITE_END();
 
@@ -77,6 +79,47 @@
     }
   }
 
+  /// Guards against a body that is in memory twice while it grows: above 64 KB its bytes stay where
+  /// they are, whatever follows.
+  void bodiesOfUnknownLengthAreNotCopied() {
+    RequestParser Parser({1000, 4 << 20});
+    const std::string Block(65536, 'b');
+    Parser.add("POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int Index = 0; Index < 64; ++Index) {
+      Parser.add("10000\r\n" + Block + "\r\n");
+      CPPUNIT_ASSERT(Parser.parse() == State::Incomplete);
+    }
+    Parser.add("0\r\n\r\n");
+    CPPUNIT_ASSERT(Parser.parse() == State::Complete);
+    const std::string Body = Parser.takeBody();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4} << 20, Body.size());
+    CPPUNIT_ASSERT_EQUAL(Body.size(), Body.capacity());
+  }
+
+  /// Guards against reserving memory for a body by wrong figures.
+  void bodiesInProgress() {
+    RequestParser Parser({1000, 100});
+    Parser.add("POST /u HTTP/1.1\r\nContent-Length: 10\r\n");
+    Parser.parse();
+    CPPUNIT_ASSERT(!Parser.isReceivingBody());
+    Parser.add("\r\nabc");
+    Parser.parse();
+    CPPUNIT_ASSERT(Parser.isReceivingBody());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Parser.bodyBytes());
+    CPPUNIT_ASSERT(Parser.announcedBodyBytes() == std::uint64_t{10});
+    Parser.add("defghij");
+    Parser.parse();
+    CPPUNIT_ASSERT(!Parser.isReceivingBody());
+    Parser.next();
+    Parser.add("POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    Parser.parse();
+    CPPUNIT_ASSERT(Parser.isReceivingBody());
+    CPPUNIT_ASSERT(!Parser.announcedBodyBytes());
+    Parser.discard();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Parser.bodyBytes());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Parser.buffered());
+  }
+
   /// Guards against results that depend on how the bytes are split on arrival.
   void anySplitGivesTheSameRequests() {
     const std::string Text = "POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
