Add an account of the bytes held for callers

Cause: nothing bounds what all connections of an entry hold together.

Change: MemoryAccount decides which request bodies may be read. It follows from the memory of the VM, keeps an eighth for small bodies, lets large ones wait in their order, resolves bodies that block each other, refuses after a wait and ends slow senders while others wait. It does no I/O and is not used yet.

--- /dev/null
+++ b/src/libs/coordination/memory/MemoryAccount.cpp
@@ -0,0 +1,225 @@
+#include "coordination/memory/MemoryAccount.h"
+
+#include <algorithm>
+#include <numeric>
+#include <vector>
+
+namespace anvilsaddle {
+
+namespace {
+
+constexpr std::size_t BytesPerMb = std::size_t{1} << 20;
+/// Memory of the process without requests: program, tables, messages and logs. Larger VMs serve
+/// larger fleets.
+constexpr std::size_t MinProcessMb = 32;
+constexpr std::size_t ProcessShare = 4;
+/// Part of the rest for memory that the account does not see: buffers of sockets and the allocator.
+constexpr std::size_t UnseenShare = 16;
+constexpr std::size_t SmallReserveShare = 8;
+
+} // namespace
+
+const char *toString(MemoryKind Kind) {
+  static constexpr std::array<const char *, MemoryKindCount> Names = {
+      "request_body", "expected_response", "output", "unread_input"};
+  return Names.at(static_cast<std::size_t>(Kind));
+}
+
+MemoryLimits MemoryLimits::forVm(std::int64_t MemoryMb) {
+  const auto Memory = static_cast<std::size_t>(MemoryMb);
+  const std::size_t Process = std::max(MinProcessMb, Memory / ProcessShare);
+  const std::size_t Rest = (Memory - std::min(Memory, Process)) * BytesPerMb;
+  MemoryLimits Result;
+  Result.TotalBytes = Rest - Rest / UnseenShare;
+  Result.SmallReserveBytes = Result.TotalBytes / SmallReserveShare;
+  return Result;
+}
+
+BodyNumber MemoryAccount::addBody(TimePoint Now) {
+  Body New;
+  New.Started = Now;
+  this->Bodies.emplace(++this->LastBody, New);
+  return this->LastBody;
+}
+
+std::size_t MemoryAccount::otherBytes() const {
+  return std::accumulate(this->Held.begin(), this->Held.end(), std::size_t{0});
+}
+
+std::size_t MemoryAccount::used(MemoryKind Kind) const {
+  return Kind == MemoryKind::RequestBody ? this->SmallBytes + this->LargeBytes
+                                         : this->Held.at(static_cast<std::size_t>(Kind));
+}
+
+bool MemoryAccount::fits(const Body &Each) const {
+  const std::size_t Wanted = this->used() - Each.Reserved + Each.Wanted;
+  if (isSmall(Each.Wanted)) {
+    return Wanted <= this->Limits.TotalBytes;
+  }
+  // Small bodies and the other kinds use the reserve first.
+  const std::size_t InReserve =
+      this->SmallBytes - (isSmall(Each.Reserved) ? Each.Reserved : 0) + this->otherBytes();
+  const std::size_t UnusedReserve =
+      this->Limits.SmallReserveBytes - std::min(this->Limits.SmallReserveBytes, InReserve);
+  return Wanted + UnusedReserve <= this->Limits.TotalBytes;
+}
+
+void MemoryAccount::setReserved(Body &Each, std::size_t Bytes) {
+  (isSmall(Each.Reserved) ? this->SmallBytes : this->LargeBytes) -= Each.Reserved;
+  Each.Reserved = Bytes;
+  (isSmall(Each.Reserved) ? this->SmallBytes : this->LargeBytes) += Each.Reserved;
+}
+
+MemoryAccount::BodyState MemoryAccount::reserve(BodyNumber Number, std::size_t Bytes,
+                                                TimePoint Now) {
+  this->LastTime = std::max(this->LastTime, Now);
+  Body &Each = this->Bodies.at(Number);
+  if (Bytes <= Each.Reserved || Each.State != BodyState::Granted) {
+    return Each.State;
+  }
+  Each.Wanted = Bytes;
+  if (Bytes > this->Limits.TotalBytes - this->Limits.SmallReserveBytes) {
+    this->refuse(Number, BodyState::RefusedForMemory);
+    return Each.State;
+  }
+  const bool HoldsMemory = !isSmall(Each.Reserved);
+  std::deque<BodyNumber> &Queue = isSmall(Bytes) ? this->SmallQueue : this->LargeQueue;
+  const bool MayOvertake = HoldsMemory || Queue.empty();
+  if (MayOvertake && this->fits(Each)) {
+    this->setReserved(Each, Bytes);
+    return Each.State;
+  }
+  Each.State = BodyState::Waiting;
+  Each.WaitingSince = Now;
+  ++this->Statistics.Pauses;
+  const auto HoldsNone = [this](BodyNumber Other) {
+    return isSmall(this->Bodies.at(Other).Reserved);
+  };
+  Queue.insert(HoldsMemory ? std::find_if(Queue.begin(), Queue.end(), HoldsNone) : Queue.end(),
+               Number);
+  return Each.State;
+}
+
+void MemoryAccount::completeBody(BodyNumber Number, std::size_t Bytes) {
+  Body &Each = this->Bodies.at(Number);
+  Each.IsComplete = true;
+  Each.Received = Bytes;
+  this->setReserved(Each, Bytes);
+  this->grantWaiting();
+}
+
+void MemoryAccount::removeBody(BodyNumber Number) {
+  std::erase(this->SmallQueue, Number);
+  std::erase(this->LargeQueue, Number);
+  this->setReserved(this->Bodies.at(Number), 0);
+  this->Bodies.erase(Number);
+  this->grantWaiting();
+}
+
+void MemoryAccount::change(MemoryKind Kind, std::size_t From, std::size_t To) {
+  std::size_t &Bytes = this->Held.at(static_cast<std::size_t>(Kind));
+  Bytes = Bytes - From + To;
+  if (To < From) {
+    this->grantWaiting();
+  }
+}
+
+bool MemoryAccount::hasRoomFor(std::size_t Bytes) const {
+  return this->used() + Bytes <= this->Limits.TotalBytes / 4 * 3;
+}
+
+void MemoryAccount::grantWaiting() {
+  this->grantWaiting(this->SmallQueue);
+  this->grantWaiting(this->LargeQueue);
+}
+
+void MemoryAccount::grantWaiting(std::deque<BodyNumber> &Queue) {
+  while (!Queue.empty()) {
+    Body &First = this->Bodies.at(Queue.front());
+    if (!this->fits(First)) {
+      return;
+    }
+    Queue.pop_front();
+    First.State = BodyState::Granted;
+    First.Waited += this->LastTime - First.WaitingSince;
+    this->setReserved(First, First.Wanted);
+  }
+}
+
+void MemoryAccount::refuse(BodyNumber Number, BodyState Reason) {
+  std::erase(this->SmallQueue, Number);
+  std::erase(this->LargeQueue, Number);
+  Body &Refused = this->Bodies.at(Number);
+  Refused.State = Reason;
+  // The bytes stay reserved until the connection has freed them and removes the body.
+  ++(Reason == BodyState::RefusedAsSlow ? this->Statistics.SlowSenders : this->Statistics.Refusals);
+}
+
+std::optional<BodyNumber> MemoryAccount::largestWaiting() const {
+  std::optional<BodyNumber> Result;
+  for (const BodyNumber Each : this->LargeQueue) {
+    const std::size_t Reserved = this->Bodies.at(Each).Reserved;
+    if (!isSmall(Reserved) && (!Result || Reserved > this->Bodies.at(*Result).Reserved)) {
+      Result = Each;
+    }
+  }
+  return Result;
+}
+
+bool MemoryAccount::isDeadlocked() const {
+  return std::none_of(this->Bodies.begin(), this->Bodies.end(), [](const auto &Each) {
+    return !isSmall(Each.second.Reserved) && Each.second.State != BodyState::Waiting;
+  });
+}
+
+void MemoryAccount::refuseExpired(TimePoint Now) {
+  std::vector<BodyNumber> Refused;
+  bool HasExpired = false;
+  const auto Largest = this->largestWaiting();
+  for (const std::deque<BodyNumber> *Queue : {&this->SmallQueue, &this->LargeQueue}) {
+    for (const BodyNumber Each : *Queue) {
+      const Duration Waited = Now - this->Bodies.at(Each).WaitingSince;
+      HasExpired = HasExpired || Waited > MaxWait;
+      if (Waited > MaxWait * 2 || (Waited > MaxWait && !Largest)) {
+        Refused.push_back(Each);
+      }
+    }
+  }
+  for (const BodyNumber Each : Refused) {
+    this->refuse(Each, BodyState::RefusedForMemory);
+  }
+  if (Largest && Refused.empty() && (HasExpired || this->isDeadlocked())) {
+    this->refuse(*Largest, BodyState::RefusedForMemory);
+  }
+}
+
+void MemoryAccount::refuseSlow(TimePoint Now) {
+  if (this->waitingCount() == 0) {
+    return;
+  }
+  BodyNumber Slowest = 0;
+  std::size_t MostBytes = 0;
+  for (const auto &[Number, Each] : this->Bodies) {
+    const Duration Elapsed = Now - Each.Started - Each.Waited;
+    const double Required =
+        std::chrono::duration<double>(Elapsed).count() * static_cast<double>(MinBytesPerSecond);
+    const bool IsSlow = Each.State == BodyState::Granted && !Each.IsComplete &&
+                        Elapsed > RateGraceTime && static_cast<double>(Each.Received) < Required;
+    if (IsSlow && Each.Reserved > MostBytes) {
+      Slowest = Number;
+      MostBytes = Each.Reserved;
+    }
+  }
+  if (MostBytes > 0) {
+    this->refuse(Slowest, BodyState::RefusedAsSlow);
+  }
+}
+
+void MemoryAccount::onTick(TimePoint Now) {
+  this->LastTime = std::max(this->LastTime, Now);
+  this->refuseExpired(Now);
+  this->refuseSlow(Now);
+  this->grantWaiting();
+}
+
+} // namespace anvilsaddle
--- /dev/null
+++ b/src/libs/coordination/memory/MemoryAccount.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include "state/Time.h"
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace anvilsaddle {
+
+/// What bytes that an entry holds for callers are part of.
+enum class MemoryKind : std::uint8_t {
+  /// Bodies of requests that are received or being processed.
+  RequestBody,
+  /// Responses that pipelined requests may cause, until they are ready.
+  ExpectedResponse,
+  /// Responses that the caller has not taken yet.
+  Output,
+  /// Received bytes that were not parsed.
+  UnreadInput,
+};
+
+/// Number of values of MemoryKind, for arrays of counters.
+inline constexpr std::size_t MemoryKindCount = 4;
+
+/// Short name for metric labels, for example `request_body`.
+const char *toString(MemoryKind Kind);
+
+/// Number of bytes that may be held. Value type.
+struct MemoryLimits {
+  std::size_t TotalBytes = std::numeric_limits<std::size_t>::max() / 2;
+  /// Part of the total that large bodies can't use.
+  std::size_t SmallReserveBytes = 0;
+
+  /// Limits of a VM. A body of 64 MiB fits if the VM has at least 112 MB.
+  static MemoryLimits forVm(std::int64_t MemoryMb);
+
+  auto operator<=>(const MemoryLimits &) const = default;
+};
+
+/// Identifies the body of one request.
+using BodyNumber = std::uint64_t;
+
+/// Account of all bytes that an entry holds for callers. Bodies reserve their memory before they
+/// are read. A body whose reservation has to wait is not read meanwhile; waiting bodies get memory
+/// in the order of their arrival, those that already hold memory first. Not thread-safe; times must
+/// not decrease.
+class MemoryAccount {
+public:
+  /// Bodies up to this size may use the reserve. Far above the usual size of a request.
+  static constexpr std::size_t SmallBodyBytes = std::size_t{64} * 1024;
+  /// Once a body has waited this long, the largest body that waits is refused in each tick, and all
+  /// that have waited twice as long. Longer than the timeout of senders that have stopped (3 s),
+  /// so that the memory of one such sender becomes free before the next body is refused.
+  static constexpr Duration MaxWait = std::chrono::seconds(5);
+  /// While others wait, a large body must have arrived at this average rate after the grace time.
+  /// A hundred uploads that share the smallest link (10 Mbit/s) are faster.
+  static constexpr std::size_t MinBytesPerSecond = std::size_t{8} * 1024;
+  static constexpr Duration RateGraceTime = std::chrono::seconds(10);
+
+  enum class BodyState {
+    /// The reserved bytes may be read.
+    Granted,
+    /// Nothing may be read until the state changes.
+    Waiting,
+    /// No memory became free within the time limit, or there never is enough.
+    RefusedForMemory,
+    /// The body arrived too slowly while others waited for its memory.
+    RefusedAsSlow,
+  };
+
+  struct Counts {
+    std::uint64_t Pauses = 0;
+    std::uint64_t Refusals = 0;
+    std::uint64_t SlowSenders = 0;
+    std::uint64_t SlowReaders = 0;
+
+    auto operator<=>(const Counts &) const = default;
+  };
+
+  explicit MemoryAccount(MemoryLimits Limits) : Limits(Limits) {}
+
+  /// Adds a body that holds nothing.
+  BodyNumber addBody(TimePoint Now);
+  /// Raises the reservation of a body; never lowers it. Refuses only what no free memory suffices
+  /// for.
+  /// Changes nothing unless the state of the body is Granted.
+  BodyState reserve(BodyNumber Body, std::size_t Bytes, TimePoint Now);
+  BodyState state(BodyNumber Body) const { return this->Bodies.at(Body).State; }
+  std::size_t reserved(BodyNumber Body) const { return this->Bodies.at(Body).Reserved; }
+  void onBodyBytes(BodyNumber Body, std::size_t Received) {
+    this->Bodies.at(Body).Received = Received;
+  }
+  /// The body is complete: keeps what it contains and releases the rest of the reservation.
+  void completeBody(BodyNumber Body, std::size_t Bytes);
+  void removeBody(BodyNumber Body);
+
+  /// Changes the bytes of another kind from one value to another. Never refused.
+  void change(MemoryKind Kind, std::size_t From, std::size_t To);
+  /// True if a pipelined request that may cause this many bytes of response can be processed now.
+  bool hasRoomFor(std::size_t Bytes) const;
+  /// Readers that take nothing may be ended to free memory.
+  bool isNearLimit() const { return this->used() > this->Limits.TotalBytes / 4 * 3; }
+  bool isOverLimit() const { return this->used() > this->Limits.TotalBytes; }
+  void countSlowReader() { ++this->Statistics.SlowReaders; }
+
+  /// Refuses bodies that wait too long or arrive too slowly. Call it a few times per second.
+  void onTick(TimePoint Now);
+
+  std::size_t used() const { return this->SmallBytes + this->LargeBytes + this->otherBytes(); }
+  std::size_t used(MemoryKind Kind) const;
+  std::size_t waitingCount() const { return this->SmallQueue.size() + this->LargeQueue.size(); }
+  const MemoryLimits &limits() const { return this->Limits; }
+  const Counts &counts() const { return this->Statistics; }
+
+private:
+  struct Body {
+    BodyState State = BodyState::Granted;
+    std::size_t Reserved = 0;
+    std::size_t Wanted = 0;
+    std::size_t Received = 0;
+    TimePoint Started;
+    TimePoint WaitingSince;
+    Duration Waited{0};
+    bool IsComplete = false;
+  };
+
+  static bool isSmall(std::size_t Bytes) { return Bytes <= SmallBodyBytes; }
+  std::size_t otherBytes() const;
+  bool fits(const Body &Each) const;
+  void setReserved(Body &Each, std::size_t Bytes);
+  void grantWaiting();
+  void grantWaiting(std::deque<BodyNumber> &Queue);
+  void refuse(BodyNumber Number, BodyState Reason);
+  void refuseExpired(TimePoint Now);
+  /// If all bodies that hold memory wait for more, none of them can end and free its memory.
+  bool isDeadlocked() const;
+  void refuseSlow(TimePoint Now);
+  /// The waiting body that holds most, or nothing if none of them holds memory.
+  std::optional<BodyNumber> largestWaiting() const;
+
+  MemoryLimits Limits;
+  BodyNumber LastBody = 0;
+  std::map<BodyNumber, Body> Bodies;
+  std::deque<BodyNumber> SmallQueue;
+  /// Bodies that hold memory are ahead of those that don't.
+  std::deque<BodyNumber> LargeQueue;
+  std::size_t SmallBytes = 0;
+  std::size_t LargeBytes = 0;
+  /// Of the kinds other than bodies.
+  std::array<std::size_t, MemoryKindCount> Held{};
+  Counts Statistics;
+  TimePoint LastTime{};
+};
+
+/// Bytes of one kind in an account, until the end of this object. Not thread-safe.
+class MemoryCharge {
+public:
+  MemoryCharge(std::shared_ptr<MemoryAccount> Account, MemoryKind Kind)
+      : Account(std::move(Account)), Kind(Kind) {}
+  ~MemoryCharge() { this->set(0); }
+  MemoryCharge(const MemoryCharge &) = delete;
+  MemoryCharge &operator=(const MemoryCharge &) = delete;
+
+  void set(std::size_t NewBytes) {
+    this->Account->change(this->Kind, this->Bytes, NewBytes);
+    this->Bytes = NewBytes;
+  }
+  std::size_t bytes() const { return this->Bytes; }
+
+private:
+  std::shared_ptr<MemoryAccount> Account;
+  MemoryKind Kind;
+  std::size_t Bytes = 0;
+};
+
+/// Membership of one body in an account, until the end of this object. Not thread-safe.
+class BodyReservation {
+public:
+  BodyReservation(std::shared_ptr<MemoryAccount> Account, TimePoint Now)
+      : Account(std::move(Account)), Number(this->Account->addBody(Now)) {}
+  ~BodyReservation() { this->Account->removeBody(this->Number); }
+  BodyReservation(const BodyReservation &) = delete;
+  BodyReservation &operator=(const BodyReservation &) = delete;
+
+  MemoryAccount::BodyState state() const { return this->Account->state(this->Number); }
+  std::size_t reserved() const { return this->Account->reserved(this->Number); }
+  MemoryAccount::BodyState reserve(std::size_t Bytes, TimePoint Now) {
+    return this->Account->reserve(this->Number, Bytes, Now);
+  }
+  void onBytes(std::size_t Received) { this->Account->onBodyBytes(this->Number, Received); }
+  void complete(std::size_t Bytes) { this->Account->completeBody(this->Number, Bytes); }
+
+private:
+  std::shared_ptr<MemoryAccount> Account;
+  BodyNumber Number;
+};
+
+} // namespace anvilsaddle
