Bound the memory and the descriptors that clients can use

Cause: bodies that stop just short of their end, and responses that nobody reads, stayed in memory without a common bound; connections without a complete request used up the descriptors. A rejected request kept its body until the connection was closed, and a sender whose bytes were discarded could occupy the process.

Change: all servers of an entry share one MemoryAccount. A connection reserves the memory for a body before it reads it and pauses otherwise; what the account refuses gets 503 with Retry-After or 408, with a log line that has the request's id and the figures. Bodies stay in the account until the last attempt has released them, and are released when the response begins. Pipelined requests are held back while the memory for their responses is not free; readers that take nothing are ended when it is needed. Servers accept no connection beyond their part of the descriptors. Metrics show the held bytes by kind, pauses and refusals.

--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -114,6 +114,7 @@
   this->writeServices(Out, Now);
   this->writeEntry(Out);
   this->writeUnanswered(Out);
+  this->writeMemory(Out);
   this->writePeers(Out);
   this->writePublications(Out);
   return Out.text();
@@ -223,6 +224,38 @@
   }
 }
 
+void Metrics::setMemory(const MemoryAccount &Account) {
+  for (std::size_t Index = 0; Index < MemoryKindCount; ++Index) {
+    this->HeldBytes.at(Index) = Account.used(static_cast<MemoryKind>(Index));
+  }
+  this->MemoryLimitBytes = Account.limits().TotalBytes;
+  this->WaitingBodies = Account.waitingCount();
+  this->MemoryCounts = Account.counts();
+}
+
+void Metrics::writeMemory(Writer &Out) const {
+  Out.writeFamily("held_bytes", "gauge", "Bytes that the entry holds for callers, by kind.");
+  for (std::size_t Index = 0; Index < MemoryKindCount; ++Index) {
+    Out.writeSample("held_bytes", {{"kind", toString(static_cast<MemoryKind>(Index))}},
+                    this->HeldBytes.at(Index));
+  }
+  Out.writeSingleSample("held_bytes_limit", "gauge", "Bytes that the entry may hold for callers.",
+                        this->MemoryLimitBytes);
+  Out.writeSingleSample("waiting_bodies", "gauge",
+                        "Request bodies that are not read until memory is free.",
+                        this->WaitingBodies);
+  Out.writeSingleSample("body_pauses_total", "counter",
+                        "Times that the reading of a request body paused for memory.",
+                        this->MemoryCounts.Pauses);
+  Out.writeFamily("memory_refusals_total", "counter",
+                  "Requests and connections ended to free memory, by reason.");
+  for (const auto &[Reason, Count] : {std::pair("no_memory", this->MemoryCounts.Refusals),
+                                      {"slow_sender", this->MemoryCounts.SlowSenders},
+                                      {"slow_reader", this->MemoryCounts.SlowReaders}}) {
+    Out.writeSample("memory_refusals_total", {{"reason", Reason}}, Count);
+  }
+}
+
 void Metrics::writePeers(Writer &Out) const {
   Out.writeFamily("peer_bytes_total", "counter", "UDP payload exchanged with other entries.");
   Out.writeSample("peer_bytes_total", {{"direction", "in"}}, this->Peers.BytesIn);
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/memory/MemoryAccount.h"
 #include "protocol/LatencyQuantiles.h"
 #include "protocol/PeerTraffic.h"
 #include "protocol/PublicationTraffic.h"
@@ -58,6 +59,7 @@
   void setLogLinesDropped(std::uint64_t Total) { this->LogLinesDropped = Total; }
   void setPeerTraffic(const PeerTraffic &Traffic) { this->Peers = Traffic; }
   void setPublicationTraffic(const PublicationTraffic &Traffic) { this->Publications = Traffic; }
+  void setMemory(const MemoryAccount &Account);
   void setGauges(const Gauges &Values) { this->CurrentGauges = Values; }
 
   /// Returns all series as `text/plain; version=0.0.4`.
@@ -86,6 +88,7 @@
                              TimePoint Now);
   void writeEntry(Writer &Out) const;
   void writeUnanswered(Writer &Out) const;
+  void writeMemory(Writer &Out) const;
   void writePeers(Writer &Out) const;
   void writePublications(Writer &Out) const;
 
@@ -96,6 +99,10 @@
   std::uint64_t CallerDisconnects = 0;
   std::uint64_t LogLinesDropped = 0;
   UnansweredCounts Unanswered;
+  std::array<std::size_t, MemoryKindCount> HeldBytes{};
+  std::size_t MemoryLimitBytes = 0;
+  std::size_t WaitingBodies = 0;
+  MemoryAccount::Counts MemoryCounts;
   PeerTraffic Peers;
   PublicationTraffic Publications;
   Gauges CurrentGauges;
--- a/src/libs/protocol/UnansweredRequest.h
+++ b/src/libs/protocol/UnansweredRequest.h
@@ -26,10 +26,12 @@
   TruncatedResponse,
   /// The response before announced that it is the last one on the connection.
   LastResponse,
+  /// The caller did not take its response while the entry needed the memory.
+  OutputNotTaken,
 };
 
 /// Number of values of CloseReason, for arrays of counters.
-inline constexpr std::size_t CloseReasonCount = 8;
+inline constexpr std::size_t CloseReasonCount = 9;
 
 /// Short name for logs and metric labels, for example `idle_timeout`.
 const char *toString(CloseReason Reason);
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -24,6 +24,20 @@
 /// dozen entries connect to this one.
 constexpr std::size_t MaxForwardConnections = 1024;
 
+/// Descriptors of the VM that are for files.
+constexpr std::int64_t FileDescriptors = 200;
+/// Largest parts of the other descriptors that each kind of connection may use. Together they
+/// exceed the whole, because the kinds are not used up at the same time; what is left of the
+/// callers' part is for connections to targets. The smallest VM (2,870) has 2,002 for callers.
+constexpr double CallerConnectionShare = 0.75;
+constexpr double ForwardConnectionShare = 0.125;
+constexpr double InternalConnectionShare = 0.0625;
+
+std::size_t maxConnections(const DaemonSettings &Settings, double Share, std::size_t Limit) {
+  const auto Available = static_cast<double>(Settings.Descriptors - FileDescriptors);
+  return std::min(Limit, static_cast<std::size_t>(Available * Share));
+}
+
 std::set<std::string> toSet(const std::vector<std::string> &Values) {
   return {Values.begin(), Values.end()};
 }
@@ -54,6 +68,7 @@
       Deps(Deps), OwnIncarnation{Deps.Time.unixMilliseconds(), Deps.Random.bits()},
       Authenticator(this->Settings.FleetKey),
       Audit(static_cast<std::size_t>(this->Settings.MaxAuditRecords)),
+      Memory(std::make_shared<MemoryAccount>(MemoryLimits::forVm(this->Settings.MemoryMb))),
       RequestDispatcher(this->Settings.FleetTopology, this->Settings.Dispatch,
                         this->Settings.CallerEndpoint.Address, Deps.Random),
       Changes(this->Audit, this->RequestDispatcher.targets(), Deps.Time),
@@ -97,12 +112,28 @@
                   this->Settings.CallerEndpoint.Port, this->Settings.AddressTtl),
       OperatorPageHandler({this->RequestDispatcher, this->Members, this->Proxy, this->Audit,
                            this->EntryMetrics, Deps.Time}),
-      CallerServer(this->Proxy, Deps.Time, static_cast<std::size_t>(this->Settings.MaxConnections)),
-      ForwardServer(this->ForwardedRequests, Deps.Time, MaxForwardConnections),
-      ReadinessServer(this->PageHandler, Deps.Time, MaxInternalConnections),
-      DirectoryServer(this->PageHandler, Deps.Time, MaxInternalConnections),
-      ControlServer(this->PublicationTransfer, Deps.Time, MaxInternalConnections),
-      OperatorServer(this->OperatorPageHandler, Deps.Time, MaxInternalConnections),
+      CallerServer(this->Proxy, Deps.Time,
+                   maxConnections(this->Settings, CallerConnectionShare,
+                                  static_cast<std::size_t>(this->Settings.MaxConnections)),
+                   this->Memory),
+      ForwardServer(this->ForwardedRequests, Deps.Time,
+                    maxConnections(this->Settings, ForwardConnectionShare, MaxForwardConnections),
+                    this->Memory),
+      ReadinessServer(
+          this->PageHandler, Deps.Time,
+          maxConnections(this->Settings, InternalConnectionShare, MaxInternalConnections),
+          this->Memory),
+      DirectoryServer(
+          this->PageHandler, Deps.Time,
+          maxConnections(this->Settings, InternalConnectionShare, MaxInternalConnections),
+          this->Memory),
+      ControlServer(this->PublicationTransfer, Deps.Time,
+                    maxConnections(this->Settings, InternalConnectionShare, MaxInternalConnections),
+                    this->Memory),
+      OperatorServer(
+          this->OperatorPageHandler, Deps.Time,
+          maxConnections(this->Settings, InternalConnectionShare, MaxInternalConnections),
+          this->Memory),
       Peers(VmName(this->Settings.CallerEndpoint.Address), this->OwnIncarnation,
             this->Authenticator,
             {[this](const PeerEnvelope &Envelope, const PeerMessage &Message) {
@@ -213,6 +244,7 @@
   UnansweredCounts Unanswered = Self.CallerServer.unanswered();
   Unanswered += Self.ForwardServer.unanswered();
   Self.EntryMetrics.setUnansweredRequests(Unanswered);
+  Self.EntryMetrics.setMemory(*Self.Memory);
   Self.EntryMetrics.setLogLinesDropped(droppedLogLines());
   const Configuration *Current = Self.Proxy.configuration();
   Self.EntryMetrics.setGauges(
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -98,6 +98,8 @@
   GlibMessageAuthenticator Authenticator;
   AuditTrail Audit;
   Metrics EntryMetrics;
+  /// Shared by all servers.
+  std::shared_ptr<MemoryAccount> Memory;
   Dispatcher RequestDispatcher;
   ChangeRecorder Changes;
   Membership Members;
--- a/src/libs/transport/ForwardHandler.cpp
+++ b/src/libs/transport/ForwardHandler.cpp
@@ -14,4 +14,6 @@
   this->Proxy.onUnanswered(Request);
 }
 
+void ForwardHandler::onRejected(const RejectedRequest &Request) { this->Proxy.onRejected(Request); }
+
 } // namespace anvilsaddle
--- a/src/libs/transport/ForwardHandler.h
+++ b/src/libs/transport/ForwardHandler.h
@@ -15,6 +15,7 @@
   void onRequest(HttpExchange &Exchange) override;
   void onCallerDisconnected(HttpExchange &Exchange, CloseReason Reason) override;
   void onUnanswered(const UnansweredRequest &Request) override;
+  void onRejected(const RejectedRequest &Request) override;
 
 private:
   ProxyHandler &Proxy;
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -23,6 +23,13 @@
 /// Bytes of later requests that are buffered while earlier requests are pending.
 constexpr std::size_t MaxReadAheadBytes = std::size_t{64} * 1024;
 constexpr std::size_t MaxPipelinedRequests = 16;
+/// Largest response that is buffered for a pipelined request before earlier ones are written.
+constexpr std::size_t ExpectedResponseBytes = std::size_t{256} * 1024;
+/// Time after which a connection that waits for memory looks for it again.
+constexpr Duration ResumeInterval = 20ms;
+constexpr int RequestTimeout = 408;
+constexpr int Unavailable = 503;
+constexpr const char *RetryAfterSeconds = "1";
 constexpr Duration LingerTimeout = 1s;
 /// A connection lingers longer while its last response is on its way over a full link.
 constexpr Duration MaxLingerTimeout = 10s;
@@ -40,7 +47,10 @@
     : Server(Server), Socket(std::move(Socket)),
       Watch(g_socket_get_fd(this->Socket.get()),
             [this](GIOCondition Condition) { this->onReady(Condition); }),
-      Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}), LastActivity(Now),
+      Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}),
+      ExpectedCharge(Server.memory(), MemoryKind::ExpectedResponse),
+      OutputCharge(Server.memory(), MemoryKind::Output),
+      UnreadCharge(Server.memory(), MemoryKind::UnreadInput), LastActivity(Now),
       IdleTimeout(Server.limits().IdleTimeout) {
   this->updateWatch();
 }
@@ -69,6 +79,13 @@
   if (this->CurrentState == State::Closed || (Condition & ~G_IO_OUT) == 0) {
     return;
   }
+  if (this->IsPaused) {
+    // Nothing is read, so only errors and hang-ups are reported.
+    if ((Condition & (G_IO_HUP | G_IO_ERR)) != 0) {
+      this->close(CloseReason::ReadFailed);
+    }
+    return;
+  }
   if (const auto Reason = this->readAvailable()) {
     this->close(*Reason);
     return;
@@ -96,6 +113,8 @@
     if (Count == 0) {
       return CloseReason::CallerClosed;
     }
+    // Discarded bytes count too: a fast sender must not occupy the process.
+    Total += static_cast<std::size_t>(Count);
     if (this->CurrentState == State::Lingering) {
       this->reportUnreadBytes(this->LingeringReason);
     }
@@ -107,54 +126,184 @@
     }
     this->LastActivity = this->Server.now();
     this->Parser.add({Buffer.data(), static_cast<std::size_t>(Count)});
-    Total += static_cast<std::size_t>(Count);
-    if (static_cast<std::size_t>(Count) < Buffer.size()) {
+    if (!this->receiveBody() || static_cast<std::size_t>(Count) < Buffer.size()) {
       return std::nullopt;
     }
   }
   return std::nullopt;
 }
 
+bool HttpConnection::mayParseNext() const {
+  if (this->IsRejected || this->Exchanges.size() >= MaxPipelinedRequests) {
+    return false;
+  }
+  if (!this->Exchanges.empty() && !this->Server.memory()->hasRoomFor(ExpectedResponseBytes)) {
+    return false;
+  }
+  return std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
+    return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive && !Each->CloseAfter;
+  });
+}
+
+bool HttpConnection::receiveBody() {
+  return !this->mayParseNext() || this->Parser.parse() != RequestParser::State::Incomplete ||
+         this->reserveBody();
+}
+
+bool HttpConnection::reserveBody() {
+  if (!this->Parser.isReceivingBody()) {
+    return true;
+  }
+  const TimePoint Now = this->Server.now();
+  if (!this->Reservation) {
+    this->Reservation = std::make_shared<BodyReservation>(this->Server.memory(), Now);
+  }
+  const std::size_t Received = this->Parser.bodyBytes();
+  this->Reservation->onBytes(Received);
+  std::size_t Wanted = Received + ReadBufferBytes;
+  if (const auto Announced = this->Parser.announcedBodyBytes()) {
+    Wanted = *Announced;
+  } else if (Wanted > this->Reservation->reserved()) {
+    // A body of unknown length reserves twice what it has, up to the largest permitted size.
+    Wanted = std::max(Wanted, std::min(Received * 2, this->Server.limits().BodyBytes));
+  }
+  if (this->Reservation->reserve(Wanted, Now) == MemoryAccount::BodyState::Granted) {
+    return true;
+  }
+  this->IsPaused = true;
+  this->ResumeTimer.callAfter(ResumeInterval, [this] { this->resumeIfGranted(); });
+  return false;
+}
+
+void HttpConnection::resumeIfGranted() {
+  if (this->CurrentState != State::Open || !this->Reservation || this->rejectIfRefused()) {
+    return;
+  }
+  if (this->Reservation->state() == MemoryAccount::BodyState::Waiting) {
+    this->ResumeTimer.callAfter(ResumeInterval, [this] { this->resumeIfGranted(); });
+    return;
+  }
+  this->IsPaused = false;
+  // The pause is not the sender's.
+  this->LastActivity = this->Server.now();
+  this->parse();
+  this->updateWatch();
+}
+
+bool HttpConnection::rejectIfRefused() {
+  if (!this->Reservation) {
+    return false;
+  }
+  switch (this->Reservation->state()) {
+  case MemoryAccount::BodyState::RefusedForMemory:
+    this->rejectRequest(Unavailable, "no memory is free for the request body");
+    return true;
+  case MemoryAccount::BodyState::RefusedAsSlow:
+    this->rejectRequest(RequestTimeout, "the request body arrives too slowly");
+    return true;
+  default:
+    return false;
+  }
+}
+
 void HttpConnection::parse() {
-  while (this->CurrentState == State::Open && !this->IsRejected &&
-         this->Exchanges.size() < MaxPipelinedRequests) {
-    const bool CanPipeline =
-        std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
-          return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive && !Each->CloseAfter;
-        });
-    if (!CanPipeline) {
-      return;
-    }
+  while (this->CurrentState == State::Open && !this->IsPaused && this->mayParseNext()) {
     const RequestParser::State Result = this->Parser.parse();
     if (Result == RequestParser::State::Failed) {
       this->rejectRequest(this->Parser.errorStatus(), this->Parser.errorText());
       return;
     }
-    if (Result == RequestParser::State::Incomplete) {
-      if (this->Parser.awaitsContinue() && this->Exchanges.empty() &&
-          !std::exchange(this->ContinueSent, true)) {
-        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-        g_socket_send(this->Socket.get(), Continue.data(), Continue.size(), nullptr, nullptr);
-      }
-      return;
+    if (Result == RequestParser::State::Complete) {
+      this->pass();
+      continue;
     }
-    this->ContinueSent = false;
-    this->Exchanges.push_back(std::make_unique<HttpExchange>(
-        *this, this->Parser.head(), this->Parser.takeBody(), this->Server.now()));
-    this->Parser.next();
-    this->RequestStarted = this->Server.now();
-    this->Server.handler().onRequest(*this->Exchanges.back());
+    if (this->reserveBody() && this->Parser.awaitsContinue() && this->Exchanges.empty() &&
+        !std::exchange(this->ContinueSent, true)) {
+      static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+      g_socket_send(this->Socket.get(), Continue.data(), Continue.size(), nullptr, nullptr);
+    }
+    return;
+  }
+}
+
+void HttpConnection::pass() {
+  struct AccountedBody {
+    std::string Bytes;
+    std::shared_ptr<BodyReservation> Reservation;
+  };
+  this->ContinueSent = false;
+  auto Body = std::make_shared<AccountedBody>();
+  Body->Bytes = this->Parser.takeBody();
+  Body->Reservation = std::move(this->Reservation);
+  this->Reservation.reset();
+  if (!Body->Bytes.empty()) {
+    if (!Body->Reservation) {
+      Body->Reservation =
+          std::make_shared<BodyReservation>(this->Server.memory(), this->Server.now());
+    }
+    Body->Reservation->complete(Body->Bytes.size());
   }
+  this->Exchanges.push_back(std::make_unique<HttpExchange>(
+      *this, this->Parser.head(), std::shared_ptr<const std::string>(Body, &Body->Bytes),
+      this->Server.now()));
+  this->Parser.next();
+  this->RequestStarted = this->Server.now();
+  this->updateCharges();
+  this->Server.handler().onRequest(*this->Exchanges.back());
 }
 
 void HttpConnection::rejectRequest(int Status, const std::string &Text) {
   this->IsRejected = true;
+  const MemoryAccount &Memory = *this->Server.memory();
+  this->Server.handler().onRejected(
+      {this->Parser.isHeadComplete() ? this->Parser.head() : RequestHead(), Status, Text,
+       this->callerAddress(), this->Parser.bodyBytes(), Memory.used(), Memory.limits().TotalBytes});
+  this->discardInput();
   RequestHead Placeholder;
   Placeholder.Method = "GET";
   Placeholder.KeepAlive = false;
-  this->Exchanges.push_back(
-      std::make_unique<HttpExchange>(*this, std::move(Placeholder), "", this->Server.now()));
-  this->Exchanges.back()->respondText(Status, "text/plain", Text + "\n");
+  this->Exchanges.push_back(std::make_unique<HttpExchange>(
+      *this, std::move(Placeholder), std::make_shared<const std::string>(), this->Server.now()));
+  ResponseHead Head;
+  Head.Status = Status;
+  Head.Reason = reasonPhrase(Status);
+  Head.Fields = {{"Content-Type", "text/plain"}};
+  if (Status == Unavailable) {
+    Head.Fields.emplace_back("Retry-After", RetryAfterSeconds);
+  }
+  this->Exchanges.back()->respond(std::move(Head), Text + "\n");
+}
+
+void HttpConnection::discardInput() {
+  this->ResumeTimer.cancel();
+  this->IsPaused = false;
+  this->Parser.discard();
+  this->Reservation.reset();
+  this->UnreadCharge.set(0);
+}
+
+void HttpConnection::updateCharges() {
+  std::size_t Output = 0;
+  std::size_t Expected = 0;
+  for (const auto &Each : this->Exchanges) {
+    Output += Each->Output.capacity();
+    const bool IsFirst = Each == this->Exchanges.front();
+    Expected += !IsFirst && Each->Pending && Each->Output.empty() ? ExpectedResponseBytes : 0;
+  }
+  const bool IsClosed = this->CurrentState == State::Closed;
+  this->OutputCharge.set(IsClosed ? 0 : Output);
+  this->ExpectedCharge.set(IsClosed ? 0 : Expected);
+}
+
+Duration HttpConnection::outputStalledFor(TimePoint Now) const {
+  const bool IsWaiting = this->CurrentState == State::Open && !this->Exchanges.empty() &&
+                         !this->Exchanges.front()->Output.empty();
+  return IsWaiting ? Now - this->LastOutputProgress : Duration(0);
+}
+
+void HttpConnection::resetSlowReader() {
+  this->Server.memory()->countSlowReader();
+  this->resetWith(CloseReason::OutputNotTaken);
 }
 
 void HttpConnection::flush() {
@@ -163,8 +312,12 @@
     return;
   }
   this->IsFlushing = true;
+  if (this->OutputCharge.bytes() == 0) {
+    this->LastOutputProgress = this->Server.now();
+  }
   this->write();
   this->IsFlushing = false;
+  this->updateCharges();
   if (this->CurrentState == State::Open) {
     this->updateWatch();
   }
@@ -186,7 +339,11 @@
       }
       this->LastActivity = this->Server.now();
       this->LastWrite = this->LastActivity;
+      this->LastOutputProgress = this->LastActivity;
       Front.Output.erase(0, static_cast<std::size_t>(Count));
+      if (Front.Output.empty()) {
+        std::string().swap(Front.Output);
+      }
       continue;
     }
     if (!this->onFrontWritten()) {
@@ -224,7 +381,7 @@
     return;
   }
   GIOCondition Conditions = G_IO_IN;
-  if (this->Parser.buffered() > MaxReadAheadBytes && !this->Exchanges.empty()) {
+  if (this->IsPaused || (this->Parser.buffered() > MaxReadAheadBytes && !this->Exchanges.empty())) {
     // Pauses reading, but still detects that the caller disconnects.
     Conditions = G_IO_HUP;
   }
@@ -241,6 +398,8 @@
   g_socket_shutdown(this->Socket.get(), FALSE, TRUE, nullptr);
   this->reportUnanswered(Reason);
   this->Exchanges.clear();
+  this->discardInput();
+  this->updateCharges();
   this->Watch.setConditions(G_IO_IN);
 }
 
@@ -274,11 +433,13 @@
   return recv(g_socket_get_fd(this->Socket.get()), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void HttpConnection::reset() {
+void HttpConnection::reset() { this->resetWith(CloseReason::TruncatedResponse); }
+
+void HttpConnection::resetWith(CloseReason Reason) {
   const linger ZeroLinger = {1, 0};
   setsockopt(g_socket_get_fd(this->Socket.get()), SOL_SOCKET, SO_LINGER, &ZeroLinger,
              sizeof(ZeroLinger));
-  this->close(CloseReason::TruncatedResponse);
+  this->close(Reason);
 }
 
 void HttpConnection::close(CloseReason Reason) {
@@ -289,6 +450,8 @@
   if (Previous == State::Open) {
     this->reportUnanswered(Reason);
   }
+  this->discardInput();
+  this->updateCharges();
   this->Watch.setConditions(static_cast<GIOCondition>(0));
   g_socket_close(this->Socket.get(), nullptr);
   this->Server.remove(*this);
@@ -359,13 +522,35 @@
     }
     return;
   }
-  const bool IsSlow =
-      this->Exchanges.empty() && this->Parser.isStarted() &&
-      Now - std::max(this->RequestStarted, this->LastActivity) > this->Server.limits().HeadTimeout;
+  if (this->rejectIfRefused()) {
+    return;
+  }
+  this->updateUnreadCharge();
   // A busy entry may not have read the rest yet.
-  if (IsSlow && !this->hasUnreadBytes()) {
-    this->rejectRequest(408, "the request arrives too slowly");
+  if (this->isTooSlow(Now) && !this->hasUnreadBytes()) {
+    this->rejectRequest(RequestTimeout, "the request arrives too slowly");
+  }
+}
+
+bool HttpConnection::isTooSlow(TimePoint Now) const {
+  if (!this->Exchanges.empty() || this->IsPaused || !this->Parser.isStarted()) {
+    return false;
+  }
+  const Duration HeadTimeout = this->Server.limits().HeadTimeout;
+  if (Now - std::max(this->RequestStarted, this->LastActivity) > HeadTimeout) {
+    return true;
+  }
+  // A byte now and then keeps a connection only while there are enough for everyone.
+  return this->Server.isNearConnectionLimit() && !this->Parser.isHeadComplete() &&
+         Now - this->RequestStarted > HeadTimeout;
+}
+
+void HttpConnection::updateUnreadCharge() {
+  int Unread = 0;
+  if (this->IsPaused) {
+    ioctl(g_socket_get_fd(this->Socket.get()), FIONREAD, &Unread);
   }
+  this->UnreadCharge.set(this->Parser.buffered() + static_cast<std::size_t>(std::max(0, Unread)));
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "coordination/memory/MemoryAccount.h"
 #include "protocol/RequestParser.h"
 #include "protocol/UnansweredRequest.h"
 #include "state/Time.h"
 #include "transport/GlibPointers.h"
 #include "transport/HttpExchange.h"
+#include "transport/ScheduledCall.h"
 #include "transport/SocketWatch.h"
 
 #include <chrono>
@@ -40,6 +42,12 @@
   /// Closes the connection if it is idle and no request has arrived. May remove the connection from
   /// its server.
   void closeIfIdle(CloseReason Reason);
+  /// Time without progress of a response that waits to be written; zero if none waits.
+  Duration outputStalledFor(TimePoint Now) const;
+  /// Bytes of responses that the caller has not taken.
+  std::size_t heldOutput() const { return this->OutputCharge.bytes(); }
+  /// Ends a connection whose caller does not take its response.
+  void resetSlowReader();
 
 private:
   friend class HttpExchange;
@@ -58,12 +66,30 @@
   std::chrono::seconds renewReuseTime();
   void flush();
   void reset();
+  void resetWith(CloseReason Reason);
 
   void onReady(GIOCondition Condition);
   /// Returns the reason if the caller disconnected.
   std::optional<CloseReason> readAvailable();
   void parse();
+  /// True if the parser may go on to the next request while earlier ones are pending.
+  bool mayParseNext() const;
+  /// Parses what has arrived of a body and reserves memory for what follows. Returns false if
+  /// reading has to pause.
+  bool receiveBody();
+  /// Returns false if the memory for the rest of the body is not reserved yet.
+  bool reserveBody();
+  void resumeIfGranted();
+  /// Rejects the request if the account has refused its body. Returns true if it did.
+  bool rejectIfRefused();
+  void pass();
+  /// Rejects the request that is being received and reads no further ones.
   void rejectRequest(int Status, const std::string &Text);
+  bool isTooSlow(TimePoint Now) const;
+  void updateCharges();
+  void updateUnreadCharge();
+  /// Frees what has been received and not been passed on.
+  void discardInput();
   void write();
   /// Returns true if there may be more to write.
   bool onFrontWritten();
@@ -83,12 +109,20 @@
   GObjectPointer<GSocket> Socket;
   SocketWatch Watch;
   RequestParser Parser;
+  /// Of the body that is being received; null before its head is complete.
+  std::shared_ptr<BodyReservation> Reservation;
+  MemoryCharge ExpectedCharge;
+  MemoryCharge OutputCharge;
+  MemoryCharge UnreadCharge;
+  ScheduledCall ResumeTimer;
   std::deque<std::unique_ptr<HttpExchange>> Exchanges;
   TimePoint LastActivity;
   /// The idle timeout by which the last response announced how long the connection may be reused.
   Duration IdleTimeout;
   /// Time at which bytes of a response were sent; nothing before the first response.
   std::optional<TimePoint> LastWrite;
+  /// Time at which output began to wait or the caller took a part of it.
+  TimePoint LastOutputProgress{};
   /// Arrival of the first byte of the request that is being received.
   TimePoint RequestStarted{};
   State CurrentState = State::Open;
@@ -97,6 +131,8 @@
   bool HasReportedUnread = false;
   /// A request was malformed or too slow; the connection reads no further ones.
   bool IsRejected = false;
+  /// Nothing is read until memory for the body is granted.
+  bool IsPaused = false;
   bool IsFlushing = false;
   bool ContinueSent = false;
 };
--- a/src/libs/transport/HttpExchange.cpp
+++ b/src/libs/transport/HttpExchange.cpp
@@ -6,10 +6,10 @@
 
 namespace anvilsaddle {
 
-HttpExchange::HttpExchange(HttpConnection &Connection, RequestHead Head, std::string Body,
-                           TimePoint Received)
-    : Connection(Connection), Request(std::move(Head)),
-      RequestBody(std::make_shared<const std::string>(std::move(Body))), ReceivedAt(Received) {}
+HttpExchange::HttpExchange(HttpConnection &Connection, RequestHead Head,
+                           std::shared_ptr<const std::string> Body, TimePoint Received)
+    : Connection(Connection), Request(std::move(Head)), RequestBody(std::move(Body)),
+      ReceivedAt(Received) {}
 
 void HttpExchange::respond(ResponseHead Head, std::string_view Body) {
   Head.Framing = BodyFraming::Length;
@@ -39,7 +39,13 @@
   this->Connection.flush();
 }
 
+void HttpExchange::releaseBody() {
+  static const auto Empty = std::make_shared<const std::string>();
+  this->RequestBody = Empty;
+}
+
 void HttpExchange::appendHead(ResponseHead Head) {
+  this->releaseBody();
   if (Head.Framing == BodyFraming::UntilClose || Head.Framing == BodyFraming::Chunked) {
     // HTTP/1.0 has no chunked coding, so closing the connection marks the end of the body.
     Head.Framing = this->Request.IsHttp10 ? BodyFraming::UntilClose : BodyFraming::Chunked;
@@ -78,6 +84,7 @@
 
 void HttpExchange::abort() {
   this->Pending = false;
+  this->releaseBody();
   this->OnDrained = nullptr;
   this->Connection.reset();
 }
--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -21,7 +21,8 @@
 /// The responses of a connection are sent in the order of its requests. Not thread-safe.
 class HttpExchange {
 public:
-  HttpExchange(HttpConnection &Connection, RequestHead Head, std::string Body, TimePoint Received);
+  HttpExchange(HttpConnection &Connection, RequestHead Head,
+               std::shared_ptr<const std::string> Body, TimePoint Received);
   HttpExchange(const HttpExchange &) = delete;
   HttpExchange &operator=(const HttpExchange &) = delete;
 
@@ -31,7 +32,8 @@
   std::optional<ForwardOptions> takeForwardOptions() {
     return takeForwardHeader(this->Request.Fields);
   }
-  /// Not null; attempts that send the body share it.
+  /// Not null; attempts that send the body share it. Empty from the start of the response on: a
+  /// slow reader must not hold the body of its request.
   const std::shared_ptr<const std::string> &body() const { return this->RequestBody; }
   /// Time at which the complete request had arrived.
   TimePoint received() const { return this->ReceivedAt; }
@@ -56,6 +58,7 @@
 private:
   friend class HttpConnection;
 
+  void releaseBody();
   void appendHead(ResponseHead Head);
   void appendBody(std::string_view Text);
 
@@ -72,6 +75,20 @@
   std::function<void()> OnDrained;
 };
 
+/// A request that the server rejected before it was complete. Value type.
+struct RejectedRequest {
+  /// Default-constructed if the head was not received.
+  RequestHead Head;
+  int Status = 0;
+  std::string Reason;
+  std::string Caller;
+  /// Bytes of the body that had been received.
+  std::size_t ReceivedBytes = 0;
+  /// Bytes that the entry holds for callers, and their limit.
+  std::size_t HeldBytes = 0;
+  std::size_t LimitBytes = 0;
+};
+
 /// Receives the requests of an HttpServer. Not thread-safe.
 class HttpHandler {
 public:
@@ -85,6 +102,8 @@
   /// The connection ended before a request was passed to the handler, or after the handler ended
   /// its exchange but before the response was sent completely.
   virtual void onUnanswered(const UnansweredRequest &) {}
+  /// The server responds with an error status to a request that is not passed to the handler.
+  virtual void onRejected(const RejectedRequest &) {}
 };
 
 } // namespace anvilsaddle
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include "transport/HttpConnection.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -19,11 +20,17 @@
 /// Connections that are accepted before other event sources run.
 constexpr int MaxAcceptsPerWakeup = 32;
 constexpr guint TimeoutCheckMilliseconds = 250;
+/// A reader that takes nothing for this time may be ended when the memory is nearly used up, or
+/// exceeded. Both are many round trips to the most distant callers (60 ms).
+constexpr Duration MaxStallNearLimit = std::chrono::seconds(3);
+constexpr Duration MaxStallOverLimit = std::chrono::milliseconds(500);
 
 } // namespace
 
-HttpServer::HttpServer(HttpHandler &Handler, const Clock &Time, std::size_t MaxConnections)
+HttpServer::HttpServer(HttpHandler &Handler, const Clock &Time, std::size_t MaxConnections,
+                       std::shared_ptr<MemoryAccount> Memory)
     : Handler(Handler), Time(Time), MaxConnections(MaxConnections),
+      Memory(Memory ? std::move(Memory) : std::make_shared<MemoryAccount>(MemoryLimits())),
       TimeoutTimer(g_timeout_add(TimeoutCheckMilliseconds, onTimeoutTimer, this)) {}
 
 HttpServer::~HttpServer() { g_source_remove(this->TimeoutTimer); }
@@ -67,13 +74,32 @@
   }
 }
 
+void HttpServer::pauseAccepting() {
+  if (this->Watch) {
+    this->IsAcceptingPaused = true;
+    this->Watch->setConditions(static_cast<GIOCondition>(0));
+  }
+}
+
+void HttpServer::resumeAccepting() {
+  if (this->Watch && !this->isFull() && std::exchange(this->IsAcceptingPaused, false)) {
+    this->Watch->setConditions(G_IO_IN);
+  }
+}
+
 bool HttpServer::acceptOne() {
+  if (this->isFull()) {
+    this->pauseAccepting();
+    return false;
+  }
   GError *Error = nullptr;
   GObjectPointer<GSocket> Accepted(g_socket_accept(this->Listener.get(), nullptr, &Error));
   const GErrorPointer Failure(Error);
   if (!Accepted) {
     if (!g_error_matches(Failure.get(), G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
       logEvent(LogLevel::Warning, "accept_failed", {{"reason", Failure->message}});
+      // Without a free descriptor the listener stays ready, so it is tried again a little later.
+      this->pauseAccepting();
     }
     return false;
   }
@@ -139,9 +165,29 @@
 
 void HttpServer::checkTimeouts() {
   const TimePoint Now = this->now();
+  this->Memory->onTick(Now);
   for (HttpConnection *Each : this->connections()) {
     Each->checkTimeouts(Now);
   }
+  this->endSlowReaders(Now);
+  this->resumeAccepting();
+}
+
+void HttpServer::endSlowReaders(TimePoint Now) {
+  while (this->Memory->isNearLimit()) {
+    const Duration MaxStall = this->Memory->isOverLimit() ? MaxStallOverLimit : MaxStallNearLimit;
+    HttpConnection *Largest = nullptr;
+    for (const auto &Each : this->Connections) {
+      if (Each->outputStalledFor(Now) >= MaxStall &&
+          (!Largest || Each->heldOutput() > Largest->heldOutput())) {
+        Largest = Each.get();
+      }
+    }
+    if (!Largest) {
+      return;
+    }
+    Largest->resetSlowReader();
+  }
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/memory/MemoryAccount.h"
 #include "protocol/UnansweredRequest.h"
 #include "state/Configuration.h"
 #include "state/Endpoint.h"
@@ -9,6 +10,7 @@
 #include "transport/HttpExchange.h"
 #include "transport/SocketWatch.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <set>
@@ -25,8 +27,9 @@
 /// HTTP/1.1 server on one address. Not thread-safe.
 class HttpServer {
 public:
-  /// Precondition: handler and clock outlive the server.
-  HttpServer(HttpHandler &Handler, const Clock &Time, std::size_t MaxConnections);
+  /// Precondition: handler and clock outlive the server. Without an account, memory is not limited.
+  HttpServer(HttpHandler &Handler, const Clock &Time, std::size_t MaxConnections,
+             std::shared_ptr<MemoryAccount> Memory = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -59,12 +62,27 @@
   void countUnanswered(CloseReason Reason, RequestStage Stage) {
     this->Unanswered.add(Reason, Stage);
   }
+  const std::shared_ptr<MemoryAccount> &memory() const { return this->Memory; }
+  /// Connections that make no progress are ended earlier.
+  bool isNearConnectionLimit() const {
+    return this->Connections.size() * 4 >= this->MaxConnections * 3;
+  }
   bool isKeepAliveDisabled() const { return this->KeepAliveDisabled; }
   bool hasStoppedListening() const { return this->StoppedListening; }
   TimePoint now() const;
   void acceptPending(int MaxCount);
   bool acceptOne();
   void enforceConnectionLimit();
+  /// Connections that are closing may exceed the limit by a few, so that a caller does not wait for
+  /// the end of an idle one.
+  bool isFull() const {
+    return this->Connections.size() >=
+           this->MaxConnections + std::max<std::size_t>(8, this->MaxConnections / 8);
+  }
+  void pauseAccepting();
+  void resumeAccepting();
+  /// Ends readers that take nothing, as long as their memory is needed.
+  void endSlowReaders(TimePoint Now);
   /// The connections at the time of the call; a later removal does not invalidate the pointers
   /// before control returns to the main loop.
   std::vector<HttpConnection *> connections() const;
@@ -73,10 +91,12 @@
   HttpHandler &Handler;
   const Clock &Time;
   std::size_t MaxConnections;
+  std::shared_ptr<MemoryAccount> Memory;
   CallerLimits ConnectionLimits;
   std::uint16_t BoundPort = 0;
   bool KeepAliveDisabled = false;
   bool StoppedListening = false;
+  bool IsAcceptingPaused = false;
   UnansweredCounts Unanswered;
   GObjectPointer<GSocket> Listener;
   std::unique_ptr<SocketWatch> Watch;
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -261,6 +261,18 @@
             {"stage", toString(Request.Stage)}});
 }
 
+void ProxyHandler::onRejected(const RejectedRequest &Request) {
+  this->Deps.RequestMetrics.onRefused(Request.Reason, Request.Status);
+  logEvent(LogLevel::Info, "refused",
+           {{"request", this->Deps.Protocol.readRequest(Request.Head).RequestId},
+            {"reason", Request.Reason},
+            {"status", std::to_string(Request.Status)},
+            {"caller", Request.Caller},
+            {"received_bytes", std::to_string(Request.ReceivedBytes)},
+            {"held_bytes", std::to_string(Request.HeldBytes)},
+            {"limit_bytes", std::to_string(Request.LimitBytes)}});
+}
+
 ActiveRequest *ProxyHandler::find(RequestNumber Number) {
   const auto Found = this->Requests.find(Number);
   return Found == this->Requests.end() ? nullptr : Found->second.get();
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -70,6 +70,7 @@
   void onForwardedRequest(HttpExchange &Exchange);
   void onCallerDisconnected(HttpExchange &Exchange, CloseReason Reason) override;
   void onUnanswered(const UnansweredRequest &Request) override;
+  void onRejected(const RejectedRequest &Request) override;
 
 private:
   void handleRequest(HttpExchange &Exchange, const std::optional<ForwardOptions> &Forward);
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -37,6 +37,9 @@
   void onUnanswered(const UnansweredRequest &Request) override {
     this->Unanswered += Request.Head.RequestTarget + " " + toString(Request.Reason) + ";";
   }
+  void onRejected(const RejectedRequest &Request) override {
+    this->Rejected += Request.Head.RequestTarget + " " + std::to_string(Request.Status) + ";";
+  }
   void respond(const std::string &Target, int Status = 200) {
     HttpExchange *Exchange = this->Pending.extract(Target).mapped();
     ResponseHead Head;
@@ -49,6 +52,7 @@
   std::string Received;
   std::string Disconnected;
   std::string Unanswered;
+  std::string Rejected;
   bool RespondImmediately = false;
 };
 
@@ -78,7 +82,9 @@
 }
 
 struct Fixture {
-  explicit Fixture(std::size_t MaxConnections = 100) : Server(Handler, Time, MaxConnections) {
+  explicit Fixture(std::size_t MaxConnections = 100,
+                   std::shared_ptr<MemoryAccount> Memory = nullptr)
+      : Server(Handler, Time, MaxConnections, std::move(Memory)) {
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Server.listen({"127.0.0.1", 0}));
     this->Caller = RawConnection::connect(this->Server.port());
   }
@@ -117,6 +123,12 @@
   CPPUNIT_TEST(responsesBegunBeforeShutdownKeepTheConnection);
   CPPUNIT_TEST(lateRequestsAreReadBeforeTheirTimeout);
   CPPUNIT_TEST(undeliveredResponsesAreNotReset);
+  CPPUNIT_TEST(largeBodiesWaitForMemory);
+  CPPUNIT_TEST(bodiesWithoutMemoryAreRefused);
+  CPPUNIT_TEST(endedSendersFreeTheirMemory);
+  CPPUNIT_TEST(responsesReleaseTheBody);
+  CPPUNIT_TEST(readersThatTakeNothingAreEnded);
+  CPPUNIT_TEST(connectionsWithoutRequestsDoNotUseAllDescriptors);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -377,6 +389,133 @@
     }
   }
 
+  /// Guards against large bodies that are read without limit, against a body that waits although
+  /// memory is free again, and against a small request that waits behind them.
+  void largeBodiesWaitForMemory() {
+    constexpr std::size_t Size = 300000;
+    for (const bool IsChunked : {false, true}) {
+      const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{700000, 100000});
+      Fixture Test(100, Memory);
+      const std::string Head = "POST /first HTTP/1.1\r\nContent-Length: 500000\r\n\r\n";
+      Test.Caller->send(Head + std::string(Size, 'x'));
+      CPPUNIT_ASSERT(runUntil([&] { return Memory->used() >= 500000; }));
+      const auto Second = RawConnection::connect(Test.Server.port());
+      Second->send(IsChunked
+                       ? "POST /second HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n" +
+                             std::string(Size, 'y') + "\r\n0\r\n\r\n"
+                       : "POST /second HTTP/1.1\r\nContent-Length: 300000\r\n\r\n" +
+                             std::string(Size, 'y'));
+      CPPUNIT_ASSERT(runUntil([&] { return Memory->waitingCount() == 1; }));
+      const auto Small = RawConnection::connect(Test.Server.port());
+      Small->send("POST /small HTTP/1.1\r\nContent-Length: 2\r\n\r\nab");
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Handler.Pending.contains("/small"); }));
+      CPPUNIT_ASSERT(Memory->used() <= 700000);
+      CPPUNIT_ASSERT(!Test.Handler.Pending.contains("/second"));
+      Test.Caller.reset();
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Handler.Pending.contains("/second"); }));
+      CPPUNIT_ASSERT_EQUAL(Size, Test.Handler.Pending.at("/second")->body()->size());
+    }
+  }
+
+  /// Guards against a refusal for lack of memory without a promise that the caller can use.
+  void bodiesWithoutMemoryAreRefused() {
+    const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{700000, 100000});
+    Fixture Test(100, Memory);
+    CallerLimits Limits;
+    Limits.HeadTimeout = 1min;
+    Test.Server.setLimits(Limits);
+    Test.Caller->send("POST /first HTTP/1.1\r\nContent-Length: 500000\r\n\r\nx");
+    CPPUNIT_ASSERT(runUntil([&] { return Memory->used() >= 500000; }));
+    const auto Second = RawConnection::connect(Test.Server.port());
+    Second->send("POST /second HTTP/1.1\r\nContent-Length: 300000\r\n\r\ny");
+    CPPUNIT_ASSERT(runUntil([&] { return Memory->waitingCount() == 1; }));
+    Test.Time.Advance += MemoryAccount::MaxWait + 1s;
+    Test.Server.checkTimeouts();
+    CPPUNIT_ASSERT(runUntil([&] { return Second->Closed; }));
+    CPPUNIT_ASSERT(Second->Received.find("HTTP/1.1 503 ") == 0);
+    CPPUNIT_ASSERT(Second->Received.find("Retry-After: ") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string("/second 503;"), Test.Handler.Rejected);
+    CPPUNIT_ASSERT(Test.Handler.Received.empty());
+    CPPUNIT_ASSERT(!Test.Caller->Closed);
+  }
+
+  /// Guards against memory that stays with a connection which is only kept for its last response.
+  void endedSendersFreeTheirMemory() {
+    const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{700000, 100000});
+    Fixture Test(100, Memory);
+    CallerLimits Limits;
+    Limits.HeadTimeout = 10ms;
+    Test.Server.setLimits(Limits);
+    Test.Caller->send("POST /first HTTP/1.1\r\nContent-Length: 500000\r\n\r\nx");
+    CPPUNIT_ASSERT(Test.received("HTTP/1.1 408 "));
+    CPPUNIT_ASSERT(runUntil([&] { return Memory->used(MemoryKind::RequestBody) == 0; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Test.Server.connectionCount());
+  }
+
+  /// Guards against a slow reader that holds the body of its request besides the response.
+  void responsesReleaseTheBody() {
+    const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{700000, 100000});
+    Fixture Test(100, Memory);
+    Test.Caller->send("POST /u HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+    CPPUNIT_ASSERT(runUntil([&] { return !Test.Handler.Pending.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Memory->used(MemoryKind::RequestBody));
+    HttpExchange &Exchange = *Test.Handler.Pending.extract("/u").mapped();
+    ResponseHead Head;
+    Head.Status = 200;
+    Head.Framing = BodyFraming::Chunked;
+    Exchange.begin(Head);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Memory->used(MemoryKind::RequestBody));
+    Exchange.end();
+    CPPUNIT_ASSERT(Test.received("0\r\n\r\n"));
+  }
+
+  /// Guards against responses that stay in memory because their readers take nothing, against
+  /// ending a reader whose memory is not needed, and against a truncated response that looks
+  /// complete.
+  void readersThatTakeNothingAreEnded() {
+    for (const bool IsNeeded : {false, true}) {
+      const std::size_t Limit = std::size_t{1} << (IsNeeded ? 20 : 30);
+      const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{Limit, Limit / 8});
+      Fixture Test(100, Memory);
+      Test.Caller->pauseReading();
+      Test.Caller->send(getRequest("/a"));
+      CPPUNIT_ASSERT(runUntil([&] { return !Test.Handler.Pending.empty(); }));
+      HttpExchange *Exchange = Test.Handler.Pending.extract("/a").mapped();
+      ResponseHead Head;
+      Head.Status = 200;
+      // More than the buffers of both sockets hold.
+      Exchange->respond(Head, std::string(std::size_t{32} << 20, 'x'));
+      CPPUNIT_ASSERT(Memory->used(MemoryKind::Output) > 0);
+      Test.Time.Advance += 4s;
+      Test.Server.checkTimeouts();
+      runPending();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{IsNeeded ? 0U : 1U}, Test.Server.connectionCount());
+      CPPUNIT_ASSERT_EQUAL(IsNeeded, Memory->used() == 0);
+      CPPUNIT_ASSERT_EQUAL(std::string(IsNeeded ? "/a output_not_taken;" : ""),
+                           Test.Handler.Unanswered);
+    }
+  }
+
+  /// Guards against running out of file descriptors with connections on which no request is
+  /// complete, and against a server that accepts nothing after they have ended.
+  void connectionsWithoutRequestsDoNotUseAllDescriptors() {
+    Fixture Test(8);
+    CallerLimits Limits;
+    Limits.HeadTimeout = 1min;
+    Test.Server.setLimits(Limits);
+    std::vector<std::unique_ptr<RawConnection>> Callers;
+    for (int Index = 0; Index < 40; ++Index) {
+      Callers.push_back(RawConnection::connect(Test.Server.port()));
+      Callers.back()->send("GET /half HTTP/1.1\r\n");
+      runPending();
+    }
+    CPPUNIT_ASSERT(Test.Server.connectionCount() <= 16);
+    Callers.clear();
+    const auto Last = RawConnection::connect(Test.Server.port());
+    Last->send(getRequest("/last"));
+    CPPUNIT_ASSERT(runUntil([&] { return Test.Handler.Pending.contains("/last"); }));
+  }
+
   /// Guards against running out of file descriptors: the server closes an idle connection to accept
   /// a new one.
   void connectionsAreBounded() {
