Count delivered bytes as progress of a slow reader

Cause: a socket takes further bytes only after a third of its buffer was delivered, so that a reader behind a full link could look as if it took nothing for seconds.

Change: fewer undelivered bytes count as progress too.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -423,9 +423,19 @@
   this->close(Reason);
 }
 
-bool HttpConnection::hasUndeliveredBytes() const {
+int HttpConnection::undeliveredBytes() const {
   int Bytes = 0;
-  return ioctl(g_socket_get_fd(this->Socket.get()), SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+  return ioctl(g_socket_get_fd(this->Socket.get()), SIOCOUTQ, &Bytes) == 0 ? Bytes : 0;
+}
+
+void HttpConnection::updateOutputProgress(TimePoint Now) {
+  // The socket takes further bytes only after a third of its buffer has been delivered, which can
+  // take long on a full link.
+  const int Undelivered = this->undeliveredBytes();
+  if (Undelivered < this->LastUndelivered) {
+    this->LastOutputProgress = Now;
+  }
+  this->LastUndelivered = Undelivered;
 }
 
 bool HttpConnection::hasUnreadBytes() const {
@@ -526,6 +536,7 @@
     return;
   }
   this->updateUnreadCharge();
+  this->updateOutputProgress(Now);
   // A busy entry may not have read the rest yet.
   if (this->isTooSlow(Now) && !this->hasUnreadBytes()) {
     this->rejectRequest(RequestTimeout, "the request arrives too slowly");
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -102,7 +102,9 @@
   void reportUnreadBytes(CloseReason Reason);
   bool hasUnreadBytes() const;
   /// True if the caller's host has not acknowledged all bytes that were written.
-  bool hasUndeliveredBytes() const;
+  bool hasUndeliveredBytes() const { return this->undeliveredBytes() > 0; }
+  int undeliveredBytes() const;
+  void updateOutputProgress(TimePoint Now);
   std::string callerAddress() const;
 
   HttpServer &Server;
@@ -123,6 +125,8 @@
   std::optional<TimePoint> LastWrite;
   /// Time at which output began to wait or the caller took a part of it.
   TimePoint LastOutputProgress{};
+  /// Result of undeliveredBytes() when it was last checked.
+  int LastUndelivered = 0;
   /// Arrival of the first byte of the request that is being received.
   TimePoint RequestStarted{};
   State CurrentState = State::Open;
