Limit the connections of all servers together and end slow ones near it

Cause: the parts of the descriptors exceed the whole if all servers of an entry are flooded at once, and a byte now and then keeps a connection.

Change: the servers share a limit of fifteen sixteenths of the descriptors that are not for files. With three quarters of the connections in use, a head must be complete within its timeout, and a body must arrive at 8 KB/s after 10 s.

--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -26,9 +26,10 @@
 
 /// Descriptors of the VM that are for files.
 constexpr std::int64_t FileDescriptors = 200;
-/// Largest parts of the other descriptors that each kind of connection may use. Together they
-/// exceed the whole, because the kinds are not used up at the same time; what is left of the
-/// callers' part is for connections to targets. The smallest VM (2,870) has 2,002 for callers.
+/// Largest parts of the other descriptors that each kind of connection may use, and all accepted
+/// ones together; the rest is for connections to targets. The smallest VM (2,870) has 2,002 for
+/// callers.
+constexpr double AcceptedConnectionShare = 0.9375;
 constexpr double CallerConnectionShare = 0.75;
 constexpr double ForwardConnectionShare = 0.125;
 constexpr double InternalConnectionShare = 0.0625;
@@ -155,6 +156,9 @@
 TimePoint EntryRuntime::now() const { return this->Deps.Time.now(); }
 
 std::string EntryRuntime::start() {
+  const auto Accepted = std::make_shared<SharedConnectionCount>(SharedConnectionCount{
+      0, maxConnections(this->Settings, AcceptedConnectionShare,
+                        static_cast<std::size_t>(this->Settings.Descriptors))});
   Endpoint ForwardEndpoint{this->Settings.CallerEndpoint.Address, this->Settings.PeerPort};
   for (const auto &[Server, Address] :
        {std::pair(&this->CallerServer, &this->Settings.CallerEndpoint),
@@ -163,6 +167,7 @@
         {&this->DirectoryServer, &this->Settings.DirectoryEndpoint},
         {&this->ControlServer, &this->Settings.ControlEndpoint},
         {&this->OperatorServer, &this->Settings.OperatorEndpoint}}) {
+    Server->shareConnectionLimit(Accepted);
     if (std::string Error = Server->listen(*Address); !Error.empty()) {
       return Error;
     }
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -186,6 +186,7 @@
   this->IsPaused = false;
   // The pause is not the sender's.
   this->LastActivity = this->Server.now();
+  this->RequestStarted = this->LastActivity;
   this->parse();
   this->updateWatch();
 }
@@ -551,9 +552,18 @@
   if (Now - std::max(this->RequestStarted, this->LastActivity) > HeadTimeout) {
     return true;
   }
+  if (!this->Server.isNearConnectionLimit()) {
+    return false;
+  }
   // A byte now and then keeps a connection only while there are enough for everyone.
-  return this->Server.isNearConnectionLimit() && !this->Parser.isHeadComplete() &&
-         Now - this->RequestStarted > HeadTimeout;
+  const Duration Elapsed = Now - this->RequestStarted;
+  if (!this->Parser.isHeadComplete()) {
+    return Elapsed > HeadTimeout;
+  }
+  const double Required = std::chrono::duration<double>(Elapsed).count() *
+                          static_cast<double>(MemoryAccount::MinBytesPerSecond);
+  return Elapsed > MemoryAccount::RateGraceTime &&
+         static_cast<double>(this->Parser.bodyBytes()) < Required;
 }
 
 void HttpConnection::updateUnreadCharge() {
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include "transport/HttpConnection.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <netinet/in.h>
@@ -31,9 +32,14 @@
                        std::shared_ptr<MemoryAccount> Memory)
     : Handler(Handler), Time(Time), MaxConnections(MaxConnections),
       Memory(Memory ? std::move(Memory) : std::make_shared<MemoryAccount>(MemoryLimits())),
+      SharedCount(std::make_shared<SharedConnectionCount>(
+          SharedConnectionCount{0, std::numeric_limits<std::size_t>::max()})),
       TimeoutTimer(g_timeout_add(TimeoutCheckMilliseconds, onTimeoutTimer, this)) {}
 
-HttpServer::~HttpServer() { g_source_remove(this->TimeoutTimer); }
+HttpServer::~HttpServer() {
+  g_source_remove(this->TimeoutTimer);
+  this->SharedCount->Open -= this->Connections.size();
+}
 
 TimePoint HttpServer::now() const { return this->Time.now(); }
 
@@ -106,6 +112,7 @@
   this->enforceConnectionLimit();
   g_socket_set_blocking(Accepted.get(), FALSE);
   g_socket_set_option(Accepted.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  ++this->SharedCount->Open;
   this->Connections.insert(
       std::make_unique<HttpConnection>(*this, std::move(Accepted), this->now()));
   return true;
@@ -155,6 +162,7 @@
   if (Found == this->Connections.end()) {
     return;
   }
+  --this->SharedCount->Open;
   this->Removed.add(std::move(this->Connections.extract(Found).value()));
 }
 
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <gio/gio.h>
@@ -24,6 +25,12 @@
 class Clock;
 class HttpConnection;
 
+/// Open connections of several servers together, and their limit.
+struct SharedConnectionCount {
+  std::size_t Open = 0;
+  std::size_t Max = 0;
+};
+
 /// HTTP/1.1 server on one address. Not thread-safe.
 class HttpServer {
 public:
@@ -41,6 +48,11 @@
   /// Sets the limits. The sizes apply to connections that are accepted from now on, the idle
   /// timeout to open ones from their next response on.
   void setLimits(const CallerLimits &Limits) { this->ConnectionLimits = Limits; }
+  /// Limits the connections of all servers with the same count together. Precondition: the server
+  /// has no connections.
+  void shareConnectionLimit(std::shared_ptr<SharedConnectionCount> Count) {
+    this->SharedCount = std::move(Count);
+  }
   /// From now on each connection is closed after the response to its last request.
   void disableKeepAlive() { this->KeepAliveDisabled = true; }
   /// Accepts the connections that are already established, then stops accepting and closes the idle
@@ -76,8 +88,9 @@
   /// Connections that are closing may exceed the limit by a few, so that a caller does not wait for
   /// the end of an idle one.
   bool isFull() const {
-    return this->Connections.size() >=
-           this->MaxConnections + std::max<std::size_t>(8, this->MaxConnections / 8);
+    return this->SharedCount->Open >= this->SharedCount->Max ||
+           this->Connections.size() >=
+               this->MaxConnections + std::max<std::size_t>(8, this->MaxConnections / 8);
   }
   void pauseAccepting();
   void resumeAccepting();
@@ -92,6 +105,7 @@
   const Clock &Time;
   std::size_t MaxConnections;
   std::shared_ptr<MemoryAccount> Memory;
+  std::shared_ptr<SharedConnectionCount> SharedCount;
   CallerLimits ConnectionLimits;
   std::uint16_t BoundPort = 0;
   bool KeepAliveDisabled = false;
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -129,6 +129,8 @@
   CPPUNIT_TEST(responsesReleaseTheBody);
   CPPUNIT_TEST(readersThatTakeNothingAreEnded);
   CPPUNIT_TEST(connectionsWithoutRequestsDoNotUseAllDescriptors);
+  CPPUNIT_TEST(serversShareTheirConnections);
+  CPPUNIT_TEST(slowBytesKeepNoScarceConnection);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -516,6 +518,73 @@
     CPPUNIT_ASSERT(runUntil([&] { return Test.Handler.Pending.contains("/last"); }));
   }
 
+  /// Guards against servers that use up the descriptors together although each keeps its limit.
+  void serversShareTheirConnections() {
+    const auto Count = std::make_shared<SharedConnectionCount>(SharedConnectionCount{0, 4});
+    SystemClock Time;
+    RecordingHandler Handler;
+    std::vector<std::unique_ptr<RawConnection>> Callers;
+    {
+      HttpServer First(Handler, Time, 100);
+      HttpServer Second(Handler, Time, 100);
+      for (HttpServer *Each : {&First, &Second}) {
+        Each->shareConnectionLimit(Count);
+        CPPUNIT_ASSERT_EQUAL(std::string(), Each->listen({"127.0.0.1", 0}));
+        for (int Index = 0; Index < 3; ++Index) {
+          Callers.push_back(RawConnection::connect(Each->port()));
+          Callers.back()->send("GET /half HTTP/1.1\r\n");
+        }
+      }
+      CPPUNIT_ASSERT(runUntil([&] { return Count->Open == 4; }));
+      runPending();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, First.connectionCount() + Second.connectionCount());
+      Callers.erase(Callers.begin(), Callers.begin() + 3);
+      Callers.back()->send("Host: h\r\n\r\n");
+      CPPUNIT_ASSERT(runUntil([&] { return Handler.Pending.contains("/half"); }));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Count->Open);
+  }
+
+  /// Guards against clients that keep all connections with a byte now and then, and against ending
+  /// such a client while there are connections for everyone.
+  void slowBytesKeepNoScarceConnection() {
+    struct Case {
+      const char *Name;
+      std::size_t MaxConnections;
+      std::string Sent;
+      Duration Elapsed;
+      bool IsEnded;
+    };
+    const std::string Body = "POST /u HTTP/1.1\r\nContent-Length: 99\r\n\r\n";
+    const Case Table[] = {
+        {"head, scarce", 1, "GET /a HTTP/1.1\r\n", 4s, true},
+        {"head, not scarce", 100, "GET /a HTTP/1.1\r\n", 4s, false},
+        {"body, scarce", 1, Body, 11s, true},
+        {"body, scarce, in time", 1, Body, 9s, false},
+        {"body, not scarce", 100, Body, 11s, false},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test(Each.MaxConnections);
+      Test.Caller->send(Each.Sent + "x");
+      CPPUNIT_ASSERT(runUntil([&] { return Test.Server.connectionCount() == 1; }));
+      runPending();
+      for (Duration Elapsed{0}; Elapsed < Each.Elapsed; Elapsed += 1s) {
+        Test.Time.Advance += 1s;
+        // One byte of a body or of the name of a field.
+        Test.Caller->send("x");
+        Test.Caller->waitUntilDelivered();
+        runPending();
+      }
+      Test.Server.checkTimeouts();
+      runPending();
+      if (Each.IsEnded) {
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Test.received("HTTP/1.1 408 "));
+      } else {
+        CPPUNIT_ASSERT_MESSAGE(Each.Name, Test.Caller->Received.empty());
+      }
+    }
+  }
+
   /// Guards against running out of file descriptors: the server closes an idle connection to accept
   /// a new one.
   void connectionsAreBounded() {
