--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -2,6 +2,7 @@
 
 #include "coordination/dispatch/DispatchTypes.h"
 #include "coordination/dispatch/HedgePolicy.h"
+#include "coordination/memory/MemoryAccount.h"
 #include "protocol/LatencyQuantiles.h"
 #include "protocol/PeerTraffic.h"
 #include "protocol/PublicationTraffic.h"
@@ -64,6 +65,7 @@
   void setLogLinesDropped(std::uint64_t Total) { this->LogLinesDropped = Total; }
   void setPeerTraffic(const PeerTraffic &Traffic) { this->Peers = Traffic; }
   void setPublicationTraffic(const PublicationTraffic &Traffic) { this->Publications = Traffic; }
+  void setMemory(const MemoryAccount &Account);
   void setGauges(const Gauges &Values) { this->CurrentGauges = Values; }
 
   /// Returns all series as `text/plain; version=0.0.4`.
@@ -93,6 +95,7 @@
   void writeEntry(Writer &Out) const;
   void writeHedges(Writer &Out) const;
   void writeUnanswered(Writer &Out) const;
+  void writeMemory(Writer &Out) const;
   void writePeers(Writer &Out) const;
   void writePublications(Writer &Out) const;
 
@@ -106,6 +109,10 @@
   std::uint64_t LogLinesDropped = 0;
   UnansweredCounts Unanswered;
   HedgeCounts Hedges;
+  std::array<std::size_t, MemoryKindCount> HeldBytes{};
+  std::size_t MemoryLimitBytes = 0;
+  std::size_t WaitingBodies = 0;
+  MemoryAccount::Counts MemoryCounts;
   PeerTraffic Peers;
   PublicationTraffic Publications;
   Gauges CurrentGauges;
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -100,6 +100,8 @@
   GlibMessageAuthenticator Authenticator;
   AuditTrail Audit;
   Metrics EntryMetrics;
+  /// Shared by all servers.
+  std::shared_ptr<MemoryAccount> Memory;
   Dispatcher RequestDispatcher;
   CustomerQuotas Quotas;
   ChangeRecorder Changes;
--- a/tests/auto/libs/protocol/tst_daemonsettings.cpp
+++ b/tests/auto/libs/protocol/tst_daemonsettings.cpp
@@ -30,6 +30,8 @@
 quota_window_s = 4
 quota_overshoot = 0.5
 quota_slack = 7
+memory_mb = 260
+descriptors = 4096
 )";
 
 std::string replaced(std::string Text, const std::string &Old, const std::string &New) {
@@ -62,6 +64,8 @@
     CPPUNIT_ASSERT_EQUAL(0.25, Settings.Dispatch.Retries.Ratio);
     CPPUNIT_ASSERT(Settings.StopGracePeriod == 2500ms);
     CPPUNIT_ASSERT(!Settings.Dispatch.Hedges.Share);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{260}, Settings.MemoryMb);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{4096}, Settings.Descriptors);
     CPPUNIT_ASSERT(Settings.Quotas == (QuotaBounds{4s, 0.5, 7}));
     // Deployments without quotas set no bounds.
     const auto Without = std::get<DaemonSettings>(readDaemonSettings(
@@ -104,6 +108,11 @@
         {Good + "hedge_share = -0.01\n", "'hedge_share' must be a number from 0 to 1"},
         {Good + "hedge_share = \"x\"\n", "'hedge_share' must be a number"},
         {replaced(Good, "stop_grace_s", "stop_grace"), "unknown key 'stop_grace'"},
+        {replaced(Good, "memory_mb = 260", "memory_mb = 63"), "'memory_mb'"},
+        {replaced(Good, "memory_mb = 260", "memory_mb = 1048577"), "'memory_mb'"},
+        {replaced(Good, "memory_mb = 260", "memory_mb = \"260\""), "'memory_mb'"},
+        {replaced(Good, "descriptors = 4096", "descriptors = 399"), "'descriptors'"},
+        {replaced(Good, "descriptors = 4096", "descriptors = 1000001"), "'descriptors'"},
         {replaced(Good, "10.2.0.9:8083", "nowhere"), "elements of 'seeds'"},
         {Good + "[log]\nlevel = \"loud\"\n", "'level' must be one of"},
         {"vm = \n", "entry.toml:1:"},
