Name a true Retry-After while an entry starts

Cause: a trial through the socket (a scratch copy that reads the customer from a header) showed Retry-After 55.7 s for a limit of one request per second: it was derived from the small limit that a starting entry applies for two seconds. Change: the wait ends when that limit does; the same for an entry without a coordinator, which the membership replaces.

--- a/src/libs/coordination/limits/CustomerQuotas.cpp
+++ b/src/libs/coordination/limits/CustomerQuotas.cpp
@@ -43,6 +43,8 @@
 constexpr double StartEntries = 64;
 /// Time to find the others. An entry that has found none is alone.
 constexpr Duration StartTime = 2s;
+/// Time until the membership replaces a coordinator that does not reply.
+constexpr Duration CoordinatorReplacementTime = 4s;
 /// As in QuotaFleet: within the tolerated overshoot if all entries do so.
 constexpr double LonePart = 1.15;
 /// Part of the slack that one entry may use. The same part as in QuotaCoordinator.
@@ -120,9 +122,11 @@
   if (Of.Unconfirmed && Now - *Of.Unconfirmed >= ConfirmationTimeout) {
     Result.IsConfirmed = false;
     Part = std::min(Part, LonePart / static_cast<double>(this->Fleet.assumedCount()));
+    Result.MaxWait = CoordinatorReplacementTime;
   }
   if (Now - this->Started < StartTime && this->Fleet.live().size() < 2) {
     Part = std::min(Part, LonePart / StartEntries);
+    Result.MaxWait = this->Started + StartTime - Now;
   }
   Result.RequestsPerSecond = Limit.RequestsPerSecond * Part;
   Result.Capacity = std::max(1.0, (Limit.Burst + UsableSlack * this->Bounds.Slack) * Part);
@@ -160,7 +164,8 @@
   } else if (Of.Level + 1 > Local.Capacity) {
     Result.IsAdmitted = false;
     Result.Reason = Local.IsConfirmed ? QuotaReason::EntryLimit : QuotaReason::NotConfirmed;
-    Result.RetryAfter = scaled(1s, (Of.Level + 1 - Local.Capacity) / Local.RequestsPerSecond) + 1ms;
+    const Duration Wait = scaled(1s, (Of.Level + 1 - Local.Capacity) / Local.RequestsPerSecond);
+    Result.RetryAfter = std::min(Wait, Local.MaxWait) + 1ms;
   } else {
     Of.Level += 1;
     Of.Credit -= Of.Share < FullShare ? 1 : 0;
--- a/src/libs/coordination/limits/CustomerQuotas.h
+++ b/src/libs/coordination/limits/CustomerQuotas.h
@@ -107,6 +107,8 @@
     double RequestsPerSecond = 0;
     double Capacity = 1;
     bool IsConfirmed = true;
+    /// Time after which another limit applies.
+    Duration MaxWait = Duration::max() / 2;
   };
 
   EntryLimit entryLimit(const Customer &Limit, const Usage &Of, TimePoint Now) const;
--- a/tests/auto/libs/coordination/tst_customerquotas.cpp
+++ b/tests/auto/libs/coordination/tst_customerquotas.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST_SUITE(CustomerQuotasTest);
   CPPUNIT_TEST(customersWithoutLimit);
   CPPUNIT_TEST(loneEntry);
+  CPPUNIT_TEST(startingEntry);
   CPPUNIT_TEST(refundedRequests);
   CPPUNIT_TEST(usualLoadIsAdmitted);
   CPPUNIT_TEST(boundHoldsInFloods);
@@ -101,6 +102,18 @@
     CPPUNIT_ASSERT(Admitted <= 10 * Seconds + 10 + 20);
   }
 
+  /// Guards against a Retry-After that is derived from the small limit of a starting entry and so
+  /// is far too long.
+  void startingEntry() {
+    CustomerQuotas Quotas("a", 1, {}, Start);
+    Quotas.setCustomers(oneCustomer(1, 1), Start);
+    CPPUNIT_ASSERT(Quotas.admit(Known, Start + 100ms).IsAdmitted);
+    const QuotaDecision Decision = Quotas.admit(Known, Start + 200ms);
+    CPPUNIT_ASSERT(!Decision.IsAdmitted);
+    CPPUNIT_ASSERT(Decision.RetryAfter <= 2s);
+    CPPUNIT_ASSERT(Quotas.admit(Known, Start + 200ms + Decision.RetryAfter).IsAdmitted);
+  }
+
   /// Guards against requests that no target runs and that still use up the quota.
   void refundedRequests() {
     CustomerQuotas Quotas("a", 1, {}, Start);
