--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -51,7 +51,7 @@
       ExpectedCharge(Server.memory(), MemoryKind::ExpectedResponse),
       OutputCharge(Server.memory(), MemoryKind::Output),
       UnreadCharge(Server.memory(), MemoryKind::UnreadInput), LastActivity(Now),
-      IdleTimeout(Server.limits().IdleTimeout) {
+      IdleTimeout(Server.limits().IdleTimeout), LastRead(Now) {
   this->updateWatch();
 }
 
@@ -124,7 +124,8 @@
     if (!this->Parser.isStarted()) {
       this->RequestStarted = this->Server.now();
     }
-    this->LastActivity = this->Server.now();
+    this->LastRead = this->Server.now();
+    this->LastActivity = this->LastRead;
     this->Parser.add({Buffer.data(), static_cast<std::size_t>(Count)});
     if (!this->receiveBody() || static_cast<std::size_t>(Count) < Buffer.size()) {
       return std::nullopt;
@@ -137,17 +138,24 @@
   if (this->IsRejected || this->Exchanges.size() >= MaxPipelinedRequests) {
     return false;
   }
-  if (!this->Exchanges.empty() && !this->Server.memory()->hasRoomFor(ExpectedResponseBytes)) {
-    return false;
-  }
-  return std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
-    return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive && !Each->CloseAfter;
-  });
+  return !this->isNextHeldBack() &&
+         std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
+           return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive &&
+                  !Each->CloseAfter && !Each->HoldsLaterRequests;
+         });
+}
+
+bool HttpConnection::isNextHeldBack() const {
+  return !this->Exchanges.empty() && (this->Exchanges.back()->HoldsLaterRequests ||
+                                      !this->Server.memory()->hasRoomFor(ExpectedResponseBytes));
 }
 
 bool HttpConnection::receiveBody() {
-  return !this->mayParseNext() || this->Parser.parse() != RequestParser::State::Incomplete ||
-         this->reserveBody();
+  if (!this->mayParseNext()) {
+    return true;
+  }
+  this->Parser.setLimits({this->Server.limits().HeadBytes, this->Server.limits().BodyBytes});
+  return this->Parser.parse() != RequestParser::State::Incomplete || this->reserveBody();
 }
 
 bool HttpConnection::reserveBody() {
@@ -208,7 +216,13 @@
 }
 
 void HttpConnection::parse() {
-  while (this->CurrentState == State::Open && !this->IsPaused && this->mayParseNext()) {
+  while (this->CurrentState == State::Open && !this->IsPaused && !this->IsRejected &&
+         this->Exchanges.size() < MaxPipelinedRequests) {
+    if (!this->mayParseNext()) {
+      this->IsHeldBack = this->isNextHeldBack();
+      return;
+    }
+    this->Parser.setLimits({this->Server.limits().HeadBytes, this->Server.limits().BodyBytes});
     const RequestParser::State Result = this->Parser.parse();
     if (Result == RequestParser::State::Failed) {
       this->rejectRequest(this->Parser.errorStatus(), this->Parser.errorText());
@@ -246,7 +260,7 @@
   }
   this->Exchanges.push_back(std::make_unique<HttpExchange>(
       *this, this->Parser.head(), std::shared_ptr<const std::string>(Body, &Body->Bytes),
-      this->Server.now()));
+      std::exchange(this->IsHeldBack, false) ? this->LastRead : this->Server.now()));
   this->Parser.next();
   this->RequestStarted = this->Server.now();
   this->updateCharges();
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -24,7 +24,7 @@
 
 /// One connection of a caller. Reads requests, passes them to the handler and writes the responses
 /// in the order of the requests. Pipelined requests run concurrently as long as all requests ahead
-/// of them have safe methods. Not thread-safe.
+/// of them have safe methods and no response ahead of them may be streamed. Not thread-safe.
 class HttpConnection {
 public:
   /// Precondition: the server outlives the connection.
@@ -74,6 +74,8 @@
   void parse();
   /// True if the parser may go on to the next request while earlier ones are pending.
   bool mayParseNext() const;
+  /// True if the next request waits for earlier responses although it may be pipelined.
+  bool isNextHeldBack() const;
   /// Parses what has arrived of a body and reserves memory for what follows. Returns false if
   /// reading has to pause.
   bool receiveBody();
@@ -121,6 +123,8 @@
   TimePoint LastActivity;
   /// The idle timeout by which the last response announced how long the connection may be reused.
   Duration IdleTimeout;
+  /// Time at which bytes of a request were read last.
+  TimePoint LastRead;
   /// Time at which bytes of a response were sent; nothing before the first response.
   std::optional<TimePoint> LastWrite;
   /// Time at which output began to wait or the caller took a part of it.
@@ -137,6 +141,9 @@
   bool IsRejected = false;
   /// Nothing is read until memory for the body is granted.
   bool IsPaused = false;
+  /// The next request is held back behind a response that may be streamed, or until the memory for
+  /// its response is free, and keeps its deadline.
+  bool IsHeldBack = false;
   bool IsFlushing = false;
   bool ContinueSent = false;
 };
