--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -138,13 +138,16 @@
   if (this->IsRejected || this->Exchanges.size() >= MaxPipelinedRequests) {
     return false;
   }
-  if (!this->Exchanges.empty() && !this->Server.memory()->hasRoomFor(ExpectedResponseBytes)) {
-    return false;
-  }
-  return std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
-    return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive && !Each->CloseAfter &&
-           !Each->HoldsLaterRequests;
-  });
+  return !this->isNextHeldBack() &&
+         std::all_of(this->Exchanges.begin(), this->Exchanges.end(), [](const auto &Each) {
+           return isSafeMethod(Each->Request.Method) && Each->Request.KeepAlive &&
+                  !Each->CloseAfter && !Each->HoldsLaterRequests;
+         });
+}
+
+bool HttpConnection::isNextHeldBack() const {
+  return !this->Exchanges.empty() && (this->Exchanges.back()->HoldsLaterRequests ||
+                                      !this->Server.memory()->hasRoomFor(ExpectedResponseBytes));
 }
 
 RequestParser::State HttpConnection::parseNext() {
@@ -215,9 +218,10 @@
 }
 
 void HttpConnection::parse() {
-  while (this->CurrentState == State::Open && !this->IsPaused) {
+  while (this->CurrentState == State::Open && !this->IsPaused && !this->IsRejected &&
+         this->Exchanges.size() < MaxPipelinedRequests) {
     if (!this->mayParseNext()) {
-      this->IsHeldBack = !this->Exchanges.empty() && this->Exchanges.back()->HoldsLaterRequests;
+      this->IsHeldBack = this->isNextHeldBack();
       return;
     }
     const RequestParser::State Result = this->parseNext();
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -76,6 +76,8 @@
   bool mayParseNext() const;
   /// Parses by the size limits in force.
   RequestParser::State parseNext();
+  /// True if the next request waits for earlier responses although it may be pipelined.
+  bool isNextHeldBack() const;
   /// Parses what has arrived of a body and reserves memory for what follows. Returns false if
   /// reading has to pause.
   bool receiveBody();
@@ -140,10 +142,11 @@
   bool HasReportedUnread = false;
   /// A request was malformed or too slow; the connection reads no further ones.
   bool IsRejected = false;
-  /// The next request is held back behind a response that may be streamed, and keeps its deadline.
-  bool IsHeldBack = false;
   /// Nothing is read until memory for the body is granted.
   bool IsPaused = false;
+  /// The next request is held back behind a response that may be streamed, or until the memory for
+  /// its response is free, and keeps its deadline.
+  bool IsHeldBack = false;
   bool IsFlushing = false;
   bool ContinueSent = false;
   /// The handler has been asked about the head of the request that is being received.
