Show customers to operators

Operators could not see which customers an entry knows, nor why a request of one is refused.

`anvilsaddle customers` lists the customers in force with their priority, home regions, limit, and the requests that this entry admitted and refused. `anvilsaddle status` has their number. The counter customer_requests_total counts by customer and decision, for 256 customers and the others together. No page shows keys or digests.

--- a/src/anvilsaddle/ExplainCommand.cpp
+++ b/src/anvilsaddle/ExplainCommand.cpp
@@ -26,6 +26,8 @@
       "explain", "Show the route that a request matches; no request is sent to a target");
   this->Daemon.addTo(*this->Subcommand, "operators");
   this->Subcommand->add_option("host", this->Host, "Host of the request")->required();
+  this->Subcommand->add_option("--customer", this->Customer,
+                               "Customer whose priority and home regions apply");
   this->Subcommand->add_option("path", this->Path, "Request path, starting with '/'")
       ->required()
       ->check([](const std::string &Text) {
@@ -34,8 +36,10 @@
 }
 
 leaf::result<ExitCode> ExplainCommand::run(std::ostream &Out) {
+  const std::string Customer =
+      this->Customer.empty() ? "" : "&customer=" + escapeQueryValue(this->Customer);
   BOOST_LEAF_AUTO(Response, this->Daemon.query("/explain?host=" + escapeQueryValue(this->Host) +
-                                               "&path=" + escapeQueryValue(this->Path)));
+                                               "&path=" + escapeQueryValue(this->Path) + Customer));
   if (this->Daemon.AsJson) {
     Out << Response.dump(2) << '\n';
     return ExitCode::Success;
--- a/src/anvilsaddle/ExplainCommand.h
+++ b/src/anvilsaddle/ExplainCommand.h
@@ -17,6 +17,7 @@
   DaemonOptions Daemon;
   std::string Host;
   std::string Path;
+  std::string Customer;
 };
 
 } // namespace anvilsaddle
--- a/src/anvilsaddle/Tool.cpp
+++ b/src/anvilsaddle/Tool.cpp
@@ -2,6 +2,7 @@
 
 #include "AuditCommand.h"
 #include "CheckCommand.h"
+#include "CustomersCommand.h"
 #include "ExplainCommand.h"
 #include "StatusCommand.h"
 #include "TargetsCommand.h"
@@ -34,6 +35,7 @@
   Result.push_back(std::make_unique<CheckCommand>());
   Result.push_back(std::make_unique<StatusCommand>());
   Result.push_back(std::make_unique<TargetsCommand>());
+  Result.push_back(std::make_unique<CustomersCommand>());
   Result.push_back(std::make_unique<AuditCommand>());
   Result.push_back(std::make_unique<ExplainCommand>());
   Result.push_back(std::make_unique<TraceCommand>());
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -94,6 +94,12 @@
   ++this->Refusals[IsBeyondLimit ? std::pair(OtherLabel, OtherStatus) : Key];
 }
 
+Metrics::CustomerCounts &Metrics::customerCounts(const CustomerName &Name) {
+  const bool IsBeyondLimit =
+      !this->Customers.contains(Name) && this->Customers.size() >= MaxCustomers;
+  return this->Customers[IsBeyondLimit ? CustomerName(OtherLabel) : Name];
+}
+
 void Metrics::onAttempt(const ServiceName &Service, bool IsRetry) {
   ServiceSeries &Series = this->findOrAddSeries(Service);
   ++Series.Attempts;
@@ -176,6 +182,16 @@
     Out.writeSample("refusals_total", {{"reason", Key.first}, {"status", statusLabel(Key.second)}},
                     Count);
   }
+  if (!this->Customers.empty()) {
+    Out.writeFamily("customer_requests_total", "counter",
+                    "Requests of callers by customer, admitted to the dispatcher or refused.");
+  }
+  for (const auto &[Name, Counts] : this->Customers) {
+    Out.writeSample("customer_requests_total", {{"customer", Name.str()}, {"decision", "admitted"}},
+                    Counts.Admitted);
+    Out.writeSample("customer_requests_total", {{"customer", Name.str()}, {"decision", "refused"}},
+                    Counts.Refused);
+  }
   Out.writeSingleSample("probes_total", "counter", "Load probes sent to targets.", this->Probes);
   Out.writeSingleSample("failed_probes_total", "counter", "Probes without a usable response.",
                         this->FailedProbes);
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -30,6 +30,17 @@
   /// Maximum number of pairs of a refusal reason and a status that are counted separately.
   static constexpr std::size_t MaxRefusalSeries = 64;
 
+  /// Maximum number of customers that are counted separately.
+  static constexpr std::size_t MaxCustomers = 256;
+
+  /// Requests of one customer that came to this entry from callers.
+  struct CustomerCounts {
+    /// Passed to the dispatcher; the entry may still refuse them.
+    std::uint64_t Admitted = 0;
+    /// Refused before or after that, whatever the reason.
+    std::uint64_t Refused = 0;
+  };
+
   /// Current state of the entry.
   struct Gauges {
     std::size_t Requests = 0;
@@ -49,6 +60,12 @@
   /// The entry refused a request with a response that it wrote itself. The reason must be one of a
   /// fixed set of texts.
   void onRefused(const std::string &Reason, int Status);
+  /// A request of a customer was passed to the dispatcher.
+  void onCustomerAdmitted(const CustomerName &Name) { ++this->customerCounts(Name).Admitted; }
+  /// The entry refused a request of a customer with a response that it wrote itself.
+  void onCustomerRefused(const CustomerName &Name) { ++this->customerCounts(Name).Refused; }
+  /// Counts by customer; those beyond the limit together under the name `other`.
+  const std::map<CustomerName, CustomerCounts> &customers() const { return this->Customers; }
   /// An attempt was sent to a target. A retry is any attempt after the first of the same request.
   void onAttempt(const ServiceName &Service, bool IsRetry);
   void onAttemptEnd(const ServiceName &Service, AttemptOutcome Outcome);
@@ -80,6 +97,7 @@
 
   class Writer;
 
+  CustomerCounts &customerCounts(const CustomerName &Name);
   ServiceSeries &findOrAddSeries(const ServiceName &Service);
   void writeServices(Writer &Out, TimePoint Now);
   static void writeLatencies(Writer &Out, const std::string &Service, ServiceSeries &Series,
@@ -90,6 +108,7 @@
   void writePublications(Writer &Out) const;
 
   std::map<ServiceName, ServiceSeries> Services;
+  std::map<CustomerName, CustomerCounts> Customers;
   std::map<std::pair<std::string, int>, std::uint64_t> Refusals;
   std::uint64_t Probes = 0;
   std::uint64_t FailedProbes = 0;
--- a/src/libs/transport/OperatorPages.cpp
+++ b/src/libs/transport/OperatorPages.cpp
@@ -23,6 +23,14 @@
 
 double toSeconds(Duration Value) { return std::chrono::duration<double>(Value).count(); }
 
+Json toArray(const std::set<RegionName> &Regions) {
+  Json Result = Json::array();
+  for (const RegionName &Each : Regions) {
+    Result.push_back(Each.str());
+  }
+  return Result;
+}
+
 const char *stateName(const TargetState &View, bool IsUsable, TimePoint Now) {
   if (View.Registration.Draining) {
     return "draining";
@@ -54,6 +62,8 @@
     Exchange.respondText(200, "application/json", this->renderStatus());
   } else if (Path == "/targets") {
     Exchange.respondText(200, "application/json", this->renderTargets());
+  } else if (Path == "/customers") {
+    Exchange.respondText(200, "application/json", this->renderCustomers());
   } else if (Path == "/audit") {
     Exchange.respondText(200, "application/json", this->renderAudit(RequestTarget));
   } else if (Path == "/explain") {
@@ -69,6 +79,7 @@
   Result["state"] = toString(this->Deps.Members.state());
   Result["configuration"] = Current ? Json(Current->Version) : Json(nullptr);
   Result["routes"] = Current ? Current->Routes.size() : 0;
+  Result["customers"] = Current ? Current->Customers.size() : 0;
   Result["requests"] = this->Deps.Proxy.size();
   Result["queued"] = this->Deps.RequestDispatcher.queueLength();
   Result["entries"] = Json::array();
@@ -110,6 +121,30 @@
   return toText(Result);
 }
 
+std::string OperatorPages::renderCustomers() const {
+  const Configuration *Current = this->Deps.Proxy.configuration();
+  const auto &Counts = this->Deps.EntryMetrics.customers();
+  Json Result = Json::array();
+  if (!Current) {
+    return toText(Result);
+  }
+  for (const auto &[Name, Each] : Current->Customers) {
+    const auto Counted = Counts.find(Name);
+    const Metrics::CustomerCounts Values =
+        Counted == Counts.end() ? Metrics::CustomerCounts() : Counted->second;
+    // The number of keys only: digests are of no use to operators.
+    Result.push_back({{"customer", Name.str()},
+                      {"keys", Each.Keys.size()},
+                      {"priority", Each.Priority ? Json(*Each.Priority) : Json(nullptr)},
+                      {"home_regions", toArray(Each.HomeRegions)},
+                      {"limit_per_s", Each.RequestsPerSecond},
+                      {"burst", Each.Burst},
+                      {"admitted", Values.Admitted},
+                      {"refused", Values.Refused}});
+  }
+  return toText(Result);
+}
+
 std::string OperatorPages::renderAudit(std::string_view RequestTarget) const {
   const std::string AfterText = queryParameter(RequestTarget, "after");
   std::uint64_t After = 0;
@@ -144,9 +179,25 @@
   for (const WeightedService &Each : Matched->Services) {
     Result["services"].push_back({{"service", Each.Service.str()}, {"weight", Each.Weight}});
   }
-  Result["home_regions"] = Json::array();
-  for (const RegionName &Each : Matched->HomeRegions) {
-    Result["home_regions"].push_back(Each.str());
+  Result["home_regions"] = toArray(Matched->HomeRegions);
+  if (!this->Deps.Proxy.customers()->empty()) {
+    Result["public"] = Matched->IsPublic;
+  }
+  const CustomerName Name(queryParameter(RequestTarget, "customer"));
+  if (Name.empty()) {
+    return toText(Result);
+  }
+  const Customer *Known = this->Deps.Proxy.customers()->find(Name);
+  Result["customer"] = Known ? Json(Name.str()) : Json(nullptr);
+  if (!Known) {
+    Result["reason"] = "no such customer";
+    return toText(Result);
+  }
+  Result["priority"] = Known->Priority.value_or(Matched->Priority);
+  const auto HomeRegions = commonHomeRegions(Matched->HomeRegions, Known->HomeRegions);
+  Result["home_regions"] = toArray(HomeRegions.value_or(std::set<RegionName>()));
+  if (!HomeRegions) {
+    Result["reason"] = "no region is home region of both route and customer";
   }
   return toText(Result);
 }
--- a/src/libs/transport/OperatorPages.h
+++ b/src/libs/transport/OperatorPages.h
@@ -14,8 +14,9 @@
 class Metrics;
 class ProxyHandler;
 
-/// Operator interface: `/status`, `/targets`, `/audit?after=N`, `/explain?host=H&path=P` in JSON,
-/// and `/metrics` in the text exposition format. Read-only. Not thread-safe.
+/// Operator interface: `/status`, `/targets`, `/customers`, `/audit?after=N`,
+/// `/explain?host=H&path=P` with an optional `customer=NAME` in JSON, and `/metrics` in the text
+/// exposition format. Read-only. Not thread-safe.
 class OperatorPages final : public HttpHandler {
 public:
   struct Dependencies {
@@ -36,6 +37,7 @@
 private:
   std::string renderStatus() const;
   std::string renderTargets() const;
+  std::string renderCustomers() const;
   std::string renderAudit(std::string_view RequestTarget) const;
   std::string renderExplanation(std::string_view RequestTarget) const;
 
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -248,6 +248,9 @@
   const Customer &Applied = KnownCustomer ? *KnownCustomer : Unrestricted;
   const auto HomeRegions = commonHomeRegions(MatchedRoute->HomeRegions, Applied.HomeRegions);
   if (!HomeRegions) {
+    if (!Forward) {
+      this->Deps.RequestMetrics.onCustomerRefused(Authentication.Customer);
+    }
     this->rejectWithoutRegion(Exchange, Metadata.RequestId, *MatchedRoute, Applied);
     return;
   }
@@ -266,6 +269,9 @@
   }
   // Admission checks by customer belong here: the customer (`Attributes.Customer`, empty if there
   // is none) and the route are known, and the request has not been passed to the dispatcher.
+  if (!Forward && !Attributes.Customer.empty()) {
+    this->Deps.RequestMetrics.onCustomerAdmitted(Attributes.Customer);
+  }
   const RequestNumber Number = ++this->LastNumber;
   this->Requests[Number] = std::make_unique<ActiveRequest>(
       Number, Exchange, Attributes, Metadata.RequestId, this->RequestCallbacks);
@@ -466,6 +472,10 @@
   }
   const int Status = statusFor(Command.Kind);
   this->Deps.RequestMetrics.onRefused(Command.Reason, Status);
+  const RequestAttributes &Attributes = Request->attributes();
+  if (!Attributes.CameFromOtherEntry && !Attributes.Customer.empty()) {
+    this->Deps.RequestMetrics.onCustomerRefused(Attributes.Customer);
+  }
   logEvent(LogLevel::Info, "refused",
            {{"request", Request->id()},
             {"kind", toString(Command.Kind)},
--- a/tests/auto/anvilsaddle/tst_tool.cpp
+++ b/tests/auto/anvilsaddle/tst_tool.cpp
@@ -43,6 +43,8 @@
               R"({"state":"ready","entries":[{"address":"10.0.0.1","state":"leaving"}]})");
     } else if (RequestedPath == "/targets") {
       respond(Message, 200, R"([{"target":"a/s\u001b[2J","slots":3}])");
+    } else if (RequestedPath == "/customers") {
+      respond(Message, 200, R"([{"customer":"sese880","keys":2,"home_regions":["a"]}])");
     } else if (RequestedPath == "/audit") {
       respond(Message, 200, R"([{"sequence":5,"unix_ms":1500,"what":"configuration"}])");
     } else if (RequestedPath != "/explain") {
@@ -110,7 +112,9 @@
     };
     const Case Table[] = {
         {{"--version"}, 0, {ANVILSADDLE_VERSION}},
-        {{"--help"}, 0, {"check", "status", "targets", "audit", "explain", "trace", "Exit codes"}},
+        {{"--help"},
+         0,
+         {"check", "status", "targets", "customers", "audit", "explain", "trace", "Exit codes"}},
         {{"explain", "--help"}, 0, {"host", "--address", "--timeout", "--json"}},
         {{}, 2, {"subcommand"}},
         {{"status"}, 2, {"--address"}},
@@ -122,6 +126,8 @@
         {{"status", "-a", Address, "--json"}, 0, {R"("state": "ready")"}},
         {{"targets", "-a", Address}, 0, {"TARGET", "a/s?[2J"}},
         {{"targets", "-a", Address, "--json"}, 0, {R"("slots": 3)"}},
+        {{"customers", "-a", Address}, 0, {"CUSTOMER", "sese880", "[\"a\"]"}},
+        {{"customers", "-a", Address, "--json"}, 0, {R"("keys": 2)"}},
         {{"audit", "-a", Address}, 0, {"1970-01-01T00:00:01.500Z  configuration"}},
         {{"audit", "-a", Address, "--json"}, 0, {R"("sequence":5)"}},
         {{"explain", "h", "/x", "-a", Address}, 0, {"route     r-1", "board"}},
@@ -149,6 +155,8 @@
     FakeDaemon Daemon;
     run({"explain", "h", "/a b&host=x.y", "-a", Daemon.Address});
     CPPUNIT_ASSERT_EQUAL(std::string("host=h&path=%2Fa%20b%26host%3Dx.y"), Daemon.LastQuery);
+    run({"explain", "h", "/x", "--customer", "a&b", "-a", Daemon.Address});
+    CPPUNIT_ASSERT_EQUAL(std::string("host=h&path=%2Fx&customer=a%26b"), Daemon.LastQuery);
     run({"audit", "--after", "17", "-a", Daemon.Address});
     CPPUNIT_ASSERT_EQUAL(std::string("after=17"), Daemon.LastQuery);
   }
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -42,6 +42,9 @@
     Counters.onAttempt(Board, true);
     Counters.onAttemptEnd(Board, AttemptOutcome::Interrupted);
     Counters.onProbe(true);
+    Counters.onCustomerAdmitted(CustomerName("c"));
+    Counters.onCustomerAdmitted(CustomerName("c"));
+    Counters.onCustomerRefused(CustomerName("c"));
     Counters.onCallerDisconnected();
     UnansweredCounts Unanswered;
     Unanswered.add(CloseReason::IdleTimeout, RequestStage::Unread);
@@ -51,6 +54,8 @@
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
     const char *const Table[] = {
+        "anvilsaddle_customer_requests_total{customer=\"c\",decision=\"admitted\"} 2\n",
+        "anvilsaddle_customer_requests_total{customer=\"c\",decision=\"refused\"} 1\n",
         "anvilsaddle_request_duration_seconds_bucket{service=\"board\",le=\"0.1\"} 1\n",
         "anvilsaddle_request_duration_seconds_bucket{service=\"board\",le=\"0.2\"} 2\n",
         "anvilsaddle_request_duration_seconds_bucket{service=\"board\",le=\"3.2\"} 3\n",
@@ -90,9 +95,12 @@
     for (std::size_t Index = 0; Index < 2 * Metrics::MaxServices; ++Index) {
       Counters.onAttempt(ServiceName("s" + std::to_string(Index)), false);
       Counters.onRefused("r" + std::to_string(Index), 503);
+      Counters.onCustomerRefused(CustomerName("c" + std::to_string(Index)));
     }
     const std::string Text = Counters.render(Start);
     CPPUNIT_ASSERT_EQUAL(Metrics::MaxServices + 1, countLines(Text, "anvilsaddle_attempts_total{"));
+    CPPUNIT_ASSERT_EQUAL(2 * (Metrics::MaxCustomers + 1),
+                         countLines(Text, "anvilsaddle_customer_requests_total{"));
     CPPUNIT_ASSERT_EQUAL(Metrics::MaxRefusalSeries + 1,
                          countLines(Text, "anvilsaddle_refusals_total{"));
   }
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -3,14 +3,17 @@
 #include "Loopback.h"
 #include "Property.h"
 #include "coordination/dispatch/Dispatcher.h"
+#include "coordination/membership/Membership.h"
 #include "model/SeededRandom.h"
 #include "protocol/ApiKey.h"
 #include "protocol/ForwardedCustomer.h"
 #include "protocol/GlibMessageAuthenticator.h"
 #include "protocol/Metrics.h"
+#include "state/AuditTrail.h"
 #include "transport/ConnectionPool.h"
 #include "transport/ForwardHandler.h"
 #include "transport/HttpServer.h"
+#include "transport/OperatorPages.h"
 #include "transport/ProbeRunner.h"
 #include "transport/ProxyHandler.h"
 #include "transport/SystemClock.h"
@@ -259,6 +262,7 @@
   CPPUNIT_TEST(applicationsWithoutCustomers);
   CPPUNIT_TEST(revokedKeys);
   CPPUNIT_TEST(homeRegionsOfCustomers);
+  CPPUNIT_TEST(customersOnOperatorPages);
   CPPUNIT_TEST(forwardedCustomers);
   CPPUNIT_TEST(customersOfOtherEntries);
   CPPUNIT_TEST(forwardedRequests);
@@ -539,6 +543,56 @@
     }
   }
 
+  /// Guards against pages that show keys or digests, or other customers and decisions than those in
+  /// force.
+  void customersOnOperatorPages() {
+    TestEntry Entry;
+    Entry.configure();
+    Entry.addCustomers();
+    Entry.changeConfiguration([](Configuration &Value) {
+      Value.Routes.front().HomeRegions = {RegionName("a")};
+      Value.Customers.at(CustomerName("first")).Priority = 4;
+    });
+    FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+    Entry.addTarget("t1", Target.Server.Port);
+    for (const char *Key : {"key-1", "key-2", "key-b", "key-3"}) {
+      exchangeWith(Entry.Server.port(),
+                   withFields(makeRequest("GET", "/safe/1"),
+                              std::string("Authorization: Bearer ") + Key + "\r\n"));
+    }
+    EntryRecord Own;
+    Own.Address = "127.0.0.1";
+    Membership Members(Own, makeTopology(), {}, Entry.Random, Entry.Time.now());
+    AuditTrail Audit(1);
+    OperatorPages Pages(
+        {Entry.RequestDispatcher, Members, Entry.Proxy, Audit, Entry.RequestMetrics, Entry.Time});
+    HttpServer Server(Pages, Entry.Time, 10);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Server.listen({"127.0.0.1", 0}));
+    const std::pair<const char *, const char *> Table[] = {
+        {"/customers",
+         R"([{"customer":"first","keys":2,"priority":4,"home_regions":[],"limit_per_s":0.0,)"
+         R"("burst":0.0,"admitted":2,"refused":0},{"customer":"second","keys":1,"priority":null,)"
+         R"("home_regions":["b"],"limit_per_s":0.0,"burst":0.0,"admitted":0,"refused":1}])"},
+        {"/status", R"("customers":2)"},
+        {"/explain?host=h&path=/safe/x&customer=first",
+         R"("home_regions":["a"],"public":false,"customer":"first","priority":4})"},
+        {"/explain?host=h&path=/safe/x&customer=second",
+         R"("home_regions":[],"public":false,"customer":"second","priority":0,)"
+         R"("reason":"no region is home region of both route and customer"})"},
+        {"/explain?host=h&path=/public/x", R"("public":true})"},
+        {"/explain?host=h&path=/safe/x&customer=x",
+         R"("customer":null,"reason":"no such customer"})"},
+        {"/metrics", "customer_requests_total{customer=\"first\",decision=\"admitted\"} 2\n"},
+        {"/metrics", "refusals_total{reason=\"unknown API key\",status=\"401\"} 1\n"},
+    };
+    for (const auto &[Path, Expected] : Table) {
+      const std::string Response =
+          exchangeWith(Server.port(), std::string("GET ") + Path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(Response, Response.find(Expected) != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(Path, Response.find("key-") == std::string::npos);
+    }
+  }
+
   /// Guards against callers that take the part of another entry to get around the authentication or
   /// to act as another customer, and against another entry's decision that is not followed.
   void forwardedCustomers() {
