--- a/tests/auto/libs/coordination/tst_dispatchload.cpp
+++ b/tests/auto/libs/coordination/tst_dispatchload.cpp
@@ -101,9 +101,56 @@
   CPPUNIT_TEST_SUITE(DispatchLoadTest);
   CPPUNIT_TEST(recoversFromBursts);
   CPPUNIT_TEST(servesInTimeDuringOverload);
+  CPPUNIT_TEST(customersKeepTheirShareDuringAFlood);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /// Guards against a customer whose flood takes the slots of others: while it sends several times
+  /// what the targets can process, each other customer must be served at a quarter of the mean rate
+  /// at least, also if its requests arrive too late to meet their objective.
+  void customersKeepTheirShareDuringAFlood() {
+    constexpr int Customers = 4;
+    constexpr Duration Time = 20s;
+    const double Capacity = TargetCount * Slots * (1s / ProcessingTime);
+    for (const bool ArrivesLate : {false, true}) {
+      DispatcherHarness Harness;
+      const LoadedTargets Targets(Harness, 1);
+      std::map<RequestNumber, int> CustomerByRequest;
+      const TimePoint End = Harness.Now + Time;
+      // The flood is four times the capacity; the others send their shares.
+      const double OthersPerSecond = Capacity * (Customers - 1) / Customers;
+      const double TotalPerSecond = 4 * Capacity + OthersPerSecond;
+      while (Harness.Now < End) {
+        Harness.run(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            -std::log(1 - Harness.Random.uniform()) / TotalPerSecond)));
+        const bool IsFlood = Harness.Random.uniform() * TotalPerSecond >= OthersPerSecond;
+        const int Customer =
+            IsFlood ? 0 : 1 + static_cast<int>(Harness.Random.uniform() * (Customers - 1));
+        RequestAttributes Attributes = Harness.attributes();
+        Attributes.Customer = CustomerName(std::to_string(Customer));
+        Attributes.Objective = Objective;
+        if (!IsFlood && ArrivesLate) {
+          Attributes.ReceivedAt -= Objective;
+        }
+        CustomerByRequest[Harness.request(Attributes)] = Customer;
+      }
+      std::map<int, int> Served;
+      for (const auto &[Number, Customer] : CustomerByRequest) {
+        const auto *Completed = Harness.completionOf(Number);
+        Served[Customer] += Completed && Completed->DeliveredAttempt ? 1 : 0;
+      }
+      const double Total = Served[0] + Served[1] + Served[2] + Served[3];
+      for (int Customer = 1; Customer < Customers; ++Customer) {
+        CPPUNIT_ASSERT_MESSAGE(std::string(ArrivesLate ? "late: " : "in time: ") +
+                                   std::to_string(Served[Customer]) + " of " +
+                                   std::to_string(Total),
+                               Served[Customer] >= Total / Customers / 4);
+      }
+      CPPUNIT_ASSERT_MESSAGE("the capacity is used",
+                             Total >= Capacity * std::chrono::duration<double>(Time).count() / 2);
+    }
+  }
+
   /// Guards against an overload that persists after its cause: targets that slow down when all
   /// their slots are taken stay saturated, although they could serve the arriving load with one
   /// slot idle (shyrynkol-press scale-2). Also guards against slots that stay idle at targets that
