Test what a revoked key does to requests in progress

A request that waits for a target, is retried or whose response is streamed when a version without its key arrives is served to its end for its customer.

--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -261,6 +261,7 @@
   CPPUNIT_TEST(unauthenticatedUploads);
   CPPUNIT_TEST(applicationsWithoutCustomers);
   CPPUNIT_TEST(revokedKeys);
+  CPPUNIT_TEST(revokedKeysOfRequestsInProgress);
   CPPUNIT_TEST(homeRegionsOfCustomers);
   CPPUNIT_TEST(customersOnOperatorPages);
   CPPUNIT_TEST(forwardedCustomers);
@@ -499,6 +500,67 @@
     CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(exchangeWith(Entry.Server.port(), Request)));
   }
 
+  /// Guards against a revocation that ends requests which were accepted before it, or takes their
+  /// customer from them: one that waits for a target, one that is retried, and one whose response
+  /// is being streamed.
+  void revokedKeysOfRequestsInProgress() {
+    const std::string Request =
+        withFields(makeRequest("GET", "/safe/1"), "Authorization: Bearer key-1\r\n");
+    const std::string Ok = makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good");
+    const auto Revoke = [](TestEntry &Entry) {
+      Entry.changeConfiguration(
+          [](Configuration &Value) { Value.Customers.erase(CustomerName("first")); });
+    };
+    const auto StartRequest = [&Request](TestEntry &Entry) {
+      Entry.configure({{ServiceName("s"), 1}}, 5s);
+      Entry.addCustomers();
+      auto Caller = RawConnection::connect(Entry.Server.port());
+      Caller->send(Request);
+      CPPUNIT_ASSERT(runUntil([&] { return Entry.Proxy.size() == 1; }));
+      return Caller;
+    };
+    {
+      FakeTarget Target(Ok);
+      TestEntry Entry;
+      const auto Caller = StartRequest(Entry);
+      CPPUNIT_ASSERT(runUntil([&] { return Entry.RequestDispatcher.queueLength() == 1; }));
+      Revoke(Entry);
+      Entry.addTarget("t1", Target.Server.Port);
+      CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.ends_with("good"); }));
+      CPPUNIT_ASSERT_EQUAL(std::string("first;"),
+                           valuesOf("Customer", Target.Server.Requests.back()));
+    }
+    {
+      FakeTarget First("");
+      FakeTarget Second(Ok);
+      TestEntry Entry;
+      Entry.addTarget("t1", First.Server.Port);
+      const auto Caller = StartRequest(Entry);
+      CPPUNIT_ASSERT(runUntil([&] { return First.Requests == 1; }));
+      Revoke(Entry);
+      Entry.addTarget("t2", Second.Server.Port);
+      First.RequestConnections.back()->send(makeResponse("503 Busy", "Not-Run: 1\r\n", ""));
+      CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.ends_with("good"); }));
+      CPPUNIT_ASSERT_EQUAL(std::string("first;"),
+                           valuesOf("Customer", Second.Server.Requests.back()));
+    }
+    {
+      const std::string End(StreamingBytes, 'e');
+      FakeTarget Target("HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nContent-Length: " +
+                        std::to_string(BufferedBytes + 2 * StreamingBytes) + "\r\n\r\n" +
+                        bodyBytes(BufferedBytes + StreamingBytes));
+      TestEntry Entry;
+      Entry.addTarget("t1", Target.Server.Port);
+      const auto Caller = StartRequest(Entry);
+      CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.size() > BufferedBytes; }));
+      Revoke(Entry);
+      runPending();
+      CPPUNIT_ASSERT(!Caller->Closed);
+      Target.RequestConnections.back()->send(End);
+      CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.ends_with(End); }));
+    }
+  }
+
   /// Guards against requests that are served outside of the home regions of their customer, and
   /// against holding a request that no region may serve until its deadline.
   void homeRegionsOfCustomers() {
