--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -274,6 +274,9 @@
   const Customer &Applied = KnownCustomer ? *KnownCustomer : Unrestricted;
   const auto HomeRegions = commonHomeRegions(MatchedRoute->HomeRegions, Applied.HomeRegions);
   if (!HomeRegions) {
+    if (!Forward) {
+      this->Deps.RequestMetrics.onCustomerRefused(Authentication.Customer);
+    }
     this->rejectWithoutRegion(Exchange, Metadata.RequestId, *MatchedRoute, Applied);
     return;
   }
@@ -290,9 +293,11 @@
     // The latency objective is measured from the arrival at the first entry.
     Attributes.ReceivedAt -= Forward->Elapsed;
   }
-  if (!Forward && !Attributes.Customer.empty() &&
-      !this->admitToQuota(Exchange, Metadata.RequestId, Attributes.Customer)) {
-    return;
+  if (!Forward && !Attributes.Customer.empty()) {
+    if (!this->admitToQuota(Exchange, Metadata.RequestId, Attributes.Customer)) {
+      return;
+    }
+    this->Deps.RequestMetrics.onCustomerAdmitted(Attributes.Customer);
   }
   if (MatchedRoute->HasLargeResponses || this->StreamedRoutes.contains(MatchedRoute->Name)) {
     Exchange.holdLaterRequests();
@@ -543,6 +548,10 @@
     this->Deps.Quotas.refund(Attributes.Customer, this->Deps.Time.now());
   }
   this->Deps.RequestMetrics.onRefused(Command.Reason, Status);
+  const RequestAttributes &Attributes = Request->attributes();
+  if (!Attributes.CameFromOtherEntry && !Attributes.Customer.empty()) {
+    this->Deps.RequestMetrics.onCustomerRefused(Attributes.Customer);
+  }
   logEvent(LogLevel::Info, "refused",
            {{"request", Request->id()},
             {"kind", toString(Command.Kind)},
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -4,14 +4,17 @@
 #include "Property.h"
 #include "coordination/dispatch/Dispatcher.h"
 #include "coordination/limits/CustomerQuotas.h"
+#include "coordination/membership/Membership.h"
 #include "model/SeededRandom.h"
 #include "protocol/ApiKey.h"
 #include "protocol/ForwardedCustomer.h"
 #include "protocol/GlibMessageAuthenticator.h"
 #include "protocol/Metrics.h"
+#include "state/AuditTrail.h"
 #include "transport/ConnectionPool.h"
 #include "transport/ForwardHandler.h"
 #include "transport/HttpServer.h"
+#include "transport/OperatorPages.h"
 #include "transport/ProbeRunner.h"
 #include "transport/ProxyHandler.h"
 #include "transport/SystemClock.h"
@@ -262,7 +265,9 @@
   CPPUNIT_TEST(unauthenticatedUploads);
   CPPUNIT_TEST(applicationsWithoutCustomers);
   CPPUNIT_TEST(revokedKeys);
+  CPPUNIT_TEST(revokedKeysOfRequestsInProgress);
   CPPUNIT_TEST(homeRegionsOfCustomers);
+  CPPUNIT_TEST(customersOnOperatorPages);
   CPPUNIT_TEST(forwardedCustomers);
   CPPUNIT_TEST(customersOfOtherEntries);
   CPPUNIT_TEST(forwardedRequests);
@@ -504,6 +509,67 @@
     CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(exchangeWith(Entry.Server.port(), Request)));
   }
 
+  /// Guards against a revocation that ends requests which were accepted before it, or takes their
+  /// customer from them: one that waits for a target, one that is retried, and one whose response
+  /// is being streamed.
+  void revokedKeysOfRequestsInProgress() {
+    const std::string Request =
+        withFields(makeRequest("GET", "/safe/1"), "Authorization: Bearer key-1\r\n");
+    const std::string Ok = makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good");
+    const auto Revoke = [](TestEntry &Entry) {
+      Entry.changeConfiguration(
+          [](Configuration &Value) { Value.Customers.erase(CustomerName("first")); });
+    };
+    const auto StartRequest = [&Request](TestEntry &Entry) {
+      Entry.configure({{ServiceName("s"), 1}}, 5s);
+      Entry.addCustomers();
+      auto Caller = RawConnection::connect(Entry.Server.port());
+      Caller->send(Request);
+      CPPUNIT_ASSERT(runUntil([&] { return Entry.Proxy.size() == 1; }));
+      return Caller;
+    };
+    {
+      FakeTarget Target(Ok);
+      TestEntry Entry;
+      const auto Caller = StartRequest(Entry);
+      CPPUNIT_ASSERT(runUntil([&] { return Entry.RequestDispatcher.queueLength() == 1; }));
+      Revoke(Entry);
+      Entry.addTarget("t1", Target.Server.Port);
+      CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.ends_with("good"); }));
+      CPPUNIT_ASSERT_EQUAL(std::string("first;"),
+                           valuesOf("Customer", Target.Server.Requests.back()));
+    }
+    {
+      FakeTarget First("");
+      FakeTarget Second(Ok);
+      TestEntry Entry;
+      Entry.addTarget("t1", First.Server.Port);
+      const auto Caller = StartRequest(Entry);
+      CPPUNIT_ASSERT(runUntil([&] { return First.Requests == 1; }));
+      Revoke(Entry);
+      Entry.addTarget("t2", Second.Server.Port);
+      First.RequestConnections.back()->send(makeResponse("503 Busy", "Not-Run: 1\r\n", ""));
+      CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.ends_with("good"); }));
+      CPPUNIT_ASSERT_EQUAL(std::string("first;"),
+                           valuesOf("Customer", Second.Server.Requests.back()));
+    }
+    {
+      const std::string End(StreamingBytes, 'e');
+      FakeTarget Target("HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nContent-Length: " +
+                        std::to_string(BufferedBytes + 2 * StreamingBytes) + "\r\n\r\n" +
+                        bodyBytes(BufferedBytes + StreamingBytes));
+      TestEntry Entry;
+      Entry.addTarget("t1", Target.Server.Port);
+      const auto Caller = StartRequest(Entry);
+      CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.size() > BufferedBytes; }));
+      Revoke(Entry);
+      runPending();
+      CPPUNIT_ASSERT(!Caller->Closed);
+      Target.RequestConnections.back()->send(End);
+      CPPUNIT_ASSERT(runUntil([&] { return Caller->Received.ends_with(End); }));
+    }
+  }
+
   /// Guards against requests that are served outside of the home regions of their customer, and
   /// against holding a request that no region may serve until its deadline.
   void homeRegionsOfCustomers() {
@@ -548,6 +614,56 @@
     }
   }
 
+  /// Guards against pages that show keys or digests, or other customers and decisions than those in
+  /// force.
+  void customersOnOperatorPages() {
+    TestEntry Entry;
+    Entry.configure();
+    Entry.addCustomers();
+    Entry.changeConfiguration([](Configuration &Value) {
+      Value.Routes.front().HomeRegions = {RegionName("a")};
+      Value.Customers.at(CustomerName("first")).Priority = 4;
+    });
+    FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+    Entry.addTarget("t1", Target.Server.Port);
+    for (const char *Key : {"key-1", "key-2", "key-b", "key-3"}) {
+      exchangeWith(Entry.Server.port(),
+                   withFields(makeRequest("GET", "/safe/1"),
+                              std::string("Authorization: Bearer ") + Key + "\r\n"));
+    }
+    EntryRecord Own;
+    Own.Address = "127.0.0.1";
+    Membership Members(Own, makeTopology(), {}, Entry.Random, Entry.Time.now());
+    AuditTrail Audit(1);
+    OperatorPages Pages(
+        {Entry.RequestDispatcher, Members, Entry.Proxy, Audit, Entry.RequestMetrics, Entry.Time});
+    HttpServer Server(Pages, Entry.Time, 10);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Server.listen({"127.0.0.1", 0}));
+    const std::pair<const char *, const char *> Table[] = {
+        {"/customers",
+         R"([{"customer":"first","keys":2,"priority":4,"home_regions":[],"limit_per_s":0.0,)"
+         R"("burst":0.0,"admitted":2,"refused":0},{"customer":"second","keys":1,"priority":null,)"
+         R"("home_regions":["b"],"limit_per_s":0.0,"burst":0.0,"admitted":0,"refused":1}])"},
+        {"/status", R"("customers":2)"},
+        {"/explain?host=h&path=/safe/x&customer=first",
+         R"("home_regions":["a"],"public":false,"customer":"first","priority":4})"},
+        {"/explain?host=h&path=/safe/x&customer=second",
+         R"("home_regions":[],"public":false,"customer":"second","priority":0,)"
+         R"("reason":"no region is home region of both route and customer"})"},
+        {"/explain?host=h&path=/public/x", R"("public":true})"},
+        {"/explain?host=h&path=/safe/x&customer=x",
+         R"("customer":null,"reason":"no such customer"})"},
+        {"/metrics", "customer_requests_total{customer=\"first\",decision=\"admitted\"} 2\n"},
+        {"/metrics", "refusals_total{reason=\"unknown API key\",status=\"401\"} 1\n"},
+    };
+    for (const auto &[Path, Expected] : Table) {
+      const std::string Response =
+          exchangeWith(Server.port(), std::string("GET ") + Path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(Response, Response.find(Expected) != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(Path, Response.find("key-") == std::string::npos);
+    }
+  }
+
   /// Guards against callers that take the part of another entry to get around the authentication or
   /// to act as another customer, and against another entry's decision that is not followed.
   void forwardedCustomers() {
