--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -428,6 +428,7 @@
   }
   const std::string Reason = toString(Decision.Reason);
   this->Deps.RequestMetrics.onRefused(Reason, TooManyRequests);
+  this->Deps.RequestMetrics.onCustomerRefused(Customer);
   logEvent(LogLevel::Info, "refused",
            {{"request", Id},
             {"kind", "over_quota"},
@@ -542,15 +543,13 @@
     return;
   }
   const int Status = statusFor(Command.Kind);
-  const RequestAttributes &Attributes = Request->attributes();
-  if (Command.Kind == RefusalKind::NotExecuted && !Attributes.CameFromOtherEntry &&
-      !Attributes.Customer.empty()) {
-    this->Deps.Quotas.refund(Attributes.Customer, this->Deps.Time.now());
-  }
   this->Deps.RequestMetrics.onRefused(Command.Reason, Status);
   const RequestAttributes &Attributes = Request->attributes();
   if (!Attributes.CameFromOtherEntry && !Attributes.Customer.empty()) {
     this->Deps.RequestMetrics.onCustomerRefused(Attributes.Customer);
+    if (Command.Kind == RefusalKind::NotExecuted) {
+      this->Deps.Quotas.refund(Attributes.Customer, this->Deps.Time.now());
+    }
   }
   logEvent(LogLevel::Info, "refused",
            {{"request", Request->id()},
