Admit requests that are not idempotent by the time that is left

Cause: a request that is not idempotent was sent to the best target of its search although the run would still be going on at the route's timeout: where most targets are slow, the best one is often several times slower than usual. Such a run is cut off (504) and holds a slot until then. Requests beyond the capacity were refused only after they missed their objective in the queue.

Change: before each send, RunAdmission compares the time left with the time at the target if its reported slowdown lasts, and with the expected time, which takes the part of the slowdown that runs of the route have experienced so far. The request is sent, waits for a better target, or is refused at once. A request with at least four others ahead is refused at once if its expected wait exceeds a third of the time to its objective; ShortageEstimator measures the interval of dispatches across empty queues. Idempotent requests are handled as before.

--- a/src/libs/coordination/dispatch/DispatchQueue.cpp
+++ b/src/libs/coordination/dispatch/DispatchQueue.cpp
@@ -113,9 +113,21 @@
   if (!Interval) {
     return std::nullopt;
   }
+  return *Interval * static_cast<std::int64_t>(this->countAhead(Attributes, ProcessingTime, Now));
+}
+
+std::size_t DispatchQueue::countAhead(const RequestAttributes &Attributes, Duration ProcessingTime,
+                                      TimePoint Now) const {
   constexpr RequestNumber Newest = std::numeric_limits<RequestNumber>::max();
-  const std::size_t Ahead = this->countAhead(makeKey(Newest, Attributes, ProcessingTime, Now), Now);
-  return *Interval * static_cast<std::int64_t>(Ahead);
+  return this->countAhead(makeKey(Newest, Attributes, ProcessingTime, Now), Now);
+}
+
+std::size_t DispatchQueue::countEarlier(const RequestAttributes &Attributes,
+                                        Duration ProcessingTime, TimePoint Now) const {
+  constexpr RequestNumber Newest = std::numeric_limits<RequestNumber>::max();
+  const auto FirstBehind =
+      this->Order.upper_bound(makeKey(Newest, Attributes, ProcessingTime, Now));
+  return static_cast<std::size_t>(std::distance(this->Order.begin(), FirstBehind));
 }
 
 std::size_t DispatchQueue::countAhead(const SortKey &New, TimePoint Now) const {
--- a/src/libs/coordination/dispatch/DispatchQueue.h
+++ b/src/libs/coordination/dispatch/DispatchQueue.h
@@ -48,6 +48,12 @@
   /// many requests arrived.
   std::optional<Duration> expectedWait(const RequestAttributes &Attributes, Duration ProcessingTime,
                                        TimePoint Now) const;
+  /// Number of queued requests that go before one that arrives now.
+  std::size_t countAhead(const RequestAttributes &Attributes, Duration ProcessingTime,
+                         TimePoint Now) const;
+  /// The same without the reversed order of an overload.
+  std::size_t countEarlier(const RequestAttributes &Attributes, Duration ProcessingTime,
+                           TimePoint Now) const;
 
 private:
   struct SortKey {
--- a/src/libs/coordination/dispatch/DispatchRequest.h
+++ b/src/libs/coordination/dispatch/DispatchRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/dispatch/DispatchTypes.h"
+#include "coordination/dispatch/RunAdmission.h"
 #include "coordination/dispatch/TargetFinder.h"
 #include "state/Endpoint.h"
 #include "state/Time.h"
@@ -41,6 +42,14 @@
   /// Attempt that ended with a complete response of status 500 or above.
   std::optional<AttemptNumber> ErrorResponse;
   std::optional<TimePoint> HedgeAt;
+  /// Time at which the request was queued first; nothing if it was not queued since its last
+  /// attempt.
+  std::optional<TimePoint> QueuedAt;
+  /// Number of times that the request was not sent to the best target, because a better one may
+  /// come free in time.
+  std::uint32_t DeferralCount = 0;
+  /// The last search showed that no target is expected to complete the request in time.
+  std::optional<RunAdmission> Refused;
   /// The response of the only running attempt is being sent to the caller.
   bool IsCommitted = false;
 
--- a/src/libs/coordination/dispatch/DispatchState.cpp
+++ b/src/libs/coordination/dispatch/DispatchState.cpp
@@ -1,5 +1,6 @@
 #include "coordination/dispatch/DispatchState.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilsaddle {
@@ -9,6 +10,9 @@
 /// A request can't be served in time if less than this fraction of the usual processing time is
 /// left until its deadline.
 constexpr double MinProcessingTimeFraction = 0.5;
+/// The same if the request is not idempotent: a run that is cut off can't be repeated, and half of
+/// the runs take longer than usual.
+constexpr double NonIdempotentMinTimeFraction = 0.9;
 
 } // namespace
 
@@ -20,7 +24,26 @@
 Duration DispatchState::minProcessingTime(const RequestAttributes &Attributes,
                                           TimePoint Now) const {
   return scaled(this->Estimates.estimate(Attributes, Now).ProcessingTime,
-                MinProcessingTimeFraction);
+                Attributes.Idempotent ? MinProcessingTimeFraction : NonIdempotentMinTimeFraction);
+}
+
+Duration DispatchState::expectedWait(const RequestAttributes &Attributes, TimePoint Now) const {
+  const auto Found = this->Queues.find(Attributes.Service);
+  if (Found == this->Queues.end()) {
+    return Duration(0);
+  }
+  const ServiceQueue &Queue = Found->second;
+  const Duration ProcessingTime = this->Estimates.estimate(Attributes, Now).ProcessingTime;
+  const Duration Wait =
+      Queue.Requests.expectedWait(Attributes, ProcessingTime, Now).value_or(Duration(0));
+  const auto Interval = Queue.Shortage.dispatchInterval(Now);
+  // A late response to an idempotent request costs less than an estimate that is too long.
+  if (!Interval || Attributes.Idempotent) {
+    return Wait;
+  }
+  // The first request in the queue also waits for a slot.
+  const auto Ahead = Queue.Requests.countAhead(Attributes, ProcessingTime, Now);
+  return std::max(Wait, *Interval * static_cast<std::int64_t>(Ahead + 1));
 }
 
 void DispatchState::updateTimer(RequestNumber Number, const DispatchRequest &Request) {
--- a/src/libs/coordination/dispatch/DispatchState.h
+++ b/src/libs/coordination/dispatch/DispatchState.h
@@ -42,6 +42,8 @@
   /// Shortest time that a target needs for the request. A request with less time left can't be
   /// served. Thread safety as for the whole object.
   Duration minProcessingTime(const RequestAttributes &Attributes, TimePoint Now) const;
+  /// Expected wait of a request that is queued now. Thread safety as for the whole object.
+  Duration expectedWait(const RequestAttributes &Attributes, TimePoint Now) const;
   /// Sets the timer of the request to the next event that it waits for.
   void updateTimer(RequestNumber Number, const DispatchRequest &Request);
 
@@ -54,6 +56,7 @@
   std::map<RequestNumber, DispatchRequest> Requests;
   RequestTimers Timers;
   std::vector<Effect> Effects;
+  DispatchCounters Counters;
   /// Time of the final responses; set once the entry shuts down.
   std::optional<TimePoint> ShutdownTime;
 };
--- a/src/libs/coordination/dispatch/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -105,6 +105,13 @@
   Duration ExpectedCost{0};
   std::size_t CandidateCount = 0;
   bool IsHedge = false;
+  /// Expected time until the response, the same if the reported slowdown lasts, and the time until
+  /// the deadline.
+  Duration ExpectedTime{0};
+  Duration TimeIfSlowdownLasts{0};
+  Duration TimeLeft{0};
+  /// Number of times that the request waited for a better target.
+  std::uint32_t DeferralCount = 0;
 
   auto operator<=>(const PlacementDetails &) const = default;
 };
@@ -161,6 +168,32 @@
 
 const char *toString(RefusalKind Kind);
 
+/// Figures behind a refusal, for the log.
+struct RefusalDetails {
+  /// Time until the deadline.
+  Duration TimeLeft{0};
+  /// Expected wait for a free slot, and expected time at a target after that.
+  Duration ExpectedWait{0};
+  Duration ExpectedTime{0};
+  std::uint32_t DeferralCount = 0;
+
+  auto operator<=>(const RefusalDetails &) const = default;
+};
+
+/// Numbers of decisions since the start of the entry. Value type.
+struct DispatchCounters {
+  /// Searches that sent a request to no target, because a better one may come free in time.
+  std::uint64_t RunsDeferred = 0;
+  /// Requests refused because no target is expected to complete them in time.
+  std::uint64_t RunsRefused = 0;
+  /// Requests sent although they are not expected to end in time, to learn whether they do.
+  std::uint64_t RunsExplored = 0;
+  /// Requests refused because they would wait for a slot for too long.
+  std::uint64_t WaitsRefused = 0;
+
+  auto operator<=>(const DispatchCounters &) const = default;
+};
+
 /// Refuses the request without a response of a target. The request is removed.
 struct RefuseRequest {
   RequestNumber Request = 0;
@@ -169,6 +202,7 @@
   std::string Reason;
   /// Time after which the caller may retry; zero if a retry is not suggested.
   Duration RetryAfter{0};
+  RefusalDetails Details{};
 
   auto operator<=>(const RefuseRequest &) const = default;
 };
--- a/src/libs/coordination/dispatch/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -160,6 +160,10 @@
 
 void Dispatcher::onProbe(const TargetName &Name, const ProbeReport &Report, TimePoint Now) {
   this->State.Finder.onProbe(Name, Report, Now);
+  const TargetState *Target = this->State.targets().find(Name);
+  if (Target && Report.HasLoad) {
+    this->State.Queues[Target->Registration.Service].Slowdowns.add(Report.Load.Slowdown, Now);
+  }
   this->Searches.resumeSearches(Name, Now);
 }
 
--- a/src/libs/coordination/dispatch/Dispatcher.h
+++ b/src/libs/coordination/dispatch/Dispatcher.h
@@ -85,6 +85,7 @@
 
   std::size_t requestCount() const { return this->State.Requests.size(); }
   std::size_t queueLength() const;
+  const DispatchCounters &counters() const { return this->State.Counters; }
 
 private:
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
--- a/src/libs/coordination/dispatch/Placement.cpp
+++ b/src/libs/coordination/dispatch/Placement.cpp
@@ -46,14 +46,26 @@
   return Factor < MinSaturationFactor ? 1 : 1 + (Factor - 1) / SaturatedTimeFraction;
 }
 
+Duration roundTrip(Distance Proximity) {
+  switch (Proximity) {
+  case Distance::SameDomain:
+    return 0us;
+  case Distance::SameRegion:
+    return RegionRoundTrip;
+  case Distance::OtherRegion:
+    return OtherRegionRoundTrip;
+  }
+  return OtherRegionRoundTrip;
+}
+
 Duration distanceCost(Distance Proximity, double Bytes) {
   switch (Proximity) {
   case Distance::SameDomain:
     return 0us;
   case Distance::SameRegion:
-    return RegionRoundTrip + Duration(std::llround(Bytes * RegionMicrosecondsPerByte));
+    return roundTrip(Proximity) + Duration(std::llround(Bytes * RegionMicrosecondsPerByte));
   case Distance::OtherRegion:
-    return OtherRegionRoundTrip + Duration(std::llround(Bytes * OtherRegionMicrosecondsPerByte));
+    return roundTrip(Proximity) + Duration(std::llround(Bytes * OtherRegionMicrosecondsPerByte));
   }
   return OtherRegionRoundTrip;
 }
@@ -85,7 +97,8 @@
   const std::uint32_t QueuedAhead = Outstanding + 1 > Usable ? Outstanding + 1 - Usable : 0;
   const std::uint32_t UsableSlotsLeft = Usable - std::min(Usable, Outstanding + 1);
   const bool HasCapacity = QueuedAhead == 0 || (Usable == Slots && QueuedAhead <= MaxQueuedAhead);
-  const double Slowdown = 1 + (std::max(0.5, Load.Slowdown) - 1) * PersistentSlowdownFraction;
+  const double ReportedSlowdown = std::max(0.5, Load.Slowdown);
+  const double Slowdown = 1 + (ReportedSlowdown - 1) * PersistentSlowdownFraction;
   const std::uint32_t Waiting = Outstanding + 1 > Slots ? Outstanding + 1 - Slots : 0;
   const SlotOccupancy OccupancyAtStart = slotOccupancy(std::min(Outstanding + 1, Slots), Slots);
   const double Occupancy = std::min(1.0, static_cast<double>(Outstanding) / Slots);
@@ -95,13 +108,18 @@
   const double FailureFactor = 1 + FailurePenalty * Candidate.FailureScore;
   const auto ResponseTime = std::chrono::duration_cast<Duration>(
       Estimate.ProcessingTime * (Slowdown * TotalRounds * FailureFactor));
+  const auto TimeAt = [&](double Factor) {
+    return scaled(Estimate.ProcessingTime, Factor * TotalRounds) + roundTrip(Candidate.Proximity);
+  };
   return {Candidate.Index,
           ResponseTime + distanceCost(Candidate.Proximity, Estimate.ResponseBytes),
           Outstanding,
           QueuedAhead,
           UsableSlotsLeft,
           HasCapacity,
-          Waiting == 0 ? std::optional(OccupancyAtStart) : std::nullopt};
+          Waiting == 0 ? std::optional(OccupancyAtStart) : std::nullopt,
+          TimeAt(1 + (ReportedSlowdown - 1) * Estimate.SlowdownPersistence),
+          TimeAt(ReportedSlowdown)};
 }
 
 std::optional<PlacementChoice> chooseBest(const std::vector<PlacementCandidate> &Candidates,
--- a/src/libs/coordination/dispatch/Placement.h
+++ b/src/libs/coordination/dispatch/Placement.h
@@ -42,6 +42,10 @@
   bool HasCapacity = false;
   /// Occupancy of the target with this request; nothing if the request would wait for a slot.
   std::optional<SlotOccupancy> Occupancy;
+  /// Expected time until the response, without the price of the distance.
+  Duration ExpectedTime{0};
+  /// The same if the reported slowdown lasts until the response.
+  Duration TimeIfSlowdownLasts{0};
 
   auto operator<=>(const PlacementChoice &) const = default;
 };
--- a/src/libs/coordination/dispatch/ProcessingTimeEstimator.h
+++ b/src/libs/coordination/dispatch/ProcessingTimeEstimator.h
@@ -19,6 +19,9 @@
     double ResponseBytes = 0;
     /// Processing times at targets with higher occupancy, relative to ProcessingTime.
     SaturationFactors Saturation{};
+    /// Part of the slowdown that a target reports when a request is sent that the run of this
+    /// length experiences on average.
+    double SlowdownPersistence = 0.6;
   };
 
   /// The objective provides the initial estimate of a route without responses.
@@ -28,8 +31,19 @@
   void onResponse(const RouteName &Route, Duration Objective, Duration Elapsed, double Slowdown,
                   double ResponseBytes);
 
+  /// Updates the persistence of reported slowdowns. `Ratio` is the time of a run relative to the
+  /// one expected at a target with the same load and without slowdown.
+  void onSlowdownSeen(const RouteName &Route, double ReportedSlowdown, double Ratio);
+
 private:
+  /// Sums of the regression of the experienced slowdown on the reported one.
+  struct Persistence {
+    double Products = 0;
+    double Squares = 0;
+  };
+
   std::map<RouteName, Estimate> Routes;
+  std::map<RouteName, Persistence> Persistences;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/dispatch/RequestCompletion.cpp
+++ b/src/libs/coordination/dispatch/RequestCompletion.cpp
@@ -81,8 +81,20 @@
 
 void RequestCompletion::refuse(RequestNumber Number, RefusalKind Kind, std::string Reason,
                                Duration RetryAfter, TimePoint Now) {
+  const DispatchRequest &Request = this->State.Requests.at(Number);
+  RefusalDetails Details;
+  Details.TimeLeft = Request.Attributes.Deadline - Now;
+  Details.ExpectedWait = this->State.expectedWait(Request.Attributes, Now);
+  Details.ExpectedTime =
+      Request.Refused ? Request.Refused->ExpectedTime
+                      : this->State.Estimates.estimate(Request.Attributes, Now).ProcessingTime;
+  Details.DeferralCount = Request.DeferralCount;
+  if (Request.QueuedAt) {
+    this->State.Queues[Request.Attributes.Service].Shortage.onLeft(*Request.QueuedAt, false, Now);
+  }
   this->removeRequest(Number, Now);
-  this->State.Effects.emplace_back(RefuseRequest{Number, Kind, std::move(Reason), RetryAfter});
+  this->State.Effects.emplace_back(
+      RefuseRequest{Number, Kind, std::move(Reason), RetryAfter, Details});
 }
 
 void RequestCompletion::cancelAttempts(RequestNumber Number,
@@ -118,6 +130,11 @@
 
 void RequestCompletion::onDeadline(RequestNumber Number, TimePoint Now) {
   const DispatchRequest &Request = this->State.Requests.at(Number);
+  for (const DispatchAttempt &Each : Request.Attempts) {
+    if (Each.IsRunning) {
+      this->State.Estimates.onCutOff(Request.Attributes, Each, Now);
+    }
+  }
   const bool IsShutdown = this->isLimitedByShutdown(Request.Attributes);
   const std::string Reason = IsShutdown ? ShutdownReason : "the time of the request is over";
   if (!Request.IsCommitted) {
--- a/src/libs/coordination/dispatch/RequestQueueing.cpp
+++ b/src/libs/coordination/dispatch/RequestQueueing.cpp
@@ -5,6 +5,15 @@
 
 namespace anvilsaddle {
 
+namespace {
+
+/// Longest expected wait in the queue, a fraction of the wait with which the objective is met.
+constexpr double MaxWaitFraction = 0.33;
+/// With fewer requests ahead, the expected wait follows from too few dispatches to refuse at once.
+constexpr std::size_t MinAheadForRefusal = 4;
+
+} // namespace
+
 void RequestQueueing::enqueue(RequestNumber Number, bool IsFromQueue, TimePoint Now) {
   DispatchRequest &Request = this->State.Requests.at(Number);
   if (!Request.Attributes.MayQueue) {
@@ -13,12 +22,17 @@
   }
   const ProcessingTimeEstimator::Estimate Estimate =
       this->State.Estimates.estimate(Request.Attributes, Now);
+  if (Request.Refused) {
+    ++this->State.Counters.RunsRefused;
+    this->Completion.deliverErrorOrRefuse(Number, "no target would complete it in time", Now);
+    return;
+  }
   ServiceQueue &Queue = this->State.Queues[Request.Attributes.Service];
-  const Duration Wait =
-      Queue.Requests.expectedWait(Request.Attributes, Estimate.ProcessingTime, Now)
-          .value_or(Duration(0));
+  const Duration Wait = this->State.expectedWait(Request.Attributes, Now);
   if (Now + Wait + this->State.minProcessingTime(Request.Attributes, Now) >=
-      Request.Attributes.Deadline) {
+          Request.Attributes.Deadline ||
+      (!IsFromQueue && this->isWaitHopeless(Request, Queue, Now))) {
+    ++this->State.Counters.WaitsRefused;
     this->Completion.deliverErrorOrRefuse(Number, "no target has room in time", Now);
     return;
   }
@@ -26,10 +40,33 @@
     Queue.onNonEmpty(IsFromQueue);
     Queue.scheduleSearch(this->State.Random.uniform(), Now);
   }
+  Request.QueuedAt = Request.QueuedAt.value_or(Now);
   Queue.Requests.push(Number, Request.Attributes, Estimate.ProcessingTime, IsFromQueue, Now);
   this->State.updateTimer(Number, Request);
 }
 
+bool RequestQueueing::isWaitHopeless(const DispatchRequest &Request, const ServiceQueue &Queue,
+                                     TimePoint Now) {
+  const auto Interval = Queue.Shortage.dispatchInterval(Now);
+  const RequestAttributes &Attributes = Request.Attributes;
+  if (Attributes.Idempotent || !Interval) {
+    return false;
+  }
+  const Duration ProcessingTime = this->State.Estimates.estimate(Attributes, Now).ProcessingTime;
+  const auto Earlier = Queue.Requests.countEarlier(Attributes, ProcessingTime, Now);
+  if (Earlier < MinAheadForRefusal) {
+    return false;
+  }
+  const Duration Wait = *Interval * static_cast<std::int64_t>(Earlier + 1);
+  const Duration ObjectiveWait =
+      Attributes.ReceivedAt + Attributes.Objective - ProcessingTime - Now;
+  // Once the first request has waited for half of the time to its objective, the newest goes first,
+  // and the others wait until it is too late. The margin keeps the queue below that.
+  return ObjectiveWait > Duration(0)
+             ? Wait > scaled(ObjectiveWait, MaxWaitFraction)
+             : Now + Wait + this->State.minProcessingTime(Attributes, Now) >= Attributes.Deadline;
+}
+
 void RequestQueueing::refuseUnservableRequests(DispatchQueue &Queue, TimePoint Now) {
   while (const auto Wait = Queue.expectedWaitOfBack(Now)) {
     const RequestNumber Last = *Queue.back();
--- a/src/libs/coordination/dispatch/RequestQueueing.h
+++ b/src/libs/coordination/dispatch/RequestQueueing.h
@@ -28,6 +28,10 @@
   std::optional<RequestNumber> dequeueForSearch(ServiceQueue &Queue, TimePoint Now);
 
 private:
+  /// True if a new request has no prospect of a slot in time, so that waiting only costs its caller
+  /// the time to try again.
+  bool isWaitHopeless(const DispatchRequest &Request, const ServiceQueue &Queue, TimePoint Now);
+
   DispatchState &State;
   RequestCompletion &Completion;
 };
--- a/src/libs/coordination/dispatch/RequestSearches.cpp
+++ b/src/libs/coordination/dispatch/RequestSearches.cpp
@@ -5,6 +5,7 @@
 #include "coordination/dispatch/RequestQueueing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvilsaddle {
 
@@ -25,6 +26,9 @@
 /// slot of a target. In the others it leaves the slot to requests that can still meet theirs.
 constexpr double LateLastSlotFraction = 0.2;
 constexpr Duration HedgeRecheckInterval = 60ms;
+/// Fraction of the requests to send although no target is expected to complete them in time.
+/// Without any run the entry would never learn that targets report too high slowdowns.
+constexpr double ExploredRefusalFraction = 0.05;
 
 } // namespace
 
@@ -110,6 +114,34 @@
              Request.Attributes.Service, *Choice.Occupancy, this->State.Random.uniform(), Now);
 }
 
+bool RequestSearches::admitRun(DispatchRequest &Request, const PlacementChoice &Choice,
+                               TimePoint Now) {
+  const RequestAttributes &Attributes = Request.Attributes;
+  Request.Refused.reset();
+  if (Attributes.Idempotent) {
+    return true;
+  }
+  const RunAdmission Admission =
+      decideRun(Attributes, Choice, this->State.Estimates.estimate(Attributes, Now).ProcessingTime,
+                this->State.Queues[Attributes.Service].Slowdowns.fastest(Now), Now);
+  switch (Admission.Decision) {
+  case RunDecision::Send:
+    return true;
+  case RunDecision::WaitForBetter:
+    ++Request.DeferralCount;
+    ++this->State.Counters.RunsDeferred;
+    return false;
+  case RunDecision::Refuse:
+    if (Choice.HasCapacity && this->State.Random.uniform() < ExploredRefusalFraction) {
+      ++this->State.Counters.RunsExplored;
+      return true;
+    }
+    Request.Refused = Admission;
+    return false;
+  }
+  return true;
+}
+
 bool RequestSearches::trySend(RequestNumber Number, const PlacementChoice &Choice,
                               std::size_t CandidateCount, TimePoint Now) {
   DispatchRequest &Request = this->State.Requests.at(Number);
@@ -118,6 +150,9 @@
       Now >= Request.Attributes.Deadline) {
     return false;
   }
+  if (!this->admitRun(Request, Choice, Now)) {
+    return false;
+  }
   if (!Request.Attempts.empty() &&
       !this->State.Retries.tryAcquire(Request.Attributes.Service, Now)) {
     return false;
@@ -125,7 +160,9 @@
   const bool IsHedge = Request.Search->IsHedge;
   this->Completion.endSearch(Request);
   this->send(Number, *Selected, Choice,
-             {*Selected->Load, Now - Selected->LoadTime, Choice.Cost, CandidateCount, IsHedge},
+             {*Selected->Load, Now - Selected->LoadTime, Choice.Cost, CandidateCount, IsHedge,
+              Choice.ExpectedTime, Choice.TimeIfSlowdownLasts, Request.Attributes.Deadline - Now,
+              Request.DeferralCount},
              Now);
   return true;
 }
@@ -148,7 +185,11 @@
                         Details.ExpectedCost, Now);
   this->State.updateTimer(Number, Request);
   const ServiceName Service = Request.Attributes.Service;
-  this->State.Queues[Service].onDispatched(Now);
+  ServiceQueue &Queue = this->State.Queues[Service];
+  if (const auto QueuedAt = std::exchange(Request.QueuedAt, std::nullopt)) {
+    Queue.Shortage.onLeft(*QueuedAt, true, Now);
+  }
+  Queue.onDispatched(Now);
   this->State.Effects.emplace_back(
       SendAttempt{Number, Attempt, Name, Selected.Registration.Address, Request.Attributes.Deadline,
                   Request.Attributes.Idempotent, Details, std::nullopt});
--- a/src/libs/coordination/dispatch/RequestSearches.h
+++ b/src/libs/coordination/dispatch/RequestSearches.h
@@ -45,6 +45,9 @@
   /// Decides whether the request takes a slot that is otherwise left idle, to learn how much slower
   /// the target becomes.
   bool tryExplore(const DispatchRequest &Request, const PlacementChoice &Choice, TimePoint Now);
+  /// Decides whether a request that is not idempotent starts at the target. Precondition: as of
+  /// trySend().
+  bool admitRun(DispatchRequest &Request, const PlacementChoice &Choice, TimePoint Now);
   bool trySend(RequestNumber Number, const PlacementChoice &Choice, std::size_t CandidateCount,
                TimePoint Now);
   /// Forwards the request to another region if it is served better there.
--- a/src/libs/coordination/dispatch/ResponseEstimates.cpp
+++ b/src/libs/coordination/dispatch/ResponseEstimates.cpp
@@ -21,12 +21,29 @@
   return Result;
 }
 
+void ResponseEstimates::learnPersistence(const RequestAttributes &Attributes,
+                                         const DispatchAttempt &Ended, TimePoint Now) {
+  const ProcessingTimeEstimator::Estimate Estimate = this->estimate(Attributes, Now);
+  const Duration Usual = scaled(Estimate.ProcessingTime, Estimate.Saturation.at(*Ended.Occupancy));
+  this->Routes.onSlowdownSeen(Attributes.Route, Ended.Slowdown,
+                              std::chrono::duration<double>(Now - Ended.SentAt) /
+                                  std::chrono::duration<double>(Usual));
+}
+
+void ResponseEstimates::onCutOff(const RequestAttributes &Attributes, const DispatchAttempt &Ended,
+                                 TimePoint Now) {
+  if (Ended.Occupancy) {
+    this->learnPersistence(Attributes, Ended, Now);
+  }
+}
+
 void ResponseEstimates::onResponse(const RequestAttributes &Attributes,
                                    const DispatchAttempt &Ended, const AttemptResult &Result,
                                    TimePoint Now) {
   if (!Ended.Occupancy) {
     return;
   }
+  this->learnPersistence(Attributes, Ended, Now);
   const Duration Elapsed = Now - Ended.SentAt;
   if (*Ended.Occupancy == SlotOccupancy::Low) {
     this->Routes.onResponse(Attributes.Route, Attributes.Objective, Elapsed, Ended.Slowdown,
--- a/src/libs/coordination/dispatch/ResponseEstimates.h
+++ b/src/libs/coordination/dispatch/ResponseEstimates.h
@@ -20,9 +20,17 @@
   void onResponse(const RequestAttributes &Attributes, const DispatchAttempt &Ended,
                   const AttemptResult &Result, TimePoint Now);
 
+  /// Records that an attempt was still running after this time, when its request's deadline cut it
+  /// off.
+  void onCutOff(const RequestAttributes &Attributes, const DispatchAttempt &Ended, TimePoint Now);
+
   SaturationEstimator &saturation() { return this->Services; }
 
 private:
+  /// Learns how much of the slowdown that the target reported the run has experienced.
+  void learnPersistence(const RequestAttributes &Attributes, const DispatchAttempt &Ended,
+                        TimePoint Now);
+
   ProcessingTimeEstimator Routes;
   SaturationEstimator Services;
 };
--- a/src/libs/coordination/dispatch/ServiceQueue.h
+++ b/src/libs/coordination/dispatch/ServiceQueue.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "coordination/dispatch/DispatchQueue.h"
+#include "coordination/dispatch/RunAdmission.h"
+#include "coordination/dispatch/ShortageEstimator.h"
 #include "state/Time.h"
 
 #include <cstdint>
@@ -13,6 +15,8 @@
 class ServiceQueue {
 public:
   DispatchQueue Requests;
+  ShortageEstimator Shortage;
+  RecentSlowdowns Slowdowns;
 
   /// True if another search for a queued request may start.
   bool maySearch() const { return this->RunningSearches < MaxConcurrentSearches; }
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -113,6 +113,7 @@
   Writer Out;
   this->writeServices(Out, Now);
   this->writeEntry(Out);
+  this->writeDecisions(Out);
   this->writeUnanswered(Out);
   this->writePeers(Out);
   this->writePublications(Out);
@@ -208,6 +209,17 @@
                         this->CurrentGauges.KnownPosition.Revision);
 }
 
+void Metrics::writeDecisions(Writer &Out) const {
+  Out.writeFamily("dispatch_decisions_total", "counter", "Decisions of the dispatcher, by kind.");
+  const auto Write = [&Out](const char *Kind, std::uint64_t Count) {
+    Out.writeSample("dispatch_decisions_total", {{"decision", Kind}}, Count);
+  };
+  Write("run_deferred", this->Decisions.RunsDeferred);
+  Write("run_refused", this->Decisions.RunsRefused);
+  Write("run_explored", this->Decisions.RunsExplored);
+  Write("wait_refused", this->Decisions.WaitsRefused);
+}
+
 void Metrics::writeUnanswered(Writer &Out) const {
   Out.writeFamily("unanswered_requests_total", "counter",
                   "Requests whose connection ended before the response was complete, by the reason "
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -58,6 +58,7 @@
   void setLogLinesDropped(std::uint64_t Total) { this->LogLinesDropped = Total; }
   void setPeerTraffic(const PeerTraffic &Traffic) { this->Peers = Traffic; }
   void setPublicationTraffic(const PublicationTraffic &Traffic) { this->Publications = Traffic; }
+  void setDispatchCounters(const DispatchCounters &Values) { this->Decisions = Values; }
   void setGauges(const Gauges &Values) { this->CurrentGauges = Values; }
 
   /// Returns all series as `text/plain; version=0.0.4`.
@@ -85,6 +86,7 @@
   static void writeLatencies(Writer &Out, const std::string &Service, ServiceSeries &Series,
                              TimePoint Now);
   void writeEntry(Writer &Out) const;
+  void writeDecisions(Writer &Out) const;
   void writeUnanswered(Writer &Out) const;
   void writePeers(Writer &Out) const;
   void writePublications(Writer &Out) const;
@@ -98,6 +100,7 @@
   UnansweredCounts Unanswered;
   PeerTraffic Peers;
   PublicationTraffic Publications;
+  DispatchCounters Decisions;
   Gauges CurrentGauges;
 };
 
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -220,6 +220,7 @@
        Self.LastLiveMembers.size(), Self.RequestDispatcher.targets().all().size(),
        Current ? Current->Version : 0, Self.RequestDispatcher.targets().limitedCount(),
        Self.RequestDispatcher.targets().leavingCount(), Self.Publications.position()});
+  Self.EntryMetrics.setDispatchCounters(Self.RequestDispatcher.counters());
   Self.Changes.onSaturationChanged(Self.RequestDispatcher.saturation().takeChanges(Self.now()));
   Self.RequestDispatcher.onTick(Self.now());
   Self.applyEffects();
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -103,7 +103,11 @@
            formatSeconds(Duration(static_cast<std::int64_t>(Placement.Load.Slowdown * 1e6)))},
           {"load_age_us", std::to_string(Placement.LoadAge.count())},
           {"expected_ms", formatMilliseconds(Placement.ExpectedCost)},
-          {"candidates", std::to_string(Placement.CandidateCount)}};
+          {"candidates", std::to_string(Placement.CandidateCount)},
+          {"expected_time_ms", formatMilliseconds(Placement.ExpectedTime)},
+          {"slow_time_ms", formatMilliseconds(Placement.TimeIfSlowdownLasts)},
+          {"time_left_ms", formatMilliseconds(Placement.TimeLeft)},
+          {"deferrals", std::to_string(Placement.DeferralCount)}};
 }
 
 } // namespace
@@ -321,7 +325,11 @@
             {"kind", toString(Command.Kind)},
             {"reason", Command.Reason},
             {"retry_after_s", formatSeconds(Command.RetryAfter)},
-            {"queued", std::to_string(this->Deps.RequestDispatcher.queueLength())}});
+            {"queued", std::to_string(this->Deps.RequestDispatcher.queueLength())},
+            {"time_left_ms", formatMilliseconds(Command.Details.TimeLeft)},
+            {"expected_wait_ms", formatMilliseconds(Command.Details.ExpectedWait)},
+            {"expected_time_ms", formatMilliseconds(Command.Details.ExpectedTime)},
+            {"deferrals", std::to_string(Command.Details.DeferralCount)}});
   Request->reject(localResponse(Status, Command.RetryAfter), Command.Reason + "\n");
 }
 
--- a/tests/auto/libs/coordination/tst_dispatchload.cpp
+++ b/tests/auto/libs/coordination/tst_dispatchload.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
 #include <vector>
 
 using namespace anvilsaddle;
@@ -71,8 +72,133 @@
   std::map<TargetName, State> States;
 };
 
+/// Targets whose processing slows down and recovers while requests run, as under noisy neighbours.
+/// A run that its request's deadline cuts off frees its slot then.
+class VaryingTargets {
+public:
+  /// Slowdown factor of a target at a time.
+  using SlowdownFunction = std::function<double(std::size_t Target, TimePoint Time)>;
+
+  VaryingTargets(DispatcherHarness &Harness, std::size_t Count, Duration Work,
+                 SlowdownFunction SlowdownAt)
+      : Harness(Harness), Work(Work), SlowdownAt(std::move(SlowdownAt)) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      const std::string Name = "t" + std::to_string(Index);
+      Harness.addTarget(Name, "a1");
+      this->States[TargetName(Name)].Index = Index;
+    }
+    Harness.OnProbe = [this](const TargetName &Name) {
+      return ProbeReport{true, this->load(Name), true, 0s};
+    };
+    Harness.OnResponseLoad = [this](const TargetName &Name) { return this->load(Name); };
+    Harness.OnSend = [this](const SendAttempt &Send) { return this->start(Send); };
+  }
+
+private:
+  struct State {
+    std::size_t Index = 0;
+    std::array<TimePoint, Slots> FreeAt{};
+    /// Start times of requests that wait for a slot.
+    std::vector<TimePoint> QueuedStarts;
+  };
+
+  LoadReport load(const TargetName &Name) {
+    State &Each = this->States[Name];
+    std::erase_if(Each.QueuedStarts, [this](TimePoint T) { return T <= this->Harness.Now; });
+    const auto Running = std::count_if(Each.FreeAt.begin(), Each.FreeAt.end(),
+                                       [this](TimePoint T) { return T > this->Harness.Now; });
+    return {static_cast<std::uint32_t>(Running),
+            static_cast<std::uint32_t>(Each.QueuedStarts.size()), Slots,
+            this->SlowdownAt(Each.Index, this->Harness.Now)};
+  }
+
+  DispatcherHarness::AttemptBehavior start(const SendAttempt &Send) {
+    State &Each = this->States[Send.Target];
+    const auto Slot = std::min_element(Each.FreeAt.begin(), Each.FreeAt.end());
+    const TimePoint Start = std::max(this->Harness.Now, *Slot);
+    constexpr Duration Step = 10ms;
+    TimePoint End = Start;
+    for (Duration Remaining = this->Work; Remaining > Duration(0); End += Step) {
+      Remaining -= std::chrono::duration_cast<Duration>(Step / this->SlowdownAt(Each.Index, End));
+    }
+    *Slot = std::max(Start, std::min(End, Send.Deadline));
+    if (Start > this->Harness.Now) {
+      Each.QueuedStarts.push_back(Start);
+    }
+    return {End - this->Harness.Now, AttemptOutcome::Succeeded};
+  }
+
+  DispatcherHarness &Harness;
+  Duration Work;
+  SlowdownFunction SlowdownAt;
+  std::map<TargetName, State> States;
+};
+
 using Arrivals = std::map<RequestNumber, TimePoint>;
 
+/// Issues requests like `Example` at random times at a mean rate. Returns the time of each arrival.
+Arrivals generateArrivals(DispatcherHarness &Harness, const RequestAttributes &Example,
+                          double PerSecond, Duration Time) {
+  Arrivals Result;
+  const Duration TimeLimit = Example.Deadline - Example.ReceivedAt;
+  const TimePoint End = Harness.Now + Time;
+  while (Harness.Now < End) {
+    const double Interval = -std::log(1 - Harness.Random.uniform()) / PerSecond;
+    Harness.run(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Interval)));
+    RequestAttributes Attributes = Example;
+    Attributes.ReceivedAt = Harness.Now;
+    Attributes.Deadline = Harness.Now + TimeLimit;
+    Result[Harness.request(Attributes)] = Harness.Now;
+  }
+  return Result;
+}
+
+/// What the callers of some requests got.
+struct CallerResults {
+  std::size_t Requests = 0;
+  std::size_t InTime = 0;
+  std::size_t Late = 0;
+  std::size_t Refused = 0;
+  std::size_t CutOff = 0;
+  /// Runs cut off at targets that reported a slowdown when the run began.
+  std::size_t CutOffAtSlowTargets = 0;
+  /// Refusals later than `PromptRefusal` after the arrival.
+  std::size_t RefusedLate = 0;
+
+  std::string text() const {
+    return std::to_string(this->Requests) + " requests, " + std::to_string(this->InTime) +
+           " in time, " + std::to_string(this->Late) + " late, " + std::to_string(this->Refused) +
+           " refused (" + std::to_string(this->RefusedLate) + " not at once), " +
+           std::to_string(this->CutOff) + " cut off (" + std::to_string(this->CutOffAtSlowTargets) +
+           " at slow targets)";
+  }
+};
+
+/// A search of all stages takes a few milliseconds; a refusal after this time was preceded by a
+/// wait in the queue.
+constexpr Duration PromptRefusal = 50ms;
+
+CallerResults resultsOf(const DispatcherHarness &Harness, const Arrivals &Requests,
+                        Duration RouteObjective) {
+  CallerResults Result;
+  for (const auto &[Number, Arrival] : Requests) {
+    const auto *End = Harness.completionOf(Number);
+    ++Result.Requests;
+    if (End && End->DeliveredAttempt) {
+      ++(End->Time <= Arrival + RouteObjective ? Result.InTime : Result.Late);
+    } else if (End && End->Refusal && End->Refusal->Kind == RefusalKind::NotExecuted) {
+      ++Result.Refused;
+      Result.RefusedLate += End->Time > Arrival + PromptRefusal ? 1 : 0;
+    } else {
+      ++Result.CutOff;
+      for (const auto &Attempt : Harness.sentOf(Number)) {
+        Result.CutOffAtSlowTargets += Attempt.Send.Details.Load.Slowdown > 1 ? 1 : 0;
+      }
+    }
+  }
+  return Result;
+}
+
 /// Issues requests at random times at a mean rate. Returns the time of each arrival.
 Arrivals generateArrivals(DispatcherHarness &Harness, double PerSecond, Duration Time) {
   Arrivals Result;
@@ -101,6 +227,8 @@
   CPPUNIT_TEST_SUITE(DispatchLoadTest);
   CPPUNIT_TEST(recoversFromBursts);
   CPPUNIT_TEST(servesInTimeDuringOverload);
+  CPPUNIT_TEST(startsNoRunsThatAreCutOff);
+  CPPUNIT_TEST(refusesAtOnceInOverload);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -159,6 +287,79 @@
                              ShareInTime >= 0.5);
     }
   }
+
+  /// Guards against runs that still run at the route's timeout and are cut off: a request that is
+  /// not idempotent was sent to a target with a free slot that was several times slower than usual,
+  /// although a faster target would have come free within milliseconds. Such a run also held a slot
+  /// that several other requests could have used.
+  void startsNoRunsThatAreCutOff() {
+    struct Case {
+      const char *Name;
+      double SlowFactor;
+      Duration SlowTime;
+      /// Number of targets in four that are slow at any time.
+      int SlowOfFour;
+      /// Arrivals relative to the capacity of the targets that are not slow.
+      double Load;
+    };
+    const Case Table[] = {{"few are slow for seconds", 9, 3s, 1, 0.9},
+                          {"few are slow for seconds, overload", 9, 3s, 1, 1.3},
+                          {"most are slow for seconds", 9, 3s, 3, 0.9},
+                          {"most are slow for seconds, overload", 9, 3s, 3, 1.3},
+                          {"most are slow for longer than a run", 6, 2400ms, 3, 0.9},
+                          {"slow for a part of a run", 6, 150ms, 1, 0.9}};
+    for (const Case &Each : Table) {
+      constexpr std::size_t Count = 8;
+      constexpr Duration Work = 350ms;
+      constexpr Duration RouteObjective = 1500ms;
+      DispatcherHarness Harness(5);
+      VaryingTargets Targets(Harness, Count, Work, [&Each](std::size_t Target, TimePoint Time) {
+        const auto Phase = Time.time_since_epoch() / Each.SlowTime + static_cast<int>(Target);
+        return Phase % 4 < Each.SlowOfFour ? Each.SlowFactor : 1.0;
+      });
+      RequestAttributes Settlement = Harness.attributes(false);
+      Settlement.Objective = RouteObjective;
+      Settlement.Deadline = Settlement.ReceivedAt + 2s;
+      const double Capacity =
+          (4 - Each.SlowOfFour) / 4.0 * Count * Slots / std::chrono::duration<double>(Work).count();
+      generateArrivals(Harness, Settlement, Each.Load * Capacity, 5s);
+      const Arrivals Later = generateArrivals(Harness, Settlement, Each.Load * Capacity, 20s);
+      Harness.run(5s);
+      CPPUNIT_ASSERT(Harness.Violations.empty());
+      const CallerResults Results = resultsOf(Harness, Later, RouteObjective);
+      // A target that becomes slow only after the run has begun can't be foreseen.
+      CPPUNIT_ASSERT_MESSAGE(std::string(Each.Name) + ": " + Results.text(),
+                             Results.CutOffAtSlowTargets == 0);
+      // Nine tenths of what the targets that are not slow can serve.
+      const auto Servable =
+          static_cast<double>(Results.Requests - Results.CutOff) / std::max(1.0, Each.Load);
+      CPPUNIT_ASSERT_MESSAGE(std::string(Each.Name) + ": " + Results.text(),
+                             static_cast<double>(Results.InTime) >= 0.9 * Servable);
+    }
+  }
+
+  /// Guards against refusals only after a wait in the queue, when the caller has lost the time in
+  /// which it could have tried again. At 2.4 times the usual rate the requests exceed the capacity.
+  void refusesAtOnceInOverload() {
+    constexpr std::size_t Count = 4;
+    constexpr Duration Work = 350ms;
+    constexpr Duration RouteObjective = 1500ms;
+    DispatcherHarness Harness(6);
+    VaryingTargets Targets(Harness, Count, Work, [](std::size_t, TimePoint) { return 1.0; });
+    RequestAttributes Settlement = Harness.attributes(false);
+    Settlement.Objective = RouteObjective;
+    Settlement.Deadline = Settlement.ReceivedAt + 2s;
+    const double Capacity = Count * Slots / std::chrono::duration<double>(Work).count();
+    generateArrivals(Harness, Settlement, 1.6 * Capacity, 5s);
+    const Arrivals Later = generateArrivals(Harness, Settlement, 1.6 * Capacity, 20s);
+    Harness.run(5s);
+    CPPUNIT_ASSERT(Harness.Violations.empty());
+    const CallerResults Results = resultsOf(Harness, Later, RouteObjective);
+    CPPUNIT_ASSERT_MESSAGE(Results.text(), Results.CutOff == 0);
+    // The capacity is 0.625 of the requests.
+    CPPUNIT_ASSERT_MESSAGE(Results.text(), Results.InTime * 100 >= Results.Requests * 50);
+    CPPUNIT_ASSERT_MESSAGE(Results.text(), Results.RefusedLate * 10 <= Results.Refused);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchLoadTest);
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -47,6 +47,12 @@
     Unanswered.add(CloseReason::IdleTimeout, RequestStage::Unread);
     Unanswered += Unanswered;
     Counters.setUnansweredRequests(Unanswered);
+    DispatchCounters Decisions;
+    Decisions.RunsDeferred = 21;
+    Decisions.RunsRefused = 22;
+    Decisions.RunsExplored = 23;
+    Decisions.WaitsRefused = 24;
+    Counters.setDispatchCounters(Decisions);
     Counters.setGauges({1, 2, 3, 4, 5, 6, 13, 14, {3, 41}});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
@@ -60,6 +66,10 @@
         "anvilsaddle_answers_total{service=\"board\",status=\"other\"} 1\n",
         "anvilsaddle_refusals_total{reason=\"no \\\"room\\\"\\n\",status=\"503\"} 1\n",
         "anvilsaddle_attempts_total{service=\"board\"} 2\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"run_deferred\"} 21\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"run_refused\"} 22\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"run_explored\"} 23\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"wait_refused\"} 24\n",
         "anvilsaddle_repeats_total{service=\"board\"} 1\n",
         "anvilsaddle_attempt_outcomes_total{service=\"board\",outcome=\"broken\"} 1\n",
         "anvilsaddle_failed_probes_total 1\n",
