Order requests under shortage by the time that callers have spent

Cause: a caller that returned after a refusal was queued behind all others again, and callers refused in a burst were asked to return at about the same time. A less urgent request started a search of its own while a more urgent one that was late waited in the queue.

Change: CallerTimes recognizes returning callers by the time that they state. Half of them, at random, take the place of their first attempt. Retry-After values of callers refused one after the other are apart by the mean interval of dispatches. A request is queued behind a more urgent one.

--- a/src/libs/coordination/dispatch/DispatchQueue.cpp
+++ b/src/libs/coordination/dispatch/DispatchQueue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <utility>
 
 namespace anvilsaddle {
 
@@ -20,7 +21,9 @@
                                               const RequestAttributes &Attributes,
                                               Duration ProcessingTime, TimePoint Now) {
   const TimePoint LatestDispatch = Attributes.ReceivedAt + Attributes.Objective - ProcessingTime;
-  return {Attributes.Priority, LatestDispatch < Now, LatestDispatch, Request};
+  return {Attributes.Priority, LatestDispatch<Now, LatestDispatch - Attributes.CallerElapsed,
+                                              Request, LatestDispatch, Attributes.CallerElapsed>
+                                   Duration(0)};
 }
 
 void DispatchQueue::push(RequestNumber Request, const RequestAttributes &Attributes,
@@ -64,7 +67,10 @@
     };
     SortKey Newest = Head;
     for (auto Next = this->Order.begin(); Next != this->Order.end() && HasSameRank(*Next); ++Next) {
-      Newest = Next->Request > Newest.Request ? *Next : Newest;
+      Newest = std::pair(Next->IsReturning, Next->Request) >
+                       std::pair(Newest.IsReturning, Newest.Request)
+                   ? *Next
+                   : Newest;
     }
     if (Newest.LatestDispatch >= Now) {
       return Newest.Request;
--- a/src/libs/coordination/dispatch/DispatchQueue.h
+++ b/src/libs/coordination/dispatch/DispatchQueue.h
@@ -18,7 +18,10 @@
 /// This order works for short waits. In an overload it would send each request just before its time
 /// expires, so that all responses would be late. Therefore, once the first request has waited for
 /// half of the time that it can wait, the newest request that can still meet its objective comes
-/// first. Not thread-safe; times must not decrease.
+/// first.
+///
+/// A caller that returns after a refusal takes the place of its first attempt: it goes ahead of
+/// requests of the same priority that arrived after that. Not thread-safe; times must not decrease.
 class DispatchQueue {
 public:
   /// Precondition: the request is not in the queue. `ProcessingTime` is the usual time at a target.
@@ -31,6 +34,10 @@
   /// Returns the request to send next; nothing if the queue is empty. First moves back the requests
   /// that can no longer meet their objective.
   std::optional<RequestNumber> front(TimePoint Now);
+  /// True if a queued request is more urgent than this priority.
+  bool hasMoreUrgent(std::uint32_t Priority) const {
+    return !this->Order.empty() && this->Order.begin()->Priority < Priority;
+  }
   /// True if all queued requests miss their objective, so that requests of other entries that can
   /// still meet theirs should go first. False if the queue is empty.
   bool allMissObjective(TimePoint Now) const;
@@ -59,9 +66,14 @@
   struct SortKey {
     std::uint32_t Priority = 0;
     bool MissesObjective = false;
+    /// Latest time of dispatch that meets the objective, earlier by the time that the caller has
+    /// spent on earlier attempts.
+    TimePoint Rank{};
+    RequestNumber Request = 0;
     /// Latest time of dispatch that meets the objective.
     TimePoint LatestDispatch{};
-    RequestNumber Request = 0;
+    /// The caller returned after a refusal.
+    bool IsReturning = false;
 
     auto operator<=>(const SortKey &) const = default;
   };
--- a/src/libs/coordination/dispatch/DispatchState.h
+++ b/src/libs/coordination/dispatch/DispatchState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/dispatch/CallerTimes.h"
 #include "coordination/dispatch/DispatchRequest.h"
 #include "coordination/dispatch/DispatchTypes.h"
 #include "coordination/dispatch/RemoteEntries.h"
@@ -57,6 +58,7 @@
   RequestTimers Timers;
   std::vector<Effect> Effects;
   DispatchCounters Counters;
+  CallerTimes StatedTimes;
   /// Time of the final responses; set once the entry shuts down.
   std::optional<TimePoint> ShutdownTime;
 };
--- a/src/libs/coordination/dispatch/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -39,6 +39,11 @@
   Duration Objective{0};
   /// The request gets its final response by this time.
   TimePoint Deadline{};
+  /// Time until the caller gives up as of the arrival; nothing if the caller doesn't state it.
+  std::optional<Duration> CallerTimeLeft;
+  /// Time that the caller has spent on earlier attempts, if the request takes the place of the
+  /// first one.
+  Duration CallerElapsed{0};
   /// The request was forwarded by an entry of another region. It is only sent to targets of this
   /// region.
   bool CameFromOtherEntry = false;
@@ -176,6 +181,8 @@
   Duration ExpectedWait{0};
   Duration ExpectedTime{0};
   std::uint32_t DeferralCount = 0;
+  /// Time that the caller has spent on earlier attempts.
+  Duration CallerElapsed{0};
 
   auto operator<=>(const RefusalDetails &) const = default;
 };
@@ -190,6 +197,10 @@
   std::uint64_t RunsExplored = 0;
   /// Requests refused because they would wait for a slot for too long.
   std::uint64_t WaitsRefused = 0;
+  /// Requests recognized as sent again after a refusal that take the place of the first attempt.
+  std::uint64_t CallersReturned = 0;
+  /// Refusals whose Retry-After follows from the interval of dispatches.
+  std::uint64_t RetriesSpread = 0;
 
   auto operator<=>(const DispatchCounters &) const = default;
 };
--- a/src/libs/coordination/dispatch/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -1,9 +1,19 @@
 #include "coordination/dispatch/Dispatcher.h"
 
+#include "coordination/RandomSource.h"
+
 #include <algorithm>
 
 namespace anvilsaddle {
 
+namespace {
+
+/// Fraction of the returning callers that take the place of their first attempt. If all did, they
+/// would take the whole capacity in an overload, and every caller would be refused once.
+constexpr double ReturnPrecedenceFraction = 0.5;
+
+} // namespace
+
 Dispatcher::Dispatcher(Topology FleetTopology, const DispatchLimits &Limits, std::string Self,
                        RandomSource &Random)
     : State(std::move(FleetTopology), Limits, std::move(Self), Random), Completion(this->State),
@@ -37,10 +47,23 @@
   }
 }
 
+void Dispatcher::recognizeReturn(RequestAttributes &Attributes, TimePoint Now) {
+  if (!Attributes.CallerTimeLeft) {
+    return;
+  }
+  const Duration Elapsed =
+      this->State.StatedTimes.elapsed(Attributes.Route, *Attributes.CallerTimeLeft, Now);
+  if (Elapsed > Duration(0) && this->State.Random.uniform() < ReturnPrecedenceFraction) {
+    Attributes.CallerElapsed = Elapsed;
+    ++this->State.Counters.CallersReturned;
+  }
+}
+
 void Dispatcher::onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now) {
   this->State.Retries.onRequest(Attributes.Service, Now);
   DispatchRequest &Request = this->State.Requests[Number];
   Request.Attributes = std::move(Attributes);
+  this->recognizeReturn(Request.Attributes, Now);
   if (!this->Completion.canEndBeforeShutdown(Request, Now)) {
     this->Completion.refuseAtShutdown(Number, Now);
     return;
@@ -50,7 +73,8 @@
   }
   this->State.updateTimer(Number, Request);
   ServiceQueue &Queue = this->State.Queues[Request.Attributes.Service];
-  if (!Queue.Requests.empty() && !Queue.Requests.allMissObjective(Now)) {
+  if (!Queue.Requests.empty() && (!Queue.Requests.allMissObjective(Now) ||
+                                  Queue.Requests.hasMoreUrgent(Request.Attributes.Priority))) {
     this->Queueing.enqueue(Number, false, Now);
     return;
   }
--- a/src/libs/coordination/dispatch/Dispatcher.h
+++ b/src/libs/coordination/dispatch/Dispatcher.h
@@ -88,6 +88,8 @@
   const DispatchCounters &counters() const { return this->State.Counters; }
 
 private:
+  /// Sets the time that a returning caller has spent, if it takes the place of its first attempt.
+  void recognizeReturn(RequestAttributes &Attributes, TimePoint Now);
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
                        AttemptOutcome Outcome, TimePoint Now);
   /// Does nothing while another attempt or a search of the request runs.
--- a/src/libs/coordination/dispatch/RequestCompletion.cpp
+++ b/src/libs/coordination/dispatch/RequestCompletion.cpp
@@ -50,9 +50,15 @@
   }
   const Duration ProcessingTime =
       this->State.Estimates.estimate(Request.Attributes, Now).ProcessingTime;
-  const Duration Wait = this->State.Queues[Request.Attributes.Service]
-                            .Requests.expectedWait(Request.Attributes, ProcessingTime, Now)
-                            .value_or(ProcessingTime);
+  ServiceQueue &Queue = this->State.Queues[Request.Attributes.Service];
+  if (const auto Interval = Queue.Shortage.dispatchInterval(Now)) {
+    ++this->State.Counters.RetriesSpread;
+    return std::clamp(
+        Queue.reserveRetry(*Interval, MaxRetryAfter, this->State.Random.uniform(), Now),
+        MinRetryAfter, MaxRetryAfter);
+  }
+  const Duration Wait =
+      Queue.Requests.expectedWait(Request.Attributes, ProcessingTime, Now).value_or(ProcessingTime);
   // Callers that are refused at the same time spread their retries over the expected wait.
   const Duration JitteredWait = scaled(Wait, 0.5 + this->State.Random.uniform());
   return std::clamp(JitteredWait, MinRetryAfter, MaxRetryAfter);
@@ -89,6 +95,7 @@
       Request.Refused ? Request.Refused->ExpectedTime
                       : this->State.Estimates.estimate(Request.Attributes, Now).ProcessingTime;
   Details.DeferralCount = Request.DeferralCount;
+  Details.CallerElapsed = Request.Attributes.CallerElapsed;
   if (Request.QueuedAt) {
     this->State.Queues[Request.Attributes.Service].Shortage.onLeft(*Request.QueuedAt, false, Now);
   }
--- a/src/libs/coordination/dispatch/ServiceQueue.cpp
+++ b/src/libs/coordination/dispatch/ServiceQueue.cpp
@@ -30,6 +30,18 @@
   }
 }
 
+Duration ServiceQueue::reserveRetry(Duration Interval, Duration Longest, double RandomValue,
+                                    TimePoint Now) {
+  this->NextRetry = std::max(this->NextRetry, Now);
+  if (this->NextRetry + Interval > Now + Longest) {
+    // There is no room for so many; half of the time is left to those that were refused before.
+    return scaled(Longest, (1 + RandomValue) / 2);
+  }
+  const Duration Result = this->NextRetry - Now + scaled(Interval, RandomValue);
+  this->NextRetry += Interval;
+  return Result;
+}
+
 void ServiceQueue::scheduleSearch(double RandomValue, TimePoint Now) {
   this->NextSearch = Now + scaled(this->SearchInterval, 0.5 + RandomValue);
 }
--- a/src/libs/coordination/dispatch/ServiceQueue.h
+++ b/src/libs/coordination/dispatch/ServiceQueue.h
@@ -33,6 +33,11 @@
   bool isSearchDue(TimePoint Now) const {
     return !this->Requests.empty() && this->NextSearch <= Now;
   }
+  /// Time after which a refused caller should return, at the latest `Longest` from now. Callers
+  /// refused one after the other get times that are `Interval` apart, the mean time between two
+  /// dispatches. They don't wait for the queued requests, because a caller that returns goes ahead
+  /// of those that arrived after its first attempt. `RandomValue` in [0, 1) adds jitter.
+  Duration reserveRetry(Duration Interval, Duration Longest, double RandomValue, TimePoint Now);
   TimePoint nextSearch() const { return this->NextSearch; }
 
 private:
@@ -41,6 +46,8 @@
   std::uint32_t RunningSearches = 0;
   TimePoint NextSearch{};
   Duration SearchInterval{0};
+  /// Time for the next caller that is refused.
+  TimePoint NextRetry{};
 };
 
 } // namespace anvilsaddle
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -218,6 +218,8 @@
   Write("run_refused", this->Decisions.RunsRefused);
   Write("run_explored", this->Decisions.RunsExplored);
   Write("wait_refused", this->Decisions.WaitsRefused);
+  Write("caller_returned", this->Decisions.CallersReturned);
+  Write("retry_spread", this->Decisions.RetriesSpread);
 }
 
 void Metrics::writeUnanswered(Writer &Out) const {
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -198,7 +198,10 @@
   Attributes.Service = Forward && !Forward->Service.empty()
                            ? Forward->Service
                            : chooseService(*MatchedRoute, this->Deps.Random.uniform());
-  if (Forward) {
+  if (!Forward) {
+    // A forwarded request states the time until the route's timeout instead.
+    Attributes.CallerTimeLeft = Metadata.RemainingTime;
+  } else {
     Attributes.CameFromOtherEntry = true;
     Attributes.MayQueue = Forward->MayQueue;
     Attributes.MaxTargets = std::min(Attributes.MaxTargets, Forward->MaxTargets);
@@ -329,7 +332,8 @@
             {"time_left_ms", formatMilliseconds(Command.Details.TimeLeft)},
             {"expected_wait_ms", formatMilliseconds(Command.Details.ExpectedWait)},
             {"expected_time_ms", formatMilliseconds(Command.Details.ExpectedTime)},
-            {"deferrals", std::to_string(Command.Details.DeferralCount)}});
+            {"deferrals", std::to_string(Command.Details.DeferralCount)},
+            {"caller_elapsed_ms", formatMilliseconds(Command.Details.CallerElapsed)}});
   Request->reject(localResponse(Status, Command.RetryAfter), Command.Reason + "\n");
 }
 
--- a/tests/auto/libs/coordination/tst_dispatchload.cpp
+++ b/tests/auto/libs/coordination/tst_dispatchload.cpp
@@ -229,6 +229,9 @@
   CPPUNIT_TEST(servesInTimeDuringOverload);
   CPPUNIT_TEST(startsNoRunsThatAreCutOff);
   CPPUNIT_TEST(refusesAtOnceInOverload);
+  CPPUNIT_TEST(servesReturningCallers);
+  CPPUNIT_TEST(spreadsRetries);
+  CPPUNIT_TEST(servesUrgentKindsFirstAndAllSomewhat);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -360,6 +363,138 @@
     CPPUNIT_ASSERT_MESSAGE(Results.text(), Results.InTime * 100 >= Results.Requests * 50);
     CPPUNIT_ASSERT_MESSAGE(Results.text(), Results.RefusedLate * 10 <= Results.Refused);
   }
+
+  /// Guards against callers that are refused once and, when they return after the Retry-After, are
+  /// placed behind all others a second time.
+  void servesReturningCallers() {
+    constexpr std::size_t Count = 4;
+    constexpr Duration Work = 350ms;
+    constexpr Duration RouteObjective = 1500ms;
+    constexpr Duration CallerTimeLimit = 4s;
+    for (const bool Idempotent : {false, true}) {
+      DispatcherHarness Harness(7);
+      VaryingTargets Targets(Harness, Count, Work, [](std::size_t, TimePoint) { return 1.0; });
+      RequestAttributes Example = Harness.attributes(Idempotent);
+      Example.Objective = RouteObjective;
+      Example.MaxTargets = 1;
+      const double PerSecond = 1.5 * Count * Slots / std::chrono::duration<double>(Work).count();
+      Arrivals First;
+      Arrivals Returned;
+      std::multimap<TimePoint, TimePoint> Returns;
+      std::set<RequestNumber> Seen;
+      const auto Send = [&](Arrivals &Requests, TimePoint FirstSent) {
+        RequestAttributes Attributes = Example;
+        Attributes.ReceivedAt = Harness.Now;
+        Attributes.CallerTimeLeft = FirstSent + CallerTimeLimit - Harness.Now;
+        Attributes.Deadline = Harness.Now + std::min<Duration>(2s, *Attributes.CallerTimeLeft);
+        Requests[Harness.request(Attributes)] = Harness.Now;
+      };
+      const TimePoint Start = Harness.Now;
+      TimePoint NextArrival = Start;
+      while (Harness.Now < Start + 20s) {
+        Harness.run(5ms);
+        for (; NextArrival <= Harness.Now;
+             NextArrival += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+                 -std::log(1 - Harness.Random.uniform()) / PerSecond))) {
+          Send(First, Harness.Now);
+        }
+        for (const auto &[Number, Arrival] : First) {
+          const auto *End = Harness.completionOf(Number);
+          if (End && End->Refusal && End->Refusal->Kind == RefusalKind::NotExecuted &&
+              Seen.insert(Number).second) {
+            Returns.emplace(End->Time + End->Refusal->RetryAfter, Arrival);
+          }
+        }
+        while (!Returns.empty() && Returns.begin()->first <= Harness.Now) {
+          Send(Returned, Returns.extract(Returns.begin()).mapped());
+        }
+      }
+      Harness.run(5s);
+      CPPUNIT_ASSERT(Harness.Violations.empty());
+      const CallerResults Firsts = resultsOf(Harness, First, RouteObjective);
+      const CallerResults Seconds = resultsOf(Harness, Returned, RouteObjective);
+      const std::string Text = std::string(Idempotent ? "idempotent" : "not idempotent") +
+                               "; first: " + Firsts.text() + "; returned: " + Seconds.text();
+      CPPUNIT_ASSERT_MESSAGE(Text, Seconds.Requests >= 50);
+      CPPUNIT_ASSERT_MESSAGE(Text,
+                             Seconds.InTime * Firsts.Requests >= Firsts.InTime * Seconds.Requests);
+    }
+  }
+
+  /// Guards against a Retry-After that brings the callers refused in a burst back at about the same
+  /// time, when they exceed the capacity again.
+  void spreadsRetries() {
+    constexpr std::size_t Count = 4;
+    constexpr Duration Work = 350ms;
+    DispatcherHarness Harness(8);
+    VaryingTargets Targets(Harness, Count, Work, [](std::size_t, TimePoint) { return 1.0; });
+    RequestAttributes Settlement = Harness.attributes(false);
+    Settlement.Objective = 1500ms;
+    Settlement.Deadline = Settlement.ReceivedAt + 2s;
+    const double Capacity = Count * Slots / std::chrono::duration<double>(Work).count();
+    generateArrivals(Harness, Settlement, 1.2 * Capacity, 5s);
+    const Arrivals Burst = generateArrivals(Harness, Settlement, 5 * Capacity, 500ms);
+    Harness.run(5s);
+    CPPUNIT_ASSERT(Harness.Violations.empty());
+    std::vector<TimePoint> Returns;
+    for (const auto &[Number, Arrival] : Burst) {
+      const auto *End = Harness.completionOf(Number);
+      if (End && End->Refusal) {
+        Returns.push_back(End->Time + End->Refusal->RetryAfter);
+      }
+    }
+    CPPUNIT_ASSERT(Returns.size() >= 30);
+    std::sort(Returns.begin(), Returns.end());
+    constexpr Duration Window = 250ms;
+    std::size_t Most = 0;
+    for (auto Each = Returns.begin(); Each != Returns.end(); ++Each) {
+      const auto End = std::lower_bound(Each, Returns.end(), *Each + Window);
+      Most = std::max(Most, static_cast<std::size_t>(End - Each));
+    }
+    // Twice the capacity, because the spread is random.
+    const double Limit = 2 * Capacity * std::chrono::duration<double>(Window).count();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Most) + " of " + std::to_string(Returns.size()),
+                           static_cast<double>(Most) <= Limit);
+  }
+
+  /// Guards against a more urgent kind of a service that is served less often than a less urgent
+  /// one, and against a less urgent kind that is not served at all while a more urgent one takes
+  /// the whole capacity.
+  void servesUrgentKindsFirstAndAllSomewhat() {
+    constexpr std::size_t Count = 4;
+    constexpr Duration Work = 150ms;
+    constexpr Duration UrgentObjective = 500ms;
+    constexpr Duration OtherObjective = 1s;
+    DispatcherHarness Harness(9);
+    VaryingTargets Targets(Harness, Count, Work, [](std::size_t, TimePoint) { return 1.0; });
+    const double Capacity = Count * Slots / std::chrono::duration<double>(Work).count();
+    RequestAttributes Urgent = Harness.attributes(false);
+    Urgent.Objective = UrgentObjective;
+    RequestAttributes Other = Harness.attributes(true);
+    Other.Objective = OtherObjective;
+    Other.Priority = 2;
+    Arrivals UrgentArrivals;
+    Arrivals OtherArrivals;
+    for (int Step = 0; Step < 100; ++Step) {
+      // Both kinds arrive at 1.2 times the capacity.
+      const bool IsUrgent = Step % 2 == 0;
+      RequestAttributes Example = IsUrgent ? Urgent : Other;
+      Example.ReceivedAt = Harness.Now;
+      Example.Deadline = Harness.Now + 2s;
+      Arrivals Added = generateArrivals(Harness, Example, 2.4 * Capacity, 100ms);
+      (IsUrgent ? UrgentArrivals : OtherArrivals).merge(Added);
+    }
+    Harness.run(5s);
+    CPPUNIT_ASSERT(Harness.Violations.empty());
+    const CallerResults Urgents = resultsOf(Harness, UrgentArrivals, UrgentObjective);
+    const CallerResults Others = resultsOf(Harness, OtherArrivals, OtherObjective);
+    const std::string Text = "urgent: " + Urgents.text() + "; other: " + Others.text();
+    CPPUNIT_ASSERT_MESSAGE(Text, Urgents.InTime * 2 >= Urgents.Requests);
+    CPPUNIT_ASSERT_MESSAGE(Text,
+                           Urgents.InTime * Others.Requests >= Others.InTime * Urgents.Requests);
+    // A tenth of the dispatches.
+    CPPUNIT_ASSERT_MESSAGE(Text, (Others.InTime + Others.Late) * 20 >= Others.Requests);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchLoadTest);
--- a/tests/auto/libs/coordination/tst_runadmission.cpp
+++ b/tests/auto/libs/coordination/tst_runadmission.cpp
@@ -1,4 +1,5 @@
 #include "DispatcherHarness.h"
+#include "coordination/dispatch/CallerTimes.h"
 #include "coordination/dispatch/ProcessingTimeEstimator.h"
 #include "coordination/dispatch/RunAdmission.h"
 #include "coordination/dispatch/ShortageEstimator.h"
@@ -15,6 +16,7 @@
   CPPUNIT_TEST(learnsHowLongSlowdownsLast);
   CPPUNIT_TEST(knowsRecentSlowdowns);
   CPPUNIT_TEST(estimatesIntervalsOfShortQueues);
+  CPPUNIT_TEST(recognizesReturningCallers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +141,26 @@
     CPPUNIT_ASSERT(*Shortage.dispatchInterval(End + 400ms) > 180ms);
     CPPUNIT_ASSERT(!Shortage.dispatchInterval(End + 10s));
   }
+
+  /// Guards against callers that are taken for returning because of the time that a request takes
+  /// to the entry, or because callers of the route once had more time.
+  void recognizesReturningCallers() {
+    CallerTimes Times;
+    const RouteName Route("r");
+    const TimePoint Start(100s);
+    struct Case {
+      Duration After;
+      Duration TimeLeft;
+      Duration Expected;
+    };
+    const Case Table[] = {{0s, 3s, 0s},     {1s, 2990ms, 0s},   {1s, 2400ms, 600ms},
+                          {2s, 3010ms, 0s}, {3s, 1s, 2010ms},   {13s, 1s, 0s},
+                          {13s, 990ms, 0s}, {14s, 500ms, 500ms}};
+    for (const Case &Each : Table) {
+      CPPUNIT_ASSERT_EQUAL(Duration(Each.Expected).count(),
+                           Times.elapsed(Route, Each.TimeLeft, Start + Each.After).count());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunAdmissionTest);
