Prefer targets that accept requests over those that reject them

Cause: a target that rejects requests although it has room looks idle, so that it attracted further requests. The retries used up the budget, and the requests were refused although other targets had room.

Change: TargetTable keeps a reject rate per target with a half-life of 3 s, which raises the target's cost. A rejection by a target whose load shows no free slot does not count.

--- a/src/libs/coordination/dispatch/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -117,6 +117,8 @@
   Duration TimeLeft{0};
   /// Number of times that the request waited for a better target.
   std::uint32_t DeferralCount = 0;
+  /// Fraction of the recent requests that the target rejected although it had room.
+  double RejectRate = 0;
 
   auto operator<=>(const PlacementDetails &) const = default;
 };
@@ -201,6 +203,9 @@
   std::uint64_t CallersReturned = 0;
   /// Refusals whose Retry-After follows from the interval of dispatches.
   std::uint64_t RetriesSpread = 0;
+  /// Rejections by targets whose load showed room, and by targets that were full.
+  std::uint64_t RejectionsWithRoom = 0;
+  std::uint64_t RejectionsWhenFull = 0;
 
   auto operator<=>(const DispatchCounters &) const = default;
 };
--- a/src/libs/coordination/dispatch/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -103,6 +103,7 @@
   const bool HasFailed =
       Result.Outcome != AttemptOutcome::Succeeded && Result.Outcome != AttemptOutcome::NotExecuted;
   this->State.targets().onAttemptEnd(Ended.Target, HasFailed, Now);
+  this->recordAnswer(Ended, Result, Now);
   if (Result.Load) {
     this->State.targets().onLoad(Ended.Target, *Result.Load, Now);
   }
@@ -133,6 +134,29 @@
   }
 }
 
+void Dispatcher::recordAnswer(const DispatchAttempt &Ended, const AttemptResult &Result,
+                              TimePoint Now) {
+  const TargetState *Target = this->State.targets().find(Ended.Target);
+  if (!Target) {
+    return;
+  }
+  if (Result.Outcome == AttemptOutcome::Succeeded ||
+      Result.Outcome == AttemptOutcome::TargetError) {
+    this->State.targets().onAnswered(Ended.Target, false, Now);
+    return;
+  }
+  if (Result.Outcome != AttemptOutcome::NotExecuted) {
+    return;
+  }
+  const std::optional<LoadReport> &Load = Result.Load ? Result.Load : Target->Load;
+  if (Load && Load->Running + Load->Waiting >= Load->Slots) {
+    ++this->State.Counters.RejectionsWhenFull;
+    return;
+  }
+  ++this->State.Counters.RejectionsWithRoom;
+  this->State.targets().onAnswered(Ended.Target, true, Now);
+}
+
 void Dispatcher::onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
                                  AttemptOutcome Outcome, TimePoint Now) {
   this->State.EntriesOfOtherRegions.onRefused(Ended.Address, Request.Attributes.Service, Now);
--- a/src/libs/coordination/dispatch/Dispatcher.h
+++ b/src/libs/coordination/dispatch/Dispatcher.h
@@ -90,6 +90,8 @@
 private:
   /// Sets the time that a returning caller has spent, if it takes the place of its first attempt.
   void recognizeReturn(RequestAttributes &Attributes, TimePoint Now);
+  /// Records whether a target executed a request or rejected it, and if so, whether it was full.
+  void recordAnswer(const DispatchAttempt &Ended, const AttemptResult &Result, TimePoint Now);
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
                        AttemptOutcome Outcome, TimePoint Now);
   /// Does nothing while another attempt or a search of the request runs.
--- a/src/libs/coordination/dispatch/Placement.cpp
+++ b/src/libs/coordination/dispatch/Placement.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint32_t MaxQueuedAhead = 2;
 /// Relative increase of the expected response time for each recent failure.
 constexpr double FailurePenalty = 1.5;
+/// The same for a target that rejects all requests. A target that has rejected the only request
+/// sent to it then costs more than one with as many requests waiting as may be sent there.
+constexpr double RejectPenalty = 3;
 /// Round-trip times of a request to another failure domain and to another region.
 constexpr Duration RegionRoundTrip = 2ms;
 constexpr Duration OtherRegionRoundTrip = 60ms;
@@ -105,7 +108,8 @@
   const double ProcessingRounds = Estimate.Saturation.at(OccupancyAtStart);
   const double TotalRounds = ProcessingRounds + OccupancySlowdown * Occupancy +
                              static_cast<double>(Waiting) / Slots * ProcessingRounds;
-  const double FailureFactor = 1 + FailurePenalty * Candidate.FailureScore;
+  const double FailureFactor =
+      (1 + FailurePenalty * Candidate.FailureScore) * (1 + RejectPenalty * Candidate.RejectRate);
   const auto ResponseTime = std::chrono::duration_cast<Duration>(
       Estimate.ProcessingTime * (Slowdown * TotalRounds * FailureFactor));
   const auto TimeAt = [&](double Factor) {
--- a/src/libs/coordination/dispatch/Placement.h
+++ b/src/libs/coordination/dispatch/Placement.h
@@ -23,6 +23,8 @@
   std::uint32_t SentSinceReport = 0;
   /// Failure score of the target, see TargetTable.
   double FailureScore = 0;
+  /// Fraction of the recent requests that the target rejected although it had room.
+  double RejectRate = 0;
 
   auto operator<=>(const PlacementCandidate &) const = default;
 };
--- a/src/libs/coordination/dispatch/RequestSearches.cpp
+++ b/src/libs/coordination/dispatch/RequestSearches.cpp
@@ -162,7 +162,7 @@
   this->send(Number, *Selected, Choice,
              {*Selected->Load, Now - Selected->LoadTime, Choice.Cost, CandidateCount, IsHedge,
               Choice.ExpectedTime, Choice.TimeIfSlowdownLasts, Request.Attributes.Deadline - Now,
-              Request.DeferralCount},
+              Request.DeferralCount, TargetTable::rejectRate(*Selected, Now)},
              Now);
   return true;
 }
--- a/src/libs/coordination/dispatch/TargetFinder.cpp
+++ b/src/libs/coordination/dispatch/TargetFinder.cpp
@@ -240,9 +240,12 @@
       !this->isWithinRequestLimit(State, Now)) {
     return std::nullopt;
   }
-  return PlacementCandidate{Index, this->FleetTopology.distanceTo(State.Registration.Domain),
-                            *State.Load, State.SentSinceLoad,
-                            TargetTable::decayedFailureScore(State, Now)};
+  return PlacementCandidate{Index,
+                            this->FleetTopology.distanceTo(State.Registration.Domain),
+                            *State.Load,
+                            State.SentSinceLoad,
+                            TargetTable::decayedFailureScore(State, Now),
+                            TargetTable::rejectRate(State, Now)};
 }
 
 std::vector<PlacementCandidate> TargetFinder::reportedCandidates(const TargetSearch &Search,
--- a/src/libs/coordination/dispatch/TargetTable.cpp
+++ b/src/libs/coordination/dispatch/TargetTable.cpp
@@ -13,6 +13,11 @@
 
 /// Half-life of the failure score, so that a target that has recovered is used again soon.
 constexpr Duration FailureHalfLife = 2s;
+/// Half-life of the numbers of rejections. An entry of a large fleet sends to the same target only
+/// every few seconds.
+constexpr Duration RejectionHalfLife = 3s;
+/// Counts as so many executed requests, so that old rejections lose their effect.
+constexpr double AssumedExecutions = 1;
 /// Backoff after the first failed probe; it doubles with each further failure.
 constexpr Duration InitialBackoff = 200ms;
 constexpr Duration MaxBackoff = 2s;
@@ -417,6 +422,25 @@
   }
 }
 
+void TargetTable::onAnswered(const TargetName &Name, bool IsRejected, TimePoint Now) {
+  TargetState *State = this->find(Name);
+  if (!State) {
+    return;
+  }
+  const double Weight = std::exp2(-std::chrono::duration<double>(Now - State->RejectionTime) /
+                                  std::chrono::duration<double>(RejectionHalfLife));
+  State->Rejections = State->Rejections * Weight + (IsRejected ? 1 : 0);
+  State->Executions = State->Executions * Weight + (IsRejected ? 0 : 1);
+  State->RejectionTime = Now;
+}
+
+double TargetTable::rejectRate(const TargetState &State, TimePoint Now) {
+  const double Weight = std::exp2(-std::chrono::duration<double>(Now - State.RejectionTime) /
+                                  std::chrono::duration<double>(RejectionHalfLife));
+  const double Rejections = State.Rejections * Weight;
+  return Rejections / (Rejections + State.Executions * Weight + AssumedExecutions);
+}
+
 double TargetTable::decayedFailureScore(const TargetState &State, TimePoint Now) {
   if (State.FailureScore <= 0) {
     return 0;
--- a/src/libs/coordination/dispatch/TargetTable.h
+++ b/src/libs/coordination/dispatch/TargetTable.h
@@ -32,6 +32,11 @@
   /// Number of failed attempts with exponential decay, as of FailureScoreTime.
   double FailureScore = 0;
   TimePoint FailureScoreTime{};
+  /// Numbers of requests that the target rejected although it had room, and that it executed, with
+  /// exponential decay, as of RejectionTime.
+  double Rejections = 0;
+  double Executions = 0;
+  TimePoint RejectionTime{};
   /// The target gets no requests before this time, because probes failed.
   TimePoint BackoffUntil{};
   std::uint32_t ConsecutiveProbeFailures = 0;
@@ -116,6 +121,11 @@
     return std::exchange(this->ChangedConditions, {});
   }
 
+  /// Records whether the target executed a request or rejected it although it had room.
+  void onAnswered(const TargetName &Name, bool IsRejected, TimePoint Now);
+  /// Fraction of its recent requests that the target rejected although it had room; less with few
+  /// requests.
+  static double rejectRate(const TargetState &State, TimePoint Now);
   /// Failure score of a target, decayed up to `Now`.
   static double decayedFailureScore(const TargetState &State, TimePoint Now);
 
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -220,6 +220,8 @@
   Write("wait_refused", this->Decisions.WaitsRefused);
   Write("caller_returned", this->Decisions.CallersReturned);
   Write("retry_spread", this->Decisions.RetriesSpread);
+  Write("rejected_with_room", this->Decisions.RejectionsWithRoom);
+  Write("rejected_when_full", this->Decisions.RejectionsWhenFull);
 }
 
 void Metrics::writeUnanswered(Writer &Out) const {
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace anvilsaddle {
@@ -107,7 +108,8 @@
           {"expected_time_ms", formatMilliseconds(Placement.ExpectedTime)},
           {"slow_time_ms", formatMilliseconds(Placement.TimeIfSlowdownLasts)},
           {"time_left_ms", formatMilliseconds(Placement.TimeLeft)},
-          {"deferrals", std::to_string(Placement.DeferralCount)}};
+          {"deferrals", std::to_string(Placement.DeferralCount)},
+          {"reject_rate", formatSeconds(Duration(std::llround(Placement.RejectRate * 1e6)))}};
 }
 
 } // namespace
--- a/tests/auto/libs/coordination/DispatcherHarness.cpp
+++ b/tests/auto/libs/coordination/DispatcherHarness.cpp
@@ -21,16 +21,17 @@
   return Result;
 }
 
-DispatchLimits makeLimits() {
+DispatchLimits makeLimits(const RetryBudgetLimits &Retries) {
   DispatchLimits Result;
-  Result.Retries = {0.2, 1000, 10s};
+  Result.Retries = Retries;
   return Result;
 }
 
 } // namespace
 
-DispatcherHarness::DispatcherHarness(std::uint64_t Seed, const std::string &Self)
-    : Random(Seed), TestedDispatcher(makeTopology(), makeLimits(), Self, this->Random) {
+DispatcherHarness::DispatcherHarness(std::uint64_t Seed, const std::string &Self,
+                                     RetryBudgetLimits Retries)
+    : Random(Seed), TestedDispatcher(makeTopology(), makeLimits(Retries), Self, this->Random) {
   this->TestedDispatcher.setEntries({Self}, 1);
   Service TestService;
   TestService.Name = ServiceName("s");
--- a/tests/auto/libs/coordination/DispatcherHarness.h
+++ b/tests/auto/libs/coordination/DispatcherHarness.h
@@ -41,7 +41,8 @@
 
   /// `Self` is the address of the entry; it is the only one of the region until the test calls
   /// setEntries() of the dispatcher.
-  explicit DispatcherHarness(std::uint64_t Seed = 1, const std::string &Self = "10.0.0.1");
+  explicit DispatcherHarness(std::uint64_t Seed = 1, const std::string &Self = "10.0.0.1",
+                             RetryBudgetLimits Retries = {0.2, 1000, std::chrono::seconds(10)});
 
   /// Failure domains: `a1`, `a2` in region `a`, and `b1`, `b2` in region `b`. The entry is in `a1`.
   void addTarget(const std::string &Name, const std::string &Domain, bool Draining = false);
--- a/tests/auto/libs/coordination/tst_dispatchload.cpp
+++ b/tests/auto/libs/coordination/tst_dispatchload.cpp
@@ -232,6 +232,7 @@
   CPPUNIT_TEST(servesReturningCallers);
   CPPUNIT_TEST(spreadsRetries);
   CPPUNIT_TEST(servesUrgentKindsFirstAndAllSomewhat);
+  CPPUNIT_TEST(prefersTargetsThatAccept);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -495,6 +496,55 @@
     // A tenth of the dispatches.
     CPPUNIT_ASSERT_MESSAGE(Text, (Others.InTime + Others.Late) * 20 >= Others.Requests);
   }
+
+  /// Guards against a service whose targets reject half of all requests although their reports show
+  /// room: a target that rejects looks idle and so attracts further requests, the retry budget runs
+  /// out, and requests are queued and refused although other targets have room.
+  void prefersTargetsThatAccept() {
+    constexpr std::size_t Count = 8;
+    constexpr Duration Work = 100ms;
+    for (const bool Idempotent : {false, true}) {
+      DispatcherHarness Harness(10, "10.0.0.1", {0.2, 20, 10s});
+      VaryingTargets Targets(Harness, Count, Work, [](std::size_t, TimePoint) { return 1.0; });
+      const TimePoint Start = Harness.Now;
+      const auto Accept = Harness.OnSend;
+      // From the fifth second on, four of the eight targets reject; after 20 s more, none does.
+      Harness.OnSend = [&](const SendAttempt &Send) {
+        const bool IsRejecting = Send.Target < TargetName("t4") && Harness.Now >= Start + 5s &&
+                                 Harness.Now < Start + 25s;
+        return IsRejecting ? DispatcherHarness::AttemptBehavior{1ms, AttemptOutcome::NotExecuted}
+                           : Accept(Send);
+      };
+      const double AcceptingCapacity =
+          0.5 * Count * Slots / std::chrono::duration<double>(Work).count();
+      const RequestAttributes Example = Harness.attributes(Idempotent);
+      generateArrivals(Harness, Example, 0.7 * AcceptingCapacity, 5s);
+      const Arrivals Requests = generateArrivals(Harness, Example, 0.7 * AcceptingCapacity, 20s);
+      Harness.run(10s);
+      const std::size_t SentBefore = Harness.sent().size();
+      generateArrivals(Harness, Example, 0.7 * AcceptingCapacity, 10s);
+      Harness.run(5s);
+      CPPUNIT_ASSERT(Harness.Violations.empty());
+      const CallerResults Results = resultsOf(Harness, Requests, Example.Objective);
+      std::size_t Arrived = 0;
+      for (const auto &[Number, Arrival] : Requests) {
+        Arrived += Harness.sentOf(Number).size();
+      }
+      const auto Recovered = std::count_if(
+          Harness.sent().begin() + static_cast<std::ptrdiff_t>(SentBefore), Harness.sent().end(),
+          [](const auto &Each) { return Each.Send.Target < TargetName("t4"); });
+      const auto SentLater = Harness.sent().size() - SentBefore;
+      const std::string Text = std::string(Idempotent ? "idempotent: " : "not idempotent: ") +
+                               Results.text() + ", " + std::to_string(Arrived) + " sent; " +
+                               std::to_string(Recovered) + " of " + std::to_string(SentLater) +
+                               " to recovered targets";
+      CPPUNIT_ASSERT_MESSAGE(Text, Results.InTime * 100 >= Results.Requests * 95);
+      // The budget: 0.2 of the requests and 20 in each 10 s.
+      CPPUNIT_ASSERT_MESSAGE(Text, static_cast<double>(Arrived - Results.Requests) <=
+                                       0.2 * static_cast<double>(Results.Requests) + 40);
+      CPPUNIT_ASSERT_MESSAGE(Text, static_cast<std::size_t>(Recovered) * 4 >= SentLater);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchLoadTest);
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -54,6 +54,8 @@
     Decisions.WaitsRefused = 24;
     Decisions.CallersReturned = 25;
     Decisions.RetriesSpread = 26;
+    Decisions.RejectionsWithRoom = 27;
+    Decisions.RejectionsWhenFull = 28;
     Counters.setDispatchCounters(Decisions);
     Counters.setGauges({1, 2, 3, 4, 5, 6, 13, 14, {3, 41}});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
@@ -74,6 +76,8 @@
         "anvilsaddle_dispatch_decisions_total{decision=\"wait_refused\"} 24\n",
         "anvilsaddle_dispatch_decisions_total{decision=\"caller_returned\"} 25\n",
         "anvilsaddle_dispatch_decisions_total{decision=\"retry_spread\"} 26\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"rejected_with_room\"} 27\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"rejected_when_full\"} 28\n",
         "anvilsaddle_repeats_total{service=\"board\"} 1\n",
         "anvilsaddle_attempt_outcomes_total{service=\"board\",outcome=\"broken\"} 1\n",
         "anvilsaddle_failed_probes_total 1\n",
