--- a/src/libs/coordination/dispatch/DispatchQueue.cpp
+++ b/src/libs/coordination/dispatch/DispatchQueue.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <iterator>
 #include <limits>
+#include <utility>
 
 namespace anvilsaddle {
 
@@ -29,7 +30,9 @@
                                               const RequestAttributes &Attributes,
                                               Duration ProcessingTime, TimePoint Now) {
   const TimePoint LatestDispatch = Attributes.ReceivedAt + Attributes.Objective - ProcessingTime;
-  return {LatestDispatch < Now, LatestDispatch, Request};
+  const bool IsReturning = Attributes.CallerElapsed > Duration(0);
+  return {LatestDispatch < Now, LatestDispatch - Attributes.CallerElapsed, Request, LatestDispatch,
+          IsReturning};
 }
 
 void DispatchQueue::push(RequestNumber Request, const RequestAttributes &Attributes,
@@ -113,7 +116,10 @@
     SortKey Newest = Head;
     for (auto Next = From.Order.begin(); Next != From.Order.end() && !Next->MissesObjective;
          ++Next) {
-      Newest = Next->Request > Newest.Request ? *Next : Newest;
+      Newest = std::pair(Next->IsReturning, Next->Request) >
+                       std::pair(Newest.IsReturning, Newest.Request)
+                   ? *Next
+                   : Newest;
     }
     if (Newest.LatestDispatch >= Now) {
       return Newest.Request;
@@ -173,6 +179,11 @@
   Own.VirtualTime += DelaysOthers ? LateCost : 1;
 }
 
+bool DispatchQueue::hasMoreUrgent(std::uint32_t Priority) const {
+  return std::any_of(this->Levels.begin(), this->Levels.lower_bound(Priority),
+                     [](const auto &Each) { return !Each.second.empty(); });
+}
+
 bool DispatchQueue::hasOtherCustomers(const RequestAttributes &Attributes) const {
   const auto Found = this->Levels.find(Attributes.Priority);
   return Found != this->Levels.end() &&
@@ -198,13 +209,26 @@
   if (!Interval) {
     return std::nullopt;
   }
+  return *Interval * static_cast<std::int64_t>(this->countAhead(Attributes, ProcessingTime, Now));
+}
+
+std::size_t DispatchQueue::countAhead(const RequestAttributes &Attributes, Duration ProcessingTime,
+                                      TimePoint Now) const {
   constexpr RequestNumber Newest = std::numeric_limits<RequestNumber>::max();
   const SortKey New = makeKey(Newest, Attributes, ProcessingTime, Now);
-  return *Interval * static_cast<std::int64_t>(this->countAhead(Attributes, New, Now));
+  // In an overload a new request goes ahead of the others of its customer.
+  const bool GoesAhead = !New.MissesObjective && this->isOverloaded(Attributes.Customer, Now);
+  return this->countAhead(Attributes, New, GoesAhead);
+}
+
+std::size_t DispatchQueue::countEarlier(const RequestAttributes &Attributes,
+                                        Duration ProcessingTime, TimePoint Now) const {
+  constexpr RequestNumber Newest = std::numeric_limits<RequestNumber>::max();
+  return this->countAhead(Attributes, makeKey(Newest, Attributes, ProcessingTime, Now), false);
 }
 
 std::size_t DispatchQueue::countAhead(const RequestAttributes &Attributes, const SortKey &New,
-                                      TimePoint Now) const {
+                                      bool GoesAheadOfOwn) const {
   std::size_t Result = 0;
   for (const auto &[Priority, Peers] : this->Levels) {
     for (const auto &[Customer, Each] : Peers.Lanes) {
@@ -220,9 +244,7 @@
   double Turn = Peers.VirtualTime;
   if (const auto Own = Peers.Lanes.find(Attributes.Customer); Own != Peers.Lanes.end()) {
     const std::set<SortKey> &Order = Own->second.Order;
-    // In an overload a new request goes ahead of the others of its customer.
-    const bool GoesAhead = !New.MissesObjective && this->isOverloaded(Attributes.Customer, Now);
-    OwnAhead = GoesAhead
+    OwnAhead = GoesAheadOfOwn
                    ? 0
                    : static_cast<std::size_t>(std::distance(Order.begin(), Order.lower_bound(New)));
     Turn = Order.empty() ? std::max(Turn, Own->second.VirtualTime) : Own->second.VirtualTime;
--- a/src/libs/coordination/dispatch/DispatchQueue.h
+++ b/src/libs/coordination/dispatch/DispatchQueue.h
@@ -23,7 +23,10 @@
 /// This order works for short waits. In an overload it would send each request just before its time
 /// expires, so that all responses would be late. Therefore, once the first request has waited for
 /// half of the time that it can wait, the newest request that can still meet its objective comes
-/// first. Not thread-safe; times must not decrease.
+/// first.
+///
+/// A caller that returns after a refusal takes the place of its first attempt: it goes ahead of
+/// requests of the same priority that arrived after that. Not thread-safe; times must not decrease.
 class DispatchQueue {
 public:
   /// Precondition: the request is not in the queue. `ProcessingTime` is the usual time at a target.
@@ -36,6 +39,8 @@
   /// Returns the request to send next; nothing if the queue is empty. First moves back the requests
   /// that can no longer meet their objective.
   std::optional<RequestNumber> front(TimePoint Now);
+  /// True if a queued request is more urgent than this priority.
+  bool hasMoreUrgent(std::uint32_t Priority) const;
   /// True if all queued requests miss their objective, so that requests of other entries that can
   /// still meet theirs should go first. False if the queue is empty.
   bool allMissObjective(TimePoint Now) const;
@@ -56,13 +61,24 @@
   /// many requests arrived.
   std::optional<Duration> expectedWait(const RequestAttributes &Attributes, Duration ProcessingTime,
                                        TimePoint Now) const;
+  /// Number of queued requests that go before one that arrives now.
+  std::size_t countAhead(const RequestAttributes &Attributes, Duration ProcessingTime,
+                         TimePoint Now) const;
+  /// The same without the reversed order of an overload.
+  std::size_t countEarlier(const RequestAttributes &Attributes, Duration ProcessingTime,
+                           TimePoint Now) const;
 
 private:
   struct SortKey {
     bool MissesObjective = false;
+    /// Latest time of dispatch that meets the objective, earlier by the time that the caller has
+    /// spent on earlier attempts.
+    TimePoint Rank{};
+    RequestNumber Request = 0;
     /// Latest time of dispatch that meets the objective.
     TimePoint LatestDispatch{};
-    RequestNumber Request = 0;
+    /// The caller returned after a refusal.
+    bool IsReturning = false;
 
     auto operator<=>(const SortKey &) const = default;
   };
@@ -90,9 +106,9 @@
   /// Mean time between two dispatches while requests wait; nothing as long as there are too few
   /// dispatches.
   std::optional<Duration> dispatchInterval(TimePoint Now) const;
-  /// Number of requests ahead of a new one.
+  /// Number of requests ahead of a new one, which may go ahead of all those of its customer.
   std::size_t countAhead(const RequestAttributes &Attributes, const SortKey &New,
-                         TimePoint Now) const;
+                         bool GoesAheadOfOwn) const;
   /// Returns the request of the lane to send next. Precondition: the lane is not empty.
   RequestNumber frontOf(Lane &From, TimePoint Now);
   bool isOverloaded(const Lane &Value, TimePoint Now) const;
--- a/src/libs/coordination/dispatch/DispatchTypes.h
+++ b/src/libs/coordination/dispatch/DispatchTypes.h
@@ -41,6 +41,11 @@
   Duration Objective{0};
   /// The request gets its final response by this time.
   TimePoint Deadline{};
+  /// Time until the caller gives up as of the arrival; nothing if the caller doesn't state it.
+  std::optional<Duration> CallerTimeLeft;
+  /// Time that the caller has spent on earlier attempts, if the request takes the place of the
+  /// first one.
+  Duration CallerElapsed{0};
   /// The request was forwarded by an entry of another region. It is only sent to targets of this
   /// region.
   bool CameFromOtherEntry = false;
@@ -139,6 +144,15 @@
   bool IsHedge = false;
   /// Set for a hedge if operators set a limit on hedges.
   std::optional<HedgeInputs> Hedge{};
+  /// Expected time until the response, the same if the reported slowdown lasts, and the time until
+  /// the deadline.
+  Duration ExpectedTime{0};
+  Duration TimeIfSlowdownLasts{0};
+  Duration TimeLeft{0};
+  /// Number of times that the request waited for a better target.
+  std::uint32_t DeferralCount = 0;
+  /// Fraction of the recent requests that the target rejected although it had room.
+  double RejectRate = 0;
 
   auto operator<=>(const PlacementDetails &) const = default;
 };
@@ -195,6 +209,41 @@
 
 const char *toString(RefusalKind Kind);
 
+/// Figures behind a refusal, for the log.
+struct RefusalDetails {
+  /// Time until the deadline.
+  Duration TimeLeft{0};
+  /// Expected wait for a free slot, and expected time at a target after that.
+  Duration ExpectedWait{0};
+  Duration ExpectedTime{0};
+  std::uint32_t DeferralCount = 0;
+  /// Time that the caller has spent on earlier attempts.
+  Duration CallerElapsed{0};
+
+  auto operator<=>(const RefusalDetails &) const = default;
+};
+
+/// Numbers of decisions since the start of the entry. Value type.
+struct DispatchCounters {
+  /// Searches that sent a request to no target, because a better one may come free in time.
+  std::uint64_t RunsDeferred = 0;
+  /// Requests refused because no target is expected to complete them in time.
+  std::uint64_t RunsRefused = 0;
+  /// Requests sent although they are not expected to end in time, to learn whether they do.
+  std::uint64_t RunsExplored = 0;
+  /// Requests refused because they would wait for a slot for too long.
+  std::uint64_t WaitsRefused = 0;
+  /// Requests recognized as sent again after a refusal that take the place of the first attempt.
+  std::uint64_t CallersReturned = 0;
+  /// Refusals whose Retry-After follows from the interval of dispatches.
+  std::uint64_t RetriesSpread = 0;
+  /// Rejections by targets whose load showed room, and by targets that were full.
+  std::uint64_t RejectionsWithRoom = 0;
+  std::uint64_t RejectionsWhenFull = 0;
+
+  auto operator<=>(const DispatchCounters &) const = default;
+};
+
 /// Refuses the request without a response of a target. The request is removed.
 struct RefuseRequest {
   RequestNumber Request = 0;
@@ -203,6 +252,7 @@
   std::string Reason;
   /// Time after which the caller may retry; zero if a retry is not suggested.
   Duration RetryAfter{0};
+  RefusalDetails Details{};
 
   auto operator<=>(const RefuseRequest &) const = default;
 };
--- a/src/libs/coordination/dispatch/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -1,9 +1,19 @@
 #include "coordination/dispatch/Dispatcher.h"
 
+#include "coordination/RandomSource.h"
+
 #include <algorithm>
 
 namespace anvilsaddle {
 
+namespace {
+
+/// Fraction of the returning callers that take the place of their first attempt. If all did, they
+/// would take the whole capacity in an overload, and every caller would be refused once.
+constexpr double ReturnPrecedenceFraction = 0.5;
+
+} // namespace
+
 Dispatcher::Dispatcher(Topology FleetTopology, const DispatchLimits &Limits, std::string Self,
                        RandomSource &Random)
     : State(std::move(FleetTopology), Limits, std::move(Self), Random), Completion(this->State),
@@ -38,11 +48,24 @@
   }
 }
 
+void Dispatcher::recognizeReturn(RequestAttributes &Attributes, TimePoint Now) {
+  if (!Attributes.CallerTimeLeft) {
+    return;
+  }
+  const Duration Elapsed =
+      this->State.StatedTimes.elapsed(Attributes.Route, *Attributes.CallerTimeLeft, Now);
+  if (Elapsed > Duration(0) && this->State.Random.uniform() < ReturnPrecedenceFraction) {
+    Attributes.CallerElapsed = Elapsed;
+    ++this->State.Counters.CallersReturned;
+  }
+}
+
 void Dispatcher::onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now) {
   this->State.Retries.onRequest(Attributes.Service, Now);
   this->State.Hedges.onRequest(Attributes);
   DispatchRequest &Request = this->State.Requests[Number];
   Request.Attributes = std::move(Attributes);
+  this->recognizeReturn(Request.Attributes, Now);
   if (!this->Completion.canEndBeforeShutdown(Request, Now)) {
     this->Completion.refuseAtShutdown(Number, Now);
     return;
@@ -52,9 +75,11 @@
   }
   this->State.updateTimer(Number, Request);
   ServiceQueue &Queue = this->State.Queues[Request.Attributes.Service];
-  // A request that searches at once would take the turn of another customer's.
+  // A request that searches at once would take the turn of another customer's or of a more urgent
+  // one.
   if (!Queue.Requests.empty() && (!Queue.Requests.allMissObjective(Now) ||
-                                  Queue.Requests.hasOtherCustomers(Request.Attributes))) {
+                                  Queue.Requests.hasOtherCustomers(Request.Attributes) ||
+                                  Queue.Requests.hasMoreUrgent(Request.Attributes.Priority))) {
     this->Queueing.enqueue(Number, false, Now);
     return;
   }
@@ -83,6 +108,7 @@
   const bool HasFailed =
       Result.Outcome != AttemptOutcome::Succeeded && Result.Outcome != AttemptOutcome::NotExecuted;
   this->State.targets().onAttemptEnd(Ended.Target, HasFailed, Now);
+  this->recordAnswer(Ended, Result, Now);
   if (Result.Load) {
     this->State.targets().onLoad(Ended.Target, *Result.Load, Now);
   }
@@ -114,6 +140,29 @@
   }
 }
 
+void Dispatcher::recordAnswer(const DispatchAttempt &Ended, const AttemptResult &Result,
+                              TimePoint Now) {
+  const TargetState *Target = this->State.targets().find(Ended.Target);
+  if (!Target) {
+    return;
+  }
+  if (Result.Outcome == AttemptOutcome::Succeeded ||
+      Result.Outcome == AttemptOutcome::TargetError) {
+    this->State.targets().onAnswered(Ended.Target, false, Now);
+    return;
+  }
+  if (Result.Outcome != AttemptOutcome::NotExecuted) {
+    return;
+  }
+  const std::optional<LoadReport> &Load = Result.Load ? Result.Load : Target->Load;
+  if (Load && Load->Running + Load->Waiting >= Load->Slots) {
+    ++this->State.Counters.RejectionsWhenFull;
+    return;
+  }
+  ++this->State.Counters.RejectionsWithRoom;
+  this->State.targets().onAnswered(Ended.Target, true, Now);
+}
+
 void Dispatcher::onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
                                  AttemptOutcome Outcome, TimePoint Now) {
   this->State.EntriesOfOtherRegions.onRefused(Ended.Address, Request.Attributes.Service, Now);
@@ -178,6 +227,10 @@
 
 void Dispatcher::onProbe(const TargetName &Name, const ProbeReport &Report, TimePoint Now) {
   this->State.Finder.onProbe(Name, Report, Now);
+  const TargetState *Target = this->State.targets().find(Name);
+  if (Target && Report.HasLoad) {
+    this->State.Queues[Target->Registration.Service].Slowdowns.add(Report.Load.Slowdown, Now);
+  }
   this->Searches.resumeSearches(Name, Now);
 }
 
--- a/src/libs/coordination/dispatch/Dispatcher.h
+++ b/src/libs/coordination/dispatch/Dispatcher.h
@@ -86,8 +86,13 @@
 
   std::size_t requestCount() const { return this->State.Requests.size(); }
   std::size_t queueLength() const;
+  const DispatchCounters &counters() const { return this->State.Counters; }
 
 private:
+  /// Sets the time that a returning caller has spent, if it takes the place of its first attempt.
+  void recognizeReturn(RequestAttributes &Attributes, TimePoint Now);
+  /// Records whether a target executed a request or rejected it, and if so, whether it was full.
+  void recordAnswer(const DispatchAttempt &Ended, const AttemptResult &Result, TimePoint Now);
   void onForwardFailed(const DispatchRequest &Request, DispatchAttempt &Ended,
                        AttemptOutcome Outcome, TimePoint Now);
   /// Records that the response of an attempt is delivered, before the others are cancelled.
--- a/src/libs/coordination/dispatch/Placement.cpp
+++ b/src/libs/coordination/dispatch/Placement.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint32_t MaxQueuedAhead = 2;
 /// Relative increase of the expected response time for each recent failure.
 constexpr double FailurePenalty = 1.5;
+/// The same for a target that rejects all requests. A target that has rejected the only request
+/// sent to it then costs more than one with as many requests waiting as may be sent there.
+constexpr double RejectPenalty = 3;
 /// Round-trip times of a request to another failure domain and to another region.
 constexpr Duration RegionRoundTrip = 2ms;
 constexpr Duration OtherRegionRoundTrip = 60ms;
@@ -46,14 +49,26 @@
   return Factor < MinSaturationFactor ? 1 : 1 + (Factor - 1) / SaturatedTimeFraction;
 }
 
+Duration roundTrip(Distance Proximity) {
+  switch (Proximity) {
+  case Distance::SameDomain:
+    return 0us;
+  case Distance::SameRegion:
+    return RegionRoundTrip;
+  case Distance::OtherRegion:
+    return OtherRegionRoundTrip;
+  }
+  return OtherRegionRoundTrip;
+}
+
 Duration distanceCost(Distance Proximity, double Bytes) {
   switch (Proximity) {
   case Distance::SameDomain:
     return 0us;
   case Distance::SameRegion:
-    return RegionRoundTrip + Duration(std::llround(Bytes * RegionMicrosecondsPerByte));
+    return roundTrip(Proximity) + Duration(std::llround(Bytes * RegionMicrosecondsPerByte));
   case Distance::OtherRegion:
-    return OtherRegionRoundTrip + Duration(std::llround(Bytes * OtherRegionMicrosecondsPerByte));
+    return roundTrip(Proximity) + Duration(std::llround(Bytes * OtherRegionMicrosecondsPerByte));
   }
   return OtherRegionRoundTrip;
 }
@@ -85,23 +100,30 @@
   const std::uint32_t QueuedAhead = Outstanding + 1 > Usable ? Outstanding + 1 - Usable : 0;
   const std::uint32_t UsableSlotsLeft = Usable - std::min(Usable, Outstanding + 1);
   const bool HasCapacity = QueuedAhead == 0 || (Usable == Slots && QueuedAhead <= MaxQueuedAhead);
-  const double Slowdown = 1 + (std::max(0.5, Load.Slowdown) - 1) * PersistentSlowdownFraction;
+  const double ReportedSlowdown = std::max(0.5, Load.Slowdown);
+  const double Slowdown = 1 + (ReportedSlowdown - 1) * PersistentSlowdownFraction;
   const std::uint32_t Waiting = Outstanding + 1 > Slots ? Outstanding + 1 - Slots : 0;
   const SlotOccupancy OccupancyAtStart = slotOccupancy(std::min(Outstanding + 1, Slots), Slots);
   const double Occupancy = std::min(1.0, static_cast<double>(Outstanding) / Slots);
   const double ProcessingRounds = Estimate.Saturation.at(OccupancyAtStart);
   const double TotalRounds = ProcessingRounds + OccupancySlowdown * Occupancy +
                              static_cast<double>(Waiting) / Slots * ProcessingRounds;
-  const double FailureFactor = 1 + FailurePenalty * Candidate.FailureScore;
+  const double FailureFactor =
+      (1 + FailurePenalty * Candidate.FailureScore) * (1 + RejectPenalty * Candidate.RejectRate);
   const auto ResponseTime = std::chrono::duration_cast<Duration>(
       Estimate.ProcessingTime * (Slowdown * TotalRounds * FailureFactor));
+  const auto TimeAt = [&](double Factor) {
+    return scaled(Estimate.ProcessingTime, Factor * TotalRounds) + roundTrip(Candidate.Proximity);
+  };
   return {Candidate.Index,
           ResponseTime + distanceCost(Candidate.Proximity, Estimate.ResponseBytes),
           Outstanding,
           QueuedAhead,
           UsableSlotsLeft,
           HasCapacity,
-          Waiting == 0 ? std::optional(OccupancyAtStart) : std::nullopt};
+          Waiting == 0 ? std::optional(OccupancyAtStart) : std::nullopt,
+          TimeAt(1 + (ReportedSlowdown - 1) * Estimate.SlowdownPersistence),
+          TimeAt(ReportedSlowdown)};
 }
 
 std::optional<PlacementChoice> chooseBest(const std::vector<PlacementCandidate> &Candidates,
--- a/src/libs/coordination/dispatch/Placement.h
+++ b/src/libs/coordination/dispatch/Placement.h
@@ -23,6 +23,8 @@
   std::uint32_t SentSinceReport = 0;
   /// Failure score of the target, see TargetTable.
   double FailureScore = 0;
+  /// Fraction of the recent requests that the target rejected although it had room.
+  double RejectRate = 0;
 
   auto operator<=>(const PlacementCandidate &) const = default;
 };
@@ -42,6 +44,10 @@
   bool HasCapacity = false;
   /// Occupancy of the target with this request; nothing if the request would wait for a slot.
   std::optional<SlotOccupancy> Occupancy;
+  /// Expected time until the response, without the price of the distance.
+  Duration ExpectedTime{0};
+  /// The same if the reported slowdown lasts until the response.
+  Duration TimeIfSlowdownLasts{0};
 
   auto operator<=>(const PlacementChoice &) const = default;
 };
--- a/src/libs/coordination/dispatch/RequestSearches.cpp
+++ b/src/libs/coordination/dispatch/RequestSearches.cpp
@@ -26,6 +26,9 @@
 /// slot of a target. In the others it leaves the slot to requests that can still meet theirs.
 constexpr double LateLastSlotFraction = 0.2;
 constexpr Duration HedgeRecheckInterval = 60ms;
+/// Fraction of the requests to send although no target is expected to complete them in time.
+/// Without any run the entry would never learn that targets report too high slowdowns.
+constexpr double ExploredRefusalFraction = 0.05;
 
 } // namespace
 
@@ -122,6 +125,34 @@
              Request.Attributes.Service, *Choice.Occupancy, this->State.Random.uniform(), Now);
 }
 
+bool RequestSearches::admitRun(DispatchRequest &Request, const PlacementChoice &Choice,
+                               TimePoint Now) {
+  const RequestAttributes &Attributes = Request.Attributes;
+  Request.Refused.reset();
+  if (Attributes.Idempotent) {
+    return true;
+  }
+  const RunAdmission Admission =
+      decideRun(Attributes, Choice, this->State.Estimates.estimate(Attributes, Now).ProcessingTime,
+                this->State.Queues[Attributes.Service].Slowdowns.fastest(Now), Now);
+  switch (Admission.Decision) {
+  case RunDecision::Send:
+    return true;
+  case RunDecision::WaitForBetter:
+    ++Request.DeferralCount;
+    ++this->State.Counters.RunsDeferred;
+    return false;
+  case RunDecision::Refuse:
+    if (Choice.HasCapacity && this->State.Random.uniform() < ExploredRefusalFraction) {
+      ++this->State.Counters.RunsExplored;
+      return true;
+    }
+    Request.Refused = Admission;
+    return false;
+  }
+  return true;
+}
+
 bool RequestSearches::trySend(RequestNumber Number, const PlacementChoice &Choice,
                               std::size_t CandidateCount, TimePoint Now) {
   DispatchRequest &Request = this->State.Requests.at(Number);
@@ -130,8 +161,16 @@
       Now >= Request.Attributes.Deadline) {
     return false;
   }
+  if (!this->admitRun(Request, Choice, Now)) {
+    return false;
+  }
   PlacementDetails Details{*Selected->Load, Now - Selected->LoadTime, Choice.Cost, CandidateCount,
                            Request.Search->IsHedge};
+  Details.ExpectedTime = Choice.ExpectedTime;
+  Details.TimeIfSlowdownLasts = Choice.TimeIfSlowdownLasts;
+  Details.TimeLeft = Request.Attributes.Deadline - Now;
+  Details.DeferralCount = Request.DeferralCount;
+  Details.RejectRate = TargetTable::rejectRate(*Selected, Now);
   if (this->isLimitedHedge(Request)) {
     if (!this->State.Hedges.canAcquire() ||
         !this->State.Retries.tryAcquireHedge(Request.Attributes.Service, Now)) {
@@ -168,7 +207,11 @@
   Request.HedgeAt = this->hedgeTime(Request, Details.ExpectedCost, Now);
   this->State.updateTimer(Number, Request);
   const ServiceName Service = Request.Attributes.Service;
-  this->State.Queues[Service].onDispatched(Request.Attributes, ProcessingTime, Now);
+  ServiceQueue &Queue = this->State.Queues[Service];
+  if (const auto QueuedAt = std::exchange(Request.QueuedAt, std::nullopt)) {
+    Queue.Shortage.onLeft(*QueuedAt, true, Now);
+  }
+  Queue.onDispatched(Request.Attributes, ProcessingTime, Now);
   this->State.Effects.emplace_back(
       SendAttempt{Number, Attempt, Name, Selected.Registration.Address, Request.Attributes.Deadline,
                   Request.Attributes.Idempotent, Details, std::nullopt});
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -120,6 +120,7 @@
   this->writeServices(Out, Now);
   this->writeEntry(Out);
   this->writeHedges(Out);
+  this->writeDecisions(Out);
   this->writeUnanswered(Out);
   this->writeMemory(Out);
   this->writePeers(Out);
@@ -244,6 +245,21 @@
   }
 }
 
+void Metrics::writeDecisions(Writer &Out) const {
+  Out.writeFamily("dispatch_decisions_total", "counter", "Decisions of the dispatcher, by kind.");
+  const auto Write = [&Out](const char *Kind, std::uint64_t Count) {
+    Out.writeSample("dispatch_decisions_total", {{"decision", Kind}}, Count);
+  };
+  Write("run_deferred", this->Decisions.RunsDeferred);
+  Write("run_refused", this->Decisions.RunsRefused);
+  Write("run_explored", this->Decisions.RunsExplored);
+  Write("wait_refused", this->Decisions.WaitsRefused);
+  Write("caller_returned", this->Decisions.CallersReturned);
+  Write("retry_spread", this->Decisions.RetriesSpread);
+  Write("rejected_with_room", this->Decisions.RejectionsWithRoom);
+  Write("rejected_when_full", this->Decisions.RejectionsWhenFull);
+}
+
 void Metrics::writeUnanswered(Writer &Out) const {
   Out.writeFamily("unanswered_requests_total", "counter",
                   "Requests whose connection ended before the response was complete, by the reason "
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -83,6 +83,7 @@
   void setPeerTraffic(const PeerTraffic &Traffic) { this->Peers = Traffic; }
   void setPublicationTraffic(const PublicationTraffic &Traffic) { this->Publications = Traffic; }
   void setMemory(const MemoryAccount &Account);
+  void setDispatchCounters(const DispatchCounters &Values) { this->Decisions = Values; }
   void setGauges(const Gauges &Values) { this->CurrentGauges = Values; }
 
   /// Returns all series as `text/plain; version=0.0.4`.
@@ -112,6 +113,7 @@
                              TimePoint Now);
   void writeEntry(Writer &Out) const;
   void writeHedges(Writer &Out) const;
+  void writeDecisions(Writer &Out) const;
   void writeUnanswered(Writer &Out) const;
   void writeMemory(Writer &Out) const;
   void writePeers(Writer &Out) const;
@@ -134,6 +136,7 @@
   MemoryAccount::Counts MemoryCounts;
   PeerTraffic Peers;
   PublicationTraffic Publications;
+  DispatchCounters Decisions;
   Gauges CurrentGauges;
 };
 
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace anvilsaddle {
@@ -138,7 +139,12 @@
                                     static_cast<std::int64_t>(Placement.Load.Slowdown * 1e6)))},
                    {"load_age_us", std::to_string(Placement.LoadAge.count())},
                    {"expected_ms", formatMilliseconds(Placement.ExpectedCost)},
-                   {"candidates", std::to_string(Placement.CandidateCount)}};
+                   {"candidates", std::to_string(Placement.CandidateCount)},
+                   {"expected_time_ms", formatMilliseconds(Placement.ExpectedTime)},
+                   {"slow_time_ms", formatMilliseconds(Placement.TimeIfSlowdownLasts)},
+                   {"time_left_ms", formatMilliseconds(Placement.TimeLeft)},
+                   {"deferrals", std::to_string(Placement.DeferralCount)},
+                   {"reject_rate", formatDecimal(Placement.RejectRate)}};
   if (Placement.Hedge) {
     addHedgeInputs(Result, *Placement.Hedge);
   }
@@ -286,7 +292,10 @@
   Attributes.Service = Forward && !Forward->Service.empty()
                            ? Forward->Service
                            : chooseService(*MatchedRoute, this->Deps.Random.uniform());
-  if (Forward) {
+  if (!Forward) {
+    // A forwarded request states the time until the route's timeout instead.
+    Attributes.CallerTimeLeft = Metadata.RemainingTime;
+  } else {
     Attributes.CameFromOtherEntry = true;
     Attributes.MayQueue = Forward->MayQueue;
     Attributes.MaxTargets = std::min(Attributes.MaxTargets, Forward->MaxTargets);
@@ -556,7 +565,12 @@
             {"kind", toString(Command.Kind)},
             {"reason", Command.Reason},
             {"retry_after_s", formatSeconds(Command.RetryAfter)},
-            {"queued", std::to_string(this->Deps.RequestDispatcher.queueLength())}});
+            {"queued", std::to_string(this->Deps.RequestDispatcher.queueLength())},
+            {"time_left_ms", formatMilliseconds(Command.Details.TimeLeft)},
+            {"expected_wait_ms", formatMilliseconds(Command.Details.ExpectedWait)},
+            {"expected_time_ms", formatMilliseconds(Command.Details.ExpectedTime)},
+            {"deferrals", std::to_string(Command.Details.DeferralCount)},
+            {"caller_elapsed_ms", formatMilliseconds(Command.Details.CallerElapsed)}});
   Request->reject(localResponse(Status, Command.RetryAfter), Command.Reason + "\n");
 }
 
--- a/tests/auto/libs/coordination/DispatcherHarness.cpp
+++ b/tests/auto/libs/coordination/DispatcherHarness.cpp
@@ -21,18 +21,19 @@
   return Result;
 }
 
-DispatchLimits makeLimits(HedgeLimits Hedges) {
+DispatchLimits makeLimits(const RetryBudgetLimits &Retries, const HedgeLimits &Hedges) {
   DispatchLimits Result;
   Result.Hedges = Hedges;
-  Result.Retries = {0.2, 1000, 10s};
+  Result.Retries = Retries;
   return Result;
 }
 
 } // namespace
 
 DispatcherHarness::DispatcherHarness(std::uint64_t Seed, const std::string &Self,
-                                     HedgeLimits Hedges)
-    : Random(Seed), TestedDispatcher(makeTopology(), makeLimits(Hedges), Self, this->Random) {
+                                     RetryBudgetLimits Retries, HedgeLimits Hedges)
+    : Random(Seed),
+      TestedDispatcher(makeTopology(), makeLimits(Retries, Hedges), Self, this->Random) {
   this->TestedDispatcher.setEntries({Self}, 1);
   Service TestService;
   TestService.Name = ServiceName("s");
--- a/tests/auto/libs/coordination/tst_hedging.cpp
+++ b/tests/auto/libs/coordination/tst_hedging.cpp
@@ -175,7 +175,7 @@
     const auto Run = [](double Share) {
       Outcome Sum;
       for (const std::uint64_t Seed : {1, 2, 3, 4}) {
-        DispatcherHarness Harness(Seed, "10.0.0.1", {Share});
+        DispatcherHarness Harness(Seed, "10.0.0.1", DispatcherHarness::AmpleRetries, {Share});
         SlowTargets Targets(Harness);
         Targets.SlowRunFraction = 0.03;
         play(Harness, 0.4 * Capacity, 20s, Share);
@@ -201,7 +201,7 @@
   /// in which hedges make more responses late than none.
   void staysWithinLimitInSlowSpell() {
     const auto Run = [](double Share) {
-      DispatcherHarness Harness(6, "10.0.0.1", {Share});
+      DispatcherHarness Harness(6, "10.0.0.1", DispatcherHarness::AmpleRetries, {Share});
       SlowTargets Targets(Harness);
       play(Harness, 0.4 * Capacity, 20s, Share);
       Targets.SlowTargetCount = TargetCount / 4;
@@ -221,7 +221,7 @@
   /// requests that wait.
   void switchesItselfOffInOverload() {
     const auto Run = [](double Share) {
-      DispatcherHarness Harness(7, "10.0.0.1", {Share});
+      DispatcherHarness Harness(7, "10.0.0.1", DispatcherHarness::AmpleRetries, {Share});
       SlowTargets Targets(Harness);
       Targets.SlowRunFraction = 0.03;
       play(Harness, 0.4 * Capacity, 20s, Share);
@@ -239,7 +239,7 @@
 
   /// Guards against a limit of 0 that does not switch hedging off.
   void sendsNoneAtZero() {
-    DispatcherHarness Harness(8, "10.0.0.1", {0});
+    DispatcherHarness Harness(8, "10.0.0.1", DispatcherHarness::AmpleRetries, {0});
     SlowTargets Targets(Harness);
     Targets.SlowRunFraction = 0.2;
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, play(Harness, 0.3 * Capacity, 10s, 0).Hedges);
@@ -259,7 +259,7 @@
     const Case Table[] = {{"objective is near", 150ms, 105ms, 150ms},
                           {"objective is far", 400ms, 260ms, 300ms}};
     for (const Case &Each : Table) {
-      DispatcherHarness Harness(9, "10.0.0.1", {1});
+      DispatcherHarness Harness(9, "10.0.0.1", DispatcherHarness::AmpleRetries, {1});
       Harness.addTarget("t0", "a1");
       Harness.addTarget("t1", "a1");
       bool IsSlow = false;
@@ -301,7 +301,7 @@
     const Case Table[] = {{"hedge is faster", 1500ms, 100ms, 0, 1},
                           {"hedge is slower", 400ms, 1500ms, 1, 0}};
     for (const Case &Each : Table) {
-      DispatcherHarness Harness(10, "10.0.0.1", {1});
+      DispatcherHarness Harness(10, "10.0.0.1", DispatcherHarness::AmpleRetries, {1});
       for (const char *Name : {"t0", "t1", "t2"}) {
         Harness.addTarget(Name, "a1");
       }
@@ -380,7 +380,7 @@
         {"second target is slow", 1, true, 3, false, 1, 0, 4, HedgeObstacle::NoTarget},
     };
     for (const Case &Each : Table) {
-      DispatcherHarness Harness(11, "10.0.0.1", {Each.Share});
+      DispatcherHarness Harness(11, "10.0.0.1", DispatcherHarness::AmpleRetries, {Each.Share});
       Harness.TestedDispatcher.setEntries({"10.0.0.1"}, Each.EntryCount);
       Harness.addTarget("t0", "a1");
       Harness.OnSend = [](const SendAttempt &) {
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -54,6 +54,16 @@
     Unanswered += Unanswered;
     Counters.setUnansweredRequests(Unanswered);
     Counters.setHedges({21, 22, {23, 24, 25, 26}});
+    DispatchCounters Decisions;
+    Decisions.RunsDeferred = 21;
+    Decisions.RunsRefused = 22;
+    Decisions.RunsExplored = 23;
+    Decisions.WaitsRefused = 24;
+    Decisions.CallersReturned = 25;
+    Decisions.RetriesSpread = 26;
+    Decisions.RejectionsWithRoom = 27;
+    Decisions.RejectionsWhenFull = 28;
+    Counters.setDispatchCounters(Decisions);
     Counters.setGauges({1, 2, 3, 4, 5, 6, 13, 14, {3, 41}});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
@@ -73,6 +83,14 @@
         "anvilsaddle_answers_total{service=\"board\",status=\"other\"} 1\n",
         "anvilsaddle_refusals_total{reason=\"no \\\"room\\\"\\n\",status=\"503\"} 1\n",
         "anvilsaddle_attempts_total{service=\"board\"} 2\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"run_deferred\"} 21\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"run_refused\"} 22\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"run_explored\"} 23\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"wait_refused\"} 24\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"caller_returned\"} 25\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"retry_spread\"} 26\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"rejected_with_room\"} 27\n",
+        "anvilsaddle_dispatch_decisions_total{decision=\"rejected_when_full\"} 28\n",
         "anvilsaddle_repeats_total{service=\"board\"} 1\n",
         "anvilsaddle_attempt_outcomes_total{service=\"board\",outcome=\"broken\"} 1\n",
         "anvilsaddle_failed_probes_total 1\n",
