--- a/tests/auto/libs/transport/MalformedResponses.h
+++ b/tests/auto/libs/transport/MalformedResponses.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anvilsaddle {
@@ -14,7 +15,10 @@
     Result.push_back("HTTP/1.1 "s + Status + " OK\r\n" + Fields + "Content-Length: 2\r\n\r\nok");
   }
   for (const std::string &Line : {"A b: c"s, "A : b"s, "A\x01: b"s, "A\0: b"s, " folded"s}) {
-    Result.push_back("HTTP/1.1 200 OK\r\n" + Fields + Line + "\r\nContent-Length: 2\r\n\r\nok");
+    std::string Response = "HTTP/1.1 200 OK\r\n" + Fields;
+    Response += Line;
+    Response += "\r\nContent-Length: 2\r\n\r\nok";
+    Result.push_back(std::move(Response));
   }
   return Result;
 }
--- a/tests/auto/libs/transport/tst_requestattempt.cpp
+++ b/tests/auto/libs/transport/tst_requestattempt.cpp
@@ -517,7 +517,7 @@
     const std::vector<Case> Cases = {
         {"part of a body", Head + "part"},
         {"head without a body", Head},
-        {"part of a large body", Head + std::string(400 * 1024, 'b')},
+        {"part of a large body", Head + std::string(std::size_t{400} * 1024, 'b')},
         {"without a signature", "HTTP/1.1 200 OK\r\nId: 7\r\n\r\npart"},
         {"before the first byte", ""},
         {"within the head", Head.substr(0, 20)},
