Move what the kernel holds for a connection out of HttpConnection

AcceptedSocket tells the caller's address and the unread and undelivered bytes of a connection, and resets it. No change of behaviour.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -7,10 +7,6 @@
 #include <array>
 #include <utility>
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
-
 namespace anvilsaddle {
 
 namespace {
@@ -45,7 +41,7 @@
 
 HttpConnection::HttpConnection(HttpServer &Server, GObjectPointer<GSocket> Socket, TimePoint Now)
     : Server(Server), Socket(std::move(Socket)),
-      Watch(g_socket_get_fd(this->Socket.get()),
+      Watch(this->Socket.descriptor(),
             [this](GIOCondition Condition) { this->onReady(Condition); }),
       Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}),
       ExpectedCharge(Server.memory(), MemoryKind::ExpectedResponse),
@@ -279,7 +275,8 @@
   const MemoryAccount &Memory = *this->Server.memory();
   this->Server.handler().onRejected(
       {this->Parser.isHeadComplete() ? this->Parser.head() : RequestHead(), Status, Text,
-       this->callerAddress(), this->Parser.bodyBytes(), Memory.used(), Memory.limits().TotalBytes});
+       this->Socket.callerAddress(), this->Parser.bodyBytes(), Memory.used(),
+       Memory.limits().TotalBytes});
   ResponseHead Head;
   Head.Status = Status;
   Head.Reason = reasonPhrase(Status);
@@ -450,32 +447,20 @@
   this->close(Reason);
 }
 
-int HttpConnection::undeliveredBytes() const {
-  int Bytes = 0;
-  return ioctl(g_socket_get_fd(this->Socket.get()), SIOCOUTQ, &Bytes) == 0 ? Bytes : 0;
-}
-
 void HttpConnection::updateOutputProgress(TimePoint Now) {
   // The socket takes further bytes only after a third of its buffer has been delivered, which can
   // take long on a full link.
-  const int Undelivered = this->undeliveredBytes();
+  const std::size_t Undelivered = this->Socket.undeliveredBytes();
   if (Undelivered < this->LastUndelivered) {
     this->LastOutputProgress = Now;
   }
   this->LastUndelivered = Undelivered;
 }
 
-bool HttpConnection::hasUnreadBytes() const {
-  char Byte = 0;
-  return recv(g_socket_get_fd(this->Socket.get()), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 void HttpConnection::reset() { this->resetWith(CloseReason::TruncatedResponse); }
 
 void HttpConnection::resetWith(CloseReason Reason) {
-  const linger ZeroLinger = {1, 0};
-  setsockopt(g_socket_get_fd(this->Socket.get()), SOL_SOCKET, SO_LINGER, &ZeroLinger,
-             sizeof(ZeroLinger));
+  this->Socket.resetOnClose();
   this->close(Reason);
 }
 
@@ -514,14 +499,14 @@
   if (this->Parser.isStarted()) {
     this->report(Reason, RequestStage::Incomplete, {});
   }
-  if (this->CurrentState == State::Closed && this->hasUnreadBytes()) {
+  if (this->CurrentState == State::Closed && this->Socket.hasUnreadBytes()) {
     this->reportUnreadBytes(Reason);
   }
 }
 
 void HttpConnection::report(CloseReason Reason, RequestStage Stage, const RequestHead &Head) {
   this->Server.countUnanswered(Reason, Stage);
-  this->Server.handler().onUnanswered({Reason, Stage, Head, this->callerAddress()});
+  this->Server.handler().onUnanswered({Reason, Stage, Head, this->Socket.callerAddress()});
 }
 
 void HttpConnection::reportUnreadBytes(CloseReason Reason) {
@@ -530,18 +515,6 @@
   }
 }
 
-std::string HttpConnection::callerAddress() const {
-  const GObjectPointer<GSocketAddress> Remote(
-      g_socket_get_remote_address(this->Socket.get(), nullptr));
-  if (!Remote) {
-    return {};
-  }
-  auto *const Internet = G_INET_SOCKET_ADDRESS(Remote.get());
-  const std::unique_ptr<char, GFree> Address(
-      g_inet_address_to_string(g_inet_socket_address_get_address(Internet)));
-  return toString(Endpoint{Address.get(), g_inet_socket_address_get_port(Internet)});
-}
-
 void HttpConnection::checkTimeouts(TimePoint Now) {
   if (this->CurrentState == State::Lingering) {
     const Duration Elapsed = Now - this->LastActivity;
@@ -565,7 +538,7 @@
   this->updateUnreadCharge();
   this->updateOutputProgress(Now);
   // A busy entry may not have read the rest yet.
-  if (this->isTooSlow(Now) && !this->hasUnreadBytes()) {
+  if (this->isTooSlow(Now) && !this->Socket.hasUnreadBytes()) {
     this->rejectRequest(RequestTimeout, "the request arrives too slowly");
   }
 }
@@ -593,11 +566,8 @@
 }
 
 void HttpConnection::updateUnreadCharge() {
-  int Unread = 0;
-  if (this->IsPaused) {
-    ioctl(g_socket_get_fd(this->Socket.get()), FIONREAD, &Unread);
-  }
-  this->UnreadCharge.set(this->Parser.buffered() + static_cast<std::size_t>(std::max(0, Unread)));
+  const std::size_t Unread = this->IsPaused ? this->Socket.unreadBytes() : 0;
+  this->UnreadCharge.set(this->Parser.buffered() + Unread);
 }
 
 } // namespace anvilsaddle
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -4,6 +4,7 @@
 #include "protocol/RequestParser.h"
 #include "protocol/UnansweredRequest.h"
 #include "state/Time.h"
+#include "transport/AcceptedSocket.h"
 #include "transport/GlibPointers.h"
 #include "transport/HttpExchange.h"
 #include "transport/ScheduledCall.h"
@@ -105,15 +106,12 @@
   void reportUnanswered(CloseReason Reason);
   void report(CloseReason Reason, RequestStage Stage, const RequestHead &Head);
   void reportUnreadBytes(CloseReason Reason);
-  bool hasUnreadBytes() const;
   /// True if the caller's host has not acknowledged all bytes that were written.
-  bool hasUndeliveredBytes() const { return this->undeliveredBytes() > 0; }
-  int undeliveredBytes() const;
+  bool hasUndeliveredBytes() const { return this->Socket.undeliveredBytes() > 0; }
   void updateOutputProgress(TimePoint Now);
-  std::string callerAddress() const;
 
   HttpServer &Server;
-  GObjectPointer<GSocket> Socket;
+  AcceptedSocket Socket;
   SocketWatch Watch;
   RequestParser Parser;
   /// Of the body that is being received; null before its head is complete.
@@ -132,8 +130,8 @@
   std::optional<TimePoint> LastWrite;
   /// Time at which output began to wait or the caller took a part of it.
   TimePoint LastOutputProgress{};
-  /// Result of undeliveredBytes() when it was last checked.
-  int LastUndelivered = 0;
+  /// Undelivered bytes when they were last checked.
+  std::size_t LastUndelivered = 0;
   /// Arrival of the first byte of the request that is being received.
   TimePoint RequestStarted{};
   State CurrentState = State::Open;
