Bound what arrives on connections that are not read

Callers saw entries killed over their memory while many clients sent large bodies. Cause: bytes that were received and not read count as memory of the VM, and a connection that is paused for memory (or not accepted yet) let the kernel take 128 KB, after a fast upload up to 2.7 MB.

Listening sockets now pass a receive buffer of 8 KB on to their connections, which bounds the unread bytes to about 13 KB; a body gets the large buffer once its memory is granted, and loses it with its last byte. Connections to targets start with the small buffer too. The servers for entries, the platform and operators keep 128 connections that wait to be accepted instead of 1,024.

--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -25,6 +25,10 @@
 /// dozen entries connect to this one.
 constexpr std::size_t MaxForwardConnections = 1024;
 
+/// Connections of other entries, the platform and operators that may wait to be accepted. What has
+/// arrived on them counts as memory of the VM.
+constexpr int InternalBacklog = 128;
+
 /// Descriptors of the VM that are for files.
 constexpr std::int64_t FileDescriptors = 200;
 /// Largest parts of the other descriptors that each kind of connection may use, and all accepted
@@ -172,7 +176,8 @@
         {&this->ControlServer, &this->Settings.ControlEndpoint},
         {&this->OperatorServer, &this->Settings.OperatorEndpoint}}) {
     Server->shareConnectionLimit(Accepted);
-    if (std::string Error = Server->listen(*Address); !Error.empty()) {
+    const int Backlog = Server == &this->CallerServer ? HttpServer::CallerBacklog : InternalBacklog;
+    if (std::string Error = Server->listen(*Address, Backlog); !Error.empty()) {
       return Error;
     }
   }
--- a/src/libs/transport/HttpCall.cpp
+++ b/src/libs/transport/HttpCall.cpp
@@ -17,6 +17,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t ReadBufferBytes = 65536;
+/// Longer bodies, and those of unknown length, are received with a large buffer.
+constexpr std::size_t MaxShortBodyBytes = std::size_t{16} * 1024;
 /// Used if the server announces no timeout. Common servers close idle connections after 5 s
 /// or more.
 constexpr Duration DefaultIdleLifetime = 8s;
@@ -91,6 +93,7 @@
   if (this->Socket) {
     g_socket_set_blocking(this->Socket.get(), FALSE);
     g_socket_set_option(this->Socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    setReceiveBuffer(this->Socket.get(), ReceiveBuffer::Small);
     if (this->Request.DetectDeadPeer) {
       enableDeadPeerDetection(this->Socket.get());
     }
@@ -236,7 +239,18 @@
   this->updateWatch();
 }
 
+void HttpCall::resizeReceiveBuffer(ReceiveBuffer Size) {
+  if (this->Socket && std::exchange(this->CurrentReceiveBuffer, Size) != Size) {
+    setReceiveBuffer(this->Socket.get(), Size);
+  }
+}
+
 void HttpCall::readMore() {
+  const ResponseHead &Head = this->Parser->head();
+  if (Head.Framing != BodyFraming::None &&
+      Head.Length.value_or(MaxShortBodyBytes + 1) > MaxShortBodyBytes) {
+    this->resizeReceiveBuffer(ReceiveBuffer::Large);
+  }
   this->CurrentState = State::AwaitingBody;
   this->deliverBody();
 }
@@ -282,6 +296,8 @@
   this->updateWatch();
   if (IsEnd) {
     const bool AllSent = !this->WriteFailed && this->hasWrittenAll();
+    // The connection may carry a response for which no memory is free.
+    this->resizeReceiveBuffer(ReceiveBuffer::Small);
     GObjectPointer<GSocket> Unused = std::move(this->Socket);
     this->end();
     if (AllSent && this->Parser->isReusable()) {
--- a/src/libs/transport/HttpCall.h
+++ b/src/libs/transport/HttpCall.h
@@ -4,6 +4,7 @@
 #include "state/Endpoint.h"
 #include "state/Time.h"
 #include "transport/GlibPointers.h"
+#include "transport/ReceiveBuffer.h"
 #include "transport/ScheduledCall.h"
 #include "transport/SocketWatch.h"
 
@@ -63,8 +64,9 @@
 
   /// The listener is called in later iterations of the main loop.
   void send();
-  /// Requests the next bytes of the body. Precondition: onResponseHead() has been called, and no
-  /// earlier request for bytes is pending. May call the listener immediately.
+  /// Requests the next bytes of the body, for which memory must be free. Precondition:
+  /// onResponseHead() has been called, and no earlier request for bytes is pending. May call the
+  /// listener immediately.
   void readMore();
   /// Discards a response that belongs to another request and waits for the next one. Precondition:
   /// called from onResponseHead() for a response whose framing marks its end; readMore() must not
@@ -82,6 +84,8 @@
   enum class State { Connecting, AwaitingHead, Paused, AwaitingBody, Skipping, Ended };
 
   std::string connect();
+  /// Lets more bytes of a long response arrive before they are read, or no longer.
+  void resizeReceiveBuffer(ReceiveBuffer Size);
   void startWatch();
   /// Ends the call; the listener is told in the next iteration of the main loop, because its
   /// function may be on the call stack.
@@ -114,6 +118,7 @@
   State CurrentState = State::Connecting;
   /// Of the head and the body together.
   std::size_t BytesWritten = 0;
+  ReceiveBuffer CurrentReceiveBuffer = ReceiveBuffer::Small;
   bool WriteFailed = false;
   bool StartedSending = false;
   bool Reused = false;
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -174,6 +174,9 @@
     Wanted = std::max(Wanted, std::min(Received * 2, this->Server.limits().BodyBytes));
   }
   if (this->Reservation->reserve(Wanted, Now) == MemoryAccount::BodyState::Granted) {
+    if (Wanted > MemoryAccount::SmallBodyBytes) {
+      this->resizeReceiveBuffer(ReceiveBuffer::Large);
+    }
     return true;
   }
   this->IsPaused = true;
@@ -181,6 +184,12 @@
   return false;
 }
 
+void HttpConnection::resizeReceiveBuffer(ReceiveBuffer Size) {
+  if (std::exchange(this->CurrentReceiveBuffer, Size) != Size) {
+    setReceiveBuffer(this->Socket.get(), Size);
+  }
+}
+
 void HttpConnection::resumeIfGranted() {
   if (this->CurrentState != State::Open || !this->Reservation || this->rejectIfRefused()) {
     return;
@@ -251,6 +260,7 @@
   };
   this->ContinueSent = false;
   this->HasCheckedHead = false;
+  this->resizeReceiveBuffer(ReceiveBuffer::Small);
   auto Body = std::make_shared<AccountedBody>();
   Body->Bytes = this->Parser.takeBody();
   Body->Reservation = std::move(this->Reservation);
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -7,6 +7,7 @@
 #include "transport/AcceptedSocket.h"
 #include "transport/GlibPointers.h"
 #include "transport/HttpExchange.h"
+#include "transport/ReceiveBuffer.h"
 #include "transport/ScheduledCall.h"
 #include "transport/SocketWatch.h"
 
@@ -84,6 +85,8 @@
   bool receiveBody();
   /// Returns false if the memory for the rest of the body is not reserved yet.
   bool reserveBody();
+  /// Lets more bytes of a large body arrive before they are read, or no longer.
+  void resizeReceiveBuffer(ReceiveBuffer Size);
   void resumeIfGranted();
   /// Rejects the request if the account has refused its body. Returns true if it did.
   bool rejectIfRefused();
@@ -135,6 +138,7 @@
   /// Arrival of the first byte of the request that is being received.
   TimePoint RequestStarted{};
   State CurrentState = State::Open;
+  ReceiveBuffer CurrentReceiveBuffer = ReceiveBuffer::Small;
   /// Valid in state Lingering.
   CloseReason LingeringReason = CloseReason::CallerClosed;
   bool HasReportedUnread = false;
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "transport/Clock.h"
 #include "transport/EventLog.h"
 #include "transport/HttpConnection.h"
+#include "transport/ReceiveBuffer.h"
 
 #include <algorithm>
 #include <limits>
@@ -15,9 +16,6 @@
 
 namespace {
 
-/// Holds the connections of all callers that reconnect at the same time after another entry failed.
-/// With a full queue, each further caller waits a second for its connection.
-constexpr int ListenBacklog = 1024;
 /// Connections that are accepted before other event sources run.
 constexpr int MaxAcceptsPerWakeup = 32;
 constexpr guint TimeoutCheckMilliseconds = 250;
@@ -43,7 +41,7 @@
 
 TimePoint HttpServer::now() const { return this->Time.now(); }
 
-std::string HttpServer::listen(const Endpoint &ListenAddress) {
+std::string HttpServer::listen(const Endpoint &ListenAddress, int Backlog) {
   const GObjectPointer<GSocketAddress> Address(
       g_inet_socket_address_new_from_string(ListenAddress.Address.c_str(), ListenAddress.Port));
   if (!Address) {
@@ -54,7 +52,8 @@
                                     G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &Error));
   if (this->Listener) {
     g_socket_set_blocking(this->Listener.get(), FALSE);
-    g_socket_set_listen_backlog(this->Listener.get(), ListenBacklog);
+    g_socket_set_listen_backlog(this->Listener.get(), Backlog);
+    setReceiveBuffer(this->Listener.get(), ReceiveBuffer::Small);
     if (g_socket_bind(this->Listener.get(), Address.get(), TRUE, &Error)) {
       g_socket_listen(this->Listener.get(), &Error);
     }
@@ -138,7 +137,7 @@
   this->Watch.reset();
   if (this->Listener) {
     // Closing the listener resets the connections that have not been accepted.
-    this->acceptPending(ListenBacklog);
+    this->acceptPending(CallerBacklog);
     g_socket_close(this->Listener.get(), nullptr);
   }
   for (HttpConnection *Each : this->connections()) {
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -41,8 +41,13 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
+  /// Holds the connections of all callers that reconnect at the same time after another entry
+  /// failed. With a full queue, each further caller waits a second for its connection.
+  static constexpr int CallerBacklog = 1024;
+
   /// Returns an error message, or an empty string on success. Port 0 selects any free port.
-  std::string listen(const Endpoint &ListenAddress);
+  /// `Backlog` is the number of connections that may wait to be accepted.
+  std::string listen(const Endpoint &ListenAddress, int Backlog = CallerBacklog);
   /// The bound port; 0 before listen().
   std::uint16_t port() const { return this->BoundPort; }
   /// Sets the limits. The sizes apply to connections that are accepted from now on, the idle
