Count connections and heads, and refuse what exceeds the memory

Callers saw entries killed by many clients with small bodies or heads. Cause: what a connection costs beside its body was in no account. A head of 16 KB with 3,000 short fields takes about 500 KB once it is parsed, and the parser holds its fields also while the head is incomplete.

The account has a new kind, `connection`: each connection, the heads that are received or processed, and requests in progress. A sixteenth of the memory is left for connections by bodies. When the limit is exceeded, what connections have sent is refused at once, the largest first, with 503 and Retry-After 1; nothing of it has run. Bytes behind a request in progress are discarded, and the connection is closed after its response, which says so. No connection is accepted meanwhile. Bodies of unknown length keep the small receive buffer, as more may arrive than they have reserved.

--- a/src/libs/coordination/memory/MemoryAccount.cpp
+++ b/src/libs/coordination/memory/MemoryAccount.cpp
@@ -16,12 +16,13 @@
 /// Part of the rest for memory that the account does not see: buffers of sockets and the allocator.
 constexpr std::size_t UnseenShare = 16;
 constexpr std::size_t SmallReserveShare = 8;
+constexpr std::size_t ConnectionReserveShare = 16;
 
 } // namespace
 
 const char *toString(MemoryKind Kind) {
   static constexpr std::array<const char *, MemoryKindCount> Names = {
-      "request_body", "expected_response", "output", "unread_input"};
+      "request_body", "expected_response", "output", "unread_input", "connection"};
   return Names.at(static_cast<std::size_t>(Kind));
 }
 
@@ -32,6 +33,7 @@
   MemoryLimits Result;
   Result.TotalBytes = Rest - Rest / UnseenShare;
   Result.SmallReserveBytes = Result.TotalBytes / SmallReserveShare;
+  Result.ConnectionReserveBytes = Result.TotalBytes / ConnectionReserveShare;
   return Result;
 }
 
@@ -54,7 +56,10 @@
 bool MemoryAccount::fits(const Body &Each) const {
   const std::size_t Wanted = this->used() - Each.Reserved + Each.Wanted;
   if (isSmall(Each.Wanted)) {
-    return Wanted <= this->Limits.TotalBytes;
+    const std::size_t Connections = this->used(MemoryKind::Connection);
+    const std::size_t UnusedReserve = this->Limits.ConnectionReserveBytes -
+                                      std::min(this->Limits.ConnectionReserveBytes, Connections);
+    return Wanted + UnusedReserve <= this->Limits.TotalBytes;
   }
   // Small bodies and the other kinds use the reserve first.
   const std::size_t InReserve =
--- a/src/libs/coordination/memory/MemoryAccount.h
+++ b/src/libs/coordination/memory/MemoryAccount.h
@@ -24,10 +24,12 @@
   Output,
   /// Received bytes that were not parsed.
   UnreadInput,
+  /// Connections of callers, with the heads of their requests.
+  Connection,
 };
 
 /// Number of values of MemoryKind, for arrays of counters.
-inline constexpr std::size_t MemoryKindCount = 4;
+inline constexpr std::size_t MemoryKindCount = 5;
 
 /// Short name for metric labels, for example `request_body`.
 const char *toString(MemoryKind Kind);
@@ -37,6 +39,8 @@
   std::size_t TotalBytes = std::numeric_limits<std::size_t>::max() / 2;
   /// Part of the total that large bodies can't use.
   std::size_t SmallReserveBytes = 0;
+  /// Part of the total that no body can use, so that further connections find room.
+  std::size_t ConnectionReserveBytes = 0;
 
   /// Limits of a VM. A body of 64 MiB fits if the VM has at least 112 MB.
   static MemoryLimits forVm(std::int64_t MemoryMb);
@@ -109,6 +113,8 @@
   bool isNearLimit() const { return this->used() > this->Limits.TotalBytes / 4 * 3; }
   bool isOverLimit() const { return this->used() > this->Limits.TotalBytes; }
   void countSlowReader() { ++this->Statistics.SlowReaders; }
+  /// A request was refused because its connection held memory that is needed.
+  void countRefusal() { ++this->Statistics.Refusals; }
 
   /// Refuses bodies that wait too long or arrive too slowly. Call it a few times per second.
   void onTick(TimePoint Now);
--- a/src/libs/protocol/HttpMessage.cpp
+++ b/src/libs/protocol/HttpMessage.cpp
@@ -65,6 +65,15 @@
   return Result;
 }
 
+std::size_t memoryOf(const RequestHead &Head) {
+  std::size_t Result = Head.RequestTarget.capacity();
+  Result += Head.Fields.capacity() * sizeof(FieldList::value_type);
+  for (const auto &[Name, Value] : Head.Fields) {
+    Result += Name.capacity() + Value.capacity();
+  }
+  return Result;
+}
+
 std::string writeRequestHead(const RequestHead &Head, std::size_t BodyBytes) {
   std::string Result = Head.Method + " " + Head.RequestTarget + " HTTP/1.1\r\n";
   for (const auto &[Name, Value] : Head.Fields) {
--- a/src/libs/protocol/HttpMessage.h
+++ b/src/libs/protocol/HttpMessage.h
@@ -45,6 +45,10 @@
   auto operator<=>(const RequestHead &) const = default;
 };
 
+/// Memory that a request head takes, which is many times its size on the wire if it has many short
+/// fields. Thread-safe.
+std::size_t memoryOf(const RequestHead &Head);
+
 /// Status line and header fields of a response. Value type.
 struct ResponseHead {
   int Status = 0;
--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -1,5 +1,6 @@
 #include "protocol/RequestParser.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -19,6 +20,8 @@
 constexpr unsigned Http10 = 10;
 /// Bodies of unknown length up to this size grow as strings do.
 constexpr std::size_t MaxGrowingBodyBytes = std::size_t{64} * 1024;
+/// Memory that the inner parser takes for a field besides its text.
+constexpr std::size_t ParsedFieldBytes = 80;
 /// Capacity that the buffer of unparsed bytes keeps when it is empty.
 constexpr std::size_t MaxKeptCapacity = std::size_t{16} * 1024;
 
@@ -38,6 +41,7 @@
   this->Inner = std::make_unique<Parser>();
   this->Inner->Beast.eager(true);
   this->IsHeadComplete = false;
+  this->HeadMemory = 0;
   this->applyLimits();
 }
 
@@ -67,6 +71,13 @@
   // would move the rest of the buffer as often.
   std::size_t ParsedBytes = 0;
   const State Result = this->parseBuffer(ParsedBytes);
+  if (!this->IsHeadComplete) {
+    // The inner parser holds the fields that have arrived, also before the head is complete.
+    const auto Lines =
+        std::count(this->Buffer.begin(),
+                   this->Buffer.begin() + static_cast<std::ptrdiff_t>(ParsedBytes), '\n');
+    this->HeadMemory += ParsedBytes + static_cast<std::size_t>(Lines) * ParsedFieldBytes;
+  }
   this->Buffer.erase(0, ParsedBytes);
   if (this->Buffer.empty() && this->Buffer.capacity() > MaxKeptCapacity) {
     std::string().swap(this->Buffer);
@@ -133,6 +144,8 @@
   for (const auto &Field : Message) {
     this->Head.Fields.emplace_back(toStdString(Field.name_string()), toStdString(Field.value()));
   }
+  // Both the inner parser and this object hold the fields.
+  this->HeadMemory = 2 * memoryOf(this->Head) + this->Head.Fields.size() * ParsedFieldBytes;
   if (!hasOnlyChunkedCoding(this->Head.Fields)) {
     return this->fail(NotImplemented, "unknown transfer coding");
   }
@@ -156,7 +169,9 @@
 }
 
 void RequestParser::discard() {
-  std::string().swap(this->Inner->Beast.get().body());
+  this->Inner = std::make_unique<Parser>();
+  this->Head = {};
+  this->HeadMemory = 0;
   std::string().swap(this->Buffer);
 }
 
--- a/src/libs/protocol/RequestParser.h
+++ b/src/libs/protocol/RequestParser.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace anvilsaddle {
 
@@ -44,6 +45,8 @@
   bool isHeadComplete() const { return this->IsHeadComplete; }
   /// Head of the request. Precondition: isHeadComplete().
   const RequestHead &head() const { return this->Head; }
+  /// Moves the head of the request out. Precondition: parse() returned Complete.
+  RequestHead takeHead() { return std::move(this->Head); }
   /// Moves the body of the request out. Precondition: parse() returned Complete.
   std::string takeBody();
   /// True while the head of the current request is complete and its body is not.
@@ -64,6 +67,10 @@
   bool awaitsContinue() const;
   /// Number of bytes that are not parsed yet.
   std::size_t buffered() const { return this->Buffer.size(); }
+  /// Memory of the bytes that are not parsed yet.
+  std::size_t bufferMemory() const { return this->Buffer.capacity(); }
+  /// Memory of the head of the current request, without its body.
+  std::size_t headMemory() const { return this->HeadMemory; }
   /// Status of the error response: 400, 413, 431 or 501. Precondition: parse() returned Failed.
   int errorStatus() const { return this->ErrorStatus; }
   const std::string &errorText() const { return this->ErrorText; }
@@ -84,6 +91,8 @@
   std::unique_ptr<Parser> Inner;
   std::string Buffer;
   RequestHead Head;
+  /// Memory of the head; while it is incomplete, of its lines that have arrived.
+  std::size_t HeadMemory = 0;
   /// Bytes of the current request were received. The buffer may be empty nevertheless, because the
   /// parser has consumed them.
   bool HasReceivedBytes = false;
--- a/src/libs/protocol/UnansweredRequest.cpp
+++ b/src/libs/protocol/UnansweredRequest.cpp
@@ -4,8 +4,9 @@
 
 const char *toString(CloseReason Reason) {
   static constexpr std::array<const char *, CloseReasonCount> Names = {
-      "caller_closed", "read_failed",        "write_failed",  "idle_timeout",    "connection_limit",
-      "shutdown",      "truncated_response", "last_response", "output_not_taken"};
+      "caller_closed",    "read_failed",  "write_failed",       "idle_timeout",
+      "connection_limit", "shutdown",     "truncated_response", "last_response",
+      "output_not_taken", "input_refused"};
   return Names.at(static_cast<std::size_t>(Reason));
 }
 
--- a/src/libs/protocol/UnansweredRequest.h
+++ b/src/libs/protocol/UnansweredRequest.h
@@ -28,10 +28,12 @@
   LastResponse,
   /// The caller did not take its response while the entry needed the memory.
   OutputNotTaken,
+  /// The bytes of the request were discarded because the entry needed the memory.
+  InputRefused,
 };
 
 /// Number of values of CloseReason, for arrays of counters.
-inline constexpr std::size_t CloseReasonCount = 9;
+inline constexpr std::size_t CloseReasonCount = 10;
 
 /// Short name for logs and metric labels, for example `idle_timeout`.
 const char *toString(CloseReason Reason);
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t ExpectedResponseBytes = std::size_t{256} * 1024;
 /// Time after which a connection that waits for memory looks for it again.
 constexpr Duration ResumeInterval = 20ms;
+/// Memory of a connection that is idle.
+constexpr std::size_t IdleConnectionBytes = std::size_t{4} * 1024;
 constexpr int RequestTimeout = 408;
 constexpr int Unavailable = 503;
 constexpr const char *RetryAfterSeconds = "1";
@@ -44,10 +46,12 @@
       Watch(this->Socket.descriptor(),
             [this](GIOCondition Condition) { this->onReady(Condition); }),
       Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}),
+      ConnectionCharge(Server.memory(), MemoryKind::Connection),
       ExpectedCharge(Server.memory(), MemoryKind::ExpectedResponse),
       OutputCharge(Server.memory(), MemoryKind::Output),
       UnreadCharge(Server.memory(), MemoryKind::UnreadInput), LastActivity(Now),
       IdleTimeout(Server.limits().IdleTimeout), LastRead(Now) {
+  this->updateCharges();
   this->updateWatch();
 }
 
@@ -89,6 +93,8 @@
   if (this->CurrentState == State::Open) {
     this->parse();
     this->updateWatch();
+    this->updateInputCharges();
+    this->Server.endLargestInputs();
   }
 }
 
@@ -174,7 +180,8 @@
     Wanted = std::max(Wanted, std::min(Received * 2, this->Server.limits().BodyBytes));
   }
   if (this->Reservation->reserve(Wanted, Now) == MemoryAccount::BodyState::Granted) {
-    if (Wanted > MemoryAccount::SmallBodyBytes) {
+    // What arrives of a body of unknown length may exceed its reservation.
+    if (this->Parser.announcedBodyBytes() && Wanted > MemoryAccount::SmallBodyBytes) {
       this->resizeReceiveBuffer(ReceiveBuffer::Large);
     }
     return true;
@@ -235,6 +242,11 @@
       return;
     }
     if (Result == RequestParser::State::Complete) {
+      if (this->Server.memory()->isOverLimit()) {
+        this->Server.memory()->countRefusal();
+        this->rejectRequest(Unavailable, "no memory is free for the request");
+        return;
+      }
       this->pass();
       continue;
     }
@@ -273,7 +285,7 @@
     Body->Reservation->complete(Body->Bytes.size());
   }
   this->Exchanges.push_back(std::make_unique<HttpExchange>(
-      *this, this->Parser.head(), std::shared_ptr<const std::string>(Body, &Body->Bytes),
+      *this, this->Parser.takeHead(), std::shared_ptr<const std::string>(Body, &Body->Bytes),
       std::exchange(this->IsHeldBack, false) ? this->LastRead : this->Server.now()));
   this->Parser.next();
   this->RequestStarted = this->Server.now();
@@ -313,7 +325,7 @@
   this->IsPaused = false;
   this->Parser.discard();
   this->Reservation.reset();
-  this->UnreadCharge.set(0);
+  this->updateInputCharges();
 }
 
 void HttpConnection::updateCharges() {
@@ -327,6 +339,46 @@
   const bool IsClosed = this->CurrentState == State::Closed;
   this->OutputCharge.set(IsClosed ? 0 : Output);
   this->ExpectedCharge.set(IsClosed ? 0 : Expected);
+  this->updateInputCharges();
+}
+
+bool HttpConnection::isReadingPaused() const {
+  return this->IsPaused ||
+         (this->Parser.buffered() > MaxReadAheadBytes && !this->Exchanges.empty());
+}
+
+void HttpConnection::updateInputCharges() {
+  if (this->CurrentState == State::Closed) {
+    this->ConnectionCharge.set(0);
+    this->UnreadCharge.set(0);
+    return;
+  }
+  std::size_t Heads = this->Parser.headMemory();
+  for (const auto &Each : this->Exchanges) {
+    Heads += Each->headMemory();
+  }
+  this->ConnectionCharge.set(IdleConnectionBytes + Heads);
+  const std::size_t Unread = this->isReadingPaused() ? this->Socket.unreadBytes() : 0;
+  this->UnreadCharge.set(this->Parser.bufferMemory() + Unread);
+}
+
+std::size_t HttpConnection::heldInput() const {
+  const bool HoldsInput =
+      this->CurrentState == State::Open && !this->IsRejected && this->Parser.isStarted();
+  return HoldsInput ? this->UnreadCharge.bytes() + this->Parser.headMemory() : 0;
+}
+
+void HttpConnection::refuseInput() {
+  this->Server.memory()->countRefusal();
+  if (this->Exchanges.empty()) {
+    this->rejectRequest(Unavailable, "no memory is free for the request");
+    return;
+  }
+  this->reportInput(CloseReason::InputRefused);
+  this->IsRejected = true;
+  this->Exchanges.back()->closeAfterResponse();
+  this->discardInput();
+  this->updateWatch();
 }
 
 Duration HttpConnection::outputStalledFor(TimePoint Now) const {
@@ -415,7 +467,7 @@
     return;
   }
   GIOCondition Conditions = G_IO_IN;
-  if (this->IsPaused || (this->Parser.buffered() > MaxReadAheadBytes && !this->Exchanges.empty())) {
+  if (this->isReadingPaused()) {
     // Pauses reading, but still detects that the caller disconnects.
     Conditions = G_IO_HUP;
   }
@@ -499,9 +551,12 @@
                    Each->Request);
     }
   }
-  if (this->IsRejected) {
-    return;
+  if (!this->IsRejected) {
+    this->reportInput(Reason);
   }
+}
+
+void HttpConnection::reportInput(CloseReason Reason) {
   while (this->Parser.parse() == RequestParser::State::Complete) {
     this->report(Reason, RequestStage::Unprocessed, this->Parser.head());
     this->Parser.next();
@@ -545,7 +600,9 @@
   if (this->rejectIfRefused()) {
     return;
   }
-  this->updateUnreadCharge();
+  if (this->isReadingPaused()) {
+    this->updateInputCharges();
+  }
   this->updateOutputProgress(Now);
   // A busy entry may not have read the rest yet.
   if (this->isTooSlow(Now) && !this->Socket.hasUnreadBytes()) {
@@ -575,9 +632,4 @@
          static_cast<double>(this->Parser.bodyBytes()) < Required;
 }
 
-void HttpConnection::updateUnreadCharge() {
-  const std::size_t Unread = this->IsPaused ? this->Socket.unreadBytes() : 0;
-  this->UnreadCharge.set(this->Parser.buffered() + Unread);
-}
-
 } // namespace anvilsaddle
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -50,6 +50,12 @@
   std::size_t heldOutput() const { return this->OutputCharge.bytes(); }
   /// Ends a connection whose caller does not take its response.
   void resetSlowReader();
+  /// Memory of what was received and not passed to the handler, without granted bodies. Zero if it
+  /// can't be freed because nothing follows the last request that was passed on.
+  std::size_t heldInput() const;
+  /// Frees what was received and not passed to the handler. A request that is received gets status
+  /// 503; behind requests in progress, the connection is closed after their responses instead.
+  void refuseInput();
 
 private:
   friend class HttpExchange;
@@ -96,7 +102,9 @@
   void respondRejected(ResponseHead Head, const std::string &Text);
   bool isTooSlow(TimePoint Now) const;
   void updateCharges();
-  void updateUnreadCharge();
+  void updateInputCharges();
+  /// Input is left in the socket: without memory for the body, or behind requests in progress.
+  bool isReadingPaused() const;
   /// Frees what has been received and not been passed on.
   void discardInput();
   void write();
@@ -107,6 +115,8 @@
   void close(CloseReason Reason);
   /// Reports all requests that the end of the connection leaves without a complete response.
   void reportUnanswered(CloseReason Reason);
+  /// Reports the requests that were received and not passed to the handler.
+  void reportInput(CloseReason Reason);
   void report(CloseReason Reason, RequestStage Stage, const RequestHead &Head);
   void reportUnreadBytes(CloseReason Reason);
   /// True if the caller's host has not acknowledged all bytes that were written.
@@ -119,6 +129,7 @@
   RequestParser Parser;
   /// Of the body that is being received; null before its head is complete.
   std::shared_ptr<BodyReservation> Reservation;
+  MemoryCharge ConnectionCharge;
   MemoryCharge ExpectedCharge;
   MemoryCharge OutputCharge;
   MemoryCharge UnreadCharge;
--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -58,6 +58,8 @@
   void end();
   /// Resets the connection, so that the caller can't mistake the response for a complete one.
   void abort();
+  /// Memory of the request head.
+  std::size_t headMemory() const { return memoryOf(this->Request); }
   /// Bytes that the network has not accepted yet.
   std::size_t unsentBytes() const { return this->Output.size(); }
   /// Sets a function that is called once, when the network has accepted all bytes added so far.
@@ -67,6 +69,11 @@
   friend class HttpConnection;
 
   void releaseBody();
+  /// The connection is closed after this response, which says so if it has not begun.
+  void closeAfterResponse() {
+    this->Request.KeepAlive = false;
+    this->CloseAfter = true;
+  }
   void appendHead(ResponseHead Head);
   void appendBody(std::string_view Text);
 
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -177,9 +177,25 @@
     Each->checkTimeouts(Now);
   }
   this->endSlowReaders(Now);
+  this->endLargestInputs();
   this->resumeAccepting();
 }
 
+void HttpServer::endLargestInputs() {
+  while (this->Memory->isOverLimit()) {
+    HttpConnection *Largest = nullptr;
+    for (const auto &Each : this->Connections) {
+      if (Each->heldInput() > (Largest ? Largest->heldInput() : 0)) {
+        Largest = Each.get();
+      }
+    }
+    if (!Largest) {
+      return;
+    }
+    Largest->refuseInput();
+  }
+}
+
 void HttpServer::endSlowReaders(TimePoint Now) {
   while (this->Memory->isNearLimit()) {
     const Duration MaxStall = this->Memory->isOverLimit() ? MaxStallOverLimit : MaxStallNearLimit;
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -93,12 +93,15 @@
   /// Connections that are closing may exceed the limit by a few, so that a caller does not wait for
   /// the end of an idle one.
   bool isFull() const {
-    return this->SharedCount->Open >= this->SharedCount->Max ||
+    return this->Memory->isOverLimit() || this->SharedCount->Open >= this->SharedCount->Max ||
            this->Connections.size() >=
                this->MaxConnections + std::max<std::size_t>(8, this->MaxConnections / 8);
   }
   void pauseAccepting();
   void resumeAccepting();
+  /// Refuses what connections have sent, those that hold most first, until the limit of the memory
+  /// is kept.
+  void endLargestInputs();
   /// Ends readers that take nothing, as long as their memory is needed.
   void endSlowReaders(TimePoint Now);
   /// The connections at the time of the call; a later removal does not invalidate the pointers
--- a/tests/auto/libs/protocol/tst_requestparser.cpp
+++ b/tests/auto/libs/protocol/tst_requestparser.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(parserStates);
   CPPUNIT_TEST(bodiesOfUnknownLengthAreNotCopied);
   CPPUNIT_TEST(bodiesInProgress);
+  CPPUNIT_TEST(headsOfManyFieldsAreCounted);
   CPPUNIT_TEST(arbitraryBytesAreHandled);
   CPPUNIT_TEST_SUITE_END();
 
@@ -139,6 +140,31 @@
     }
   }
 
+  /// Guards against heads of many short fields, which take many times their size, that count as
+  /// little, also while they are incomplete.
+  void headsOfManyFieldsAreCounted() {
+    constexpr std::size_t FieldCount = 2000;
+    const std::string Start = "GET / HTTP/1.1\r\n";
+    std::string Fields;
+    for (std::size_t Index = 0; Index < FieldCount; ++Index) {
+      Fields += "a:b\r\n";
+    }
+    RequestParser Parser({});
+    Parser.add(Start + Fields);
+    CPPUNIT_ASSERT(Parser.parse() == State::Incomplete);
+    CPPUNIT_ASSERT(Parser.headMemory() + Parser.bufferMemory() > 4 * Fields.size());
+    Parser.add("\r\n");
+    CPPUNIT_ASSERT(Parser.parse() == State::Complete);
+    CPPUNIT_ASSERT(Parser.headMemory() > FieldCount * sizeof(FieldList::value_type));
+    CPPUNIT_ASSERT_EQUAL(FieldCount, Parser.takeHead().Fields.size());
+    Parser.next();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Parser.headMemory());
+    Parser.add(Start + Fields);
+    Parser.parse();
+    Parser.discard();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Parser.headMemory() + Parser.buffered());
+  }
+
   /// Guards against a caller that exhausts the memory by a part of a request which never ends.
   void partsWithoutEnd() {
     const std::string Chunked = "POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -3,11 +3,14 @@
 #include "transport/HttpServer.h"
 #include "transport/SystemClock.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -126,6 +129,8 @@
   CPPUNIT_TEST(undeliveredResponsesAreNotReset);
   CPPUNIT_TEST(largeBodiesWaitForMemory);
   CPPUNIT_TEST(bodiesWithoutMemoryAreRefused);
+  CPPUNIT_TEST(inputBeyondTheMemoryIsRefused);
+  CPPUNIT_TEST(inputBehindRequestsIsRefused);
   CPPUNIT_TEST(endedSendersFreeTheirMemory);
   CPPUNIT_TEST(responsesReleaseTheBody);
   CPPUNIT_TEST(readersThatTakeNothingAreEnded);
@@ -442,6 +447,59 @@
     CPPUNIT_ASSERT(!Test.Caller->Closed);
   }
 
+  /// Guards against requests without a body that together exceed the memory, complete or not, and
+  /// against refusing further ordinary ones because of them.
+  void inputBeyondTheMemoryIsRefused() {
+    std::string Fields;
+    for (int Index = 0; Index < 2000; ++Index) {
+      Fields += "a:b\r\n";
+    }
+    const std::pair<const char *, std::string> Table[] = {
+        {"incomplete head", "GET /many HTTP/1.1\r\n" + Fields},
+        {"incomplete body", "POST /many HTTP/1.1\r\nContent-Length: 2\r\n" + Fields + "\r\nx"}};
+    for (const auto &[Name, Text] : Table) {
+      const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{700000, 100000});
+      Fixture Test(100, Memory);
+      std::vector<std::unique_ptr<RawConnection>> Crowd;
+      for (int Index = 0; Index < 10; ++Index) {
+        Crowd.push_back(RawConnection::connect(Test.Server.port()));
+        Crowd.back()->send(Text);
+      }
+      const auto CountRefused = [&Crowd] {
+        return std::count_if(Crowd.begin(), Crowd.end(), [](const auto &Each) {
+          return Each->Received.find("HTTP/1.1 503 ") == 0 &&
+                 Each->Received.find("Retry-After: 1\r\n") != std::string::npos;
+        });
+      };
+      CPPUNIT_ASSERT_MESSAGE(Name, runUntil([&] { return CountRefused() >= 5; }));
+      CPPUNIT_ASSERT_MESSAGE(Name, Memory->used() <= 700000);
+      CPPUNIT_ASSERT_MESSAGE(Name, Memory->counts().Refusals >= 5);
+      Test.Caller->send(getRequest("/small"));
+      CPPUNIT_ASSERT_MESSAGE(Name,
+                             runUntil([&] { return Test.Handler.Pending.contains("/small"); }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, std::string("GET/small;"), Test.Handler.Received);
+    }
+  }
+
+  /// Guards against bytes behind a request in progress that exceed the memory, and against losing
+  /// the response to that request with them.
+  void inputBehindRequestsIsRefused() {
+    const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{40000, 10000});
+    Fixture Test(100, Memory);
+    Test.Caller->send("POST /slow HTTP/1.1\r\nContent-Length: 1\r\n\r\nx");
+    CPPUNIT_ASSERT(runUntil([&] { return Test.Handler.Pending.contains("/slow"); }));
+    Test.Caller->send("POST /behind HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" +
+                      std::string(50000, 'x'));
+    CPPUNIT_ASSERT(runUntil([&] { return Memory->counts().Refusals == 1; }));
+    CPPUNIT_ASSERT(Memory->used() <= 40000);
+    Test.Handler.respond("/slow");
+    CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
+    CPPUNIT_ASSERT(Test.Caller->Received.find("HTTP/1.1 200 ") == 0);
+    CPPUNIT_ASSERT(Test.Caller->Received.find("Connection: close\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string("POST/slowx;"), Test.Handler.Received);
+    CPPUNIT_ASSERT(Test.Handler.Unanswered.find("input_refused;") != std::string::npos);
+  }
+
   /// Guards against memory that stays with a connection which is only kept for its last response.
   void endedSendersFreeTheirMemory() {
     const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{700000, 100000});
