Read no long response of a target without memory for it

Callers saw entries killed when targets stopped within long responses, or sent them to many callers at once, whether these read or not. Cause: up to 256 KB of each response were buffered without being in an account, a streamed response kept its buffered part until its end, and the connection took up to several MB of unread bytes.

A response above 16 KB now reserves up to 64 KB before it is read, and waits for that as bodies do. The rest of its buffer, the read-ahead for its caller and a large receive buffer depend on free memory (up to three quarters of the limit); without it, a usable response is streamed earlier. While others wait, a response of which nothing arrives for 3 s is ended, the largest first; it was sent in part, so nothing is promised. The account tells who waits when it has decided, instead of a timer for each connection.

--- a/src/libs/coordination/memory/MemoryAccount.cpp
+++ b/src/libs/coordination/memory/MemoryAccount.cpp
@@ -22,7 +22,7 @@
 
 const char *toString(MemoryKind Kind) {
   static constexpr std::array<const char *, MemoryKindCount> Names = {
-      "request_body", "expected_response", "output", "unread_input", "connection"};
+      "request_body", "expected_response", "output", "unread_input", "connection", "response"};
   return Names.at(static_cast<std::size_t>(Kind));
 }
 
@@ -37,22 +37,19 @@
   return Result;
 }
 
-BodyNumber MemoryAccount::addBody(TimePoint Now) {
+BodyNumber MemoryAccount::addBody(TimePoint Now, MemoryKind Kind) {
   Body New;
+  New.Kind = Kind;
   New.Started = Now;
+  New.LastArrival = Now;
   this->Bodies.emplace(++this->LastBody, New);
   return this->LastBody;
 }
 
-std::size_t MemoryAccount::otherBytes() const {
+std::size_t MemoryAccount::used() const {
   return std::accumulate(this->Held.begin(), this->Held.end(), std::size_t{0});
 }
 
-std::size_t MemoryAccount::used(MemoryKind Kind) const {
-  return Kind == MemoryKind::RequestBody ? this->SmallBytes + this->LargeBytes
-                                         : this->Held.at(static_cast<std::size_t>(Kind));
-}
-
 bool MemoryAccount::fits(const Body &Each) const {
   const std::size_t Wanted = this->used() - Each.Reserved + Each.Wanted;
   if (isSmall(Each.Wanted)) {
@@ -71,6 +68,8 @@
 
 void MemoryAccount::setReserved(Body &Each, std::size_t Bytes) {
   (isSmall(Each.Reserved) ? this->SmallBytes : this->LargeBytes) -= Each.Reserved;
+  std::size_t &OfKind = this->Held.at(static_cast<std::size_t>(Each.Kind));
+  OfKind = OfKind - Each.Reserved + Bytes;
   Each.Reserved = Bytes;
   (isSmall(Each.Reserved) ? this->SmallBytes : this->LargeBytes) += Each.Reserved;
 }
@@ -105,14 +104,39 @@
   return Each.State;
 }
 
+bool MemoryAccount::tryReserve(BodyNumber Number, std::size_t Bytes) {
+  Body &Each = this->Bodies.at(Number);
+  if (Bytes <= Each.Reserved) {
+    return true;
+  }
+  if (Each.State != BodyState::Granted || !this->hasRoomFor(Bytes - Each.Reserved)) {
+    return false;
+  }
+  this->setReserved(Each, Bytes);
+  return true;
+}
+
+void MemoryAccount::shrinkBody(BodyNumber Number, std::size_t Bytes) {
+  Body &Each = this->Bodies.at(Number);
+  this->setReserved(Each, std::min(Each.Reserved, Bytes));
+  this->grantWaiting();
+}
+
 void MemoryAccount::completeBody(BodyNumber Number, std::size_t Bytes) {
   Body &Each = this->Bodies.at(Number);
   Each.IsComplete = true;
   Each.Received = Bytes;
+  Each.OnDecision = nullptr;
   this->setReserved(Each, Bytes);
   this->grantWaiting();
 }
 
+void MemoryAccount::onBodyBytes(BodyNumber Number, std::size_t Received) {
+  Body &Each = this->Bodies.at(Number);
+  Each.Received = Received;
+  Each.LastArrival = this->LastTime;
+}
+
 void MemoryAccount::removeBody(BodyNumber Number) {
   std::erase(this->SmallQueue, Number);
   std::erase(this->LargeQueue, Number);
@@ -140,14 +164,28 @@
 
 void MemoryAccount::grantWaiting(std::deque<BodyNumber> &Queue) {
   while (!Queue.empty()) {
-    Body &First = this->Bodies.at(Queue.front());
+    const BodyNumber Number = Queue.front();
+    Body &First = this->Bodies.at(Number);
     if (!this->fits(First)) {
       return;
     }
     Queue.pop_front();
     First.State = BodyState::Granted;
     First.Waited += this->LastTime - First.WaitingSince;
+    First.LastArrival = this->LastTime;
     this->setReserved(First, First.Wanted);
+    this->Decided.push_back(Number);
+  }
+}
+
+void MemoryAccount::notifyDecided() {
+  for (const BodyNumber Each : std::exchange(this->Decided, {})) {
+    const auto Found = this->Bodies.find(Each);
+    if (Found != this->Bodies.end() && Found->second.OnDecision) {
+      // Call a copy, because the function may remove the body, which owns the original.
+      const std::function<void()> Callback = Found->second.OnDecision;
+      Callback();
+    }
   }
 }
 
@@ -156,6 +194,7 @@
   std::erase(this->LargeQueue, Number);
   Body &Refused = this->Bodies.at(Number);
   Refused.State = Reason;
+  this->Decided.push_back(Number);
   // The bytes stay reserved until the connection has freed them and removes the body.
   ++(Reason == BodyState::RefusedAsSlow ? this->Statistics.SlowSenders : this->Statistics.Refusals);
 }
@@ -198,6 +237,19 @@
   }
 }
 
+bool MemoryAccount::isSlow(const Body &Each, TimePoint Now) {
+  if (Each.State != BodyState::Granted || Each.IsComplete) {
+    return false;
+  }
+  if (Each.Kind == MemoryKind::Response && Now - Each.LastArrival > MaxResponseStall) {
+    return true;
+  }
+  const Duration Elapsed = Now - Each.Started - Each.Waited;
+  const double Required =
+      std::chrono::duration<double>(Elapsed).count() * static_cast<double>(MinBytesPerSecond);
+  return Elapsed > RateGraceTime && static_cast<double>(Each.Received) < Required;
+}
+
 void MemoryAccount::refuseSlow(TimePoint Now) {
   if (this->waitingCount() == 0) {
     return;
@@ -205,12 +257,7 @@
   BodyNumber Slowest = 0;
   std::size_t MostBytes = 0;
   for (const auto &[Number, Each] : this->Bodies) {
-    const Duration Elapsed = Now - Each.Started - Each.Waited;
-    const double Required =
-        std::chrono::duration<double>(Elapsed).count() * static_cast<double>(MinBytesPerSecond);
-    const bool IsSlow = Each.State == BodyState::Granted && !Each.IsComplete &&
-                        Elapsed > RateGraceTime && static_cast<double>(Each.Received) < Required;
-    if (IsSlow && Each.Reserved > MostBytes) {
+    if (isSlow(Each, Now) && Each.Reserved > MostBytes) {
       Slowest = Number;
       MostBytes = Each.Reserved;
     }
--- a/src/libs/coordination/memory/MemoryAccount.h
+++ b/src/libs/coordination/memory/MemoryAccount.h
@@ -7,10 +7,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace anvilsaddle {
 
@@ -26,10 +29,12 @@
   UnreadInput,
   /// Connections of callers, with the heads of their requests.
   Connection,
+  /// Responses of targets that are being received.
+  Response,
 };
 
 /// Number of values of MemoryKind, for arrays of counters.
-inline constexpr std::size_t MemoryKindCount = 5;
+inline constexpr std::size_t MemoryKindCount = 6;
 
 /// Short name for metric labels, for example `request_body`.
 const char *toString(MemoryKind Kind);
@@ -48,7 +53,7 @@
   auto operator<=>(const MemoryLimits &) const = default;
 };
 
-/// Identifies the body of one request.
+/// Identifies the body of one request or response.
 using BodyNumber = std::uint64_t;
 
 /// Account of all bytes that an entry holds for callers. Bodies reserve their memory before they
@@ -67,6 +72,9 @@
   /// A hundred uploads that share the smallest link (10 Mbit/s) are faster.
   static constexpr std::size_t MinBytesPerSecond = std::size_t{8} * 1024;
   static constexpr Duration RateGraceTime = std::chrono::seconds(10);
+  /// While others wait, a response of which nothing has arrived for this long is refused. Shorter
+  /// than the wait of the others.
+  static constexpr Duration MaxResponseStall = std::chrono::seconds(3);
 
   enum class BodyState {
     /// The reserved bytes may be read.
@@ -90,18 +98,31 @@
 
   explicit MemoryAccount(MemoryLimits Limits) : Limits(Limits) {}
 
-  /// Adds a body that holds nothing.
-  BodyNumber addBody(TimePoint Now);
+  /// Adds a body that holds nothing. `Kind` is RequestBody or Response.
+  BodyNumber addBody(TimePoint Now, MemoryKind Kind = MemoryKind::RequestBody);
   /// Raises the reservation of a body; never lowers it. Refuses only what no free memory suffices
   /// for.
   /// Changes nothing unless the state of the body is Granted.
   BodyState reserve(BodyNumber Body, std::size_t Bytes, TimePoint Now);
+  /// Raises the reservation of a body if hasRoomFor() the difference. Never lets it wait. Returns
+  /// false if there is no room.
+  bool tryReserve(BodyNumber Body, std::size_t Bytes);
+  /// Sets a function that notifyDecided() calls after a waiting body was granted its memory, and
+  /// after a body was refused. It may remove the body.
+  void setDecisionCallback(BodyNumber Body, std::function<void()> Callback) {
+    this->Bodies.at(Body).OnDecision = std::move(Callback);
+  }
+  /// Calls the functions of all bodies that were decided since the last call. Precondition: no
+  /// function of an owner of a body is on the call stack.
+  void notifyDecided();
   BodyState state(BodyNumber Body) const { return this->Bodies.at(Body).State; }
   std::size_t reserved(BodyNumber Body) const { return this->Bodies.at(Body).Reserved; }
-  void onBodyBytes(BodyNumber Body, std::size_t Received) {
-    this->Bodies.at(Body).Received = Received;
-  }
-  /// The body is complete: keeps what it contains and releases the rest of the reservation.
+  /// `Received` is the number of bytes of the body that have arrived so far.
+  void onBodyBytes(BodyNumber Body, std::size_t Received);
+  /// Lowers the reservation of a body.
+  void shrinkBody(BodyNumber Body, std::size_t Bytes);
+  /// The body is complete: keeps what it contains and releases the rest of the reservation. Nothing
+  /// is decided about it any more.
   void completeBody(BodyNumber Body, std::size_t Bytes);
   void removeBody(BodyNumber Body);
 
@@ -119,26 +140,32 @@
   /// Refuses bodies that wait too long or arrive too slowly. Call it a few times per second.
   void onTick(TimePoint Now);
 
-  std::size_t used() const { return this->SmallBytes + this->LargeBytes + this->otherBytes(); }
-  std::size_t used(MemoryKind Kind) const;
+  /// Time of the last tick or reservation.
+  TimePoint lastTime() const { return this->LastTime; }
+  std::size_t used() const;
+  std::size_t used(MemoryKind Kind) const { return this->Held.at(static_cast<std::size_t>(Kind)); }
   std::size_t waitingCount() const { return this->SmallQueue.size() + this->LargeQueue.size(); }
   const MemoryLimits &limits() const { return this->Limits; }
   const Counts &counts() const { return this->Statistics; }
 
 private:
   struct Body {
+    MemoryKind Kind = MemoryKind::RequestBody;
     BodyState State = BodyState::Granted;
     std::size_t Reserved = 0;
     std::size_t Wanted = 0;
     std::size_t Received = 0;
     TimePoint Started;
+    TimePoint LastArrival;
     TimePoint WaitingSince;
     Duration Waited{0};
     bool IsComplete = false;
+    std::function<void()> OnDecision;
   };
 
   static bool isSmall(std::size_t Bytes) { return Bytes <= SmallBodyBytes; }
-  std::size_t otherBytes() const;
+  /// Bytes of what is not reserved by bodies.
+  std::size_t otherBytes() const { return this->used() - this->SmallBytes - this->LargeBytes; }
   bool fits(const Body &Each) const;
   void setReserved(Body &Each, std::size_t Bytes);
   void grantWaiting();
@@ -148,6 +175,8 @@
   /// If all bodies that hold memory wait for more, none of them can end and free its memory.
   bool isDeadlocked() const;
   void refuseSlow(TimePoint Now);
+  /// True if the body arrives so slowly that others should get its memory.
+  static bool isSlow(const Body &Each, TimePoint Now);
   /// The waiting body that holds most, or nothing if none of them holds memory.
   std::optional<BodyNumber> largestWaiting() const;
 
@@ -157,9 +186,12 @@
   std::deque<BodyNumber> SmallQueue;
   /// Bodies that hold memory are ahead of those that don't.
   std::deque<BodyNumber> LargeQueue;
+  /// Bytes that small and large bodies have reserved.
   std::size_t SmallBytes = 0;
   std::size_t LargeBytes = 0;
-  /// Of the kinds other than bodies.
+  /// Bodies whose functions notifyDecided() has to call.
+  std::vector<BodyNumber> Decided;
+  /// Bytes of each kind.
   std::array<std::size_t, MemoryKindCount> Held{};
   Counts Statistics;
   TimePoint LastTime{};
@@ -189,8 +221,9 @@
 /// Membership of one body in an account, until the end of this object. Not thread-safe.
 class BodyReservation {
 public:
-  BodyReservation(std::shared_ptr<MemoryAccount> Account, TimePoint Now)
-      : Account(std::move(Account)), Number(this->Account->addBody(Now)) {}
+  BodyReservation(std::shared_ptr<MemoryAccount> Account, TimePoint Now,
+                  MemoryKind Kind = MemoryKind::RequestBody)
+      : Account(std::move(Account)), Number(this->Account->addBody(Now, Kind)) {}
   ~BodyReservation() { this->Account->removeBody(this->Number); }
   BodyReservation(const BodyReservation &) = delete;
   BodyReservation &operator=(const BodyReservation &) = delete;
@@ -200,7 +233,12 @@
   MemoryAccount::BodyState reserve(std::size_t Bytes, TimePoint Now) {
     return this->Account->reserve(this->Number, Bytes, Now);
   }
+  bool tryReserve(std::size_t Bytes) { return this->Account->tryReserve(this->Number, Bytes); }
+  void setDecisionCallback(std::function<void()> Callback) {
+    this->Account->setDecisionCallback(this->Number, std::move(Callback));
+  }
   void onBytes(std::size_t Received) { this->Account->onBodyBytes(this->Number, Received); }
+  void shrink(std::size_t Bytes) { this->Account->shrinkBody(this->Number, Bytes); }
   void complete(std::size_t Bytes) { this->Account->completeBody(this->Number, Bytes); }
 
 private:
--- a/src/libs/transport/ActiveRequest.cpp
+++ b/src/libs/transport/ActiveRequest.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// Bytes of a streamed response that may wait for a slow caller; above this, reading from the
-/// target pauses.
-constexpr std::size_t MaxUnsentBytes = std::size_t{256} * 1024;
-
 ResponseHead forwardedHead(const ResponseHead &Head) {
   ResponseHead Result = Head;
   Result.Fields = endToEndFields(Head.Fields);
@@ -27,10 +23,9 @@
 
 const RequestHead &ActiveRequest::head() const { return this->Exchange->head(); }
 
-void ActiveRequest::startAttempt(ConnectionPool &Pool, const RequestMetadataProtocol &Protocol,
-                                 const SendAttempt &Command, Duration RemainingTime,
-                                 const FieldList &AddedFields) {
-  auto New = std::make_unique<RequestAttempt>(Pool, Protocol, *this, Command);
+void ActiveRequest::startAttempt(const AttemptResources &Resources, const SendAttempt &Command,
+                                 Duration RemainingTime, const FieldList &AddedFields) {
+  auto New = std::make_unique<RequestAttempt>(Resources, *this, Command);
   RequestAttempt &Started = *New;
   this->Attempts[Command.Attempt] = std::move(New);
   Started.start(this->Exchange->head(), this->Exchange->body(), this->Id, RemainingTime,
@@ -82,10 +77,10 @@
   this->Exchange->begin(forwardedHead(Attempt.head()));
   // Writing to the caller may show that it has disconnected.
   if (this->hasExchange()) {
-    this->Exchange->addBody(Attempt.body());
+    this->Exchange->addBody(Attempt.takeBody());
   }
   if (this->hasExchange()) {
-    Attempt.continueStreaming();
+    this->readAhead(Attempt);
   }
 }
 
@@ -99,7 +94,11 @@
     this->Notify.OnResponseEnd(*this, this->StreamedStatus, true);
     return;
   }
-  if (this->Exchange->unsentBytes() <= MaxUnsentBytes) {
+  this->readAhead(Attempt);
+}
+
+void ActiveRequest::readAhead(RequestAttempt &Attempt) {
+  if (Attempt.mayReadAhead(this->Exchange->unsentBytes())) {
     Attempt.continueStreaming();
     return;
   }
--- a/src/libs/transport/ActiveRequest.h
+++ b/src/libs/transport/ActiveRequest.h
@@ -47,9 +47,9 @@
   const std::string &id() const { return this->Id; }
 
   /// `AddedFields` are header fields that replace those of the caller with the same names.
-  void startAttempt(ConnectionPool &Pool, const RequestMetadataProtocol &Protocol,
-                    const SendAttempt &Command, Duration RemainingTime,
-                    const FieldList &AddedFields);
+  /// Precondition: the resources outlive the request.
+  void startAttempt(const AttemptResources &Resources, const SendAttempt &Command,
+                    Duration RemainingTime, const FieldList &AddedFields);
   /// Aborts an attempt by closing its connection.
   void cancelAttempt(AttemptNumber Attempt);
   /// Sends the complete response of an attempt to the caller. Precondition: the attempt ended with
@@ -74,6 +74,8 @@
   HttpExchange &releaseExchange();
   bool hasExchange() const { return this->Exchange != nullptr; }
   void continueStreaming();
+  /// Reads more of the streamed response, now or once the caller has taken what was sent.
+  void readAhead(RequestAttempt &Attempt);
 
   RequestNumber Number;
   /// Null once the request has given up the exchange.
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -115,7 +115,7 @@
            [this] { return this->RequestDispatcher.targets().removalDelay(this->now()); }}),
       Proxy({this->RequestDispatcher, this->Connections, Deps.Protocol, this->EntryMetrics,
              Deps.Time, Deps.Random, this->Quotas, [this] { this->applyEffects(); },
-             this->Authenticator}),
+             this->Authenticator, this->Memory}),
       ForwardedRequests(this->Proxy),
       PageHandler(Deps.Queries, this->Members, this->Settings.FleetTopology, this->Proxy,
                   this->Settings.CallerEndpoint.Port, this->Settings.AddressTtl),
--- a/src/libs/transport/HttpCall.cpp
+++ b/src/libs/transport/HttpCall.cpp
@@ -17,8 +17,6 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t ReadBufferBytes = 65536;
-/// Longer bodies, and those of unknown length, are received with a large buffer.
-constexpr std::size_t MaxShortBodyBytes = std::size_t{16} * 1024;
 /// Used if the server announces no timeout. Common servers close idle connections after 5 s
 /// or more.
 constexpr Duration DefaultIdleLifetime = 8s;
@@ -246,11 +244,6 @@
 }
 
 void HttpCall::readMore() {
-  const ResponseHead &Head = this->Parser->head();
-  if (Head.Framing != BodyFraming::None &&
-      Head.Length.value_or(MaxShortBodyBytes + 1) > MaxShortBodyBytes) {
-    this->resizeReceiveBuffer(ReceiveBuffer::Large);
-  }
   this->CurrentState = State::AwaitingBody;
   this->deliverBody();
 }
--- a/src/libs/transport/HttpCall.h
+++ b/src/libs/transport/HttpCall.h
@@ -64,7 +64,10 @@
 
   /// The listener is called in later iterations of the main loop.
   void send();
-  /// Requests the next bytes of the body, for which memory must be free. Precondition:
+  /// Lets more bytes of a long response arrive before they are read. Without this, the connection
+  /// has a small receive buffer.
+  void receiveFaster() { this->resizeReceiveBuffer(ReceiveBuffer::Large); }
+  /// Requests the next bytes of the body. Precondition:
   /// onResponseHead() has been called, and no earlier request for bytes is pending. May call the
   /// listener immediately.
   void readMore();
@@ -84,7 +87,6 @@
   enum class State { Connecting, AwaitingHead, Paused, AwaitingBody, Skipping, Ended };
 
   std::string connect();
-  /// Lets more bytes of a long response arrive before they are read, or no longer.
   void resizeReceiveBuffer(ReceiveBuffer Size);
   void startWatch();
   /// Ends the call; the listener is told in the next iteration of the main loop, because its
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -21,10 +21,10 @@
 constexpr std::size_t MaxPipelinedRequests = 16;
 /// Largest response that is buffered for a pipelined request before earlier ones are written.
 constexpr std::size_t ExpectedResponseBytes = std::size_t{256} * 1024;
-/// Time after which a connection that waits for memory looks for it again.
-constexpr Duration ResumeInterval = 20ms;
 /// Memory of a connection that is idle.
 constexpr std::size_t IdleConnectionBytes = std::size_t{4} * 1024;
+/// Memory of a request in progress besides its head and its body.
+constexpr std::size_t RequestInProgressBytes = std::size_t{4} * 1024;
 constexpr int RequestTimeout = 408;
 constexpr int Unavailable = 503;
 constexpr const char *RetryAfterSeconds = "1";
@@ -169,6 +169,7 @@
   const TimePoint Now = this->Server.now();
   if (!this->Reservation) {
     this->Reservation = std::make_shared<BodyReservation>(this->Server.memory(), Now);
+    this->Reservation->setDecisionCallback([this] { this->onMemoryDecision(); });
   }
   const std::size_t Received = this->Parser.bodyBytes();
   this->Reservation->onBytes(Received);
@@ -187,7 +188,7 @@
     return true;
   }
   this->IsPaused = true;
-  this->ResumeTimer.callAfter(ResumeInterval, [this] { this->resumeIfGranted(); });
+  this->Server.scheduleMemoryDecisions();
   return false;
 }
 
@@ -197,13 +198,21 @@
   }
 }
 
-void HttpConnection::resumeIfGranted() {
-  if (this->CurrentState != State::Open || !this->Reservation || this->rejectIfRefused()) {
+void HttpConnection::onMemoryDecision() {
+  if (this->CurrentState != State::Open) {
     return;
   }
-  if (this->Reservation->state() == MemoryAccount::BodyState::Waiting) {
-    this->ResumeTimer.callAfter(ResumeInterval, [this] { this->resumeIfGranted(); });
+  switch (this->Reservation->state()) {
+  case MemoryAccount::BodyState::Waiting:
+    return;
+  case MemoryAccount::BodyState::RefusedForMemory:
+    this->rejectRequest(Unavailable, "no memory is free for the request body");
+    return;
+  case MemoryAccount::BodyState::RefusedAsSlow:
+    this->rejectRequest(RequestTimeout, "the request body arrives too slowly");
     return;
+  case MemoryAccount::BodyState::Granted:
+    break;
   }
   this->IsPaused = false;
   // The pause is not the sender's.
@@ -213,22 +222,6 @@
   this->updateWatch();
 }
 
-bool HttpConnection::rejectIfRefused() {
-  if (!this->Reservation) {
-    return false;
-  }
-  switch (this->Reservation->state()) {
-  case MemoryAccount::BodyState::RefusedForMemory:
-    this->rejectRequest(Unavailable, "no memory is free for the request body");
-    return true;
-  case MemoryAccount::BodyState::RefusedAsSlow:
-    this->rejectRequest(RequestTimeout, "the request body arrives too slowly");
-    return true;
-  default:
-    return false;
-  }
-}
-
 void HttpConnection::parse() {
   while (this->CurrentState == State::Open && !this->IsPaused && !this->IsRejected &&
          this->Exchanges.size() < MaxPipelinedRequests) {
@@ -321,7 +314,6 @@
 }
 
 void HttpConnection::discardInput() {
-  this->ResumeTimer.cancel();
   this->IsPaused = false;
   this->Parser.discard();
   this->Reservation.reset();
@@ -355,7 +347,7 @@
   }
   std::size_t Heads = this->Parser.headMemory();
   for (const auto &Each : this->Exchanges) {
-    Heads += Each->headMemory();
+    Heads += Each->headMemory() + RequestInProgressBytes;
   }
   this->ConnectionCharge.set(IdleConnectionBytes + Heads);
   const std::size_t Unread = this->isReadingPaused() ? this->Socket.unreadBytes() : 0;
@@ -597,9 +589,6 @@
     }
     return;
   }
-  if (this->rejectIfRefused()) {
-    return;
-  }
   if (this->isReadingPaused()) {
     this->updateInputCharges();
   }
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -8,7 +8,6 @@
 #include "transport/GlibPointers.h"
 #include "transport/HttpExchange.h"
 #include "transport/ReceiveBuffer.h"
-#include "transport/ScheduledCall.h"
 #include "transport/SocketWatch.h"
 
 #include <chrono>
@@ -93,9 +92,8 @@
   bool reserveBody();
   /// Lets more bytes of a large body arrive before they are read, or no longer.
   void resizeReceiveBuffer(ReceiveBuffer Size);
-  void resumeIfGranted();
-  /// Rejects the request if the account has refused its body. Returns true if it did.
-  bool rejectIfRefused();
+  /// The memory for the rest of the body was granted or refused.
+  void onMemoryDecision();
   void pass();
   /// Rejects the request that is being received and reads no further ones.
   void rejectRequest(int Status, const std::string &Text);
@@ -133,7 +131,6 @@
   MemoryCharge ExpectedCharge;
   MemoryCharge OutputCharge;
   MemoryCharge UnreadCharge;
-  ScheduledCall ResumeTimer;
   std::deque<std::unique_ptr<HttpExchange>> Exchanges;
   TimePoint LastActivity;
   /// The idle timeout by which the last response announced how long the connection may be reused.
--- a/src/libs/transport/HttpFetch.cpp
+++ b/src/libs/transport/HttpFetch.cpp
@@ -11,6 +11,8 @@
 
 /// Holds the registrations and settings of a fleet of ten times the design size.
 constexpr std::size_t MaxBodyBytes = std::size_t{16} << 20;
+/// Longer bodies are received with a large buffer.
+constexpr std::size_t MaxShortBodyBytes = std::size_t{16} * 1024;
 constexpr Duration MaxReuseIdleTime = std::chrono::seconds(2);
 
 } // namespace
@@ -62,6 +64,9 @@
   this->Partial.Status = Head.Status;
   this->Partial.Fields = Head.Fields;
   this->restartIdleTimer();
+  if (Head.Length.value_or(MaxBodyBytes) > MaxShortBodyBytes) {
+    this->Call->receiveFaster();
+  }
   this->Call->readMore();
 }
 
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -19,6 +19,8 @@
 /// Connections that are accepted before other event sources run.
 constexpr int MaxAcceptsPerWakeup = 32;
 constexpr guint TimeoutCheckMilliseconds = 250;
+/// Time after which connections that wait for memory look for it again.
+constexpr Duration MemoryCheckInterval = std::chrono::milliseconds(20);
 /// A reader that takes nothing for this time may be ended when the memory is nearly used up, or
 /// exceeded. Both are many round trips to the most distant callers (60 ms).
 constexpr Duration MaxStallNearLimit = std::chrono::seconds(3);
@@ -173,6 +175,7 @@
 void HttpServer::checkTimeouts() {
   const TimePoint Now = this->now();
   this->Memory->onTick(Now);
+  this->Memory->notifyDecided();
   for (HttpConnection *Each : this->connections()) {
     Each->checkTimeouts(Now);
   }
@@ -181,6 +184,18 @@
   this->resumeAccepting();
 }
 
+void HttpServer::scheduleMemoryDecisions() {
+  if (this->MemoryDecisions.isPending()) {
+    return;
+  }
+  this->MemoryDecisions.callAfter(MemoryCheckInterval, [this] {
+    this->Memory->notifyDecided();
+    if (this->Memory->waitingCount() > 0) {
+      this->scheduleMemoryDecisions();
+    }
+  });
+}
+
 void HttpServer::endLargestInputs() {
   while (this->Memory->isOverLimit()) {
     HttpConnection *Largest = nullptr;
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -8,6 +8,7 @@
 #include "transport/DeferredDeletion.h"
 #include "transport/GlibPointers.h"
 #include "transport/HttpExchange.h"
+#include "transport/ScheduledCall.h"
 #include "transport/SocketWatch.h"
 
 #include <algorithm>
@@ -97,6 +98,8 @@
            this->Connections.size() >=
                this->MaxConnections + std::max<std::size_t>(8, this->MaxConnections / 8);
   }
+  /// Tells the connections soon what was decided about the memory that they wait for.
+  void scheduleMemoryDecisions();
   void pauseAccepting();
   void resumeAccepting();
   /// Refuses what connections have sent, those that hold most first, until the limit of the memory
@@ -126,6 +129,7 @@
   /// Closed connections that may still have functions on the call stack.
   DeferredDeletion<HttpConnection> Removed;
   guint TimeoutTimer;
+  ScheduledCall MemoryDecisions;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -87,7 +87,8 @@
 
 } // namespace
 
-ProxyHandler::ProxyHandler(Dependencies Deps) : Deps(std::move(Deps)) {
+ProxyHandler::ProxyHandler(Dependencies Deps)
+    : Deps(std::move(Deps)), Resources{this->Deps.Pool, this->Deps.Protocol, this->Deps.Memory} {
   this->RequestCallbacks.OnAttemptEnd =
       [this](ActiveRequest &Request, AttemptNumber Attempt, const AttemptResult &End,
              const std::string &Detail) { this->onAttemptEnd(Request, Attempt, End, Detail); };
@@ -441,8 +442,7 @@
   } else {
     logEvent(LogLevel::Info, "sent", sentLogFields(Request->id(), Command));
   }
-  Request->startAttempt(this->Deps.Pool, this->Deps.Protocol, Command,
-                        Command.Deadline - this->Deps.Time.now(),
+  Request->startAttempt(this->Resources, Command, Command.Deadline - this->Deps.Time.now(),
                         this->customerFields(*Request, Command));
 }
 
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -45,6 +45,8 @@
     std::function<void()> ApplyEffects;
     /// Signs the customers of forwarded requests with the fleet key.
     const MessageAuthenticator &Authenticator;
+    /// Account of the memory that responses take. Without one it is not limited.
+    std::shared_ptr<MemoryAccount> Memory = nullptr;
   };
 
   /// Precondition: all dependencies outlive this object.
@@ -121,6 +123,7 @@
   void onResponseEnd(ActiveRequest &Request, int Status, bool Complete);
 
   Dependencies Deps;
+  AttemptResources Resources;
   ActiveRequest::Callbacks RequestCallbacks;
   std::optional<Configuration> CurrentConfiguration;
   std::optional<RouteTable> Routes;
--- a/src/libs/transport/RequestAttempt.cpp
+++ b/src/libs/transport/RequestAttempt.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace anvilsaddle {
@@ -15,6 +17,15 @@
 
 /// Responses up to this size are buffered until they are complete; larger ones are streamed.
 constexpr std::size_t MaxBufferedBytes = std::size_t{256} * 1024;
+/// Bytes of a streamed response that may wait for a slow caller; above this, reading from the
+/// target pauses.
+constexpr std::size_t MaxUnsentBytes = std::size_t{256} * 1024;
+/// Memory of a response on its way: what the connection's receive buffer holds, and the part that
+/// was read last.
+constexpr std::size_t TransferBytes = std::size_t{64} * 1024;
+constexpr std::size_t FastTransferBytes = std::size_t{192} * 1024;
+/// Shorter responses are read without a reservation: most of them has arrived with the head.
+constexpr std::size_t MaxUnreservedBytes = std::size_t{16} * 1024;
 /// A non-idempotent request must not run twice, so it is only sent on a connection that was used a
 /// moment ago and is therefore known to be open.
 constexpr Duration NonIdempotentMaxIdleTime = 200ms;
@@ -23,6 +34,7 @@
 constexpr Duration EntryMaxIdleTime = 3s;
 /// Long enough for several round trips to another region.
 constexpr Duration EntryConnectTimeout = 300ms;
+constexpr std::uint64_t UnknownLength = std::numeric_limits<std::uint64_t>::max();
 constexpr int FirstErrorStatus = 500;
 constexpr int FirstSuccessStatus = 200;
 constexpr int FirstRedirectionStatus = 300;
@@ -43,9 +55,11 @@
 
 } // namespace
 
-RequestAttempt::RequestAttempt(ConnectionPool &Pool, const RequestMetadataProtocol &Protocol,
-                               AttemptListener &Listener, SendAttempt Command)
-    : Pool(Pool), Protocol(Protocol), Listener(Listener), Command(std::move(Command)) {}
+RequestAttempt::RequestAttempt(const AttemptResources &Resources, AttemptListener &Listener,
+                               SendAttempt Command)
+    : Resources(Resources),
+      Memory(Resources.Memory ? Resources.Memory : std::make_shared<MemoryAccount>(MemoryLimits())),
+      Listener(Listener), Command(std::move(Command)), Charge(this->Memory, MemoryKind::Response) {}
 
 void RequestAttempt::start(const RequestHead &Head, std::shared_ptr<const std::string> RequestBody,
                            const std::string &Id, Duration RemainingTime,
@@ -63,13 +77,14 @@
   }
   OutgoingRequest Request;
   if (this->Command.Forward) {
-    this->Protocol.setRemainingTime(Forwarded.Fields, RemainingTime);
+    this->Resources.Protocol.setRemainingTime(Forwarded.Fields, RemainingTime);
     writeForwardHeader(Forwarded.Fields, *this->Command.Forward);
     Request.MaxIdleTime = EntryMaxIdleTime;
     Request.DetectDeadPeer = true;
     Request.ConnectTimeout = EntryConnectTimeout;
   } else {
-    this->Protocol.setTargetHeaders(Forwarded.Fields, this->Command.Target, RemainingTime);
+    this->Resources.Protocol.setTargetHeaders(Forwarded.Fields, this->Command.Target,
+                                              RemainingTime);
     Request.MaxIdleTime =
         this->Command.Idempotent ? IdempotentMaxIdleTime : NonIdempotentMaxIdleTime;
   }
@@ -77,12 +92,12 @@
   Request.Head = writeRequestHead(Forwarded, RequestBody->size());
   Request.IsHead = Head.Method == "HEAD";
   Request.Body = std::move(RequestBody);
-  this->Call = std::make_unique<HttpCall>(this->Pool, std::move(Request), *this);
+  this->Call = std::make_unique<HttpCall>(this->Resources.Pool, std::move(Request), *this);
   this->Call->send();
 }
 
 void RequestAttempt::onResponseHead(const ResponseHead &Response) {
-  this->Metadata = this->Protocol.readResponse(Response);
+  this->Metadata = this->Resources.Protocol.readResponse(Response);
   if (!this->belongsToRequest()) {
     if (Response.Framing == BodyFraming::UntilClose) {
       this->reportEnd(AttemptOutcome::Interrupted,
@@ -93,22 +108,96 @@
     return;
   }
   this->Head = Response;
+  this->reserveMemory();
+}
+
+void RequestAttempt::reserveMemory() {
+  const bool HasBody = this->Head.Framing != BodyFraming::None;
+  const std::size_t Length = HasBody ? this->Head.Length.value_or(MaxBufferedBytes) : 0;
+  if (Length <= MaxUnreservedBytes) {
+    this->Charge.set(Length);
+    this->Call->readMore();
+    return;
+  }
+  this->Reservation = std::make_unique<BodyReservation>(this->Memory, this->Memory->lastTime(),
+                                                        MemoryKind::Response);
+  this->Reservation->setDecisionCallback([this] { this->onMemoryDecision(); });
+  const auto State =
+      this->Reservation->reserve(std::min(Length, TransferBytes), this->Memory->lastTime());
+  if (State == MemoryAccount::BodyState::Granted) {
+    this->startReading();
+  }
+}
+
+void RequestAttempt::startReading() {
+  const bool IsLong = this->Head.Length.value_or(MaxBufferedBytes) > TransferBytes;
+  if (IsLong && this->Reservation->tryReserve(FastTransferBytes)) {
+    this->IsReceivingFaster = true;
+    this->Call->receiveFaster();
+  }
   this->Call->readMore();
 }
 
+std::size_t RequestAttempt::transferBytes() const {
+  return this->IsReceivingFaster ? FastTransferBytes : TransferBytes;
+}
+
+void RequestAttempt::onMemoryDecision() {
+  switch (this->Reservation->state()) {
+  case MemoryAccount::BodyState::Waiting:
+    return;
+  case MemoryAccount::BodyState::RefusedForMemory:
+    this->fail(AttemptOutcome::Interrupted, "no memory is free for the response");
+    return;
+  case MemoryAccount::BodyState::RefusedAsSlow:
+    this->fail(AttemptOutcome::Interrupted,
+               "the response arrives too slowly while its memory is needed");
+    return;
+  case MemoryAccount::BodyState::Granted:
+    this->startReading();
+    return;
+  }
+}
+
+void RequestAttempt::cancel() {
+  this->Call->cancel();
+  if (this->Reservation) {
+    this->Reservation->complete(this->Body.size());
+  }
+}
+
+bool RequestAttempt::mayReadAhead(std::size_t UnsentBytes) const {
+  return UnsentBytes == 0 ||
+         (UnsentBytes <= MaxUnsentBytes && this->Memory->hasRoomFor(TransferBytes));
+}
+
+bool RequestAttempt::reserveBuffer() {
+  const std::size_t Needed = std::min<std::uint64_t>(this->Body.size() + this->transferBytes(),
+                                                     this->Head.Length.value_or(UnknownLength));
+  return this->Body.size() <= MaxBufferedBytes &&
+         (!this->Reservation || this->Reservation->tryReserve(Needed));
+}
+
 void RequestAttempt::onResponseBody(std::string Bytes, bool IsEnd) {
+  this->ReceivedBytes += Bytes.size();
+  if (this->Reservation) {
+    this->Reservation->onBytes(this->ReceivedBytes);
+  }
   if (this->IsStreaming) {
     this->Listener.onAttemptData(*this, std::move(Bytes), IsEnd);
     return;
   }
   this->Body += Bytes;
   if (IsEnd) {
+    if (this->Reservation) {
+      this->Reservation->complete(this->Body.capacity());
+    }
     this->evaluateResponse();
     return;
   }
   const bool IsUsable = this->Metadata.IsSigned && isSuccess(this->Head.Status) &&
                         this->Head.field("Content-Encoding").empty();
-  if (this->Body.size() <= MaxBufferedBytes) {
+  if (this->reserveBuffer()) {
     this->Call->readMore();
     return;
   }
@@ -118,6 +207,8 @@
     return;
   }
   this->IsStreaming = true;
+  // From now on the caller's connection accounts for what was read.
+  this->Reservation->shrink(this->transferBytes());
   this->Listener.onAttemptStreaming(*this);
 }
 
@@ -177,13 +268,18 @@
 }
 
 void RequestAttempt::onCallFailed(const std::string &Reason) {
+  this->fail(this->Call->hasStartedSending() ? AttemptOutcome::Interrupted
+                                             : AttemptOutcome::NotSent,
+             Reason);
+}
+
+void RequestAttempt::fail(AttemptOutcome Outcome, const std::string &Detail) {
+  this->cancel();
   if (this->IsStreaming) {
-    this->Listener.onAttemptTruncated(*this, Reason);
+    this->Listener.onAttemptTruncated(*this, Detail);
     return;
   }
-  this->reportEnd(this->Call->hasStartedSending() ? AttemptOutcome::Interrupted
-                                                  : AttemptOutcome::NotSent,
-                  Reason);
+  this->reportEnd(Outcome, Detail);
 }
 
 void RequestAttempt::reportEnd(AttemptOutcome Outcome, const std::string &Detail) {
--- a/src/libs/transport/ScheduledCall.h
+++ b/src/libs/transport/ScheduledCall.h
@@ -24,6 +24,7 @@
   void callAfter(Duration Delay, std::function<void()> NewFunction);
   /// Does nothing if no call is pending.
   void cancel();
+  bool isPending() const { return this->SourceId != 0; }
 
 private:
   static gboolean dispatch(gpointer Data);
--- a/tests/auto/libs/coordination/tst_memoryaccount.cpp
+++ b/tests/auto/libs/coordination/tst_memoryaccount.cpp
@@ -27,6 +27,9 @@
   CPPUNIT_TEST(bodiesThatHoldMemoryGoFirst);
   CPPUNIT_TEST(bodiesThatBlockEachOtherAreResolved);
   CPPUNIT_TEST(waitsAreBounded);
+  CPPUNIT_TEST(decisionsAreReportedOnce);
+  CPPUNIT_TEST(bodiesLeaveRoomForConnections);
+  CPPUNIT_TEST(optionalReservationsDoNotWait);
   CPPUNIT_TEST(impossibleBodiesAreRefusedAtOnce);
   CPPUNIT_TEST(slowSendersEndOnlyForOthers);
   CPPUNIT_TEST(chargesAreReturned);
@@ -129,6 +132,56 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Account.waitingCount());
   }
 
+  /// Guards against bodies that are not resumed, and against calls for bodies that have ended.
+  void decisionsAreReportedOnce() {
+    MemoryAccount Account({80 * Mb, 10 * Mb});
+    std::map<BodyNumber, int> Calls;
+    const auto Add = [&](std::size_t Bytes) {
+      const BodyNumber New = Account.addBody(Start);
+      Account.setDecisionCallback(New, [&Calls, New] { ++Calls[New]; });
+      Account.reserve(New, Bytes, Start);
+      return New;
+    };
+    const BodyNumber Holder = Add(60 * Mb);
+    const BodyNumber Waiting = Add(60 * Mb);
+    const BodyNumber Ended = Add(1 * Mb);
+    Account.notifyDecided();
+    CPPUNIT_ASSERT(Calls.empty());
+    Account.removeBody(Holder);
+    Account.removeBody(Ended);
+    Account.notifyDecided();
+    Account.notifyDecided();
+    CPPUNIT_ASSERT(Calls == (std::map<BodyNumber, int>{{Waiting, 1}}));
+    Add(60 * Mb);
+    Account.onTick(Start + MemoryAccount::MaxWait + 2s);
+    Account.notifyDecided();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Calls.size());
+  }
+
+  /// Guards against small bodies that use up the memory, so that no further connection is accepted.
+  void bodiesLeaveRoomForConnections() {
+    MemoryAccount Account({16 * Mb, 2 * Mb, 1 * Mb});
+    std::size_t Granted = 0;
+    while (Account.reserve(Account.addBody(Start), 64 * Kb, Start) == State::Granted) {
+      ++Granted;
+    }
+    CPPUNIT_ASSERT_EQUAL(15 * Mb / (64 * Kb), Granted);
+    Account.change(MemoryKind::Connection, 0, 1 * Mb);
+    CPPUNIT_ASSERT(!Account.isOverLimit());
+  }
+
+  /// Guards against memory for the convenience of one response that others wait for.
+  void optionalReservationsDoNotWait() {
+    MemoryAccount Account({16 * Mb, 2 * Mb});
+    const BodyNumber Response = Account.addBody(Start, MemoryKind::Response);
+    CPPUNIT_ASSERT(Account.tryReserve(Response, 12 * Mb));
+    CPPUNIT_ASSERT(!Account.tryReserve(Response, 12 * Mb + 1));
+    CPPUNIT_ASSERT_EQUAL(12 * Mb, Account.used(MemoryKind::Response));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Account.waitingCount());
+    Account.shrinkBody(Response, 64 * Kb);
+    CPPUNIT_ASSERT_EQUAL(64 * Kb, Account.used());
+  }
+
   /// Guards against a body that waits although no free memory suffices for it.
   void impossibleBodiesAreRefusedAtOnce() {
     MemoryAccount Account({80 * Mb, 10 * Mb});
--- a/tests/auto/libs/transport/tst_requestattempt.cpp
+++ b/tests/auto/libs/transport/tst_requestattempt.cpp
@@ -7,6 +7,8 @@
 #include "transport/RequestAttempt.h"
 #include "transport/SystemClock.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,13 +59,15 @@
 struct TestAttempt {
   TestAttempt(std::uint16_t Port, ConnectionPool &Pool, const std::string &Method = "GET",
               std::optional<ForwardOptions> Forward = std::nullopt,
-              std::shared_ptr<const std::string> Body = std::make_shared<std::string>("body")) {
+              std::shared_ptr<const std::string> Body = std::make_shared<std::string>("body"),
+              std::shared_ptr<MemoryAccount> Memory = nullptr) {
     SendAttempt Command;
     Command.Forward = std::move(Forward);
     Command.Target = TargetName("me");
     Command.Address = {"127.0.0.1", Port};
     Command.Idempotent = Method == "GET";
-    this->Attempt = std::make_unique<RequestAttempt>(Pool, this->Protocol, this->Listener, Command);
+    this->Resources = std::make_unique<AttemptResources>(Pool, this->Protocol, std::move(Memory));
+    this->Attempt = std::make_unique<RequestAttempt>(*this->Resources, this->Listener, Command);
     const RequestHead Head{Method,
                            "/x?y=1",
                            false,
@@ -81,6 +85,7 @@
   }
 
   FakeProtocol Protocol;
+  std::unique_ptr<AttemptResources> Resources;
   RecordingListener Listener;
   std::unique_ptr<RequestAttempt> Attempt;
 };
@@ -100,6 +105,9 @@
   CPPUNIT_TEST(falsePromisesOfTargets);
   CPPUNIT_TEST(requestIsForwardedUnchanged);
   CPPUNIT_TEST(largeResponses);
+  CPPUNIT_TEST(responsesWaitForMemory);
+  CPPUNIT_TEST(responsesAreStreamedEarlierWithoutMemory);
+  CPPUNIT_TEST(stoppedResponsesFreeTheirMemory);
   CPPUNIT_TEST(notSent);
   CPPUNIT_TEST(leavingTargets);
   CPPUNIT_TEST(attemptsShareTheBody);
@@ -314,6 +322,81 @@
     }
   }
 
+  /// Guards against long responses that are read without memory, against one that waits although
+  /// memory is free again, and against a short one that waits behind them.
+  void responsesWaitForMemory() {
+    const SystemClock Time;
+    ConnectionPool Pool(Time);
+    for (const std::size_t Size : {std::size_t{4}, std::size_t{100'000}}) {
+      const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{1'000'000, 200'000});
+      Memory->change(MemoryKind::Output, 0, 990'000);
+      ScriptedServer Target([&](RawConnection &Caller, int) {
+        Caller.send(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", std::string(Size, 'x')));
+      });
+      TestAttempt Tested(Target.Port, Pool, "GET", std::nullopt, std::make_shared<std::string>(),
+                         Memory);
+      const bool IsShort = Size == 4;
+      CPPUNIT_ASSERT(runUntil(
+          [&] { return IsShort ? Tested.Listener.isFinished() : Memory->waitingCount() == 1; }));
+      if (!IsShort) {
+        CPPUNIT_ASSERT(!Tested.Listener.isFinished());
+        Memory->change(MemoryKind::Output, 990'000, 0);
+        Memory->notifyDecided();
+      }
+      CPPUNIT_ASSERT(Tested.wait());
+      CPPUNIT_ASSERT(Tested.Listener.End->Outcome == AttemptOutcome::Succeeded);
+      CPPUNIT_ASSERT_EQUAL(Size, Tested.Listener.Body.size());
+      Tested.Attempt.reset();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Memory->used(MemoryKind::Response));
+    }
+  }
+
+  /// Guards against responses of many targets that exceed the memory while they are buffered.
+  void responsesAreStreamedEarlierWithoutMemory() {
+    const SystemClock Time;
+    ConnectionPool Pool(Time);
+    for (const bool IsMemoryFree : {true, false}) {
+      const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{4'000'000, 500'000});
+      Memory->change(MemoryKind::Output, 0, IsMemoryFree ? 0 : 3'500'000);
+      std::size_t Peak = 0;
+      const std::string Text =
+          makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", std::string(200'000, 'x'));
+      ScriptedServer Target([&](RawConnection &Caller, int) { Caller.send(Text); });
+      TestAttempt Tested(Target.Port, Pool, "GET", std::nullopt, std::make_shared<std::string>(),
+                         Memory);
+      CPPUNIT_ASSERT(runUntil([&] {
+        Peak = std::max(Peak, Memory->used(MemoryKind::Response));
+        return Tested.Listener.isFinished();
+      }));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{200'000}, Tested.Listener.Body.size());
+      CPPUNIT_ASSERT_EQUAL(!IsMemoryFree, Tested.Listener.Streamed);
+      CPPUNIT_ASSERT(IsMemoryFree || Peak <= 65'536);
+    }
+  }
+
+  /// Guards against targets that stop within their responses and hold the memory that others wait
+  /// for, and against taking such a response for a complete one.
+  void stoppedResponsesFreeTheirMemory() {
+    const SystemClock Time;
+    ConnectionPool Pool(Time);
+    const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{70'000, 1'000});
+    ScriptedServer Target([&](RawConnection &Caller, int) {
+      Caller.send("HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nContent-Length: 60000\r\n\r\nx");
+    });
+    TestAttempt Stopped(Target.Port, Pool, "GET", std::nullopt, std::make_shared<std::string>(),
+                        Memory);
+    CPPUNIT_ASSERT(runUntil([&] { return Memory->used(MemoryKind::Response) == 60'000; }));
+    TestAttempt Waiting(Target.Port, Pool, "GET", std::nullopt, std::make_shared<std::string>(),
+                        Memory);
+    CPPUNIT_ASSERT(runUntil([&] { return Memory->waitingCount() == 1; }));
+    Memory->onTick(Memory->lastTime() + MemoryAccount::MaxResponseStall + 1s);
+    Memory->notifyDecided();
+    CPPUNIT_ASSERT(Stopped.Listener.End->Outcome == AttemptOutcome::Interrupted);
+    CPPUNIT_ASSERT(!Waiting.Listener.isFinished());
+    Stopped.Attempt.reset();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Memory->waitingCount());
+  }
+
   /// Guards against an unknown outcome for a request whose connection was refused.
   void notSent() {
     const SystemClock Time;
