Let uploads wait for memory while those ahead of them make progress

Callers saw uploads refused although the entry was only busy: of eight uploads of 40 MB at 2 MB/s to two entries of 260 MB, two were ended. Cause: a body that had waited for 5 s was refused whatever those ahead of it did, and the Retry-After was always one second.

A body now waits as long as large bodies together arrive at 8 KB/s or one of them frees its memory, at most 30 s; without progress the waits stay as they were. Retry-After follows from the bytes ahead and the rate at which they arrive. A body that the whole memory of the entry would not hold gets 503 without Retry-After, since trying again can't help; its state has a name of its own, which impossibleBodiesAreRefusedAtOnce now requires.

--- a/src/libs/coordination/memory/MemoryAccount.cpp
+++ b/src/libs/coordination/memory/MemoryAccount.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t UnseenShare = 16;
 constexpr std::size_t SmallReserveShare = 8;
 constexpr std::size_t ConnectionReserveShare = 16;
+constexpr Duration ProgressCheckInterval = std::chrono::seconds(1);
+/// Expected wait while nothing arrives: senders that have stopped are ended within this time.
+constexpr std::chrono::seconds StoppedSenderWait(3);
+constexpr std::chrono::seconds MinExpectedWait(1);
 
 } // namespace
 
@@ -83,7 +87,7 @@
   }
   Each.Wanted = Bytes;
   if (Bytes > this->Limits.TotalBytes - this->Limits.SmallReserveBytes) {
-    this->refuse(Number, BodyState::RefusedForMemory);
+    this->refuse(Number, BodyState::RefusedAsTooLarge);
     return Each.State;
   }
   const bool HoldsMemory = !isSmall(Each.Reserved);
@@ -133,6 +137,9 @@
 
 void MemoryAccount::onBodyBytes(BodyNumber Number, std::size_t Received) {
   Body &Each = this->Bodies.at(Number);
+  if (!isSmall(Each.Reserved)) {
+    this->ArrivedBytes += Received - Each.Received;
+  }
   Each.Received = Received;
   Each.LastArrival = this->LastTime;
 }
@@ -140,7 +147,11 @@
 void MemoryAccount::removeBody(BodyNumber Number) {
   std::erase(this->SmallQueue, Number);
   std::erase(this->LargeQueue, Number);
-  this->setReserved(this->Bodies.at(Number), 0);
+  Body &Removed = this->Bodies.at(Number);
+  if (!isSmall(Removed.Reserved) && Removed.State == BodyState::Granted) {
+    this->LastProgress = this->LastTime;
+  }
+  this->setReserved(Removed, 0);
   this->Bodies.erase(Number);
   this->grantWaiting();
 }
@@ -222,9 +233,11 @@
   const auto Largest = this->largestWaiting();
   for (const std::deque<BodyNumber> *Queue : {&this->SmallQueue, &this->LargeQueue}) {
     for (const BodyNumber Each : *Queue) {
-      const Duration Waited = Now - this->Bodies.at(Each).WaitingSince;
-      HasExpired = HasExpired || Waited > MaxWait;
-      if (Waited > MaxWait * 2 || (Waited > MaxWait && !Largest)) {
+      const Body &Waiting = this->Bodies.at(Each);
+      const Duration Stalled = this->stalledFor(Waiting, Now);
+      HasExpired = HasExpired || Stalled > MaxWait;
+      if (Stalled > MaxWait * 2 || (Stalled > MaxWait && !Largest) ||
+          Now - Waiting.WaitingSince > MaxWaitDuringProgress) {
         Refused.push_back(Each);
       }
     }
@@ -267,8 +280,39 @@
   }
 }
 
+void MemoryAccount::updateProgress(TimePoint Now) {
+  const Duration Elapsed = Now - this->LastProgressCheck;
+  if (Elapsed < ProgressCheckInterval) {
+    return;
+  }
+  this->ArrivedBytesPerSecond = static_cast<double>(std::exchange(this->ArrivedBytes, 0)) /
+                                std::chrono::duration<double>(Elapsed).count();
+  this->LastProgressCheck = Now;
+  if (this->ArrivedBytesPerSecond >= static_cast<double>(MinBytesPerSecond)) {
+    this->LastProgress = Now;
+  }
+}
+
+std::chrono::seconds MemoryAccount::expectedWait() const {
+  if (this->ArrivedBytesPerSecond < static_cast<double>(MinBytesPerSecond)) {
+    return StoppedSenderWait;
+  }
+  double Ahead = 0;
+  for (const auto &[Number, Each] : this->Bodies) {
+    const bool IsAhead = Each.State == BodyState::Waiting || !Each.IsComplete;
+    const std::size_t Expected = std::max(Each.Wanted, Each.Reserved);
+    if (IsAhead && !isSmall(Expected) && Expected > Each.Received) {
+      Ahead += static_cast<double>(Expected - Each.Received);
+    }
+  }
+  const std::chrono::seconds Wait(static_cast<std::int64_t>(Ahead / this->ArrivedBytesPerSecond));
+  return std::clamp(Wait, MinExpectedWait,
+                    std::chrono::duration_cast<std::chrono::seconds>(MaxWaitDuringProgress));
+}
+
 void MemoryAccount::onTick(TimePoint Now) {
   this->LastTime = std::max(this->LastTime, Now);
+  this->updateProgress(Now);
   this->refuseExpired(Now);
   this->refuseSlow(Now);
   this->grantWaiting();
--- a/src/libs/coordination/memory/MemoryAccount.h
+++ b/src/libs/coordination/memory/MemoryAccount.h
@@ -2,7 +2,9 @@
 
 #include "state/Time.h"
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -64,10 +66,14 @@
 public:
   /// Bodies up to this size may use the reserve. Far above the usual size of a request.
   static constexpr std::size_t SmallBodyBytes = std::size_t{64} * 1024;
-  /// Once a body has waited this long, the largest body that waits is refused in each tick, and all
-  /// that have waited twice as long. Longer than the timeout of senders that have stopped (3 s),
-  /// so that the memory of one such sender becomes free before the next body is refused.
+  /// Once a body has waited this long while no large body made progress, the largest body that
+  /// waits is refused in each tick, and all that have waited twice as long. Longer than the timeout
+  /// of senders that have stopped (3 s), so that the memory of one such sender becomes free before
+  /// the next body is refused.
   static constexpr Duration MaxWait = std::chrono::seconds(5);
+  /// A body that has waited this long is refused although others make progress. Long enough for an
+  /// upload of 40 MB at 2 MB/s ahead of it.
+  static constexpr Duration MaxWaitDuringProgress = std::chrono::seconds(30);
   /// While others wait, a large body must have arrived at this average rate after the grace time.
   /// A hundred uploads that share the smallest link (10 Mbit/s) are faster.
   static constexpr std::size_t MinBytesPerSecond = std::size_t{8} * 1024;
@@ -81,8 +87,10 @@
     Granted,
     /// Nothing may be read until the state changes.
     Waiting,
-    /// No memory became free within the time limit, or there never is enough.
+    /// No memory became free within the time limit.
     RefusedForMemory,
+    /// All memory for large bodies would not suffice.
+    RefusedAsTooLarge,
     /// The body arrived too slowly while others waited for its memory.
     RefusedAsSlow,
   };
@@ -139,6 +147,9 @@
 
   /// Refuses bodies that wait too long or arrive too slowly. Call it a few times per second.
   void onTick(TimePoint Now);
+  /// Time after which memory for a further large body is expected to be free, from the rate at
+  /// which those ahead of it arrive.
+  std::chrono::seconds expectedWait() const;
 
   /// Time of the last tick or reservation.
   TimePoint lastTime() const { return this->LastTime; }
@@ -171,6 +182,12 @@
   void grantWaiting();
   void grantWaiting(std::deque<BodyNumber> &Queue);
   void refuse(BodyNumber Number, BodyState Reason);
+  /// Checks once per second whether large bodies arrive.
+  void updateProgress(TimePoint Now);
+  /// Time since the body began to wait or others made progress, whichever is later.
+  Duration stalledFor(const Body &Each, TimePoint Now) const {
+    return Now - std::max(Each.WaitingSince, this->LastProgress);
+  }
   void refuseExpired(TimePoint Now);
   /// If all bodies that hold memory wait for more, none of them can end and free its memory.
   bool isDeadlocked() const;
@@ -195,6 +212,13 @@
   std::array<std::size_t, MemoryKindCount> Held{};
   Counts Statistics;
   TimePoint LastTime{};
+  /// Time at which large bodies were last found to arrive, or one of them freed its memory.
+  TimePoint LastProgress{};
+  /// Bytes of large bodies that have arrived since the last check of their progress.
+  std::size_t ArrivedBytes = 0;
+  TimePoint LastProgressCheck{};
+  /// Of all large bodies together, between the last two checks.
+  double ArrivedBytesPerSecond = 0;
 };
 
 /// Bytes of one kind in an account, until the end of this object. Not thread-safe.
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -27,7 +27,8 @@
 constexpr std::size_t RequestInProgressBytes = std::size_t{4} * 1024;
 constexpr int RequestTimeout = 408;
 constexpr int Unavailable = 503;
-constexpr const char *RetryAfterSeconds = "1";
+/// Other requests free their memory within moments.
+constexpr std::chrono::seconds RetryWithoutMemory(1);
 constexpr Duration LingerTimeout = 1s;
 /// A connection lingers longer while its last response is on its way over a full link.
 constexpr Duration MaxLingerTimeout = 10s;
@@ -206,7 +207,11 @@
   case MemoryAccount::BodyState::Waiting:
     return;
   case MemoryAccount::BodyState::RefusedForMemory:
-    this->rejectRequest(Unavailable, "no memory is free for the request body");
+    this->rejectRequest(Unavailable, "no memory is free for the request body",
+                        this->Server.memory()->expectedWait());
+    return;
+  case MemoryAccount::BodyState::RefusedAsTooLarge:
+    this->rejectRequest(Unavailable, "the memory of this entry is too small for the request body");
     return;
   case MemoryAccount::BodyState::RefusedAsSlow:
     this->rejectRequest(RequestTimeout, "the request body arrives too slowly");
@@ -237,7 +242,7 @@
     if (Result == RequestParser::State::Complete) {
       if (this->Server.memory()->isOverLimit()) {
         this->Server.memory()->countRefusal();
-        this->rejectRequest(Unavailable, "no memory is free for the request");
+        this->rejectRequest(Unavailable, "no memory is free for the request", RetryWithoutMemory);
         return;
       }
       this->pass();
@@ -286,7 +291,8 @@
   this->Server.handler().onRequest(*this->Exchanges.back());
 }
 
-void HttpConnection::rejectRequest(int Status, const std::string &Text) {
+void HttpConnection::rejectRequest(int Status, const std::string &Text,
+                                   std::optional<std::chrono::seconds> RetryAfter) {
   const MemoryAccount &Memory = *this->Server.memory();
   this->Server.handler().onRejected(
       {this->Parser.isHeadComplete() ? this->Parser.head() : RequestHead(), Status, Text,
@@ -296,8 +302,8 @@
   Head.Status = Status;
   Head.Reason = reasonPhrase(Status);
   Head.Fields = {{"Content-Type", "text/plain"}};
-  if (Status == Unavailable) {
-    Head.Fields.emplace_back("Retry-After", RetryAfterSeconds);
+  if (RetryAfter) {
+    Head.Fields.emplace_back("Retry-After", std::to_string(RetryAfter->count()));
   }
   this->respondRejected(std::move(Head), Text + "\n");
 }
@@ -363,7 +369,7 @@
 void HttpConnection::refuseInput() {
   this->Server.memory()->countRefusal();
   if (this->Exchanges.empty()) {
-    this->rejectRequest(Unavailable, "no memory is free for the request");
+    this->rejectRequest(Unavailable, "no memory is free for the request", RetryWithoutMemory);
     return;
   }
   this->reportInput(CloseReason::InputRefused);
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -96,7 +96,8 @@
   void onMemoryDecision();
   void pass();
   /// Rejects the request that is being received and reads no further ones.
-  void rejectRequest(int Status, const std::string &Text);
+  void rejectRequest(int Status, const std::string &Text,
+                     std::optional<std::chrono::seconds> RetryAfter = std::nullopt);
   void respondRejected(ResponseHead Head, const std::string &Text);
   bool isTooSlow(TimePoint Now) const;
   void updateCharges();
--- a/src/libs/transport/RequestAttempt.cpp
+++ b/src/libs/transport/RequestAttempt.cpp
@@ -147,6 +147,7 @@
   case MemoryAccount::BodyState::Waiting:
     return;
   case MemoryAccount::BodyState::RefusedForMemory:
+  case MemoryAccount::BodyState::RefusedAsTooLarge:
     this->fail(AttemptOutcome::Interrupted, "no memory is free for the response");
     return;
   case MemoryAccount::BodyState::RefusedAsSlow:
--- a/tests/auto/libs/coordination/tst_memoryaccount.cpp
+++ b/tests/auto/libs/coordination/tst_memoryaccount.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(bodiesThatHoldMemoryGoFirst);
   CPPUNIT_TEST(bodiesThatBlockEachOtherAreResolved);
   CPPUNIT_TEST(waitsAreBounded);
+  CPPUNIT_TEST(progressOfOthersProlongsTheWait);
+  CPPUNIT_TEST(expectedWaitFollowsFromTheRate);
   CPPUNIT_TEST(decisionsAreReportedOnce);
   CPPUNIT_TEST(bodiesLeaveRoomForConnections);
   CPPUNIT_TEST(optionalReservationsDoNotWait);
@@ -132,6 +134,50 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Account.waitingCount());
   }
 
+  /// Guards against uploads that are refused although those ahead of them arrive, and against waits
+  /// without end behind senders that only trickle.
+  void progressOfOthersProlongsTheWait() {
+    struct Case {
+      std::size_t BytesPerSecond;
+      Duration RefusedAfter;
+    };
+    const Case Table[] = {{2 * Mb, MemoryAccount::MaxWaitDuringProgress},
+                          {MemoryAccount::MinBytesPerSecond / 2, MemoryAccount::MaxWait}};
+    for (const Case &Each : Table) {
+      MemoryAccount Account({80 * Mb, 10 * Mb});
+      const BodyNumber Holder = Account.addBody(Start);
+      const BodyNumber Waiting = Account.addBody(Start);
+      Account.reserve(Holder, 64 * Mb, Start);
+      Account.reserve(Waiting, 64 * Mb, Start);
+      TimePoint Now = Start;
+      for (std::size_t Second = 1; Account.state(Waiting) == State::Waiting && Second < 60;
+           ++Second) {
+        Now = Start + std::chrono::seconds(Second);
+        Account.onBodyBytes(Holder, Second * Each.BytesPerSecond);
+        Account.onTick(Now);
+      }
+      CPPUNIT_ASSERT(Account.state(Waiting) == State::RefusedForMemory);
+      CPPUNIT_ASSERT(Now - Start > Each.RefusedAfter);
+      CPPUNIT_ASSERT(Now - Start <= Each.RefusedAfter + 1s);
+      CPPUNIT_ASSERT(Account.state(Holder) == State::Granted);
+    }
+  }
+
+  /// Guards against a Retry-After that is too early because uploads ahead take longer.
+  void expectedWaitFollowsFromTheRate() {
+    MemoryAccount Account({80 * Mb, 10 * Mb});
+    CPPUNIT_ASSERT(Account.expectedWait() == 3s);
+    const BodyNumber Holder = Account.addBody(Start);
+    const BodyNumber Waiting = Account.addBody(Start);
+    Account.reserve(Holder, 40 * Mb, Start);
+    Account.reserve(Waiting, 40 * Mb, Start);
+    Account.onTick(Start);
+    Account.onBodyBytes(Holder, 4 * Mb);
+    Account.onTick(Start + 1s);
+    // 36 MB of the first and 40 MB of the second at 4 MB/s.
+    CPPUNIT_ASSERT(Account.expectedWait() == 19s);
+  }
+
   /// Guards against bodies that are not resumed, and against calls for bodies that have ended.
   void decisionsAreReportedOnce() {
     MemoryAccount Account({80 * Mb, 10 * Mb});
@@ -186,7 +232,7 @@
   void impossibleBodiesAreRefusedAtOnce() {
     MemoryAccount Account({80 * Mb, 10 * Mb});
     const BodyNumber Body = Account.addBody(Start);
-    CPPUNIT_ASSERT(Account.reserve(Body, 70 * Mb + 1, Start) == State::RefusedForMemory);
+    CPPUNIT_ASSERT(Account.reserve(Body, 70 * Mb + 1, Start) == State::RefusedAsTooLarge);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Account.used());
   }
 
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -129,6 +129,7 @@
   CPPUNIT_TEST(undeliveredResponsesAreNotReset);
   CPPUNIT_TEST(largeBodiesWaitForMemory);
   CPPUNIT_TEST(bodiesWithoutMemoryAreRefused);
+  CPPUNIT_TEST(bodiesThatNeverFitAreRefusedAtOnce);
   CPPUNIT_TEST(inputBeyondTheMemoryIsRefused);
   CPPUNIT_TEST(inputBehindRequestsIsRefused);
   CPPUNIT_TEST(endedSendersFreeTheirMemory);
@@ -447,6 +448,16 @@
     CPPUNIT_ASSERT(!Test.Caller->Closed);
   }
 
+  /// Guards against a Retry-After for a request that this entry never has the memory for.
+  void bodiesThatNeverFitAreRefusedAtOnce() {
+    const auto Memory = std::make_shared<MemoryAccount>(MemoryLimits{700000, 100000});
+    Fixture Test(100, Memory);
+    Test.Caller->send("POST /large HTTP/1.1\r\nContent-Length: 650000\r\n\r\nx");
+    CPPUNIT_ASSERT(runUntil([&] { return Test.Caller->Closed; }));
+    CPPUNIT_ASSERT(Test.Caller->Received.find("HTTP/1.1 503 ") == 0);
+    CPPUNIT_ASSERT(Test.Caller->Received.find("Retry-After: ") == std::string::npos);
+  }
+
   /// Guards against requests without a body that together exceed the memory, complete or not, and
   /// against refusing further ordinary ones because of them.
   void inputBeyondTheMemoryIsRefused() {
