Return freed heap memory before large bodies are read

Seen in a trial of 1,500 clients with bodies of 60 KB beside uploads of 40 MB: an entry of 112 MB reached 136 MB although the account kept its limit. Cause: small bodies lie in the heap, which keeps what they have freed as long as later blocks are in use, and large bodies are allocated outside of it.

The servers now return freed memory to the system when the bytes in the account have fallen by 4 MB, a few times per second and before a large body is read.

--- a/src/libs/coordination/memory/MemoryAccount.cpp
+++ b/src/libs/coordination/memory/MemoryAccount.cpp
@@ -76,6 +76,7 @@
   OfKind = OfKind - Each.Reserved + Bytes;
   Each.Reserved = Bytes;
   (isSmall(Each.Reserved) ? this->SmallBytes : this->LargeBytes) += Each.Reserved;
+  this->PeakBytes = std::max(this->PeakBytes, this->used());
 }
 
 MemoryAccount::BodyState MemoryAccount::reserve(BodyNumber Number, std::size_t Bytes,
@@ -159,11 +160,21 @@
 void MemoryAccount::change(MemoryKind Kind, std::size_t From, std::size_t To) {
   std::size_t &Bytes = this->Held.at(static_cast<std::size_t>(Kind));
   Bytes = Bytes - From + To;
+  this->PeakBytes = std::max(this->PeakBytes, this->used());
   if (To < From) {
     this->grantWaiting();
   }
 }
 
+bool MemoryAccount::hasFallenBy(std::size_t Bytes) {
+  const std::size_t Used = this->used();
+  if (this->PeakBytes < Used + Bytes) {
+    return false;
+  }
+  this->PeakBytes = Used;
+  return true;
+}
+
 bool MemoryAccount::hasRoomFor(std::size_t Bytes) const {
   return this->used() + Bytes <= this->Limits.TotalBytes / 4 * 3;
 }
--- a/src/libs/coordination/memory/MemoryAccount.h
+++ b/src/libs/coordination/memory/MemoryAccount.h
@@ -151,6 +151,9 @@
   /// which those ahead of it arrive.
   std::chrono::seconds expectedWait() const;
 
+  /// True if the bytes that are held have fallen by this much since the last call that returned
+  /// true.
+  bool hasFallenBy(std::size_t Bytes);
   /// Time of the last tick or reservation.
   TimePoint lastTime() const { return this->LastTime; }
   std::size_t used() const;
@@ -210,6 +213,8 @@
   std::vector<BodyNumber> Decided;
   /// Bytes of each kind.
   std::array<std::size_t, MemoryKindCount> Held{};
+  /// Most bytes that were held since hasFallenBy() returned true.
+  std::size_t PeakBytes = 0;
   Counts Statistics;
   TimePoint LastTime{};
   /// Time at which large bodies were last found to arrive, or one of them freed its memory.
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -182,6 +182,9 @@
     Wanted = std::max(Wanted, std::min(Received * 2, this->Server.limits().BodyBytes));
   }
   if (this->Reservation->reserve(Wanted, Now) == MemoryAccount::BodyState::Granted) {
+    if (Wanted > MemoryAccount::SmallBodyBytes) {
+      this->Server.returnFreedMemory();
+    }
     // What arrives of a body of unknown length may exceed its reservation.
     if (this->Parser.announcedBodyBytes() && Wanted > MemoryAccount::SmallBodyBytes) {
       this->resizeReceiveBuffer(ReceiveBuffer::Large);
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <utility>
 
+#include <malloc.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -21,6 +22,8 @@
 constexpr guint TimeoutCheckMilliseconds = 250;
 /// Time after which connections that wait for memory look for it again.
 constexpr Duration MemoryCheckInterval = std::chrono::milliseconds(20);
+/// Freed bytes that the heap may keep.
+constexpr std::size_t MaxFreedBytes = std::size_t{4} << 20;
 /// A reader that takes nothing for this time may be ended when the memory is nearly used up, or
 /// exceeded. Both are many round trips to the most distant callers (60 ms).
 constexpr Duration MaxStallNearLimit = std::chrono::seconds(3);
@@ -181,9 +184,16 @@
   }
   this->endSlowReaders(Now);
   this->endLargestInputs();
+  this->returnFreedMemory();
   this->resumeAccepting();
 }
 
+void HttpServer::returnFreedMemory() {
+  if (this->Memory->hasFallenBy(MaxFreedBytes)) {
+    malloc_trim(0);
+  }
+}
+
 void HttpServer::scheduleMemoryDecisions() {
   if (this->MemoryDecisions.isPending()) {
     return;
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -98,6 +98,9 @@
            this->Connections.size() >=
                this->MaxConnections + std::max<std::size_t>(8, this->MaxConnections / 8);
   }
+  /// Returns freed memory to the system, because the heap keeps it while large bodies are allocated
+  /// outside of the heap.
+  void returnFreedMemory();
   /// Tells the connections soon what was decided about the memory that they wait for.
   void scheduleMemoryDecisions();
   void pauseAccepting();
--- a/tests/auto/libs/coordination/tst_memoryaccount.cpp
+++ b/tests/auto/libs/coordination/tst_memoryaccount.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(optionalReservationsDoNotWait);
   CPPUNIT_TEST(impossibleBodiesAreRefusedAtOnce);
   CPPUNIT_TEST(slowSendersEndOnlyForOthers);
+  CPPUNIT_TEST(fallsOfTheHeldBytes);
   CPPUNIT_TEST(chargesAreReturned);
   CPPUNIT_TEST(limitIsKeptAndEveryBodyEnds);
   CPPUNIT_TEST_SUITE_END();
@@ -264,6 +265,18 @@
     CPPUNIT_ASSERT(Account.state(SlowSmall) == State::Granted);
   }
 
+  /// Guards against freed memory that the heap keeps, and against returning it again and again.
+  void fallsOfTheHeldBytes() {
+    MemoryAccount Account({80 * Mb, 10 * Mb});
+    Account.change(MemoryKind::Output, 0, 10 * Mb);
+    CPPUNIT_ASSERT(!Account.hasFallenBy(4 * Mb));
+    Account.change(MemoryKind::Output, 10 * Mb, 6 * Mb + 1);
+    CPPUNIT_ASSERT(!Account.hasFallenBy(4 * Mb));
+    Account.change(MemoryKind::Output, 6 * Mb + 1, 6 * Mb);
+    CPPUNIT_ASSERT(Account.hasFallenBy(4 * Mb));
+    CPPUNIT_ASSERT(!Account.hasFallenBy(4 * Mb));
+  }
+
   /// Guards against bytes that stay in the account after what holds them has ended.
   void chargesAreReturned() {
     const auto Account = std::make_shared<MemoryAccount>(MemoryLimits{8 * Mb, Mb});
