Tell the daemon the memory and the descriptors of its VM

Callers with large uploads were refused on VMs of 160 to 512 MB as if they had 112.

Without either, the smallest VM's hold as before.

--- a/src/anvilsaddled/Daemon.cpp
+++ b/src/anvilsaddled/Daemon.cpp
@@ -18,9 +18,11 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonSettings InitialSettings, std::string Path, std::string Text)
+Daemon::Daemon(DaemonSettings InitialSettings, std::string Path, std::string Text,
+               VmResources Resources)
     : Settings(std::move(InitialSettings)), SettingsPath(std::move(Path)),
-      SettingsText(std::move(Text)), Store(this->Settings.StoreEndpoint, this->Time, this->Random),
+      SettingsText(std::move(Text)), Resources(Resources),
+      Store(this->Settings.StoreEndpoint, this->Time, this->Random),
       Runtime(this->Settings,
               {this->Store, this->Protocol, this->Protocol, this->Time, this->Random}),
       Loop(g_main_loop_new(nullptr, FALSE)) {}
@@ -69,7 +71,7 @@
     return;
   }
   this->SettingsText = *Newer;
-  const auto Parsed = readDaemonSettings(*Newer, this->SettingsPath);
+  const auto Parsed = readDaemonSettings(*Newer, this->SettingsPath, this->Resources);
   if (const auto *Problems = std::get_if<Diagnostics>(&Parsed)) {
     for (const Diagnostic &Each : *Problems) {
       logEvent(LogLevel::Error, "settings_refused", {{"finding", toString(Each)}});
--- a/src/anvilsaddled/Daemon.h
+++ b/src/anvilsaddled/Daemon.h
@@ -16,8 +16,8 @@
 class Daemon {
 public:
   /// The settings were parsed from `Text`, the content of the file `Path`. The file is read again
-  /// when it changes.
-  Daemon(DaemonSettings Settings, std::string Path, std::string Text);
+  /// when it changes. `Resources` hold where the settings don't state those of the VM.
+  Daemon(DaemonSettings Settings, std::string Path, std::string Text, VmResources Resources);
 
   /// Runs the main loop. Returns the exit status of the process.
   int run();
@@ -32,6 +32,7 @@
   DaemonSettings Settings;
   std::string SettingsPath;
   std::string SettingsText;
+  VmResources Resources;
   SystemClock Time;
   SystemRandom Random;
   platform::PlatformProtocol Protocol;
--- a/src/anvilsaddled/main.cpp
+++ b/src/anvilsaddled/main.cpp
@@ -28,6 +28,15 @@
   CLI::App App("anvilsaddle load balancer daemon for one entry VM");
   std::string Path;
   App.add_option("-s,--settings", Path, "Path of the settings file (TOML)")->required();
+  VmResources Resources;
+  App.add_option("--memory-mb", Resources.MemoryMb,
+                 "Memory of the VM in MB, unless the settings state it")
+      ->envname("ANVILSADDLE_MEMORY_MB")
+      ->check(CLI::Range(VmResources::MinMemoryMb, VmResources::MaxMemoryMb));
+  App.add_option("--descriptors", Resources.Descriptors,
+                 "File descriptors of the process, unless the settings state them")
+      ->envname("ANVILSADDLE_DESCRIPTORS")
+      ->check(CLI::Range(VmResources::MinDescriptors, VmResources::MaxDescriptors));
   App.set_version_flag("--version", ANVILSADDLE_VERSION);
   CLI11_PARSE(App, ArgumentCount, Arguments);
 
@@ -36,7 +45,7 @@
     std::cerr << Path << ": cannot read the file\n";
     return InvalidSettingsExitStatus;
   }
-  const auto Parsed = readDaemonSettings(*Text, Path);
+  const auto Parsed = readDaemonSettings(*Text, Path, Resources);
   if (const auto *Problems = std::get_if<Diagnostics>(&Parsed)) {
     for (const Diagnostic &Each : *Problems) {
       std::cerr << toString(Each) << '\n';
@@ -49,5 +58,5 @@
   std::signal(SIGPIPE, SIG_IGN);
   const auto &Settings = std::get<DaemonSettings>(Parsed);
   configureLog(Settings.LogLevel);
-  return Daemon(Settings, Path, *Text).run();
+  return Daemon(Settings, Path, *Text, Resources).run();
 }
--- a/src/libs/protocol/DaemonSettings.cpp
+++ b/src/libs/protocol/DaemonSettings.cpp
@@ -14,12 +14,6 @@
 constexpr std::size_t MinFleetKeyBytes = 16;
 /// The counts of a longer window do not fit into a datagram.
 constexpr Duration MaxQuotaWindow = 20s;
-/// With less, the process itself leaves no room for requests.
-constexpr std::int64_t MinMemoryMb = 64;
-constexpr std::int64_t MaxMemoryMb = std::int64_t{1} << 20;
-/// Files, listening sockets and some connections of each kind.
-constexpr std::int64_t MinDescriptors = 400;
-constexpr std::int64_t MaxDescriptors = 1'000'000;
 
 Endpoint readEndpoint(TomlTable &Table, std::string_view Key) {
   const std::string Text = Table.requiredString(Key);
@@ -89,23 +83,27 @@
   Result.StopGracePeriod = Limits.secondsOr("stop_grace_s", Result.StopGracePeriod, 1s, 1h);
   Result.AddressTtl = Limits.secondsOr("address_lifetime_s", Result.AddressTtl, 100ms, 1h);
   Result.MaxConnections = Limits.integerOr("max_connections", Result.MaxConnections, 1, 100'000);
-  Result.MemoryMb = Limits.integerOr("memory_mb", Result.MemoryMb, MinMemoryMb, MaxMemoryMb);
-  Result.Descriptors =
-      Limits.integerOr("descriptors", Result.Descriptors, MinDescriptors, MaxDescriptors);
+  VmResources &Resources = Result.Resources;
+  Resources.MemoryMb = Limits.integerOr("memory_mb", Resources.MemoryMb, VmResources::MinMemoryMb,
+                                        VmResources::MaxMemoryMb);
+  Resources.Descriptors =
+      Limits.integerOr("descriptors", Resources.Descriptors, VmResources::MinDescriptors,
+                       VmResources::MaxDescriptors);
   Result.MaxAuditRecords = Limits.integerOr("audit_entries", Result.MaxAuditRecords, 1, 1'000'000);
   Limits.reportUnknownKeys();
 }
 
 } // namespace
 
-std::variant<DaemonSettings, Diagnostics> readDaemonSettings(std::string_view Text,
-                                                             const std::string &Path) {
+std::variant<DaemonSettings, Diagnostics>
+readDaemonSettings(std::string_view Text, const std::string &Path, VmResources Defaults) {
   Diagnostics Errors;
   const auto Parsed = parseToml(Text, Path, Errors);
   if (!Parsed) {
     return Errors;
   }
   DaemonSettings Result;
+  Result.Resources = Defaults;
   TomlTable Root(*Parsed, Path, Errors);
   Result.Vm = VmName(Root.requiredString("vm"));
   Result.FleetTopology.OwnRegion = RegionName(Root.requiredString("region"));
--- a/src/libs/protocol/DaemonSettings.h
+++ b/src/libs/protocol/DaemonSettings.h
@@ -17,6 +17,22 @@
 
 namespace anvilsaddle {
 
+/// What the process may use of its VM. The defaults are those of the smallest VM, so that they are
+/// safe where nothing states them. Value type.
+struct VmResources {
+  /// With less, the process itself leaves no room for requests.
+  static constexpr std::int64_t MinMemoryMb = 64;
+  static constexpr std::int64_t MaxMemoryMb = std::int64_t{1} << 20;
+  /// Files, listening sockets and some connections of each kind.
+  static constexpr std::int64_t MinDescriptors = 400;
+  static constexpr std::int64_t MaxDescriptors = 1'000'000;
+
+  std::int64_t MemoryMb = 112;
+  std::int64_t Descriptors = 2870;
+
+  auto operator<=>(const VmResources &) const = default;
+};
+
 /// Local settings of a daemon. Value type.
 struct DaemonSettings {
   VmName Vm;
@@ -49,18 +65,16 @@
   /// Time for which callers may cache a response of the directory.
   Duration AddressTtl = std::chrono::seconds(1);
   std::int64_t MaxConnections = 2000;
-  /// Memory and descriptors of the VM. The defaults are those of the smallest VM, so that they are
-  /// safe where the settings are missing.
-  std::int64_t MemoryMb = 112;
-  std::int64_t Descriptors = 2870;
+  VmResources Resources;
   std::string LogLevel = "info";
   std::int64_t MaxAuditRecords = 500;
 
   auto operator<=>(const DaemonSettings &) const = default;
 };
 
-/// Parses and validates local settings in TOML. All errors are reported together. Thread-safe.
-std::variant<DaemonSettings, Diagnostics> readDaemonSettings(std::string_view Text,
-                                                             const std::string &Path);
+/// Parses and validates local settings in TOML. All errors are reported together. `Defaults` hold
+/// where the settings don't state the resources of the VM. Thread-safe.
+std::variant<DaemonSettings, Diagnostics>
+readDaemonSettings(std::string_view Text, const std::string &Path, VmResources Defaults = {});
 
 } // namespace anvilsaddle
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -40,7 +40,7 @@
 constexpr double InternalConnectionShare = 0.0625;
 
 std::size_t maxConnections(const DaemonSettings &Settings, double Share, std::size_t Limit) {
-  const auto Available = static_cast<double>(Settings.Descriptors - FileDescriptors);
+  const auto Available = static_cast<double>(Settings.Resources.Descriptors - FileDescriptors);
   return std::min(Limit, static_cast<std::size_t>(Available * Share));
 }
 
@@ -74,7 +74,8 @@
       Deps(Deps), OwnIncarnation{Deps.Time.unixMilliseconds(), Deps.Random.bits()},
       Authenticator(this->Settings.FleetKey),
       Audit(static_cast<std::size_t>(this->Settings.MaxAuditRecords)),
-      Memory(std::make_shared<MemoryAccount>(MemoryLimits::forVm(this->Settings.MemoryMb))),
+      Memory(
+          std::make_shared<MemoryAccount>(MemoryLimits::forVm(this->Settings.Resources.MemoryMb))),
       RequestDispatcher(this->Settings.FleetTopology, this->Settings.Dispatch,
                         this->Settings.CallerEndpoint.Address, Deps.Random),
       Quotas(this->Settings.CallerEndpoint.Address, this->OwnIncarnation.StartedUnixMilliseconds,
@@ -166,7 +167,7 @@
 std::string EntryRuntime::start() {
   const auto Accepted = std::make_shared<SharedConnectionCount>(SharedConnectionCount{
       0, maxConnections(this->Settings, AcceptedConnectionShare,
-                        static_cast<std::size_t>(this->Settings.Descriptors))});
+                        static_cast<std::size_t>(this->Settings.Resources.Descriptors))});
   Endpoint ForwardEndpoint{this->Settings.CallerEndpoint.Address, this->Settings.PeerPort};
   for (const auto &[Server, Address] :
        {std::pair(&this->CallerServer, &this->Settings.CallerEndpoint),
--- a/tests/auto/libs/protocol/tst_daemonsettings.cpp
+++ b/tests/auto/libs/protocol/tst_daemonsettings.cpp
@@ -45,6 +45,7 @@
 class DaemonSettingsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DaemonSettingsTest);
   CPPUNIT_TEST(validSettings);
+  CPPUNIT_TEST(resourcesOfTheVm);
   CPPUNIT_TEST(hedgeShare);
   CPPUNIT_TEST(invalidSettings);
   CPPUNIT_TEST(allErrorsAreReported);
@@ -64,8 +65,8 @@
     CPPUNIT_ASSERT_EQUAL(0.25, Settings.Dispatch.Retries.Ratio);
     CPPUNIT_ASSERT(Settings.StopGracePeriod == 2500ms);
     CPPUNIT_ASSERT(!Settings.Dispatch.Hedges.Share);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{260}, Settings.MemoryMb);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{4096}, Settings.Descriptors);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{260}, Settings.Resources.MemoryMb);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{4096}, Settings.Resources.Descriptors);
     CPPUNIT_ASSERT(Settings.Quotas == (QuotaBounds{4s, 0.5, 7}));
     // Deployments without quotas set no bounds.
     const auto Without = std::get<DaemonSettings>(readDaemonSettings(
@@ -74,6 +75,23 @@
     CPPUNIT_ASSERT(Without.Quotas == QuotaBounds());
   }
 
+  /// Guards against a VM's resources that replace those of the settings, or that are not used where
+  /// the settings state none.
+  void resourcesOfTheVm() {
+    struct Case {
+      const char *Removed;
+      VmResources Expected;
+    };
+    const Case Table[] = {{"", {260, 4096}},
+                          {"memory_mb = 260\n", {512, 4096}},
+                          {"descriptors = 4096\n", {260, 8192}}};
+    for (const Case &Each : Table) {
+      const auto Result =
+          readDaemonSettings(replaced(Good, Each.Removed, ""), "entry.toml", {512, 8192});
+      CPPUNIT_ASSERT(std::get<DaemonSettings>(Result).Resources == Each.Expected);
+    }
+  }
+
   /// Guards against a limit on hedges of 0 that is taken for none, so that hedges are sent.
   void hedgeShare() {
     for (const double Share : {0.0, 0.03, 1.0}) {
