Refuse what exceeds the memory before connections have to wait

With the limit exceeded, the listener paused until the next check of the timeouts, so that ordinary callers waited behind the crowd that exceeded it, and its bytes were left unread. A server now refuses the largest input first and accepts then. The directory keeps the long queue of connections, as callers of all entries ask it, and the other servers one as long as their connections.

--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -27,7 +27,7 @@
 
 /// Connections of other entries, the platform and operators that may wait to be accepted. What has
 /// arrived on them counts as memory of the VM.
-constexpr int InternalBacklog = 128;
+constexpr int InternalBacklog = static_cast<int>(MaxInternalConnections);
 
 /// Descriptors of the VM that are for files.
 constexpr std::int64_t FileDescriptors = 200;
@@ -177,7 +177,8 @@
         {&this->ControlServer, &this->Settings.ControlEndpoint},
         {&this->OperatorServer, &this->Settings.OperatorEndpoint}}) {
     Server->shareConnectionLimit(Accepted);
-    const int Backlog = Server == &this->CallerServer ? HttpServer::CallerBacklog : InternalBacklog;
+    const bool ServesCallers = Server == &this->CallerServer || Server == &this->DirectoryServer;
+    const int Backlog = ServesCallers ? HttpServer::CallerBacklog : InternalBacklog;
     if (std::string Error = Server->listen(*Address, Backlog); !Error.empty()) {
       return Error;
     }
--- a/src/libs/transport/HttpServer.cpp
+++ b/src/libs/transport/HttpServer.cpp
@@ -98,6 +98,7 @@
 }
 
 bool HttpServer::acceptOne() {
+  this->endLargestInputs();
   if (this->isFull()) {
     this->pauseAccepting();
     return false;
--- a/src/libs/transport/HttpServer.h
+++ b/src/libs/transport/HttpServer.h
@@ -91,8 +91,8 @@
   void acceptPending(int MaxCount);
   bool acceptOne();
   void enforceConnectionLimit();
-  /// Connections that are closing may exceed the limit by a few, so that a caller does not wait for
-  /// the end of an idle one.
+  /// True if no connection may be accepted. Those that are closing may exceed the limit by a few,
+  /// so that a caller does not wait for the end of an idle one.
   bool isFull() const {
     return this->Memory->isOverLimit() || this->SharedCount->Open >= this->SharedCount->Max ||
            this->Connections.size() >=
