Test uploads that are forwarded to an entry with a crowd

A body that was refused for lack of memory may not have run, on the first entry or on the one to which it was forwarded.

--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -171,12 +171,15 @@
         await asyncio.sleep(pause_s)
 
 
-async def play_uploader(ip, refused):
-    """Sends complete bodies one after the other, and collects the ids of those that are refused."""
+async def play_uploader(ip, refused, played=None):
+    """Sends complete bodies one after the other, and collects the ids of those that are refused and
+    of all."""
     generator = random.Random(52)
     while True:
         request = f"proper-{next(REQUEST_IDS)}"
         size = generator.choice([SMALL_BODY, MIB, CROWD_BODY])
+        if played is not None:
+            played.add(request)
         writer = None
         try:
             reader, writer = await open_client(ip, CALLERS, None)
--- a/tests/clients/entry_site.py
+++ b/tests/clients/entry_site.py
@@ -19,9 +19,9 @@
 STALLED_RESPONSE_BYTES = 200 * KIB
 START_TIMEOUT_S, STOP_TIMEOUT_S, SAMPLE_INTERVAL_S = 60, 90, 0.02
 CONNECTION_STATE_LISTEN = "0A"
-SETTINGS = """vm = "entry-0"
-region = "a"
-failure_domain = "a1"
+SETTINGS = """vm = "{vm}"
+region = "{region}"
+failure_domain = "{domain}"
 [listen]
 callers = "{ip}:{callers}"
 readiness = "{ip}:{readiness}"
@@ -32,10 +32,10 @@
 [store]
 address = "{store}:{store_port}"
 [fleet]
-seeds = ["{ip}:{control}"{more_seeds}]
+seeds = ["{seed}:{control}"{more_seeds}]
 key = "the key of the clients test"
 [fleet.regions]
-a1 = "a"
+{regions}
 [limits]
 memory_mb = {memory}
 descriptors = {descriptors}
@@ -83,10 +83,14 @@
 class Site:
     """A store and targets, and one daemon process at a time."""
 
+    REGIONS = {"a1": "a"}
+    TARGET_DOMAIN = "a1"
+
     def __init__(self, binary, number, directory, body_limit, target_type=LargeResponseTarget):
         self.binary, self.directory = binary, directory
         self.body_limit, self.target_type = body_limit, target_type
-        self.ip = f"127.{number}.0.10"
+        self.ip, self.domain, self.vm = f"127.{number}.0.10", "a1", "entry-0"
+        self.seed = self.ip
         self.store_ip = f"127.{number}.3.1"
         self.target_ips = [f"127.{number}.1.{1 + index}" for index in range(TARGET_COUNT)]
         self.store, self.process, self.version = FakeStore(), None, 0
@@ -96,11 +100,12 @@
         await asyncio.start_server(self.store.serve, self.store_ip, STORE_PORT)
         self.put_configuration()
         for index, ip in enumerate(self.target_ips):
-            target = self.target_type(f"t{index}-0", "board", "a1", self.on_execution, 0.01)
+            target = self.target_type(f"t{index}-0", "board", self.TARGET_DOMAIN,
+                                      self.on_execution, 0.01)
             target.slots = slots
             await asyncio.start_server(target.serve, ip, TARGET_PORT, limit=8 * MIB, backlog=2048)
             self.store.put(f"servers/{target.name}", {
-                "service": "board", "address": f"{ip}:{TARGET_PORT}", "zone": "a1",
+                "service": "board", "address": f"{ip}:{TARGET_PORT}", "zone": self.TARGET_DOMAIN,
                 "version": "v1", "slots": target.slots, "state": "ready", "coldRemainingS": 0,
                 "sequence": 1, "born": target.born})
 
@@ -122,23 +127,28 @@
                        "idleTimeoutS": 15}})
 
     def write_settings(self, memory_mb, descriptors, more_seeds=""):
-        path = os.path.join(self.directory, "entry.toml")
+        path = os.path.join(self.directory, f"{self.vm}.toml")
+        regions = "\n".join(f'{domain} = "{region}"' for domain, region in self.REGIONS.items())
         with open(path, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(
                 ip=self.ip, callers=CALLERS, readiness=READINESS, directory=DIRECTORY,
                 control=CONTROL, operators=OPERATORS, peers=PEERS, store=self.store_ip,
-                store_port=STORE_PORT, memory=memory_mb, descriptors=descriptors,
-                more_seeds=more_seeds))
+                store_port=STORE_PORT, memory=memory_mb, descriptors=descriptors, vm=self.vm,
+                region=self.REGIONS[self.domain], domain=self.domain, seed=self.seed,
+                regions=regions, more_seeds=more_seeds))
         return path
 
     async def start_process(self, kind, memory_mb, descriptors):
+        self.spawn(kind, memory_mb, descriptors)
+        if not await self.is_answered(START_TIMEOUT_S):
+            raise RuntimeError("the process did not get ready; see " + self.log)
+
+    def spawn(self, kind, memory_mb, descriptors):
         path = self.write_settings(memory_mb, descriptors)
         self.log = os.path.join(self.directory, f"{kind}.log")
         with open(self.log, "ab") as output:
             self.process = subprocess.Popen([self.binary, "--settings", path], stdout=output,
                                             stderr=output)
-        if not await self.is_answered(START_TIMEOUT_S):
-            raise RuntimeError("the process did not get ready; see " + self.log)
 
     def stop_process(self):
         if self.process and self.process.poll() is None:
