Make room before an ordinary request is refused for lack of memory

A complete request that arrived while the limit was exceeded was refused even where the input of others could be. The largest input now gives way first.

--- a/src/libs/coordination/memory/MemoryAccount.cpp
+++ b/src/libs/coordination/memory/MemoryAccount.cpp
@@ -22,6 +22,11 @@
 constexpr std::chrono::seconds StoppedSenderWait(3);
 constexpr std::chrono::seconds MinExpectedWait(1);
 
+/// What is left of a reserve of which some bytes are used.
+std::size_t unusedPart(std::size_t Reserve, std::size_t Used) {
+  return Reserve - std::min(Reserve, Used);
+}
+
 } // namespace
 
 const char *toString(MemoryKind Kind) {
@@ -58,16 +63,13 @@
   const std::size_t Wanted = this->used() - Each.Reserved + Each.Wanted;
   if (isSmall(Each.Wanted)) {
     const std::size_t Connections = this->used(MemoryKind::Connection);
-    const std::size_t UnusedReserve = this->Limits.ConnectionReserveBytes -
-                                      std::min(this->Limits.ConnectionReserveBytes, Connections);
-    return Wanted + UnusedReserve <= this->Limits.TotalBytes;
+    return Wanted + unusedPart(this->Limits.ConnectionReserveBytes, Connections) <=
+           this->Limits.TotalBytes;
   }
   // Small bodies and the other kinds use the reserve first.
   const std::size_t InReserve =
       this->SmallBytes - (isSmall(Each.Reserved) ? Each.Reserved : 0) + this->otherBytes();
-  const std::size_t UnusedReserve =
-      this->Limits.SmallReserveBytes - std::min(this->Limits.SmallReserveBytes, InReserve);
-  return Wanted + UnusedReserve <= this->Limits.TotalBytes;
+  return Wanted + unusedPart(this->Limits.SmallReserveBytes, InReserve) <= this->Limits.TotalBytes;
 }
 
 void MemoryAccount::setReserved(Body &Each, std::size_t Bytes) {
@@ -128,6 +130,7 @@
 }
 
 void MemoryAccount::completeBody(BodyNumber Number, std::size_t Bytes) {
+  this->leaveQueues(Number);
   Body &Each = this->Bodies.at(Number);
   Each.IsComplete = true;
   Each.Received = Bytes;
@@ -146,8 +149,7 @@
 }
 
 void MemoryAccount::removeBody(BodyNumber Number) {
-  std::erase(this->SmallQueue, Number);
-  std::erase(this->LargeQueue, Number);
+  this->leaveQueues(Number);
   Body &Removed = this->Bodies.at(Number);
   if (!isSmall(Removed.Reserved) && Removed.State == BodyState::Granted) {
     this->LastProgress = this->LastTime;
@@ -211,9 +213,13 @@
   }
 }
 
-void MemoryAccount::refuse(BodyNumber Number, BodyState Reason) {
+void MemoryAccount::leaveQueues(BodyNumber Number) {
   std::erase(this->SmallQueue, Number);
   std::erase(this->LargeQueue, Number);
+}
+
+void MemoryAccount::refuse(BodyNumber Number, BodyState Reason) {
+  this->leaveQueues(Number);
   Body &Refused = this->Bodies.at(Number);
   Refused.State = Reason;
   this->Decided.push_back(Number);
--- a/src/libs/coordination/memory/MemoryAccount.h
+++ b/src/libs/coordination/memory/MemoryAccount.h
@@ -184,6 +184,7 @@
   void setReserved(Body &Each, std::size_t Bytes);
   void grantWaiting();
   void grantWaiting(std::deque<BodyNumber> &Queue);
+  void leaveQueues(BodyNumber Number);
   void refuse(BodyNumber Number, BodyState Reason);
   /// Checks once per second whether large bodies arrive.
   void updateProgress(TimePoint Now);
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -243,9 +243,7 @@
       return;
     }
     if (Result == RequestParser::State::Complete) {
-      if (this->Server.memory()->isOverLimit()) {
-        this->Server.memory()->countRefusal();
-        this->rejectRequest(Unavailable, "no memory is free for the request", RetryWithoutMemory);
+      if (!this->makeRoom()) {
         return;
       }
       this->pass();
@@ -266,6 +264,27 @@
   }
 }
 
+bool HttpConnection::makeRoom() {
+  MemoryAccount &Memory = *this->Server.memory();
+  if (!Memory.isOverLimit()) {
+    return true;
+  }
+  this->Server.endLargestInputs();
+  if (this->CurrentState != State::Open || this->IsRejected) {
+    return false;
+  }
+  if (Memory.isOverLimit()) {
+    this->refuseRequest();
+    return false;
+  }
+  return true;
+}
+
+void HttpConnection::refuseRequest() {
+  this->Server.memory()->countRefusal();
+  this->rejectRequest(Unavailable, "no memory is free for the request", RetryWithoutMemory);
+}
+
 void HttpConnection::pass() {
   struct AccountedBody {
     std::string Bytes;
@@ -370,11 +389,11 @@
 }
 
 void HttpConnection::refuseInput() {
-  this->Server.memory()->countRefusal();
   if (this->Exchanges.empty()) {
-    this->rejectRequest(Unavailable, "no memory is free for the request", RetryWithoutMemory);
+    this->refuseRequest();
     return;
   }
+  this->Server.memory()->countRefusal();
   this->reportInput(CloseReason::InputRefused);
   this->IsRejected = true;
   this->Exchanges.back()->closeAfterResponse();
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -94,6 +94,11 @@
   void resizeReceiveBuffer(ReceiveBuffer Size);
   /// The memory for the rest of the body was granted or refused.
   void onMemoryDecision();
+  /// Frees memory for the complete request if the limit is exceeded. Returns false if this request
+  /// was refused for that.
+  bool makeRoom();
+  /// Rejects the request for lack of memory.
+  void refuseRequest();
   void pass();
   /// Rejects the request that is being received and reads no further ones.
   void rejectRequest(int Status, const std::string &Text,
