--- a/src/libs/coordination/memory/MemoryAccount.h
+++ b/src/libs/coordination/memory/MemoryAccount.h
@@ -104,7 +104,7 @@
     auto operator<=>(const Counts &) const = default;
   };
 
-  explicit MemoryAccount(MemoryLimits Limits) : Limits(Limits) {}
+  explicit MemoryAccount(const MemoryLimits &Limits) : Limits(Limits) {}
 
   /// Adds a body that holds nothing. `Kind` is RequestBody or Response.
   BodyNumber addBody(TimePoint Now, MemoryKind Kind = MemoryKind::RequestBody);
--- a/tests/auto/libs/transport/tst_requestattempt.cpp
+++ b/tests/auto/libs/transport/tst_requestattempt.cpp
@@ -66,7 +66,8 @@
     Command.Target = TargetName("me");
     Command.Address = {"127.0.0.1", Port};
     Command.Idempotent = Method == "GET";
-    this->Resources = std::make_unique<AttemptResources>(Pool, this->Protocol, std::move(Memory));
+    this->Resources = std::make_unique<AttemptResources>(
+        AttemptResources{Pool, this->Protocol, std::move(Memory)});
     this->Attempt = std::make_unique<RequestAttempt>(*this->Resources, this->Listener, Command);
     const RequestHead Head{Method,
                            "/x?y=1",
