Store long fields of responses and bound each part by its own length

Callers saw: one garbled response of a target, with a trailer of 65,600 bytes, ended the entry that read it (SIGABRT) and all requests in progress there. Cause: Beast stores fields, those of trailers too, with 16-bit lengths and throws std::length_error for more; the exception left a callback of the main loop. The limit of 65,536 bytes was checked only while a part was incomplete, so that the read which completed the part could exceed it. Change: MessageParser collects the fields from the events of basic_parser in the project's own list and drops those of trailers; one limit applies to the length of each part (head, line of a chunk size, trailer section) however it arrives. The response is then garbled like any other: safe requests go to another target, others get 502.

--- a/src/libs/protocol/ResponseParser.cpp
+++ b/src/libs/protocol/ResponseParser.cpp
@@ -1,30 +1,57 @@
 #include "protocol/ResponseParser.h"
 
 #include "protocol/HeadGrammar.h"
+#include "protocol/MessageParser.h"
 
 #include <algorithm>
 
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
 namespace anvilsaddle {
 
 namespace http = boost::beast::http;
 
 namespace {
-constexpr std::uint32_t MaxHeadBytes = 65536;
+constexpr std::size_t MaxHeadBytes = 65536;
 constexpr std::size_t MaxBodyBytesPerCall = 65536;
-/// Longest line of a chunk size with its extensions, and longest trailer section. They are only
-/// parsed once they are complete.
-constexpr std::size_t MaxUnparsedBytes = 65536;
+/// Longest line of a chunk size with its extensions, and longest trailer section.
+constexpr std::size_t MaxChunkPartBytes = 65536;
 constexpr std::string_view LineEnd = "\r\n";
 constexpr int FirstFinalStatus = 200;
 constexpr int SwitchingProtocols = 101;
 } // namespace
 
-struct ResponseParser::Parser {
-  http::response_parser<http::buffer_body> Beast;
+/// Collects the head of one response and appends its body to the text that startBody() names.
+class ResponseParser::Parser final : public MessageParser<false> {
+public:
+  int status() const { return this->Status; }
+  const std::string &reason() const { return this->Reason; }
+  /// Takes up to `MaxBytes` of the body from now on. Precondition: `Result` outlives the calls of
+  /// parsePart() that follow.
+  void startBody(std::string &Result, std::size_t MaxBytes) {
+    this->Body = &Result;
+    this->FreeBytes = MaxBytes;
+  }
+  bool isBodyFull() const { return this->FreeBytes == 0; }
+
+private:
+  void on_request_impl(http::verb, StringView, StringView, int, ErrorCode &) override {}
+  void on_response_impl(int Code, StringView Text, int, ErrorCode &) override {
+    this->Status = Code;
+    this->Reason.assign(Text.data(), Text.size());
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override {}
+  std::size_t onBody(std::string_view Bytes) override {
+    const std::size_t Count = std::min(Bytes.size(), this->FreeBytes);
+    if (Count > 0) {
+      this->Body->append(Bytes.substr(0, Count));
+      this->FreeBytes -= Count;
+    }
+    return Count;
+  }
+
+  int Status = 0;
+  std::string Reason;
+  std::string *Body = nullptr;
+  std::size_t FreeBytes = 0;
 };
 
 ResponseParser::ResponseParser(bool IsResponseToHead) : IsResponseToHead(IsResponseToHead) {
@@ -35,9 +62,8 @@
 
 void ResponseParser::startResponse() {
   this->Inner = std::make_unique<Parser>();
-  this->Inner->Beast.header_limit(MaxHeadBytes);
-  this->Inner->Beast.body_limit(boost::none);
-  this->Inner->Beast.skip(this->IsResponseToHead);
+  this->Inner->body_limit(boost::none);
+  this->Inner->skip(this->IsResponseToHead);
   this->CheckedBytes = 0;
   this->IsHeadChecked = false;
 }
@@ -48,24 +74,23 @@
 
 std::size_t ResponseParser::parse() {
   boost::beast::error_code Problem;
-  const std::size_t Count = this->Inner->Beast.put(
-      boost::asio::const_buffer(this->Buffer.data(), this->Buffer.size()), Problem);
+  const std::size_t MaxPartBytes = this->Inner->is_header_done() ? MaxChunkPartBytes : MaxHeadBytes;
+  const std::size_t Count = this->Inner->parsePart(this->Buffer, MaxPartBytes, Problem);
   this->Buffer.erase(0, Count);
   const bool NeedsMoreBytes =
       Problem == http::error::need_more || (!Problem && this->Buffer.empty());
-  if (this->End && NeedsMoreBytes && !this->Inner->Beast.is_done()) {
+  if (this->End && NeedsMoreBytes && !this->Inner->is_done()) {
     if (*this->End == StreamEnd::Broken) {
       this->Error = "the connection broke before the response was complete";
       return Count;
     }
     Problem = {};
-    this->Inner->Beast.put_eof(Problem);
-  }
-  if (Problem && Problem != http::error::need_more && Problem != http::error::need_buffer) {
-    this->Error = Problem.message();
+    this->Inner->put_eof(Problem);
   }
-  if (Problem == http::error::need_more && this->Buffer.size() > MaxUnparsedBytes) {
+  if (Problem == http::error::header_limit) {
     this->Error = "a part of the response is too large";
+  } else if (Problem && Problem != http::error::need_more) {
+    this->Error = Problem.message();
   }
   return Count;
 }
@@ -110,11 +135,10 @@
       return false;
     }
     this->parse();
-    if (!this->Inner->Beast.is_header_done()) {
+    if (!this->Inner->is_header_done()) {
       return false;
     }
-    const auto &Message = this->Inner->Beast.get();
-    const int Status = static_cast<int>(Message.result_int());
+    const int Status = this->Inner->status();
     if (Status == SwitchingProtocols) {
       this->Error = "the target switched protocols although no upgrade was requested";
       return false;
@@ -125,22 +149,18 @@
     }
     this->IsHeadComplete = true;
     this->Head.Status = Status;
-    this->Head.Reason.assign(Message.reason().data(), Message.reason().size());
-    for (const auto &Field : Message) {
-      this->Head.Fields.emplace_back(
-          std::string(Field.name_string().data(), Field.name_string().size()),
-          std::string(Field.value().data(), Field.value().size()));
-    }
-    if (const auto Length = this->Inner->Beast.content_length()) {
+    this->Head.Reason = this->Inner->reason();
+    this->Head.Fields = this->Inner->takeFields();
+    if (const auto Length = this->Inner->content_length()) {
       this->Head.Length = *Length;
     }
     if (!hasOnlyChunkedCoding(this->Head.Fields)) {
       this->Error = "unknown transfer coding";
       return false;
     }
-    if (this->Inner->Beast.is_done() || this->IsResponseToHead) {
+    if (this->Inner->is_done() || this->IsResponseToHead) {
       this->Head.Framing = BodyFraming::None;
-    } else if (this->Inner->Beast.chunked()) {
+    } else if (this->Inner->chunked()) {
       this->Head.Framing = BodyFraming::Chunked;
     } else {
       this->Head.Framing = this->Head.Length ? BodyFraming::Length : BodyFraming::UntilClose;
@@ -150,32 +170,20 @@
 }
 
 void ResponseParser::parseBody(std::string &Result) {
-  auto &Body = this->Inner->Beast.get().body();
-  const std::size_t SizeBefore = Result.size();
-  // The decoded data are never longer than their encoded form. One byte is added because the parser
-  // takes a capacity of zero for a full buffer.
-  const std::size_t Capacity = std::min(MaxBodyBytesPerCall, this->Buffer.size() + 1);
-  Result.resize(SizeBefore + Capacity);
-  Body.data = Result.data() + SizeBefore;
-  Body.size = Capacity;
-  Body.more = true;
-  // Each call of put() stops after one structural element.
-  while (!this->isComplete() && this->Error.empty() && Body.size > 0) {
+  this->Inner->startBody(Result, MaxBodyBytesPerCall);
+  while (!this->isComplete() && this->Error.empty() && !this->Inner->isBodyFull()) {
     const std::size_t Count = this->parse();
     if (Count == 0) {
       break;
     }
   }
-  Result.resize(SizeBefore + Capacity - Body.size);
 }
 
-bool ResponseParser::isComplete() const {
-  return this->IsHeadComplete && this->Inner->Beast.is_done();
-}
+bool ResponseParser::isComplete() const { return this->IsHeadComplete && this->Inner->is_done(); }
 
 bool ResponseParser::isReusable() const {
   return this->isComplete() && this->Error.empty() && !this->End && this->Buffer.empty() &&
-         !this->Inner->Beast.need_eof() && this->Inner->Beast.keep_alive();
+         !this->Inner->need_eof() && this->Inner->keep_alive();
 }
 
 std::unique_ptr<ResponseParser> ResponseParser::takeNext() {
--- a/src/libs/protocol/ResponseParser.h
+++ b/src/libs/protocol/ResponseParser.h
@@ -53,7 +53,7 @@
   std::unique_ptr<ResponseParser> takeNext();
 
 private:
-  struct Parser;
+  class Parser;
 
   void startResponse();
   /// Checks the lines of the head that have arrived. Returns true once the head is complete and
--- a/tests/auto/libs/protocol/tst_responseparser.cpp
+++ b/tests/auto/libs/protocol/tst_responseparser.cpp
@@ -102,6 +102,8 @@
 class ResponseParserTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ResponseParserTest);
   CPPUNIT_TEST(partsWithoutEnd);
+  CPPUNIT_TEST(sizesOfParts);
+  CPPUNIT_TEST(announcedSizes);
   CPPUNIT_TEST(responses);
   CPPUNIT_TEST(malformedHeads);
   CPPUNIT_TEST(takeNextKeepsBytes);
@@ -209,6 +211,82 @@
     }
   }
 
+  /// Guards against a response of a target in trouble that ends the process: a part that is longer
+  /// than the HTTP library can store threw std::length_error in a callback of the main loop. The
+  /// result must not depend on the reads by which the part arrives either.
+  void sizesOfParts() {
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+      const char *Name;
+      std::string Start;
+      std::string End;
+      bool IsComplete;
+    };
+    const Case Table[] = {
+        {"trailer value", Chunked + "2\r\nok\r\n0\r\nA: ", "\r\n\r\n", true},
+        {"trailer name", Chunked + "2\r\nok\r\n0\r\nA", ": b\r\n\r\n", true},
+        {"trailer without a body", Chunked + "0\r\nA: ", "\r\n\r\n", true},
+        {"extension of a chunk", Chunked + "2;a=", "\r\nok\r\n0\r\n\r\n", true},
+        {"extension of the last chunk", Chunked + "2\r\nok\r\n0;a=", "\r\n\r\n", true},
+        {"field value", Ok + "Content-Length: 2\r\nA: ", "\r\n\r\nok", true},
+        {"field name", Ok + "Content-Length: 2\r\nA", ": b\r\n\r\nok", true},
+        {"reason", "HTTP/1.1 200 ", "\r\nContent-Length: 2\r\n\r\nok", true},
+        {"field of an interim response",
+         "HTTP/1.1 103 Early Hints\r\nA: ", "\r\n\r\n" + Ok + "Content-Length: 2\r\n\r\nok", true},
+        {"value of Connection", Ok + "Content-Length: 2\r\nConnection: ", "\r\n\r\nok", true},
+        {"value of Content-Length", Ok + "Content-Length: 2", "\r\n\r\nok", false},
+    };
+    // Around the limits of a part and of 16 bits.
+    const std::pair<std::size_t, bool> Sizes[] = {{60000, true},  {65600, false}, {65533, false},
+                                                  {65534, false}, {65537, false}, {131072, false},
+                                                  {200000, false}};
+    for (const Case &Each : Table) {
+      for (const auto &[Size, IsWithinLimit] : Sizes) {
+        const std::string Text = Each.Start + std::string(Size, 'x') + Each.End;
+        for (const std::size_t BytesPerRead :
+             {std::size_t{1000}, std::size_t{65536}, Text.size()}) {
+          std::vector<std::string> Reads;
+          for (std::size_t At = 0; At < Text.size(); At += BytesPerRead) {
+            Reads.push_back(Text.substr(At, BytesPerRead));
+          }
+          const ParsedResponse Result = parseParts(Reads);
+          const std::string Name = Each.Name + (", " + std::to_string(Size)) +
+                                   " bytes in reads of " + std::to_string(BytesPerRead);
+          const bool IsComplete = Each.IsComplete && IsWithinLimit;
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, IsComplete, Result.IsComplete);
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(Name, !IsComplete, Result.HasFailed);
+        }
+      }
+    }
+  }
+
+  /// Guards against lengths near the largest numbers that end the process, or that are taken for
+  /// small ones.
+  void announcedSizes() {
+    struct Case {
+      std::string Size;
+      std::string Hexadecimal;
+      bool IsValid;
+    };
+    const Case Table[] = {
+        {"9223372036854775807", "7fffffffffffffff", true},
+        {"9223372036854775808", "8000000000000000", true},
+        {"18446744073709551615", "ffffffffffffffff", true},
+        {"18446744073709551616", "10000000000000000", false},
+    };
+    for (const Case &Each : Table) {
+      const std::string Ok = "HTTP/1.1 200 OK\r\n";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          Each.Size, std::string(Each.IsValid ? "?200 ok" : "!"),
+          parseResponse(Ok + "Content-Length: " + Each.Size + "\r\n\r\nok", false));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          Each.Hexadecimal, std::string(Each.IsValid ? "?200 ok" : "!200 "),
+          parseResponse(Ok + "Transfer-Encoding: chunked\r\n\r\n" + Each.Hexadecimal + "\r\nok",
+                        false));
+    }
+  }
+
   /// Guards against truncated responses that are taken for complete ones, and against reuse of
   /// connections on which unrelated bytes were received.
   void responses() {
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -279,6 +279,7 @@
   CPPUNIT_TEST(slowCallersPauseDownloads);
   CPPUNIT_TEST(streamedResponsesEndAtTheirDeadline);
   CPPUNIT_TEST(responsesWithoutEnd);
+  CPPUNIT_TEST(responsesWithLongTrailers);
   CPPUNIT_TEST(disconnectingCallersCancelAttempts);
   CPPUNIT_TEST(shutdown);
   CPPUNIT_TEST(requestsThatDidNotRunCanBeRepeatedAfterShutdown);
@@ -1102,6 +1103,53 @@
     }
   }
 
+  /// Guards against a response of a target in trouble that ends the entry with all its requests:
+  /// its trailer is longer than the HTTP library can store, and complete before the limit applies.
+  void responsesWithLongTrailers() {
+    const std::string Start = "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n4\r\nfake\r\n0\r\n";
+    const std::string Long(65600, 't');
+    struct Case {
+      const char *Name;
+      std::string Trailer;
+      bool IsSafe;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {"value, safe", "A: " + Long, true, "HTTP/1.1 200 "},
+        {"name, safe", Long + ": a", true, "HTTP/1.1 200 "},
+        {"no colon, safe", Long, true, "HTTP/1.1 200 "},
+        {"value, unsafe", "A: " + Long, false, "HTTP/1.1 502 "},
+        {"name, unsafe", Long + ": a", false, "HTTP/1.1 502 "},
+    };
+    for (const Case &Each : Table) {
+      TestEntry Entry;
+      Entry.configure({{ServiceName("s"), 1}}, 60s);
+      FakeTarget First("");
+      FakeTarget Second("");
+      Entry.addTarget("t1", First.Server.Port);
+      Entry.addTarget("t2", Second.Server.Port);
+      const auto Caller = RawConnection::connect(Entry.Server.port());
+      Caller->send(Each.IsSafe ? makeRequest("GET", "/safe/1", 60s)
+                               : makeRequest("POST", "/unsafe/1", 60s));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name,
+                             runUntil([&] { return First.Requests + Second.Requests == 1; }));
+      FakeTarget &Garbling = First.Requests == 1 ? First : Second;
+      FakeTarget &Sound = First.Requests == 1 ? Second : First;
+      Sound.Response = makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good");
+      std::string Unsent = Start + Each.Trailer + "\r\n\r\n";
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] {
+                               Unsent.erase(0, Garbling.RequestConnections.back()->send(Unsent));
+                               return !Caller->Received.empty();
+                             }));
+      runPending();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Caller->Received.substr(0, 13));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsSafe, Caller->Received.ends_with("good"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsSafe ? 1 : 0, Sound.Requests);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, !Caller->Closed);
+    }
+  }
+
   /// Guards against targets that continue to work for callers that have disconnected.
   void disconnectingCallersCancelAttempts() {
     TestEntry Entry;
