Take sockets without conditions out of the poll set

Seen: with a paused response whose target has reset the connection, the main loop runs without a pause until the request's deadline. Cause: poll reports errors and hang-ups of a descriptor without conditions too; SocketWatch dropped the event, so the source was ready in each iteration. Change: without conditions, the descriptor is not polled.

--- a/src/libs/transport/SocketWatch.h
+++ b/src/libs/transport/SocketWatch.h
@@ -23,7 +23,8 @@
   SocketWatch(const SocketWatch &) = delete;
   SocketWatch &operator=(const SocketWatch &) = delete;
 
-  /// Replaces the conditions. Errors and hang-ups are reported in addition to any of them.
+  /// Replaces the conditions. Errors and hang-ups are reported in addition to any of them, and not
+  /// without any.
   void setConditions(GIOCondition Conditions);
 
 private:
@@ -31,6 +32,7 @@
 
   static gboolean dispatch(GSource *Base, GSourceFunc Callback, gpointer Data);
 
+  int Descriptor;
   std::function<void(GIOCondition)> OnReady;
   Source *WatchSource;
   GIOCondition ActiveConditions = static_cast<GIOCondition>(0);
--- a/tests/auto/libs/transport/tst_httpcall.cpp
+++ b/tests/auto/libs/transport/tst_httpcall.cpp
@@ -83,6 +83,27 @@
   DeferredDeletion<HttpCall> EndedCalls;
 };
 
+/// Makes one call and never reads the body of its response.
+class PausedCall final : public HttpCallListener {
+public:
+  PausedCall(ConnectionPool &Pool, std::uint16_t Port) {
+    OutgoingRequest Request;
+    Request.Destination = {"127.0.0.1", Port};
+    Request.Head = "GET /x HTTP/1.1\r\nHost: t\r\n\r\n";
+    this->Call = std::make_unique<HttpCall>(Pool, std::move(Request), *this);
+    this->Call->send();
+  }
+
+  void onResponseHead(const ResponseHead &) override { this->HasHead = true; }
+  void onResponseBody(std::string, bool) override {}
+  void onCallFailed(const std::string &) override {}
+
+  bool HasHead = false;
+
+private:
+  std::unique_ptr<HttpCall> Call;
+};
+
 } // namespace
 
 class HttpCallTest : public CppUnit::TestFixture {
@@ -94,6 +115,7 @@
   CPPUNIT_TEST(cancelledCallSendsNothing);
   CPPUNIT_TEST(incompleteResponses);
   CPPUNIT_TEST(failuresAreReportedOnce);
+  CPPUNIT_TEST(pausedCallsLeaveTheMainLoopIdle);
   CPPUNIT_TEST_SUITE_END();
 
   const SystemClock Time{};
@@ -282,6 +304,24 @@
       }
     }
   }
+
+  /// Guards against a main loop that runs without a pause, and starves what waits for its idle
+  /// time, because the peer of a call that is not read has reset its connection.
+  void pausedCallsLeaveTheMainLoopIdle() {
+    ConnectionPool Pool(this->Time);
+    ScriptedServer Server(
+        [](RawConnection &Connection, int) { Connection.send(CompleteResponse); });
+    PausedCall Paused(Pool, Server.Port);
+    CPPUNIT_ASSERT(runUntil([&] { return Paused.HasHead; }));
+    Server.Connections.back()->reset();
+    int IdleRounds = 0;
+    g_idle_add(
+        [](gpointer Data) -> gboolean {
+          return ++*static_cast<int *>(Data) < 10 ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+        },
+        &IdleRounds);
+    CPPUNIT_ASSERT(runUntil([&] { return IdleRounds == 10; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpCallTest);
