Read long fields of requests, and limit each part by its own length

Callers saw: with headerBytes raised to 131,072, one request with a field of 70,000 bytes ended the entry that read it and all requests in progress there. At the default limits, a trailer of 65,600 bytes behind a POST did the same. Cause: Beast stores fields with 16-bit lengths and throws std::length_error for more; limits were checked only while a part was incomplete. Change: RequestParser uses MessageParser. headerBytes limits the head, each line of a chunk size and the trailer section by their length, however they arrive; what is beyond gets 431 in its turn, what is within is served. Fields are in memory once. Found beside it: fields that arrive one by one had no limit, and headerBytes of 2^32 refused everything. Evidence: sizesOfParts and headLimits failed before (exception; "GET /a" in place of 431).

--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -1,11 +1,8 @@
 #include "protocol/RequestParser.h"
 
-#include <algorithm>
-#include <utility>
+#include "protocol/MessageParser.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <utility>
 
 namespace anvilsaddle {
 
@@ -17,20 +14,51 @@
 constexpr int ContentTooLarge = 413;
 constexpr int RequestHeaderFieldsTooLarge = 431;
 constexpr int NotImplemented = 501;
-constexpr unsigned Http10 = 10;
+constexpr int Http10 = 10;
 /// Bodies of unknown length up to this size grow as strings do.
 constexpr std::size_t MaxGrowingBodyBytes = std::size_t{64} * 1024;
-/// Memory that the inner parser takes for a field besides its text.
-constexpr std::size_t ParsedFieldBytes = 80;
 /// Capacity that the buffer of unparsed bytes keeps when it is empty.
 constexpr std::size_t MaxKeptCapacity = std::size_t{16} * 1024;
 
-std::string toStdString(boost::beast::string_view Text) { return {Text.data(), Text.size()}; }
-
 } // namespace
 
-struct RequestParser::Parser {
-  http::request_parser<http::string_body> Beast;
+/// Collects the head and the body of one request.
+class RequestParser::Parser final : public MessageParser<true> {
+public:
+  const std::string &body() const { return this->Body; }
+  std::string takeBody() { return std::move(this->Body); }
+  /// Moves out the head. Precondition: it is complete.
+  RequestHead takeHead() {
+    this->Head.KeepAlive = this->keep_alive();
+    this->Head.Fields = this->takeFields();
+    return std::move(this->Head);
+  }
+  /// Memory of the head, as far as it has arrived.
+  std::size_t headMemory() const { return memoryOf(this->Head) + this->fieldMemory(); }
+  /// Gives the body address space, so that it is never copied while it grows up to this size. Pages
+  /// that are not written take no memory.
+  void reserveBody(std::size_t Bytes) { this->Body.reserve(Bytes); }
+
+private:
+  void on_request_impl(http::verb, StringView Method, StringView Target, int Version,
+                       ErrorCode &) override {
+    this->Head.Method.assign(Method.data(), Method.size());
+    this->Head.RequestTarget.assign(Target.data(), Target.size());
+    this->Head.IsHttp10 = Version == Http10;
+  }
+  void on_response_impl(int, StringView, int, ErrorCode &) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t> &Length, ErrorCode &) override {
+    if (Length) {
+      this->reserveBody(*Length);
+    }
+  }
+  std::size_t onBody(std::string_view Bytes) override {
+    this->Body += Bytes;
+    return Bytes.size();
+  }
+
+  RequestHead Head;
+  std::string Body;
 };
 
 RequestParser::RequestParser(Limits SizeLimits) : SizeLimits(SizeLimits) { this->start(); }
@@ -39,7 +67,6 @@
 
 void RequestParser::start() {
   this->Inner = std::make_unique<Parser>();
-  this->Inner->Beast.eager(true);
   this->IsHeadComplete = false;
   this->HeadMemory = 0;
   this->applyLimits();
@@ -52,10 +79,7 @@
   }
 }
 
-void RequestParser::applyLimits() {
-  this->Inner->Beast.header_limit(static_cast<std::uint32_t>(this->SizeLimits.HeadBytes));
-  this->Inner->Beast.body_limit(this->SizeLimits.BodyBytes);
-}
+void RequestParser::applyLimits() { this->Inner->body_limit(this->SizeLimits.BodyBytes); }
 
 RequestParser::State RequestParser::fail(int Status, std::string Text) {
   this->ErrorStatus = Status;
@@ -72,11 +96,7 @@
   std::size_t ParsedBytes = 0;
   const State Result = this->parseBuffer(ParsedBytes);
   if (!this->IsHeadComplete) {
-    // The inner parser holds the fields that have arrived, also before the head is complete.
-    const auto Lines =
-        std::count(this->Buffer.begin(),
-                   this->Buffer.begin() + static_cast<std::ptrdiff_t>(ParsedBytes), '\n');
-    this->HeadMemory += ParsedBytes + static_cast<std::size_t>(Lines) * ParsedFieldBytes;
+    this->HeadMemory = this->Inner->headMemory();
   }
   this->Buffer.erase(0, ParsedBytes);
   if (this->Buffer.empty() && this->Buffer.capacity() > MaxKeptCapacity) {
@@ -85,32 +105,26 @@
   if (Result == State::Failed) {
     return Result;
   }
-  if (!this->IsHeadComplete && this->Inner->Beast.is_header_done()) {
+  if (!this->IsHeadComplete && this->Inner->is_header_done()) {
     if (const State HeadResult = this->finishHead(); HeadResult == State::Failed) {
       return HeadResult;
     }
   }
-  return this->Inner->Beast.is_done() ? State::Complete : State::Incomplete;
+  return this->Inner->is_done() ? State::Complete : State::Incomplete;
 }
 
 RequestParser::State RequestParser::parseBuffer(std::size_t &ParsedBytes) {
-  while (ParsedBytes < this->Buffer.size() && !this->Inner->Beast.is_done()) {
-    const std::size_t Remaining = this->Buffer.size() - ParsedBytes;
+  while (ParsedBytes < this->Buffer.size() && !this->Inner->is_done()) {
     boost::beast::error_code ErrorCode;
-    const std::size_t Count = this->Inner->Beast.put(
-        boost::asio::const_buffer(this->Buffer.data() + ParsedBytes, Remaining), ErrorCode);
+    const std::size_t Count = this->Inner->parsePart(
+        std::string_view(this->Buffer).substr(ParsedBytes), this->SizeLimits.HeadBytes, ErrorCode);
     ParsedBytes += Count;
     this->reserveAddressSpace();
     if (ErrorCode == http::error::need_more) {
-      // The line of a chunk size with its extensions and the trailer section are only parsed once
-      // they are complete.
-      if (Remaining - Count > this->SizeLimits.HeadBytes) {
-        return this->fail(RequestHeaderFieldsTooLarge, "a part of the request is too large");
-      }
       break;
     }
     if (ErrorCode == http::error::header_limit) {
-      return this->fail(RequestHeaderFieldsTooLarge, "the request head is too large");
+      return this->fail(RequestHeaderFieldsTooLarge, "a part of the request is too large");
     }
     if (ErrorCode == http::error::body_limit) {
       return this->fail(ContentTooLarge, "the request body is too large");
@@ -126,26 +140,17 @@
 }
 
 void RequestParser::reserveAddressSpace() {
-  auto &Body = this->Inner->Beast.get().body();
+  const std::string &Body = this->Inner->body();
   if (Body.size() > MaxGrowingBodyBytes && Body.capacity() < this->SizeLimits.BodyBytes &&
-      this->Inner->Beast.chunked()) {
-    Body.reserve(this->SizeLimits.BodyBytes);
+      this->Inner->chunked()) {
+    this->Inner->reserveBody(this->SizeLimits.BodyBytes);
   }
 }
 
 RequestParser::State RequestParser::finishHead() {
-  const auto &Message = this->Inner->Beast.get();
   this->IsHeadComplete = true;
-  this->Head = {};
-  this->Head.Method = toStdString(Message.method_string());
-  this->Head.RequestTarget = toStdString(Message.target());
-  this->Head.IsHttp10 = Message.version() == Http10;
-  this->Head.KeepAlive = Message.keep_alive();
-  for (const auto &Field : Message) {
-    this->Head.Fields.emplace_back(toStdString(Field.name_string()), toStdString(Field.value()));
-  }
-  // Both the inner parser and this object hold the fields.
-  this->HeadMemory = 2 * memoryOf(this->Head) + this->Head.Fields.size() * ParsedFieldBytes;
+  this->Head = this->Inner->takeHead();
+  this->HeadMemory = memoryOf(this->Head);
   if (!hasOnlyChunkedCoding(this->Head.Fields)) {
     return this->fail(NotImplemented, "unknown transfer coding");
   }
@@ -155,16 +160,16 @@
   return State::Incomplete;
 }
 
-std::string RequestParser::takeBody() { return std::move(this->Inner->Beast.get().body()); }
+std::string RequestParser::takeBody() { return this->Inner->takeBody(); }
 
 bool RequestParser::isReceivingBody() const {
-  return this->IsHeadComplete && !this->Inner->Beast.is_done();
+  return this->IsHeadComplete && !this->Inner->is_done();
 }
 
-std::size_t RequestParser::bodyBytes() const { return this->Inner->Beast.get().body().size(); }
+std::size_t RequestParser::bodyBytes() const { return this->Inner->body().size(); }
 
 std::optional<std::uint64_t> RequestParser::announcedBodyBytes() const {
-  const auto Length = this->Inner->Beast.content_length();
+  const auto Length = this->Inner->content_length();
   return Length ? std::optional<std::uint64_t>(*Length) : std::nullopt;
 }
 
@@ -185,12 +190,10 @@
   this->HasReceivedBytes = !this->Buffer.empty();
 }
 
-bool RequestParser::isStarted() const {
-  return this->HasReceivedBytes && !this->Inner->Beast.is_done();
-}
+bool RequestParser::isStarted() const { return this->HasReceivedBytes && !this->Inner->is_done(); }
 
 bool RequestParser::awaitsContinue() const {
-  return this->IsHeadComplete && !this->Inner->Beast.is_done() && this->Buffer.empty() &&
+  return this->IsHeadComplete && !this->Inner->is_done() && this->Buffer.empty() &&
          equalsIgnoreCase(findField(this->Head.Fields, "Expect"), "100-continue");
 }
 
--- a/src/libs/protocol/RequestParser.h
+++ b/src/libs/protocol/RequestParser.h
@@ -76,7 +76,7 @@
   const std::string &errorText() const { return this->ErrorText; }
 
 private:
-  struct Parser;
+  class Parser;
 
   void start();
   void applyLimits();
--- a/tests/auto/libs/protocol/tst_requestparser.cpp
+++ b/tests/auto/libs/protocol/tst_requestparser.cpp
@@ -32,6 +32,9 @@
   CPPUNIT_TEST(requests);
   CPPUNIT_TEST(anySplitGivesTheSameRequests);
   CPPUNIT_TEST(partsWithoutEnd);
+  CPPUNIT_TEST(sizesOfParts);
+  CPPUNIT_TEST(headLimits);
+  CPPUNIT_TEST(announcedSizes);
   CPPUNIT_TEST(parserStates);
   CPPUNIT_TEST(bodiesOfUnknownLengthAreNotCopied);
   CPPUNIT_TEST(bodiesInProgress);
@@ -206,6 +209,137 @@
     }
   }
 
+  /// Guards against a request that ends the process: a field that the limits allow, or a trailer
+  /// that they don't, was longer than the HTTP library can store, which threw std::length_error in
+  /// a callback of the main loop. What the limits allow is read, anything else gets status 431,
+  /// however its bytes arrive.
+  void sizesOfParts() {
+    const std::string Line = "POST /u HTTP/1.1\r\n";
+    const std::string Chunked = Line + "Transfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+      const char *Name;
+      std::string Start;
+      std::string End;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {"field value", Line + "A: ", "\r\n\r\n", "POST /u ;"},
+        {"field name", Line + "A", ": b\r\n\r\n", "POST /u ;"},
+        {"value of Connection", Line + "Connection: ", "\r\n\r\n", "POST /u ;"},
+        {"value of Expect", Line + "Expect: ", "\r\nContent-Length: 1\r\n\r\na", "POST /u a;"},
+        {"method", "POST", " /u HTTP/1.1\r\n\r\n", "POST* /u ;"},
+        {"request target", "POST /u", " HTTP/1.1\r\n\r\n", "POST /u* ;"},
+        {"trailer value", Chunked + "1\r\na\r\n0\r\nA: ", "\r\n\r\n", "POST /u a;"},
+        {"trailer name", Chunked + "1\r\na\r\n0\r\nA", ": b\r\n\r\n", "POST /u a;"},
+        {"extension of a chunk", Chunked + "1;a=", "\r\na\r\n0\r\n\r\n", "POST /u a;"},
+        {"extension of a later chunk", Chunked + "1\r\na\r\n1;a=", "\r\nb\r\n0\r\n\r\n",
+         "POST /u ab;"},
+        {"extension of the last chunk", Chunked + "1\r\na\r\n0;a=", "\r\n\r\n", "POST /u a;"},
+    };
+    constexpr std::size_t DefaultHeadBytes = std::size_t{16} * 1024;
+    constexpr std::size_t RaisedHeadBytes = std::size_t{128} * 1024;
+    // Around the limits and 16 bits.
+    const std::size_t Sizes[] = {12'000, 17'000, 65'533,  65'534,  65'535, 65'537,
+                                 65'600, 70'000, 130'000, 132'000, 400'000};
+    for (const Case &Each : Table) {
+      for (const std::size_t HeadBytes : {DefaultHeadBytes, RaisedHeadBytes}) {
+        for (const std::size_t Size : Sizes) {
+          const std::string Long(Size, 'x');
+          const std::string Text = Each.Start + Long + Each.End;
+          std::string Expected = Size < HeadBytes ? Each.Expected : "431";
+          if (const std::size_t Mark = Expected.find('*'); Mark != std::string::npos) {
+            Expected.replace(Mark, 1, Long);
+          }
+          for (const std::size_t BytesPerRead :
+               {std::size_t{7}, std::size_t{16'384}, Text.size()}) {
+            RequestParser Parser({HeadBytes, 100});
+            std::string Result;
+            for (std::size_t At = 0; At < Text.size() && Result != "431"; At += BytesPerRead) {
+              Parser.add(Text.substr(At, BytesPerRead));
+              Result += readAll(Parser);
+            }
+            const std::string Name = Each.Name + (", " + std::to_string(Size)) + " of " +
+                                     std::to_string(HeadBytes) + " bytes in reads of " +
+                                     std::to_string(BytesPerRead);
+            CPPUNIT_ASSERT_MESSAGE(Name + ": " + Result.substr(0, 30), Expected == Result);
+          }
+        }
+      }
+    }
+  }
+
+  /// Guards against a limit of the head that differs from the one in force: at the exact size, with
+  /// values that don't fit into 32 bits, or for fields that arrive one by one.
+  void headLimits() {
+    struct Case {
+      const char *Name;
+      std::size_t HeadBytes;
+      std::size_t FieldCount;
+      std::size_t BytesPerRead;
+      const char *Expected;
+    };
+    const std::string Start = "GET /a HTTP/1.1\r\n";
+    const std::string Field = "ab: c\r\n";
+    const std::size_t Fields = 100;
+    const std::size_t Exact = Start.size() + Fields * Field.size() + 2;
+    // Each read ends behind the first byte of the next field.
+    const std::size_t OneField = Field.size();
+    const Case Table[] = {
+        {"exact", Exact, Fields, 10'000, "GET /a ;"},
+        {"one byte less", Exact - 1, Fields, 10'000, "431"},
+        {"exact, field by field", Exact, Fields, OneField, "GET /a ;"},
+        {"one byte less, field by field", Exact - 1, Fields, OneField, "431"},
+        {"without end, field by field", 1000, 5000, OneField, "431"},
+        {"2^32", std::size_t{1} << 32, Fields, 10'000, "GET /a ;"},
+        {"2^40", std::size_t{1} << 40, Fields, 10'000, "GET /a ;"},
+    };
+    for (const Case &Each : Table) {
+      std::string Text = Start;
+      for (std::size_t Index = 0; Index < Each.FieldCount; ++Index) {
+        Text += Field;
+      }
+      Text += "\r\n";
+      RequestParser Parser({Each.HeadBytes, 100});
+      std::string Result;
+      Parser.add(Text.substr(0, Start.size() + 1));
+      Result += readAll(Parser);
+      for (std::size_t At = Start.size() + 1; At < Text.size() && Result.empty();
+           At += Each.BytesPerRead) {
+        Parser.add(Text.substr(At, Each.BytesPerRead));
+        Result += readAll(Parser);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(Each.Expected), Result);
+    }
+  }
+
+  /// Guards against lengths near the largest numbers that end the process, or that are taken for
+  /// small ones.
+  void announcedSizes() {
+    struct Case {
+      std::string Size;
+      std::string Hexadecimal;
+      const char *Expected;
+      const char *ExpectedOfChunk;
+    };
+    const Case Table[] = {
+        {"9223372036854775807", "7fffffffffffffff", "413", "413"},
+        {"9223372036854775808", "8000000000000000", "413", "413"},
+        {"18446744073709551615", "ffffffffffffffff", "413", "413"},
+        {"18446744073709551616", "10000000000000000", "400", "400"},
+    };
+    const std::string Line = "POST /u HTTP/1.1\r\n";
+    for (const Case &Each : Table) {
+      RequestParser WithLength({1000, std::size_t{1} << 40});
+      WithLength.add(Line + "Content-Length: " + Each.Size + "\r\n\r\nab");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Size, std::string(Each.Expected), readAll(WithLength));
+      RequestParser InChunks({1000, std::size_t{1} << 40});
+      InChunks.add(Line + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n" + Each.Hexadecimal +
+                   "\r\nab");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Hexadecimal, std::string(Each.ExpectedOfChunk),
+                                   readAll(InChunks));
+    }
+  }
+
   void parserStates() {
     RequestParser Parser({1000, 100});
     CPPUNIT_ASSERT(!Parser.isStarted());
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -109,6 +109,8 @@
   CPPUNIT_TEST(unsafeRequestsBlockPipelining);
   CPPUNIT_TEST(requestsBehindTheLastOneAreNotRun);
   CPPUNIT_TEST(badRequests);
+  CPPUNIT_TEST(longFieldsWithinTheLimitAreServed);
+  CPPUNIT_TEST(longPartsBehindRequestsAreRefusedInTurn);
   CPPUNIT_TEST(disconnectingCallers);
   CPPUNIT_TEST(keepAliveDisabled);
   CPPUNIT_TEST(requestsInTheSocketAreAnsweredBeforeClosing);
@@ -218,6 +220,71 @@
     }
   }
 
+  /// Guards against the end of the process by a field that a raised limit allows, and against
+  /// refusing such a field.
+  void longFieldsWithinTheLimitAreServed() {
+    const std::string Long(70'000, 'x');
+    const std::string Table[] = {
+        getRequest("/a", "Cookie: " + Long + "\r\n"),
+        getRequest("/a", "A" + Long + ": b\r\n"),
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " + Long + "\r\n\r\n",
+    };
+    for (const std::string &Each : Table) {
+      Fixture Test;
+      CallerLimits Limits;
+      Limits.HeadBytes = std::size_t{128} * 1024;
+      Test.Server.setLimits(Limits);
+      std::string Unsent = Each;
+      CPPUNIT_ASSERT_MESSAGE(Each.substr(0, 60), runUntil([&] {
+                               Unsent.erase(0, Test.Caller->send(Unsent));
+                               return !Test.Handler.Pending.empty();
+                             }));
+      Test.Handler.respond("/a");
+      CPPUNIT_ASSERT_MESSAGE(Each.substr(0, 60), Test.received("response to /a"));
+    }
+  }
+
+  /// Guards against a part of a request beyond the limits that takes the requests before it on the
+  /// connection with it.
+  void longPartsBehindRequestsAreRefusedInTurn() {
+    const std::string Long(65'600, 'x');
+    const std::string Chunked = "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string First = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nab";
+    struct Case {
+      const char *Name;
+      std::string First;
+      std::string Second;
+    };
+    const Case Table[] = {
+        {"trailer value", First, Chunked + "2\r\nab\r\n0\r\nA: " + Long + "\r\n\r\n"},
+        {"trailer name", First, Chunked + "2\r\nab\r\n0\r\n" + Long + ": b\r\n\r\n"},
+        {"extension", First, Chunked + "2;a=" + Long + "\r\nab\r\n0\r\n\r\n"},
+        {"field", First, getRequest("/b", "A: " + Long + "\r\n")},
+        {"request target", First, getRequest("/b" + Long)},
+        {"behind a safe request", getRequest("/a"), getRequest("/b", "A: " + Long + "\r\n")},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test;
+      std::string Unsent = Each.First + Each.Second;
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] {
+                               Unsent.erase(0, Test.Caller->send(Unsent));
+                               return !Test.Handler.Pending.empty();
+                             }));
+      runPending();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string(), Test.Caller->Received);
+      Test.Handler.respond("/a");
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] {
+                               Unsent.erase(0, Test.Caller->send(Unsent));
+                               return Test.Caller->Closed;
+                             }));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, !Test.Caller->Reset);
+      const std::size_t Answer = Test.Caller->Received.find("response to /a");
+      const std::size_t Refusal = Test.Caller->Received.find("HTTP/1.1 431 ");
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Answer < Refusal && Refusal != std::string::npos);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string::npos, Test.Handler.Received.find("/b"));
+    }
+  }
+
   /// Guards against work for callers that have disconnected.
   void disconnectingCallers() {
     for (const bool ByReset : {false, true}) {
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -289,6 +289,7 @@
   CPPUNIT_TEST(forwardedRequestsKeepTheirService);
   CPPUNIT_TEST(unresponsiveTargets);
   CPPUNIT_TEST(pathsAreForwardedUnchanged);
+  CPPUNIT_TEST(longFieldsReachTheTarget);
   CPPUNIT_TEST(requestsBehindDownloads);
   CPPUNIT_TEST(requestsBehindCompleteDownloads);
   CPPUNIT_TEST(slowCallersPauseDownloads);
@@ -912,6 +913,27 @@
     }
   }
 
+  /// Guards against a field that a raised limit allows, and that is cut or refused on its way.
+  void longFieldsReachTheTarget() {
+    const std::string Long(70'000, 'c');
+    TestEntry Entry;
+    Entry.configure({{ServiceName("s"), 1}}, 60s);
+    CallerLimits Limits;
+    Limits.HeadBytes = std::size_t{128} * 1024;
+    Entry.Server.setLimits(Limits);
+    FakeTarget Target(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "good"));
+    Entry.addTarget("t1", Target.Server.Port);
+    const auto Caller = RawConnection::connect(Entry.Server.port());
+    std::string Unsent = withFields(makeRequest("GET", "/safe/1", 60s), "Cookie: " + Long + "\r\n");
+    CPPUNIT_ASSERT(runUntil([&] {
+      Unsent.erase(0, Caller->send(Unsent));
+      return Caller->Received.ends_with("good");
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(Caller->Received));
+    CPPUNIT_ASSERT_EQUAL(Long + ";",
+                         valuesOf("Cookie", Target.Server.Requests.back() + "\r\n\r\n"));
+  }
+
   /// Guards against requests that are passed on behind a download and lose their responses when it
   /// breaks off, since the connection must be reset then.
   void requestsBehindDownloads() {
