Bound the address space of bodies, and survive failed allocations in parsers

Callers saw: after bodyBytes was raised to 1 TiB, each chunked upload of 200 kB ended the entry that read it and all requests in progress there. Cause: a chunked body above 64 KB, or an announced length, reserved address space for the largest permitted body; std::bad_alloc left a callback of the main loop. Change: no body reserves more than the memory account allows for all together; if that isn't to be had, it grows as strings do. std::bad_alloc while a message is parsed gives up this message (503 with Retry-After, or a garbled response).

--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -2,6 +2,8 @@
 
 #include "protocol/MessageParser.h"
 
+#include <algorithm>
+#include <new>
 #include <utility>
 
 namespace anvilsaddle {
@@ -14,6 +16,7 @@
 constexpr int ContentTooLarge = 413;
 constexpr int RequestHeaderFieldsTooLarge = 431;
 constexpr int NotImplemented = 501;
+constexpr int Unavailable = 503;
 constexpr int Http10 = 10;
 /// Bodies of unknown length up to this size grow as strings do.
 constexpr std::size_t MaxGrowingBodyBytes = std::size_t{64} * 1024;
@@ -35,9 +38,17 @@
   }
   /// Memory of the head, as far as it has arrived.
   std::size_t headMemory() const { return memoryOf(this->Head) + this->fieldMemory(); }
-  /// Gives the body address space, so that it is never copied while it grows up to this size. Pages
-  /// that are not written take no memory.
-  void reserveBody(std::size_t Bytes) { this->Body.reserve(Bytes); }
+  /// Sets the largest address space that reserveBody() takes.
+  void setMaxReservedBytes(std::size_t Bytes) { this->MaxReservedBytes = Bytes; }
+  /// Gives the body address space, so that it is not copied while it grows up to this size. Pages
+  /// that are not written take no memory. Without free address space, the body grows as strings do.
+  void reserveBody(std::uint64_t Bytes) {
+    try {
+      this->Body.reserve(std::min<std::uint64_t>(Bytes, this->MaxReservedBytes));
+    } catch (const std::bad_alloc &) {
+      return;
+    }
+  }
 
 private:
   void on_request_impl(http::verb, StringView Method, StringView Target, int Version,
@@ -59,6 +70,7 @@
 
   RequestHead Head;
   std::string Body;
+  std::size_t MaxReservedBytes = 0;
 };
 
 RequestParser::RequestParser(Limits SizeLimits) : SizeLimits(SizeLimits) { this->start(); }
@@ -68,6 +80,7 @@
 void RequestParser::start() {
   this->Inner = std::make_unique<Parser>();
   this->IsHeadComplete = false;
+  this->HasReservedBody = false;
   this->HeadMemory = 0;
   this->applyLimits();
 }
@@ -79,7 +92,10 @@
   }
 }
 
-void RequestParser::applyLimits() { this->Inner->body_limit(this->SizeLimits.BodyBytes); }
+void RequestParser::applyLimits() {
+  this->Inner->body_limit(this->SizeLimits.BodyBytes);
+  this->Inner->setMaxReservedBytes(this->SizeLimits.ReservedBodyBytes);
+}
 
 RequestParser::State RequestParser::fail(int Status, std::string Text) {
   this->ErrorStatus = Status;
@@ -91,6 +107,15 @@
   if (this->ErrorStatus != 0) {
     return State::Failed;
   }
+  try {
+    return this->parseRequest();
+  } catch (const std::bad_alloc &) {
+    // Callers decide on the sizes. The request is given up, so it doesn't matter what is missing.
+    return this->fail(Unavailable, "no memory is free for the request");
+  }
+}
+
+RequestParser::State RequestParser::parseRequest() {
   // Parsed bytes are removed once at the end: removing them after each of thousands of tiny chunks
   // would move the rest of the buffer as often.
   std::size_t ParsedBytes = 0;
@@ -140,9 +165,8 @@
 }
 
 void RequestParser::reserveAddressSpace() {
-  const std::string &Body = this->Inner->body();
-  if (Body.size() > MaxGrowingBodyBytes && Body.capacity() < this->SizeLimits.BodyBytes &&
-      this->Inner->chunked()) {
+  const bool IsLarge = this->Inner->body().size() > MaxGrowingBodyBytes;
+  if (IsLarge && this->Inner->chunked() && !std::exchange(this->HasReservedBody, true)) {
     this->Inner->reserveBody(this->SizeLimits.BodyBytes);
   }
 }
--- a/src/libs/protocol/RequestParser.h
+++ b/src/libs/protocol/RequestParser.h
@@ -19,6 +19,8 @@
   struct Limits {
     std::size_t HeadBytes = std::size_t{16} * 1024;
     std::size_t BodyBytes = std::size_t{64} << 20;
+    /// Largest address space that is reserved for a body. A longer one is copied while it grows.
+    std::size_t ReservedBodyBytes = std::size_t{64} << 20;
   };
 
   enum class State {
@@ -71,7 +73,8 @@
   std::size_t bufferMemory() const { return this->Buffer.capacity(); }
   /// Memory of the head of the current request, without its body.
   std::size_t headMemory() const { return this->HeadMemory; }
-  /// Status of the error response: 400, 413, 431 or 501. Precondition: parse() returned Failed.
+  /// Status of the error response: 400, 413, 431, 501, or 503 if no memory is free. Precondition:
+  /// parse() returned Failed.
   int errorStatus() const { return this->ErrorStatus; }
   const std::string &errorText() const { return this->ErrorText; }
 
@@ -81,10 +84,11 @@
   void start();
   void applyLimits();
   State fail(int Status, std::string Text);
+  State parseRequest();
   State finishHead();
   State parseBuffer(std::size_t &ParsedBytes);
-  /// Gives a body of unknown length the address space of the largest one, so that it is never
-  /// copied while it grows. Pages that are not written take no memory.
+  /// Gives a body of unknown length the address space of the largest one once it is no longer
+  /// small.
   void reserveAddressSpace();
 
   Limits SizeLimits;
@@ -97,6 +101,8 @@
   /// parser has consumed them.
   bool HasReceivedBytes = false;
   bool IsHeadComplete = false;
+  /// The address space of a body of unknown length has been reserved.
+  bool HasReservedBody = false;
   int ErrorStatus = 0;
   std::string ErrorText;
 };
--- a/src/libs/protocol/ResponseParser.cpp
+++ b/src/libs/protocol/ResponseParser.cpp
@@ -4,6 +4,7 @@
 #include "protocol/MessageParser.h"
 
 #include <algorithm>
+#include <new>
 
 namespace anvilsaddle {
 
@@ -75,7 +76,14 @@
 std::size_t ResponseParser::parse() {
   boost::beast::error_code Problem;
   const std::size_t MaxPartBytes = this->Inner->is_header_done() ? MaxChunkPartBytes : MaxHeadBytes;
-  const std::size_t Count = this->Inner->parsePart(this->Buffer, MaxPartBytes, Problem);
+  std::size_t Count = 0;
+  try {
+    Count = this->Inner->parsePart(this->Buffer, MaxPartBytes, Problem);
+  } catch (const std::bad_alloc &) {
+    // Targets decide on the sizes. The response is given up, so it doesn't matter what is missing.
+    this->Error = "no memory is free for the response";
+    return 0;
+  }
   this->Buffer.erase(0, Count);
   const bool NeedsMoreBytes =
       Problem == http::error::need_more || (!Problem && this->Buffer.empty());
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -46,8 +46,7 @@
     : Server(Server), Socket(std::move(Socket)),
       Watch(this->Socket.descriptor(),
             [this](GIOCondition Condition) { this->onReady(Condition); }),
-      Parser({Server.limits().HeadBytes, Server.limits().BodyBytes}),
-      ConnectionCharge(Server.memory(), MemoryKind::Connection),
+      Parser(parserLimits(Server)), ConnectionCharge(Server.memory(), MemoryKind::Connection),
       ExpectedCharge(Server.memory(), MemoryKind::ExpectedResponse),
       OutputCharge(Server.memory(), MemoryKind::Output),
       UnreadCharge(Server.memory(), MemoryKind::UnreadInput), LastActivity(Now),
@@ -153,8 +152,13 @@
                                       !this->Server.memory()->hasRoomFor(ExpectedResponseBytes));
 }
 
+RequestParser::Limits HttpConnection::parserLimits(const HttpServer &Server) {
+  return {Server.limits().HeadBytes, Server.limits().BodyBytes,
+          Server.memory()->limits().TotalBytes};
+}
+
 RequestParser::State HttpConnection::parseNext() {
-  this->Parser.setLimits({this->Server.limits().HeadBytes, this->Server.limits().BodyBytes});
+  this->Parser.setLimits(parserLimits(this->Server));
   return this->Parser.parse();
 }
 
@@ -239,7 +243,9 @@
     }
     const RequestParser::State Result = this->parseNext();
     if (Result == RequestParser::State::Failed) {
-      this->rejectRequest(this->Parser.errorStatus(), this->Parser.errorText());
+      const int Status = this->Parser.errorStatus();
+      this->rejectRequest(Status, this->Parser.errorText(),
+                          Status == Unavailable ? std::optional(RetryWithoutMemory) : std::nullopt);
       return;
     }
     if (Result == RequestParser::State::Complete) {
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -81,6 +81,8 @@
   void parse();
   /// True if the parser may go on to the next request while earlier ones are pending.
   bool mayParseNext() const;
+  /// The size limits in force. No body gets more address space than all bodies together may take.
+  static RequestParser::Limits parserLimits(const HttpServer &Server);
   /// Parses by the size limits in force.
   RequestParser::State parseNext();
   /// True if the next request waits for earlier responses although it may be pipelined.
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -129,6 +129,7 @@
   CPPUNIT_TEST(responsesBegunBeforeShutdownKeepTheConnection);
   CPPUNIT_TEST(lateRequestsAreReadBeforeTheirTimeout);
   CPPUNIT_TEST(undeliveredResponsesAreNotReset);
+  CPPUNIT_TEST(bodyLimitsAboveTheMemory);
   CPPUNIT_TEST(largeBodiesWaitForMemory);
   CPPUNIT_TEST(bodiesWithoutMemoryAreRefused);
   CPPUNIT_TEST(bodiesThatNeverFitAreRefusedAtOnce);
@@ -285,6 +286,46 @@
     }
   }
 
+  /// Guards against the end of the process by a small upload, because address space for the largest
+  /// permitted body, or for the announced one, is not to be had.
+  void bodyLimitsAboveTheMemory() {
+    const std::string Body(std::size_t{200} * 1024, 'b');
+    const std::string Head = "POST /a HTTP/1.1\r\n";
+    struct Case {
+      const char *Name;
+      std::string Request;
+      std::string Expected;
+    };
+    const Case Table[] = {
+        {"in chunks", Head + "Transfer-Encoding: chunked\r\n\r\n" + writeChunk(Body) + "0\r\n\r\n",
+         "HTTP/1.1 200 "},
+        {"with its length",
+         Head + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body,
+         "HTTP/1.1 200 "},
+        {"announced as large", Head + "Content-Length: 1099511627776\r\n\r\n" + Body,
+         "HTTP/1.1 503 "},
+        {"chunk announced as large",
+         Head + "Transfer-Encoding: chunked\r\n\r\n10000000000\r\n" + Body, ""},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test(100, std::make_shared<MemoryAccount>(MemoryLimits::forVm(112)));
+      CallerLimits Limits;
+      Limits.BodyBytes = std::size_t{1} << 40;
+      Test.Server.setLimits(Limits);
+      Test.Handler.RespondImmediately = true;
+      std::string Unsent = Each.Request;
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] {
+                               Unsent.erase(0, Test.Caller->send(Unsent));
+                               return Each.Expected.empty() ? Unsent.empty()
+                                                            : !Test.Caller->Received.empty();
+                             }));
+      runPending();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected,
+                                   Test.Caller->Received.substr(0, Each.Expected.size()));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected.empty(), Test.Caller->Received.empty());
+    }
+  }
+
   /// Guards against work for callers that have disconnected.
   void disconnectingCallers() {
     for (const bool ByReset : {false, true}) {
