Reset a connection only after the responses ahead are delivered

Callers would see: a streamed response breaks off, and the complete response before it, which was still on its way, is lost with the connection. Cause: a reset discards what the kernel has not delivered. Change: the connection ends its exchanges at once and is reset when the caller's host has acknowledged the bytes of the responses before, or after 10 s. Evidence: abortedResponsesFollowDeliveredOnes and resetsWaitForALimitedTime failed before, pass now.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -117,7 +117,7 @@
     }
     // Discarded bytes count too: a fast sender must not occupy the process.
     Total += static_cast<std::size_t>(Count);
-    if (this->CurrentState == State::Lingering) {
+    if (this->CurrentState == State::Lingering || this->CurrentState == State::Resetting) {
       this->reportUnreadBytes(this->LingeringReason);
     }
     if (this->CurrentState != State::Open || this->IsRejected) {
@@ -449,7 +449,10 @@
         }
         return;
       }
-      Front.HasSentBytes = true;
+      if (!std::exchange(Front.HasSentBytes, true)) {
+        this->EarlierBytes = this->SentBytes;
+      }
+      this->SentBytes += static_cast<std::uint64_t>(Count);
       this->LastActivity = this->Server.now();
       this->LastWrite = this->LastActivity;
       this->LastOutputProgress = this->LastActivity;
@@ -505,10 +508,14 @@
 }
 
 void HttpConnection::startLingering(CloseReason Reason) {
-  this->CurrentState = State::Lingering;
+  g_socket_shutdown(this->Socket.get(), FALSE, TRUE, nullptr);
+  this->stopServing(State::Lingering, Reason);
+}
+
+void HttpConnection::stopServing(State Next, CloseReason Reason) {
+  this->CurrentState = Next;
   this->LingeringReason = Reason;
   this->LastActivity = this->Server.now();
-  g_socket_shutdown(this->Socket.get(), FALSE, TRUE, nullptr);
   this->reportUnanswered(Reason);
   this->Exchanges.clear();
   this->discardInput();
@@ -546,7 +553,19 @@
   this->LastUndelivered = Undelivered;
 }
 
-void HttpConnection::reset() { this->resetWith(CloseReason::TruncatedResponse); }
+void HttpConnection::reset() {
+  if (this->CurrentState != State::Open || this->hasDeliveredEarlierResponses()) {
+    this->resetWith(CloseReason::TruncatedResponse);
+    return;
+  }
+  this->Socket.resetOnClose();
+  this->stopServing(State::Resetting, CloseReason::TruncatedResponse);
+}
+
+bool HttpConnection::hasDeliveredEarlierResponses() const {
+  const std::uint64_t Undelivered = this->Socket.undeliveredBytes();
+  return this->SentBytes - std::min(Undelivered, this->SentBytes) >= this->EarlierBytes;
+}
 
 void HttpConnection::resetWith(CloseReason Reason) {
   this->Socket.resetOnClose();
@@ -615,6 +634,12 @@
     }
     return;
   }
+  if (this->CurrentState == State::Resetting) {
+    if (Now - this->LastActivity > MaxLingerTimeout || this->hasDeliveredEarlierResponses()) {
+      this->close(this->LingeringReason);
+    }
+    return;
+  }
   if (this->CurrentState != State::Open) {
     return;
   }
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -64,6 +65,8 @@
     /// All responses are written and the sending side is shut down. Waits for the caller to close,
     /// because an earlier reset could destroy the last response.
     Lingering,
+    /// The connection is reset once the caller has the responses before the one that broke off.
+    Resetting,
     Closed
   };
 
@@ -72,6 +75,8 @@
   /// connection while it is idle.
   std::chrono::seconds renewReuseTime();
   void flush();
+  /// Resets the connection, so that the response that is being written looks incomplete. Waits
+  /// until the caller has the responses before it, which a reset would destroy.
   void reset();
   void resetWith(CloseReason Reason);
 
@@ -118,6 +123,10 @@
   bool onFrontWritten();
   void updateWatch();
   void startLingering(CloseReason Reason);
+  /// Ends all exchanges and reads nothing more; the socket stays open.
+  void stopServing(State Next, CloseReason Reason);
+  /// True if the caller's host has acknowledged all responses before the one that is being written.
+  bool hasDeliveredEarlierResponses() const;
   void close(CloseReason Reason);
   /// Reports all requests that the end of the connection leaves without a complete response.
   void reportUnanswered(CloseReason Reason);
@@ -155,7 +164,11 @@
   TimePoint RequestStarted{};
   State CurrentState = State::Open;
   ReceiveBuffer CurrentReceiveBuffer = ReceiveBuffer::Small;
-  /// Valid in state Lingering.
+  /// Bytes that the socket has accepted, and how many of them are of responses before the one that
+  /// is being written.
+  std::uint64_t SentBytes = 0;
+  std::uint64_t EarlierBytes = 0;
+  /// Valid in the states Lingering and Resetting.
   CloseReason LingeringReason = CloseReason::CallerClosed;
   bool HasReportedUnread = false;
   /// A request was malformed or too slow; the connection reads no further ones.
--- a/tests/auto/libs/transport/Loopback.h
+++ b/tests/auto/libs/transport/Loopback.h
@@ -89,6 +89,12 @@
     while (Undelivered > 0 && ioctl(Descriptor, SIOCOUTQ, &Undelivered) == 0) {
     }
   }
+  /// Lets few bytes arrive before they are read. Call it before the peer sends.
+  void limitReceiveBuffer() {
+    constexpr int SmallBuffer = 4096;
+    setsockopt(g_socket_get_fd(g_socket_connection_get_socket(this->Connection.get())), SOL_SOCKET,
+               SO_RCVBUF, &SmallBuffer, sizeof(SmallBuffer));
+  }
   /// Stops reading, so that the socket buffers of the peer fill up.
   void pauseReading() { this->IsReadingPaused = true; }
   void resumeReading() {
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -116,6 +116,8 @@
   CPPUNIT_TEST(requestsInTheSocketAreAnsweredBeforeClosing);
   CPPUNIT_TEST(streamedBodies);
   CPPUNIT_TEST(abortedResponsesLookIncomplete);
+  CPPUNIT_TEST(abortedResponsesFollowDeliveredOnes);
+  CPPUNIT_TEST(resetsWaitForALimitedTime);
   CPPUNIT_TEST(slowReaders);
   CPPUNIT_TEST(slowSendersAndIdleConnections);
   CPPUNIT_TEST(connectionsAreBounded);
@@ -458,6 +460,67 @@
     CPPUNIT_ASSERT(Test.Caller->Reset);
   }
 
+  /// Guards against the loss of a complete response that is still on its way to a distant caller:
+  /// the streamed response behind it breaks off, and the reset of the connection destroys both.
+  void abortedResponsesFollowDeliveredOnes() {
+    struct Case {
+      const char *Name;
+      std::size_t FirstBytes;
+      std::size_t StreamedBytes;
+    };
+    const Case Table[] = {
+        {"small responses", 10, 10},
+        {"the first one fills the buffers of the caller", 300'000, 10},
+        {"both exceed the buffers of the caller", 300'000, 100'000},
+    };
+    for (const Case &Each : Table) {
+      Fixture Test;
+      Test.Caller->limitReceiveBuffer();
+      Test.Caller->pauseReading();
+      Test.Caller->send(getRequest("/a") + getRequest("/b") + getRequest("/c"));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Test.Handler.Pending.size() == 3; }));
+      ResponseHead Head;
+      Head.Status = 200;
+      HttpExchange &Streamed = *Test.Handler.Pending.extract("/b").mapped();
+      Head.Framing = BodyFraming::Chunked;
+      const std::string Body(Each.FirstBytes, 'a');
+      Test.Handler.Pending.extract("/a").mapped()->respond(Head, Body + "end of /a");
+      Streamed.begin(Head);
+      Streamed.addBody(std::string(Each.StreamedBytes, 'b'));
+      runPending();
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, !Streamed.abort({}, ""));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string("/c;"), Test.Handler.Disconnected);
+      Test.Server.checkTimeouts();
+      Test.Caller->resumeReading();
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Test.Caller->Closed; }));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Test.Caller->Reset);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name,
+                             Test.Caller->Received.find(Body + "end of /a") != std::string::npos);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Test.Server.connectionCount());
+    }
+  }
+
+  /// Guards against a caller that never takes the responses before one that broke off, and so keeps
+  /// its connection for good.
+  void resetsWaitForALimitedTime() {
+    Fixture Test;
+    Test.Caller->limitReceiveBuffer();
+    Test.Caller->pauseReading();
+    Test.Caller->send(getRequest("/a") + getRequest("/b"));
+    CPPUNIT_ASSERT(runUntil([&] { return Test.Handler.Pending.size() == 2; }));
+    ResponseHead Head;
+    Head.Status = 200;
+    Test.Handler.Pending.extract("/a").mapped()->respond(Head, std::string(300'000, 'a'));
+    HttpExchange &Streamed = *Test.Handler.Pending.extract("/b").mapped();
+    Streamed.begin(Head);
+    CPPUNIT_ASSERT(!Streamed.abort({}, ""));
+    Test.Server.checkTimeouts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Test.Server.connectionCount());
+    Test.Time.Advance = 11s;
+    Test.Server.checkTimeouts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Test.Server.connectionCount());
+  }
+
   /// Guards against buffering without limit for a slow reader, and against a drained callback that
   /// is never called.
   void slowReaders() {
