--- a/tests/auto/platform/tst_invaliditems.cpp
+++ b/tests/auto/platform/tst_invaliditems.cpp
@@ -58,7 +58,7 @@
   std::string Scalar = *rc::gen::element<std::string>(
       "null", "true", "0", "-0.0", "-1", "65536", "1e300", "-1e300", "1.5", "9223372036854775808",
       "18446744073709551616", R"("")", R"("ready")", R"("10.0.0.1:65536")", R"("\u0000\r\n")",
-      "\"\xff\xfe\"", R"("servers/i")");
+      R"("\udc80")", "\"\xff\xfe\"", R"("servers/i")");
   if (MaxLevels <= 1) {
     return Scalar;
   }
@@ -232,6 +232,22 @@
         {R"({"value":"e30="})", {}, 1},
         {"{\"key\":\"servers/\xff\xfe\",\"value\":\"e30=\"}", {}, 1},
         {R"({"key":"servers/\ufffd","value":"e30="})", {}, 1},
+        {R"({"key":"servers/\udc80","value":"e30="})", {}, 1},
+        {R"({"key":"servers/\ud83d","value":"e30="})", {}, 1},
+        {R"({"key":"servers/\ud83d\u0041","value":"e30="})", {}, 1},
+        {R"({"key":"servers/\ud83d\ud83d\ude00","value":"e30="})", {}, 1},
+        {R"({"key":"servers/\uDC80\uD83D","value":"e30="})", {}, 1},
+        {R"({"key":"servers/\x80","value":"e30="})", {}, 1},
+        {R"({"key":"servers/\u12","value":"e30="})", {}, 1},
+        {"{\"key\":\"servers/\x01\",\"value\":\"e30=\"}", {}, 1},
+        {R"({"key":"servers/i","value":"\udc80"})", Unreadable, 0},
+        {R"({"key":"servers/i","value":"e30=","lease":"\udc80\\"})", {{"servers/i", "{}"}}, 0},
+        {R"({"key":"servers/i\ud83d\ude00","value":"e30="})",
+         {{"servers/i\xF0\x9F\x98\x80", "{}"}},
+         0},
+        {R"({"key":"servers/\\udc80","value":"e30=","lease":"\udc80"})",
+         {{"servers/\\udc80", "{}"}},
+         0},
         {R"({"key":)" + deepArray() + "}", {}, 1},
         {R"({"key":"servers/i"})", Unreadable, 0},
         {R"({"key":"servers/i","value":7})", Unreadable, 0},
