Leave room for the fields that entries add to forwarded requests

Callers would see: a request whose head is within the limit, but near it, fails with 502 if it is forwarded, or is tried elsewhere for nothing. Cause: the port for forwarded requests had the limit of callers, and the first entry adds fields. Change: it allows 4 KiB more. Evidence: headsAtTheLimitCanBeForwarded fails without the room and passes with it.

--- a/src/libs/protocol/ForwardHeader.cpp
+++ b/src/libs/protocol/ForwardHeader.cpp
@@ -39,6 +39,8 @@
   }
   return Result;
 }
+/// Header fields of a forwarded request that the first entry adds.
+constexpr std::size_t MaxAddedBytes = std::size_t{4} * 1024;
 
 } // namespace
 
@@ -69,4 +71,10 @@
                         std::chrono::milliseconds(Elapsed), Service};
 }
 
+CallerLimits limitsOfForwardedRequests(const CallerLimits &Limits) {
+  CallerLimits Result = Limits;
+  Result.HeadBytes += MaxAddedBytes;
+  return Result;
+}
+
 } // namespace anvilsaddle
--- a/src/libs/protocol/ForwardHeader.h
+++ b/src/libs/protocol/ForwardHeader.h
@@ -2,6 +2,7 @@
 
 #include "coordination/dispatch/DispatchTypes.h"
 #include "protocol/HttpMessage.h"
+#include "state/Configuration.h"
 
 #include <optional>
 
@@ -14,4 +15,8 @@
 /// Removes the header fields and returns the options, or nothing if it is missing or malformed.
 std::optional<ForwardOptions> takeForwardHeader(FieldList &Fields);
 
+/// Returns the limits for requests that other entries forward, with room for the header fields that
+/// these add: what the first entry has accepted must not be refused by the second. Thread-safe.
+CallerLimits limitsOfForwardedRequests(const CallerLimits &Limits);
+
 } // namespace anvilsaddle
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -1,6 +1,7 @@
 #include "transport/EntryRuntime.h"
 
 #include "coordination/RandomSource.h"
+#include "protocol/ForwardHeader.h"
 #include "transport/Clock.h"
 #include "transport/EventLog.h"
 
@@ -467,9 +468,9 @@
   }
   this->Changes.onConfiguration(Newer.Version, CurrentVersion, Source);
   this->RequestDispatcher.setServices(Newer.Services);
-  for (HttpServer *Each : {&this->CallerServer, &this->ForwardServer, &this->DirectoryServer}) {
-    Each->setLimits(Newer.Limits);
-  }
+  this->CallerServer.setLimits(Newer.Limits);
+  this->DirectoryServer.setLimits(Newer.Limits);
+  this->ForwardServer.setLimits(limitsOfForwardedRequests(Newer.Limits));
   this->PublicationTransfer.onConfiguration(Current, Newer);
   this->Proxy.setConfiguration(Newer);
   this->Quotas.setCustomers(Newer.Customers, this->now());
--- a/tests/auto/libs/protocol/tst_forwardheader.cpp
+++ b/tests/auto/libs/protocol/tst_forwardheader.cpp
@@ -1,5 +1,11 @@
 #include "Property.h"
 #include "protocol/ForwardHeader.h"
+#include "protocol/ForwardedCustomer.h"
+#include "protocol/GlibMessageAuthenticator.h"
+#include "protocol/RequestParser.h"
+
+#include <cstddef>
+#include <string>
 
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
@@ -8,6 +14,7 @@
   CPPUNIT_TEST_SUITE(ForwardHeaderTest);
   CPPUNIT_TEST(roundTrip);
   CPPUNIT_TEST(malformedValues);
+  CPPUNIT_TEST(headsAtTheLimitCanBeForwarded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -26,6 +33,32 @@
     }
   }
 
+  /// Guards against status 431 of another entry for a request that is within the limit: its head is
+  /// longer by the fields that the first entry adds.
+  void headsAtTheLimitCanBeForwarded() {
+    constexpr std::size_t NameBytes = 200;
+    const GlibMessageAuthenticator Authenticator("fleet key");
+    for (const std::size_t HeadBytes : {std::size_t{16'384}, std::size_t{131'072}}) {
+      CallerLimits Limits;
+      Limits.HeadBytes = HeadBytes;
+      RequestHead Head{"GET", "/x", false, true, {{"Host", "h"}, {"Cookie", ""}}};
+      Head.Fields.back().second.assign(HeadBytes - writeRequestHead(Head, 0).size(), 'c');
+      RequestParser First({Limits.HeadBytes, Limits.BodyBytes});
+      First.add(writeRequestHead(Head, 0));
+      CPPUNIT_ASSERT(First.parse() == RequestParser::State::Complete);
+      writeForwardHeader(Head.Fields, {100, true, 24h, ServiceName(std::string(NameBytes, 's'))});
+      for (const auto &Field :
+           forwardedCustomerFields(Head, std::string(NameBytes, 'i'),
+                                   CustomerName(std::string(NameBytes, 'n')), Authenticator)) {
+        Head.Fields.push_back(Field);
+      }
+      const CallerLimits Raised = limitsOfForwardedRequests(Limits);
+      RequestParser Second({Raised.HeadBytes, Raised.BodyBytes});
+      Second.add(writeRequestHead(Head, 0));
+      CPPUNIT_ASSERT(Second.parse() == RequestParser::State::Complete);
+    }
+  }
+
   /// Guards against requests that are forwarded from entry to entry because a malformed header
   /// field was accepted.
   void malformedValues() {
