Move the delivery of a connection's responses out of HttpConnection

A move: time of the last progress, undelivered bytes and the bytes of earlier responses become DeliveryProgress. Tests of server and proxy pass as before.

--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -410,7 +410,7 @@
 Duration HttpConnection::outputStalledFor(TimePoint Now) const {
   const bool IsWaiting = this->CurrentState == State::Open && !this->Exchanges.empty() &&
                          !this->Exchanges.front()->Output.empty();
-  return IsWaiting ? Now - this->LastOutputProgress : Duration(0);
+  return IsWaiting ? Now - this->Delivery.lastProgress() : Duration(0);
 }
 
 void HttpConnection::resetSlowReader() {
@@ -425,7 +425,7 @@
   }
   this->IsFlushing = true;
   if (this->OutputCharge.bytes() == 0) {
-    this->LastOutputProgress = this->Server.now();
+    this->Delivery.onWaiting(this->Server.now());
   }
   this->write();
   this->IsFlushing = false;
@@ -449,13 +449,12 @@
         }
         return;
       }
-      if (!std::exchange(Front.HasSentBytes, true)) {
-        this->EarlierBytes = this->SentBytes;
-      }
-      this->SentBytes += static_cast<std::uint64_t>(Count);
       this->LastActivity = this->Server.now();
       this->LastWrite = this->LastActivity;
-      this->LastOutputProgress = this->LastActivity;
+      if (!std::exchange(Front.HasSentBytes, true)) {
+        this->Delivery.beginResponse();
+      }
+      this->Delivery.onSent(static_cast<std::size_t>(Count), this->LastActivity);
       Front.Output.erase(0, static_cast<std::size_t>(Count));
       if (Front.Output.empty()) {
         std::string().swap(Front.Output);
@@ -543,16 +542,6 @@
   this->close(Reason);
 }
 
-void HttpConnection::updateOutputProgress(TimePoint Now) {
-  // The socket takes further bytes only after a third of its buffer has been delivered, which can
-  // take long on a full link.
-  const std::size_t Undelivered = this->Socket.undeliveredBytes();
-  if (Undelivered < this->LastUndelivered) {
-    this->LastOutputProgress = Now;
-  }
-  this->LastUndelivered = Undelivered;
-}
-
 void HttpConnection::reset() {
   if (this->CurrentState != State::Open || this->hasDeliveredEarlierResponses()) {
     this->resetWith(CloseReason::TruncatedResponse);
@@ -562,11 +551,6 @@
   this->stopServing(State::Resetting, CloseReason::TruncatedResponse);
 }
 
-bool HttpConnection::hasDeliveredEarlierResponses() const {
-  const std::uint64_t Undelivered = this->Socket.undeliveredBytes();
-  return this->SentBytes - std::min(Undelivered, this->SentBytes) >= this->EarlierBytes;
-}
-
 void HttpConnection::resetWith(CloseReason Reason) {
   this->Socket.resetOnClose();
   this->close(Reason);
@@ -652,7 +636,7 @@
   if (this->isReadingPaused()) {
     this->updateInputCharges();
   }
-  this->updateOutputProgress(Now);
+  this->Delivery.update(this->Socket.undeliveredBytes(), Now);
   // A busy entry may not have read the rest yet.
   if (this->isTooSlow(Now) && !this->Socket.hasUnreadBytes()) {
     this->rejectRequest(RequestTimeout, "the request arrives too slowly");
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -5,6 +5,7 @@
 #include "protocol/UnansweredRequest.h"
 #include "state/Time.h"
 #include "transport/AcceptedSocket.h"
+#include "transport/DeliveryProgress.h"
 #include "transport/GlibPointers.h"
 #include "transport/HttpExchange.h"
 #include "transport/ReceiveBuffer.h"
@@ -12,7 +13,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -125,8 +125,10 @@
   void startLingering(CloseReason Reason);
   /// Ends all exchanges and reads nothing more; the socket stays open.
   void stopServing(State Next, CloseReason Reason);
-  /// True if the caller's host has acknowledged all responses before the one that is being written.
-  bool hasDeliveredEarlierResponses() const;
+  /// True if a reset would destroy no response but the one that is being written.
+  bool hasDeliveredEarlierResponses() const {
+    return this->Delivery.hasDeliveredEarlierResponses(this->Socket.undeliveredBytes());
+  }
   void close(CloseReason Reason);
   /// Reports all requests that the end of the connection leaves without a complete response.
   void reportUnanswered(CloseReason Reason);
@@ -136,7 +138,6 @@
   void reportUnreadBytes(CloseReason Reason);
   /// True if the caller's host has not acknowledged all bytes that were written.
   bool hasUndeliveredBytes() const { return this->Socket.undeliveredBytes() > 0; }
-  void updateOutputProgress(TimePoint Now);
 
   HttpServer &Server;
   AcceptedSocket Socket;
@@ -156,18 +157,11 @@
   TimePoint LastRead;
   /// Time at which bytes of a response were sent; nothing before the first response.
   std::optional<TimePoint> LastWrite;
-  /// Time at which output began to wait or the caller took a part of it.
-  TimePoint LastOutputProgress{};
-  /// Undelivered bytes when they were last checked.
-  std::size_t LastUndelivered = 0;
+  DeliveryProgress Delivery;
   /// Arrival of the first byte of the request that is being received.
   TimePoint RequestStarted{};
   State CurrentState = State::Open;
   ReceiveBuffer CurrentReceiveBuffer = ReceiveBuffer::Small;
-  /// Bytes that the socket has accepted, and how many of them are of responses before the one that
-  /// is being written.
-  std::uint64_t SentBytes = 0;
-  std::uint64_t EarlierBytes = 0;
   /// Valid in the states Lingering and Resetting.
   CloseReason LingeringReason = CloseReason::CallerClosed;
   bool HasReportedUnread = false;
