Move the authentication of requests out of ProxyHandler

A move: the decision by API key or by the signature of another entry, and the removal of the fields that only entries may set. Tests of the proxy pass as before.

--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -3,7 +3,6 @@
 #include "coordination/RandomSource.h"
 #include "coordination/dispatch/Dispatcher.h"
 #include "coordination/limits/CustomerQuotas.h"
-#include "protocol/ApiKey.h"
 #include "protocol/ForwardedCustomer.h"
 #include "protocol/Metrics.h"
 #include "protocol/RequestMetadataProtocol.h"
@@ -88,7 +87,10 @@
 } // namespace
 
 ProxyHandler::ProxyHandler(Dependencies Deps)
-    : Deps(std::move(Deps)), Resources{this->Deps.Pool, this->Deps.Protocol, this->Deps.Memory} {
+    : Deps(std::move(Deps)),
+      Authentication(this->Deps.Protocol, this->Deps.Authenticator), Resources{this->Deps.Pool,
+                                                                               this->Deps.Protocol,
+                                                                               this->Deps.Memory} {
   this->RequestCallbacks.OnAttemptEnd =
       [this](ActiveRequest &Request, AttemptNumber Attempt, const AttemptResult &End,
              const std::string &Detail) { this->onAttemptEnd(Request, Attempt, End, Detail); };
@@ -155,13 +157,13 @@
     return std::nullopt;
   }
   const Route *MatchedRoute = this->findRoute(Head);
-  const AuthenticationDecision Authentication = this->Customers->authenticate(
-      readCredential(Head.Fields), MatchedRoute && MatchedRoute->IsPublic);
-  if (Authentication.IsAccepted) {
+  const AuthenticationDecision Decision =
+      RequestAuthentication::check(Head, *this->Customers, MatchedRoute && MatchedRoute->IsPublic);
+  if (Decision.IsAccepted) {
     return std::nullopt;
   }
   return this->rejectUnauthenticated(this->Deps.Protocol.readRequest(Head).RequestId,
-                                     Authentication.Reason, false);
+                                     Decision.Reason, false);
 }
 
 void ProxyHandler::onRequest(HttpExchange &Exchange) {
@@ -195,12 +197,14 @@
   }
   const Route *MatchedRoute = this->findRoute(Exchange.head());
   // Before the check of the route, so that callers without a key don't learn which routes exist.
-  const AuthenticationDecision Authentication =
-      Forward ? this->acceptForwarded(Exchange, Metadata.RequestId)
-              : this->authenticate(Exchange, MatchedRoute);
-  if (!Authentication.IsAccepted) {
+  const AuthenticationDecision Decision =
+      Forward ? this->Authentication.acceptForwarded(Exchange.head(), *this->Customers,
+                                                     Metadata.RequestId)
+              : this->Authentication.accept(Exchange.head(), *this->Customers,
+                                            MatchedRoute && MatchedRoute->IsPublic);
+  if (!Decision.IsAccepted) {
     HeadRejection Rejection =
-        this->rejectUnauthenticated(Metadata.RequestId, Authentication.Reason, Forward.has_value());
+        this->rejectUnauthenticated(Metadata.RequestId, Decision.Reason, Forward.has_value());
     Exchange.respond(std::move(Rejection.Head), Rejection.Text);
     return;
   }
@@ -214,18 +218,18 @@
   }
   // Without restrictions if there is no customer, or if only the other entry knows it.
   static const Customer Unrestricted;
-  const Customer *KnownCustomer = this->Customers->find(Authentication.Customer);
+  const Customer *KnownCustomer = this->Customers->find(Decision.Customer);
   const Customer &Applied = KnownCustomer ? *KnownCustomer : Unrestricted;
   const auto HomeRegions = commonHomeRegions(MatchedRoute->HomeRegions, Applied.HomeRegions);
   if (!HomeRegions) {
     if (!Forward) {
-      this->Deps.RequestMetrics.onCustomerRefused(Authentication.Customer);
+      this->Deps.RequestMetrics.onCustomerRefused(Decision.Customer);
     }
     this->rejectWithoutRegion(Exchange, Metadata.RequestId, *MatchedRoute, Applied);
     return;
   }
-  RequestAttributes Attributes = this->makeAttributes(
-      Exchange, *MatchedRoute, Authentication.Customer, Metadata.RemainingTime);
+  RequestAttributes Attributes =
+      this->makeAttributes(Exchange, *MatchedRoute, Decision.Customer, Metadata.RemainingTime);
   Attributes.HomeRegions = *HomeRegions;
   Attributes.Service = Forward && !Forward->Service.empty()
                            ? Forward->Service
@@ -257,46 +261,6 @@
   this->Deps.ApplyEffects();
 }
 
-AuthenticationDecision ProxyHandler::authenticate(HttpExchange &Exchange,
-                                                  const Route *MatchedRoute) const {
-  AuthenticationDecision Result = this->Customers->authenticate(
-      readCredential(Exchange.head().Fields), MatchedRoute && MatchedRoute->IsPublic);
-  this->removeEntryFields(Exchange.head());
-  return Result;
-}
-
-AuthenticationDecision ProxyHandler::acceptForwarded(HttpExchange &Exchange,
-                                                     const std::string &Id) {
-  const ForwardedCustomer Stated =
-      takeForwardedCustomer(Exchange.head(), Id, this->Deps.Authenticator);
-  this->removeEntryFields(Exchange.head());
-  switch (Stated.Signature) {
-  case ForwardedCustomer::Proof::Valid:
-    // The decision of the first entry holds, also if the entries have different versions in force.
-    return {true, Stated.Name, {}};
-  case ForwardedCustomer::Proof::None:
-    // Entries of a version without customers don't sign.
-    if (this->Customers->empty()) {
-      return {true, {}, {}};
-    }
-    return {false, {}, "forwarded without a customer signature"};
-  case ForwardedCustomer::Proof::Invalid:
-    break;
-  }
-  return {false, {}, "forwarded with an invalid customer signature"};
-}
-
-void ProxyHandler::removeEntryFields(RequestHead &Head) const {
-  // Without customers, both fields are those of an application behind the entry.
-  if (this->Customers->empty()) {
-    return;
-  }
-  removeCredentials(Head.Fields);
-  std::erase_if(Head.Fields, [this](const auto &Each) {
-    return equalsIgnoreCase(Each.first, this->Deps.Protocol.customerFieldName());
-  });
-}
-
 HeadRejection ProxyHandler::rejectUnauthenticated(const std::string &Id, const std::string &Reason,
                                                   bool IsForwarded) {
   // The other entry tries elsewhere after 503. Its caller has been authenticated there.
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -7,6 +7,7 @@
 #include "transport/ActiveRequest.h"
 #include "transport/DeferredDeletion.h"
 #include "transport/HttpExchange.h"
+#include "transport/RequestAuthentication.h"
 
 #include <cstddef>
 #include <functional>
@@ -97,13 +98,6 @@
   /// Rejects a forwarded request that the first entry routed by another configuration.
   void rejectRoutedDifferently(HttpExchange &Exchange, const std::string &Id,
                                const ServiceName &Service);
-  /// Decides from the API key whether to accept the request of a caller, and removes everything
-  /// from its head that only entries may set or read. `MatchedRoute` may be null.
-  AuthenticationDecision authenticate(HttpExchange &Exchange, const Route *MatchedRoute) const;
-  /// The same for a request that another entry has authenticated.
-  AuthenticationDecision acceptForwarded(HttpExchange &Exchange, const std::string &Id);
-  /// Removes API keys, and the header field by which entries tell targets the customer.
-  void removeEntryFields(RequestHead &Head) const;
   /// Counts and logs the rejection and returns the response.
   HeadRejection rejectUnauthenticated(const std::string &Id, const std::string &Reason,
                                       bool IsForwarded);
@@ -126,6 +120,7 @@
   void onResponseEnd(ActiveRequest &Request, int Status, bool Complete);
 
   Dependencies Deps;
+  RequestAuthentication Authentication;
   AttemptResources Resources;
   ActiveRequest::Callbacks RequestCallbacks;
   std::optional<Configuration> CurrentConfiguration;
