Keep the exchanges of a connection that waits for its reset

The exchanges now release their output and stay until the connection ends. abortedResponsesFollowDeliveredOnes has two rows for it.

--- a/src/libs/protocol/RequestParser.cpp
+++ b/src/libs/protocol/RequestParser.cpp
@@ -73,7 +73,7 @@
   std::size_t MaxReservedBytes = 0;
 };
 
-RequestParser::RequestParser(Limits SizeLimits) : SizeLimits(SizeLimits) { this->start(); }
+RequestParser::RequestParser(const Limits &SizeLimits) : SizeLimits(SizeLimits) { this->start(); }
 
 RequestParser::~RequestParser() = default;
 
@@ -85,7 +85,7 @@
   this->applyLimits();
 }
 
-void RequestParser::setLimits(Limits NewLimits) {
+void RequestParser::setLimits(const Limits &NewLimits) {
   this->SizeLimits = NewLimits;
   if (!this->IsHeadComplete) {
     this->applyLimits();
--- a/src/libs/protocol/RequestParser.h
+++ b/src/libs/protocol/RequestParser.h
@@ -31,14 +31,14 @@
     Failed,
   };
 
-  explicit RequestParser(Limits SizeLimits);
+  explicit RequestParser(const Limits &SizeLimits);
   ~RequestParser();
   RequestParser(const RequestParser &) = delete;
   RequestParser &operator=(const RequestParser &) = delete;
 
   /// Sets the limits for requests whose head is not complete yet. A request whose body is being
   /// received keeps the limits by which it was accepted.
-  void setLimits(Limits NewLimits);
+  void setLimits(const Limits &NewLimits);
   /// Appends bytes received from the connection.
   void add(std::string_view Bytes);
   /// Parses the buffered bytes, up to the end of the current request.
--- a/src/libs/transport/HttpConnection.cpp
+++ b/src/libs/transport/HttpConnection.cpp
@@ -509,6 +509,8 @@
 void HttpConnection::startLingering(CloseReason Reason) {
   g_socket_shutdown(this->Socket.get(), FALSE, TRUE, nullptr);
   this->stopServing(State::Lingering, Reason);
+  this->Exchanges.clear();
+  this->updateCharges();
 }
 
 void HttpConnection::stopServing(State Next, CloseReason Reason) {
@@ -516,9 +518,7 @@
   this->LingeringReason = Reason;
   this->LastActivity = this->Server.now();
   this->reportUnanswered(Reason);
-  this->Exchanges.clear();
   this->discardInput();
-  this->updateCharges();
   this->Watch.setConditions(G_IO_IN);
 }
 
@@ -549,6 +549,11 @@
   }
   this->Socket.resetOnClose();
   this->stopServing(State::Resetting, CloseReason::TruncatedResponse);
+  // The exchanges stay until the connection ends: functions of them may be on the call stack.
+  for (const auto &Each : this->Exchanges) {
+    Each->releaseOutput();
+  }
+  this->updateCharges();
 }
 
 void HttpConnection::resetWith(CloseReason Reason) {
--- a/src/libs/transport/HttpConnection.h
+++ b/src/libs/transport/HttpConnection.h
@@ -123,7 +123,7 @@
   bool onFrontWritten();
   void updateWatch();
   void startLingering(CloseReason Reason);
-  /// Ends all exchanges and reads nothing more; the socket stays open.
+  /// Reports what stays unanswered and processes nothing more; the socket stays open.
   void stopServing(State Next, CloseReason Reason);
   /// True if a reset would destroy no response but the one that is being written.
   bool hasDeliveredEarlierResponses() const {
--- a/src/libs/transport/HttpExchange.cpp
+++ b/src/libs/transport/HttpExchange.cpp
@@ -84,7 +84,7 @@
 
 bool HttpExchange::abort(ResponseHead Head, std::string_view Text) {
   if (!this->HasSentBytes) {
-    std::string().swap(this->Output);
+    this->releaseOutput();
     this->respond(std::move(Head), Text);
     return true;
   }
--- a/src/libs/transport/HttpExchange.h
+++ b/src/libs/transport/HttpExchange.h
@@ -72,6 +72,7 @@
   friend class HttpConnection;
 
   void releaseBody();
+  void releaseOutput() { std::string().swap(this->Output); }
   /// The connection is closed after this response, which says so if it has not begun.
   void closeAfterResponse() {
     this->Request.KeepAlive = false;
--- a/tests/auto/libs/transport/tst_httpserver.cpp
+++ b/tests/auto/libs/transport/tst_httpserver.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -467,11 +468,15 @@
       const char *Name;
       std::size_t FirstBytes;
       std::size_t StreamedBytes;
+      /// The response breaks off while the connection is writing.
+      bool IsWriting;
     };
     const Case Table[] = {
-        {"small responses", 10, 10},
-        {"the first one fills the buffers of the caller", 300'000, 10},
-        {"both exceed the buffers of the caller", 300'000, 100'000},
+        {"small responses", 10, 10, false},
+        {"the first one fills the buffers of the caller", 300'000, 10, false},
+        {"both exceed the buffers of the caller", 300'000, 100'000, false},
+        {"small responses, while writing", 10, 10, true},
+        {"the first one fills the buffers of the caller, while writing", 300'000, 10, true},
     };
     for (const Case &Each : Table) {
       Fixture Test;
@@ -486,9 +491,17 @@
       const std::string Body(Each.FirstBytes, 'a');
       Test.Handler.Pending.extract("/a").mapped()->respond(Head, Body + "end of /a");
       Streamed.begin(Head);
+      std::optional<bool> IsReplaced;
+      const auto Abort = [&] { IsReplaced = Streamed.abort({}, ""); };
+      if (Each.IsWriting) {
+        Streamed.setDrainedCallback(Abort);
+      }
       Streamed.addBody(std::string(Each.StreamedBytes, 'b'));
-      runPending();
-      CPPUNIT_ASSERT_MESSAGE(Each.Name, !Streamed.abort({}, ""));
+      if (!Each.IsWriting) {
+        runPending();
+        Abort();
+      }
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, IsReplaced == false);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, std::string("/c;"), Test.Handler.Disconnected);
       Test.Server.checkTimeouts();
       Test.Caller->resumeReading();
