Report how stale the publications of an entry are

Readers of the store now state with each response up to which time they have everything that it acknowledged; notices pass that on, and it stands in configuration_in_force, in the refused lines of unrouted requests and in the gauge publication_staleness_seconds. Nothing decides by it yet.

--- a/src/libs/coordination/publications/PublicationDistributor.cpp
+++ b/src/libs/coordination/publications/PublicationDistributor.cpp
@@ -45,10 +45,33 @@
   });
 }
 
-void PublicationDistributor::onSourceResponse(const SourcePosition &Known, TimePoint Now) {
+void PublicationDistributor::confirm(const Confirmation &Added) {
+  this->PendingConfirmations.push_back(Added);
+  if (this->PendingConfirmations.size() > MaxPendingConfirmations) {
+    this->PendingConfirmations.pop_front();
+  }
+  this->applyConfirmations();
+}
+
+void PublicationDistributor::applyConfirmations() {
+  std::erase_if(this->PendingConfirmations, [this](const Confirmation &Each) {
+    const bool IsReached = Each.Position <= this->Position;
+    if (IsReached) {
+      this->KnownAsOf = std::max(this->KnownAsOf, std::optional(Each.AsOf));
+    }
+    return IsReached;
+  });
+}
+
+void PublicationDistributor::onSourceResponse(const SourcePosition &Known,
+                                              std::optional<TimePoint> AsOf, TimePoint Now) {
   const bool HasChanged = Known > this->Position || !this->IsSourceAvailable;
   this->IsSourceAvailable = true;
   this->Position = std::max(this->Position, Known);
+  this->applyConfirmations();
+  if (AsOf) {
+    this->confirm({Known, *AsOf});
+  }
   if (this->IsReading && HasChanged) {
     this->sendNotice(Now);
   }
@@ -58,6 +81,9 @@
   this->LastNoticeSent = Now;
   SendNotice Result;
   Result.Notice.Position = this->Position;
+  if (this->KnownAsOf) {
+    Result.Notice.Staleness = Now - *this->KnownAsOf;
+  }
   for (const EntryRecord &Each : this->Entries) {
     if (Each.Address != this->Self &&
         this->FleetTopology.regionOf(Each.Domain) == this->FleetTopology.OwnRegion) {
@@ -72,6 +98,9 @@
 void PublicationDistributor::onNotice(const std::string &Sender, const RevisionNotice &Notice,
                                       TimePoint Now) {
   this->LastNoticeReceived = Now;
+  if (Notice.Staleness) {
+    this->confirm({Notice.Position, Now - *Notice.Staleness});
+  }
   if (this->hasPrecedence(Sender)) {
     this->LastPrecedingNotice = Now;
   }
@@ -102,6 +131,7 @@
     this->NextFetchTime = Now + FetchRetryDelay;
   }
   this->Position = std::max(this->Position, Known);
+  this->applyConfirmations();
   this->fetchIfBehind(Now);
 }
 
--- a/src/libs/coordination/publications/PublicationDistributor.h
+++ b/src/libs/coordination/publications/PublicationDistributor.h
@@ -6,6 +6,8 @@
 #include "state/Topology.h"
 
 #include <compare>
+#include <cstddef>
+#include <deque>
 #include <optional>
 #include <string>
 #include <utility>
@@ -18,6 +20,9 @@
 /// type.
 struct RevisionNotice {
   SourcePosition Position;
+  /// Time since the position was known to be the current one of the source; absent if it never was,
+  /// or if the sender is of an earlier version.
+  std::optional<Duration> Staleness = std::nullopt;
 
   auto operator<=>(const RevisionNotice &) const = default;
 };
@@ -68,8 +73,9 @@
 
   /// Sets the live entries of the fleet, including this one.
   void setEntries(std::vector<EntryRecord> Live) { this->Entries = std::move(Live); }
-  /// The source responded; this entry has all publications up to the position.
-  void onSourceResponse(const SourcePosition &Known, TimePoint Now);
+  /// The source responded; this entry has all publications up to the position. `AsOf` is a time at
+  /// which the position was the current one; nothing if the response may be stale.
+  void onSourceResponse(const SourcePosition &Known, std::optional<TimePoint> AsOf, TimePoint Now);
   void onSourceUnavailable() { this->IsSourceAvailable = false; }
   void onNotice(const std::string &Sender, const RevisionNotice &Notice, TimePoint Now);
   /// A fetch succeeded; `Known` is the position of this entry afterwards.
@@ -77,10 +83,27 @@
   void onFetchFailed(TimePoint Now);
   void onTick(TimePoint Now);
 
+  /// Latest time for which this entry is known to have everything that the source had acknowledged;
+  /// nothing before the first confirmation.
+  std::optional<TimePoint> knownAsOf() const { return this->KnownAsOf; }
+
   /// Returns the effects since the last call, in their order.
   std::vector<DistributionEffect> takeEffects() { return std::exchange(this->Effects, {}); }
 
 private:
+  /// Who has everything up to the position has everything that the source had acknowledged at a
+  /// time.
+  struct Confirmation {
+    SourcePosition Position;
+    TimePoint AsOf;
+  };
+
+  /// Confirmations are kept until this entry has fetched the publications up to their position.
+  static constexpr std::size_t MaxPendingConfirmations = 32;
+
+  void confirm(const Confirmation &Added);
+  /// Takes over the confirmations of positions that this entry has reached.
+  void applyConfirmations();
   /// True if the entry is the designated reader of its failure domain.
   bool isDesignatedReader(const std::string &Address, const FailureDomainName &Domain) const;
   /// True if this entry need not read the source while the sender does.
@@ -99,6 +122,8 @@
   bool IsSourceAvailable = false;
   TimePoint ReadingSince{};
   TimePoint LastNoticeSent{};
+  std::optional<TimePoint> KnownAsOf;
+  std::deque<Confirmation> PendingConfirmations;
   std::optional<TimePoint> LastNoticeReceived;
   /// Time of the last notice of an entry that has precedence over this one.
   TimePoint LastPrecedingNotice{};
--- a/src/libs/coordination/publications/PublicationSource.h
+++ b/src/libs/coordination/publications/PublicationSource.h
@@ -5,6 +5,7 @@
 #include "state/SourcePosition.h"
 #include "state/Time.h"
 
+#include <optional>
 #include <string>
 
 namespace anvilsaddle {
@@ -14,9 +15,12 @@
 public:
   virtual ~PublicationListener() = default;
 
-  virtual void onPublications(const PublicationBatch &Batch) = 0;
-  /// The source has responded, and this entry now knows everything up to this position.
-  virtual void onSourceUpToDate(const SourcePosition &Position) = 0;
+  /// `AsOf` is a time up to which the batch and those before it contain everything that the source
+  /// has acknowledged; nothing if the source responded with a read that may be stale.
+  virtual void onPublications(const PublicationBatch &Batch, std::optional<TimePoint> AsOf) = 0;
+  /// The source has responded, and this entry knows everything up to this position, which was the
+  /// current one at the time `AsOf` or later.
+  virtual void onSourceUpToDate(const SourcePosition &Position, TimePoint AsOf) = 0;
   /// An item is invalid and was skipped.
   virtual void onInvalidPublication(const Diagnostic &Problem) = 0;
   /// The source does not respond. Everything published before remains in effect.
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -229,6 +229,11 @@
   Out.writeSingleSample("store_revision", "gauge",
                         "Revision of the store in its epoch up to which publications are known.",
                         this->CurrentGauges.KnownPosition.Revision);
+  if (const auto &Staleness = this->CurrentGauges.Staleness) {
+    Out.writeSingleSample("publication_staleness_seconds", "gauge",
+                          "Time since everything that the store had acknowledged was known.",
+                          std::chrono::duration<double>(*Staleness).count());
+  }
 }
 
 void Metrics::writeHedges(Writer &Out) const {
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -54,6 +55,9 @@
     std::size_t LimitedTargets = 0;
     std::size_t LeavingTargets = 0;
     SourcePosition KnownPosition;
+    /// Time since this entry was known to have everything that the store had acknowledged; absent
+    /// if it never was.
+    std::optional<Duration> Staleness = std::nullopt;
   };
 
   /// A response of a target was delivered to the caller. `Latency` is measured from the arrival of
--- a/src/libs/protocol/PeerCodec.cpp
+++ b/src/libs/protocol/PeerCodec.cpp
@@ -352,6 +352,26 @@
   encodeQuotaParts(Message, {Middle, Elements.End}, Limit, Result);
 }
 
+wire::RevisionNotice toWire(const RevisionNotice &Message) {
+  wire::RevisionNotice Result;
+  Result.revision = Message.Position.Revision;
+  Result.__set_epoch(Message.Position.Epoch);
+  if (Message.Staleness) {
+    const auto Limit = std::int64_t{std::numeric_limits<std::int32_t>::max()};
+    Result.__set_stalenessMilliseconds(static_cast<std::int32_t>(
+        std::clamp<std::int64_t>(toMilliseconds(*Message.Staleness), 0, Limit)));
+  }
+  return Result;
+}
+
+RevisionNotice fromWire(const wire::RevisionNotice &In) {
+  RevisionNotice Result{{In.__isset.epoch ? In.epoch : 0, In.revision}};
+  if (In.__isset.stalenessMilliseconds) {
+    Result.Staleness = std::chrono::milliseconds(readCount(In.stalenessMilliseconds));
+  }
+  return Result;
+}
+
 QuotaReport fromWire(const wire::QuotaReport &In) {
   QuotaReport Result;
   Result.Run = In.run;
@@ -394,7 +414,7 @@
     return fromWire(In.quotaShares);
   }
   if (In.__isset.notice) {
-    return RevisionNotice{{In.notice.__isset.epoch ? In.notice.epoch : 0, In.notice.revision}};
+    return fromWire(In.notice);
   }
   if (In.__isset.gossip) {
     return fromWire(In.gossip);
@@ -415,10 +435,7 @@
 std::vector<std::string> PeerCodec::encode(const PeerMessage &Message, std::size_t Limit) const {
   if (const auto *Notice = std::get_if<RevisionNotice>(&Message)) {
     wire::PeerMessage Out;
-    wire::RevisionNotice Content;
-    Content.revision = Notice->Position.Revision;
-    Content.__set_epoch(Notice->Position.Epoch);
-    Out.__set_notice(Content);
+    Out.__set_notice(toWire(*Notice));
     return {writeThrift(Out)};
   }
   if (const auto *Content = std::get_if<Gossip>(&Message)) {
--- a/src/libs/protocol/gen-cpp/peer_types.cpp
+++ b/src/libs/protocol/gen-cpp/peer_types.cpp
@@ -539,6 +539,11 @@
   this->epoch = val;
 __isset.epoch = true;
 }
+
+void RevisionNotice::__set_stalenessMilliseconds(const int32_t val) {
+  this->stalenessMilliseconds = val;
+__isset.stalenessMilliseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const RevisionNotice& obj)
 {
   obj.printTo(out);
@@ -584,6 +589,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->stalenessMilliseconds);
+          this->__isset.stalenessMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -612,6 +625,11 @@
     xfer += oprot->writeI64(this->epoch);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.stalenessMilliseconds) {
+    xfer += oprot->writeFieldBegin("stalenessMilliseconds", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->stalenessMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -621,17 +639,20 @@
   using ::std::swap;
   swap(a.revision, b.revision);
   swap(a.epoch, b.epoch);
+  swap(a.stalenessMilliseconds, b.stalenessMilliseconds);
   swap(a.__isset, b.__isset);
 }
 
 RevisionNotice::RevisionNotice(const RevisionNotice& other40) noexcept {
   revision = other40.revision;
   epoch = other40.epoch;
+  stalenessMilliseconds = other40.stalenessMilliseconds;
   __isset = other40.__isset;
 }
 RevisionNotice& RevisionNotice::operator=(const RevisionNotice& other41) noexcept {
   revision = other41.revision;
   epoch = other41.epoch;
+  stalenessMilliseconds = other41.stalenessMilliseconds;
   __isset = other41.__isset;
   return *this;
 }
@@ -640,6 +661,7 @@
   out << "RevisionNotice(";
   out << "revision=" << to_string(revision);
   out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
+  out << ", " << "stalenessMilliseconds="; (__isset.stalenessMilliseconds ? (out << to_string(stalenessMilliseconds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/protocol/gen-cpp/peer_types.h
+++ b/src/libs/protocol/gen-cpp/peer_types.h
@@ -194,8 +194,9 @@
 std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
 typedef struct _RevisionNotice__isset {
-  _RevisionNotice__isset() : epoch(false) {}
+  _RevisionNotice__isset() : epoch(false), stalenessMilliseconds(false) {}
   bool epoch :1;
+  bool stalenessMilliseconds :1;
 } _RevisionNotice__isset;
 
 class RevisionNotice : public virtual ::apache::thrift::TBase {
@@ -205,12 +206,14 @@
   RevisionNotice& operator=(const RevisionNotice&) noexcept;
   RevisionNotice() noexcept
                  : revision(0),
-                   epoch(0) {
+                   epoch(0),
+                   stalenessMilliseconds(0) {
   }
 
   virtual ~RevisionNotice() noexcept;
   int64_t revision;
   int64_t epoch;
+  int32_t stalenessMilliseconds;
 
   _RevisionNotice__isset __isset;
 
@@ -218,6 +221,8 @@
 
   void __set_epoch(const int64_t val);
 
+  void __set_stalenessMilliseconds(const int32_t val);
+
   bool operator == (const RevisionNotice & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -226,6 +231,10 @@
       return false;
     else if (__isset.epoch && !(epoch == rhs.epoch))
       return false;
+    if (__isset.stalenessMilliseconds != rhs.__isset.stalenessMilliseconds)
+      return false;
+    else if (__isset.stalenessMilliseconds && !(stalenessMilliseconds == rhs.stalenessMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const RevisionNotice &rhs) const {
--- a/src/libs/protocol/peer.thrift
+++ b/src/libs/protocol/peer.thrift
@@ -35,6 +35,8 @@
   1: required i64 revision
   // Epoch of the source to which the revision belongs; 0 if it is missing.
   2: optional i64 epoch
+  // Time since the revision was known to be the current one; missing if it never was.
+  3: optional i32 stalenessMilliseconds
 }
 
 // Requests of one customer at the sender.
--- a/src/libs/transport/ChangeRecorder.cpp
+++ b/src/libs/transport/ChangeRecorder.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/Clock.h"
 #include "transport/EventLog.h"
+#include "transport/RequestLogFields.h"
 
 #include <optional>
 #include <utility>
@@ -21,9 +22,13 @@
 }
 
 void ChangeRecorder::onConfiguration(std::uint64_t Version, const std::string &From,
-                                     const std::string &Source) {
+                                     const std::string &Source,
+                                     std::optional<TimePoint> KnownAsOf) {
   logEvent(LogLevel::Info, "configuration_in_force",
-           {{"version", std::to_string(Version)}, {"from", From}, {"source", Source}});
+           {{"version", std::to_string(Version)},
+            {"from", From},
+            {"source", Source},
+            {"staleness_ms", formatStaleness(KnownAsOf, this->Time.now())}});
   this->append("configuration", From, std::to_string(Version), "published", Version);
 }
 
--- a/src/libs/transport/ChangeRecorder.h
+++ b/src/libs/transport/ChangeRecorder.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,9 @@
   void onSeedsChanged(std::size_t OldCount, std::size_t NewCount);
   void onEntriesChanged(std::size_t OldCount, std::size_t NewCount, std::size_t InRegion);
   /// A configuration is in force. `From` is the version before it, `Source` the store or the entry
-  /// that it came from.
-  void onConfiguration(std::uint64_t Version, const std::string &From, const std::string &Source);
+  /// that it came from, `KnownAsOf` the time up to which the publications were known before.
+  void onConfiguration(std::uint64_t Version, const std::string &From, const std::string &Source,
+                       std::optional<TimePoint> KnownAsOf);
   /// A target or a failure domain changes. Called before the targets are updated, so that
   /// registrations that change nothing are left out. Precondition: it is no configuration.
   void onPublication(const Publication &Change);
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -108,6 +108,7 @@
              this->applyBatch(Batch, Details.Entry);
              this->Distributor.onFetched(this->Publications.position(), this->now());
              this->applyDistributionEffects();
+             this->Proxy.setKnownAsOf(this->Distributor.knownAsOf());
            },
            [this](const std::string &Reason) {
              logEvent(LogLevel::Info, "fetch_failed", {{"reason", Reason}});
@@ -270,11 +271,13 @@
   Self.EntryMetrics.setMemory(*Self.Memory);
   Self.EntryMetrics.setLogLinesDropped(droppedLogLines());
   const Configuration *Current = Self.Proxy.configuration();
+  const auto KnownAsOf = Self.Distributor.knownAsOf();
   Self.EntryMetrics.setGauges(
       {Self.Proxy.size(), Self.RequestDispatcher.queueLength(), Self.CallerServer.connectionCount(),
        Self.LastLiveMembers.size(), Self.RequestDispatcher.targets().all().size(),
        Current ? Current->Version : 0, Self.RequestDispatcher.targets().limitedCount(),
-       Self.RequestDispatcher.targets().leavingCount(), Self.Publications.position()});
+       Self.RequestDispatcher.targets().leavingCount(), Self.Publications.position(),
+       KnownAsOf ? std::optional(Self.now() - *KnownAsOf) : std::nullopt});
   Self.EntryMetrics.setDispatchCounters(Self.RequestDispatcher.counters());
   Self.Changes.onSaturationChanged(Self.RequestDispatcher.saturation().takeChanges(Self.now()));
   Self.RequestDispatcher.onTick(Self.now());
@@ -316,6 +319,7 @@
   if (const auto *Notice = std::get_if<RevisionNotice>(&Message)) {
     this->Distributor.onNotice(Sender, *Notice, this->now());
     this->applyDistributionEffects();
+    this->Proxy.setKnownAsOf(this->Distributor.knownAsOf());
     return;
   }
   const auto *Gossiped = std::get_if<Gossip>(&Message);
@@ -405,14 +409,19 @@
 
 // Publications
 
-void EntryRuntime::onPublications(const PublicationBatch &Batch) {
+void EntryRuntime::onPublications(const PublicationBatch &Batch, std::optional<TimePoint> AsOf) {
   this->applyBatch(Batch, "store");
-  this->onSourceUpToDate(this->Publications.position());
+  this->onSourceResponse(this->Publications.position(), AsOf);
 }
 
-void EntryRuntime::onSourceUpToDate(const SourcePosition &Position) {
-  this->Distributor.onSourceResponse(Position, this->now());
+void EntryRuntime::onSourceUpToDate(const SourcePosition &Position, TimePoint AsOf) {
+  this->onSourceResponse(Position, AsOf);
+}
+
+void EntryRuntime::onSourceResponse(const SourcePosition &Position, std::optional<TimePoint> AsOf) {
+  this->Distributor.onSourceResponse(Position, AsOf, this->now());
   this->applyDistributionEffects();
+  this->Proxy.setKnownAsOf(this->Distributor.knownAsOf());
 }
 
 void EntryRuntime::applyBatch(const PublicationBatch &Batch, const std::string &Source) {
@@ -466,7 +475,8 @@
              {{"version", std::to_string(Newer.Version)}, {"in_force", CurrentVersion}});
     return;
   }
-  this->Changes.onConfiguration(Newer.Version, CurrentVersion, Source);
+  this->Changes.onConfiguration(Newer.Version, CurrentVersion, Source,
+                                this->Distributor.knownAsOf());
   this->RequestDispatcher.setServices(Newer.Services);
   this->CallerServer.setLimits(Newer.Limits);
   this->DirectoryServer.setLimits(Newer.Limits);
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -63,8 +63,8 @@
   /// or when the grace period is over. Precondition: called at most once.
   void stop(std::function<void()> OnStopped);
 
-  void onPublications(const PublicationBatch &Batch) override;
-  void onSourceUpToDate(const SourcePosition &Position) override;
+  void onPublications(const PublicationBatch &Batch, std::optional<TimePoint> AsOf) override;
+  void onSourceUpToDate(const SourcePosition &Position, TimePoint AsOf) override;
   void onInvalidPublication(const Diagnostic &Problem) override;
   void onSourceUnavailable(const std::string &Reason) override;
   void onSourceRecovered(Duration Outage) override;
@@ -90,6 +90,7 @@
   void applyBatch(const PublicationBatch &Batch, const std::string &Source);
   void logRestore(const SourcePosition &Before, const std::string &Source);
   void applyConfiguration(const Configuration &Newer, const std::string &Source);
+  void onSourceResponse(const SourcePosition &Position, std::optional<TimePoint> AsOf);
   void updateReadiness();
   void updateLiveMembers();
   void advanceShutdown();
--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -313,7 +313,8 @@
       LogLevel::Info, "refused",
       {{"request", Id},
        {"reason", Reason},
-       {"version", IsConfigured ? std::to_string(this->CurrentConfiguration->Version) : "none"}});
+       {"version", IsConfigured ? std::to_string(this->CurrentConfiguration->Version) : "none"},
+       {"staleness_ms", formatStaleness(this->KnownAsOf, this->Deps.Time.now())}});
   Exchange.respond(localResponse(Status, IsConfigured ? Duration(0) : RetryWhileUnconfigured),
                    Reason + "\n");
 }
@@ -326,7 +327,8 @@
            {{"request", Id},
             {"reason", Reason},
             {"service", Service.str()},
-            {"version", std::to_string(this->CurrentConfiguration->Version)}});
+            {"version", std::to_string(this->CurrentConfiguration->Version)},
+            {"staleness_ms", formatStaleness(this->KnownAsOf, this->Deps.Time.now())}});
   Exchange.respond(localResponse(Unavailable, RetryWhileUnconfigured), Reason + "\n");
 }
 
--- a/src/libs/transport/ProxyHandler.h
+++ b/src/libs/transport/ProxyHandler.h
@@ -65,6 +65,9 @@
   /// Null without a configuration.
   const CustomerTable *customers() const { return this->Customers ? &*this->Customers : nullptr; }
   const RouteTable *routes() const { return this->Routes ? &*this->Routes : nullptr; }
+  /// Sets the time up to which the publications are known, for the log lines of requests that no
+  /// route matches.
+  void setKnownAsOf(std::optional<TimePoint> Value) { this->KnownAsOf = Value; }
   /// Called when the entry shuts down: from now on, new requests get status 503, which tells the
   /// caller that they did not run.
   void rejectNewRequests() { this->RejectsNewRequests = true; }
@@ -126,6 +129,7 @@
   std::optional<Configuration> CurrentConfiguration;
   std::optional<RouteTable> Routes;
   std::optional<CustomerTable> Customers;
+  std::optional<TimePoint> KnownAsOf;
   RequestNumber LastNumber = 0;
   /// Routes of the current configuration of which a response was too large to be buffered.
   std::set<RouteName> StreamedRoutes;
--- a/src/libs/transport/RequestLogFields.cpp
+++ b/src/libs/transport/RequestLogFields.cpp
@@ -22,6 +22,10 @@
   return Text.data();
 }
 
+std::string formatStaleness(std::optional<TimePoint> KnownAsOf, TimePoint Now) {
+  return KnownAsOf ? formatMilliseconds(Now - *KnownAsOf) : "unknown";
+}
+
 std::string formatSeconds(Duration Value) {
   return formatDecimal(std::chrono::duration<double>(Value).count());
 }
--- a/src/libs/transport/RequestLogFields.h
+++ b/src/libs/transport/RequestLogFields.h
@@ -6,6 +6,7 @@
 #include "state/Time.h"
 #include "transport/EventLog.h"
 
+#include <optional>
 #include <string>
 
 namespace anvilsaddle {
@@ -19,6 +20,8 @@
 std::string formatDecimal(double Value);
 std::string formatSeconds(Duration Value);
 std::string formatMilliseconds(Duration Value);
+/// Milliseconds since the time up to which the publications are known; `unknown` without one.
+std::string formatStaleness(std::optional<TimePoint> KnownAsOf, TimePoint Now);
 
 /// Adds the customer unless the request belongs to none.
 LogFields withCustomer(LogFields Fields, const CustomerName &Customer);
--- a/tests/auto/libs/coordination/tst_publicationdistributor.cpp
+++ b/tests/auto/libs/coordination/tst_publicationdistributor.cpp
@@ -100,7 +100,7 @@
     } else if (Each.IsReading) {
       this->ReadCount += Each.Revision < this->SourceRevision ? 1 : 0;
       Each.Revision = this->SourceRevision;
-      Each.Distributor->onSourceResponse({0, Each.Revision}, this->Now);
+      Each.Distributor->onSourceResponse({0, Each.Revision}, this->Now, this->Now);
     }
     for (const DistributionEffect &Effect : Each.Distributor->takeEffects()) {
       this->applyEffect(Address, Each, Effect);
@@ -143,6 +143,7 @@
   CPPUNIT_TEST(simultaneousStartReadsImmediately);
   CPPUNIT_TEST(surplusReadersStopAfterStart);
   CPPUNIT_TEST(fetchesWithoutProgressAreDelayed);
+  CPPUNIT_TEST(stalenessFollowsConfirmations);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -239,7 +240,7 @@
     for (const Case &Each : Table) {
       PublicationDistributor Reader(Region::address(0), FleetTopology, TimePoint(10s));
       Reader.onTick(TimePoint(10s));
-      Reader.onSourceResponse(Each.Known, TimePoint(10s));
+      Reader.onSourceResponse(Each.Known, TimePoint(10s), TimePoint(10s));
       Reader.takeEffects();
       Reader.onNotice(Region::address(1), {Each.Noticed}, TimePoint(10s));
       const std::vector<DistributionEffect> Effects = Reader.takeEffects();
@@ -296,6 +297,35 @@
     }
     CPPUNIT_ASSERT(FetchCount > 1 && FetchCount <= 6);
   }
+
+  /// Guards against an entry that takes itself for up to date although it has not fetched yet what
+  /// another entry announced, or although the announced position was confirmed long ago.
+  void stalenessFollowsConfirmations() {
+    struct Case {
+      const char *Name;
+      SourcePosition Known;
+      RevisionNotice Notice;
+      std::optional<TimePoint> BeforeFetch;
+      std::optional<TimePoint> AfterFetch;
+    };
+    const TimePoint Now{10s};
+    const Case Table[] = {
+        {"same position", {0, 48}, {{0, 48}, 200ms}, Now - 200ms, Now - 200ms},
+        {"older position", {0, 48}, {{0, 40}, 200ms}, Now - 200ms, Now - 200ms},
+        {"newer position", {0, 48}, {{0, 50}, 200ms}, std::nullopt, Now - 200ms},
+        {"position beyond the fetched one", {0, 48}, {{0, 60}, 200ms}, std::nullopt, std::nullopt},
+        {"newer epoch", {1, 48}, {{2, 10}, 0ms}, std::nullopt, std::nullopt},
+        {"never confirmed", {0, 48}, {{0, 48}, std::nullopt}, std::nullopt, std::nullopt},
+    };
+    for (const Case &Each : Table) {
+      PublicationDistributor Follower(Region::address(0), {}, Now);
+      Follower.onFetched(Each.Known, Now);
+      Follower.onNotice(Region::address(1), Each.Notice, Now);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Each.BeforeFetch == Follower.knownAsOf());
+      Follower.onFetched({Each.Known.Epoch, 50}, Now);
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, Each.AfterFetch == Follower.knownAsOf());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PublicationDistributorTest);
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -64,7 +64,7 @@
     Decisions.RejectionsWithRoom = 27;
     Decisions.RejectionsWhenFull = 28;
     Counters.setDispatchCounters(Decisions);
-    Counters.setGauges({1, 2, 3, 4, 5, 6, 13, 14, {3, 41}});
+    Counters.setGauges({1, 2, 3, 4, 5, 6, 13, 14, {3, 41}, 1500ms});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
     const char *const Table[] = {
@@ -102,6 +102,7 @@
         "anvilsaddle_configuration_version 6\n",
         "anvilsaddle_store_epoch 3\n",
         "anvilsaddle_store_revision 41\n",
+        "anvilsaddle_publication_staleness_seconds 1.5\n",
         "anvilsaddle_limited_targets 13\n",
         "anvilsaddle_leaving_targets 14\n",
         "anvilsaddle_publications_served_total{content=\"snapshot\"} 7\n",
--- a/tests/auto/libs/protocol/tst_peercodec.cpp
+++ b/tests/auto/libs/protocol/tst_peercodec.cpp
@@ -3,10 +3,12 @@
 #include "protocol/PeerCodec.h"
 
 using namespace anvilsaddle;
+using namespace std::chrono_literals;
 
 class PeerCodecTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerCodecTest);
   CPPUNIT_TEST(roundTrip);
+  CPPUNIT_TEST(noticeRoundTrip);
   CPPUNIT_TEST(longListsAreSplit);
   CPPUNIT_TEST(recordsAreCompact);
   CPPUNIT_TEST(quotaRoundTrip);
@@ -27,6 +29,29 @@
     });
   }
 
+  /// Guards against a staleness that is lost, or taken for zero if the sender states none.
+  void noticeRoundTrip() {
+    struct Case {
+      const char *Name;
+      std::optional<Duration> Sent;
+      std::optional<Duration> Received;
+    };
+    const Case Table[] = {
+        {"unknown", std::nullopt, std::nullopt},
+        {"none", 0ms, 0ms},
+        {"milliseconds", 1234ms, 1234ms},
+        {"more than the field holds", 10'000h, 2'147'483'647ms},
+        {"in the future", -5ms, 0ms},
+    };
+    for (const Case &Each : Table) {
+      const auto Payloads = PeerCodec().encode(RevisionNotice{{2, 40}, Each.Sent});
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Payloads.size());
+      const auto Decoded = std::get<PeerMessage>(PeerCodec().decode(Payloads.front()));
+      CPPUNIT_ASSERT_MESSAGE(Each.Name,
+                             Decoded == PeerMessage(RevisionNotice{{2, 40}, Each.Received}));
+    }
+  }
+
   /// Guards against datagrams beyond the limit, and against members or sums that are lost or
   /// repeated between the payloads.
   void longListsAreSplit() {
--- a/tests/auto/libs/protocol/tst_publicationspread.cpp
+++ b/tests/auto/libs/protocol/tst_publicationspread.cpp
@@ -215,7 +215,7 @@
       this->apply(Reader, Batch);
       Reader.NextRead = this->Now + WatchBatchDelay;
     }
-    Reader.Distributor->onSourceResponse(Reader.Log.position(), this->Now);
+    Reader.Distributor->onSourceResponse(Reader.Log.position(), this->Now, this->Now);
   }
 
   void applyEffects(std::size_t Index) {
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -78,7 +78,8 @@
 /// Records the notifications of the client as text.
 class RecordingListener final : public PublicationListener {
 public:
-  void onPublications(const PublicationBatch &Batch) override {
+  void onPublications(const PublicationBatch &Batch, std::optional<TimePoint> AsOf) override {
+    this->KnownAsOf = std::max(this->KnownAsOf, AsOf);
     this->Text += Batch.IsSnapshot ? "all" : "since " + std::to_string(Batch.Since);
     this->Text += " to " + text(Batch.position()) + ":" + std::to_string(Batch.Changes.size());
     for (const Publication &Each : Batch.Changes) {
@@ -88,7 +89,8 @@
     }
     this->Text += ";";
   }
-  void onSourceUpToDate(const SourcePosition &Position) override {
+  void onSourceUpToDate(const SourcePosition &Position, TimePoint AsOf) override {
+    this->KnownAsOf = AsOf;
     this->Text += "unchanged " + text(Position) + ";";
   }
   void onInvalidPublication(const Diagnostic &Error) override {
@@ -103,6 +105,7 @@
   std::string Text;
   /// The last one reported.
   Duration Outage{0};
+  std::optional<TimePoint> KnownAsOf;
 
 private:
   /// The epoch is left out if it is 0.
@@ -127,6 +130,7 @@
   CPPUNIT_TEST(unresponsiveStoreRecovers);
   CPPUNIT_TEST(silentWatchIsRestarted);
   CPPUNIT_TEST(outagesAreMeasuredFromTheLastResponse);
+  CPPUNIT_TEST(staleListingConfirmsNothing);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -422,6 +426,43 @@
     }
   }
 
+  /// Guards against an entry that takes itself for up to date after a read that may be stale.
+  void staleListingConfirmsNothing() {
+    const std::string Gone = response("", "410 Gone");
+    struct Case {
+      const char *Name;
+      std::vector<std::string> Script;
+      std::string Expected;
+      bool IsConfirmed;
+    };
+    const Case Table[] = {
+        {"stale listing", {range("", 7)}, "all to 7:0;", false},
+        {"watch without a change", {range("", 7), events("", 7)}, "all to 7:0;unchanged 7;", true},
+        {"watch with a change",
+         {range("", 7), events(item("op/evacuate/a"), 9)},
+         "all to 7:0;since 7 to 9:1;",
+         true},
+        {"listing after dropped history",
+         {range("", 7), Gone, range("", 20)},
+         "all to 7:0;all to 20:0;",
+         true},
+    };
+    for (const Case &Each : Table) {
+      const SystemClock Time;
+      SeededRandom Random(1);
+      RecordingListener Listener;
+      FakeStore Store(Each.Script);
+      StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
+      const TimePoint Start = Time.now();
+      Client.activate(Listener, {});
+      runUntil([&] { return Listener.Text.size() >= Each.Expected.size(); });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Listener.Text);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsConfirmed, Listener.KnownAsOf.has_value());
+      CPPUNIT_ASSERT_MESSAGE(Each.Name, !Each.IsConfirmed || (*Listener.KnownAsOf >= Start &&
+                                                              *Listener.KnownAsOf <= Time.now()));
+    }
+  }
+
   /// Guards against a client that takes an unresponsive store for available because a watch is
   /// silent while nothing changes. Its region used an old configuration for three seconds (found by
   /// cocomisur-gw scale-2, seed 542791531110).
