--- a/tests/auto/libs/coordination/tst_publicationdistributor.cpp
+++ b/tests/auto/libs/coordination/tst_publicationdistributor.cpp
@@ -1,138 +1,13 @@
 #include "Property.h"
-#include "coordination/publications/PublicationDistributor.h"
+#include "PublicationRegion.h"
 
-#include <functional>
-#include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace anvilsaddle;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// Entries of one region with two failure domains, and a source whose revision increases.
-class Region {
-public:
-  explicit Region(std::size_t Count) {
-    for (std::size_t Index = 0; Index < Count; ++Index) {
-      this->start(Index);
-    }
-  }
-
-  static std::string address(std::size_t Index) { return "10.0.0." + std::to_string(Index + 1); }
-
-  void start(std::size_t Index) {
-    Topology FleetTopology;
-    FleetTopology.RegionByDomain = {{FailureDomainName("a1"), RegionName("a")},
-                                    {FailureDomainName("a2"), RegionName("a")}};
-    FleetTopology.OwnDomain = FailureDomainName(Index % 2 == 0 ? "a1" : "a2");
-    FleetTopology.OwnRegion = RegionName("a");
-    Entry Added;
-    Added.Domain = FleetTopology.OwnDomain;
-    Added.Distributor =
-        std::make_unique<PublicationDistributor>(address(Index), FleetTopology, this->Now);
-    this->Entries[address(Index)] = std::move(Added);
-    this->updateEntries();
-  }
-
-  void kill(const std::string &Address) {
-    this->Entries.erase(Address);
-    // Membership takes seconds to detect the failure. The distribution must not depend on it.
-  }
-
-  void updateEntries() {
-    std::vector<EntryRecord> Live;
-    for (const auto &[Address, Each] : this->Entries) {
-      Live.push_back({Address, Each.Domain, 1, 1, EntryState::Ready});
-    }
-    for (auto &[Address, Each] : this->Entries) {
-      Each.Distributor->setEntries(Live);
-    }
-  }
-
-  void run(Duration Time) {
-    for (const TimePoint End = this->Now + Time; this->Now < End; this->Now += 50ms) {
-      for (auto &[Address, Each] : this->Entries) {
-        this->step(Address, Each);
-      }
-    }
-  }
-
-  std::set<std::string> readers() const {
-    std::set<std::string> Result;
-    for (const auto &[Address, Each] : this->Entries) {
-      if (Each.IsReading) {
-        Result.insert(Address);
-      }
-    }
-    return Result;
-  }
-
-  bool allHaveRevision(std::int64_t Revision) const {
-    for (const auto &[Address, Each] : this->Entries) {
-      if (Each.Revision < Revision) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  TimePoint Now{10s};
-  std::int64_t SourceRevision = 1;
-  /// True if the source responds to an entry.
-  std::function<bool(const std::string &)> IsSourceAvailable = [](const std::string &) {
-    return true;
-  };
-  std::size_t ReadCount = 0;
-
-private:
-  struct Entry {
-    FailureDomainName Domain;
-    std::unique_ptr<PublicationDistributor> Distributor;
-    std::int64_t Revision = 0;
-    bool IsReading = false;
-  };
-
-  void step(const std::string &Address, Entry &Each) {
-    Each.Distributor->onTick(this->Now);
-    if (Each.IsReading && !this->IsSourceAvailable(Address)) {
-      Each.Distributor->onSourceUnavailable();
-    } else if (Each.IsReading) {
-      this->ReadCount += Each.Revision < this->SourceRevision ? 1 : 0;
-      Each.Revision = this->SourceRevision;
-      Each.Distributor->onSourceResponse({0, Each.Revision}, this->Now, this->Now);
-    }
-    for (const DistributionEffect &Effect : Each.Distributor->takeEffects()) {
-      this->applyEffect(Address, Each, Effect);
-    }
-  }
-
-  void applyEffect(const std::string &Address, Entry &Each, const DistributionEffect &Effect) {
-    if (const auto *Reading = std::get_if<SetSourceReading>(&Effect)) {
-      Each.IsReading = Reading->IsEnabled;
-    } else if (const auto *Send = std::get_if<SendNotice>(&Effect)) {
-      for (const std::string &Receiver : Send->Receivers) {
-        const auto To = this->Entries.find(Receiver);
-        if (To != this->Entries.end()) {
-          To->second.Distributor->onNotice(Address, Send->Notice, this->Now);
-        }
-      }
-    } else {
-      const auto From = this->Entries.find(std::get<FetchPublications>(Effect).Entry);
-      if (From == this->Entries.end()) {
-        Each.Distributor->onFetchFailed(this->Now);
-        return;
-      }
-      Each.Revision = std::max(Each.Revision, From->second.Revision);
-      Each.Distributor->onFetched({0, Each.Revision}, this->Now);
-    }
-  }
-
-  std::map<std::string, Entry> Entries;
-};
-
-} // namespace
-
 class PublicationDistributorTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublicationDistributorTest);
   CPPUNIT_TEST(oneReaderPerDomain);
@@ -150,7 +25,7 @@
   /// Guards against requests to the source that grow with the number of entries.
   void oneReaderPerDomain() {
     for (const std::size_t Count : {1, 2, 7, 46}) {
-      Region TestRegion(Count);
+      PublicationRegion TestRegion(Count);
       TestRegion.run(10s);
       CPPUNIT_ASSERT_EQUAL(std::min<std::size_t>(2, Count), TestRegion.readers().size());
       TestRegion.ReadCount = 0;
@@ -166,7 +41,7 @@
   /// Guards against entries that use an outdated configuration because their readers died. A change
   /// must take effect everywhere within 2.5 s.
   void deadReadersAreReplaced() {
-    Region TestRegion(18);
+    PublicationRegion TestRegion(18);
     TestRegion.run(10s);
     for (const std::string &Reader : TestRegion.readers()) {
       TestRegion.kill(Reader);
@@ -184,7 +59,7 @@
 
   /// Guards against a region that stays outdated because the source rejects its readers.
   void rejectedReadersAreReplaced() {
-    Region TestRegion(18);
+    PublicationRegion TestRegion(18);
     TestRegion.run(10s);
     const std::set<std::string> Rejected = TestRegion.readers();
     TestRegion.IsSourceAvailable = [&Rejected](const std::string &Address) {
@@ -202,7 +77,7 @@
   /// Guards against a fleet in which every entry waits for publications from others after all
   /// entries were lost. Callers are refused until the publications arrive.
   void simultaneousStartReadsImmediately() {
-    Region TestRegion(18);
+    PublicationRegion TestRegion(18);
     TestRegion.run(100ms);
     CPPUNIT_ASSERT(TestRegion.allHaveRevision(TestRegion.SourceRevision));
   }
@@ -210,7 +85,7 @@
   /// Guards against entries that all continue to read the source after starting together.
   void surplusReadersStopAfterStart() {
     for (const std::size_t Count : {7, 46}) {
-      Region TestRegion(Count);
+      PublicationRegion TestRegion(Count);
       TestRegion.run(1500ms);
       CPPUNIT_ASSERT_EQUAL(std::size_t{2}, TestRegion.readers().size());
       TestRegion.start(Count);
@@ -238,18 +113,18 @@
         {"same epoch: the source sends the same changes", {2, 40}, {2, 50}, false},
     };
     for (const Case &Each : Table) {
-      PublicationDistributor Reader(Region::address(0), FleetTopology, TimePoint(10s));
+      PublicationDistributor Reader(PublicationRegion::address(0), FleetTopology, TimePoint(10s));
       Reader.onTick(TimePoint(10s));
       Reader.onSourceResponse(Each.Known, TimePoint(10s), TimePoint(10s));
       Reader.takeEffects();
-      Reader.onNotice(Region::address(1), {Each.Noticed}, TimePoint(10s));
+      Reader.onNotice(PublicationRegion::address(1), {Each.Noticed}, TimePoint(10s));
       const std::vector<DistributionEffect> Effects = Reader.takeEffects();
-      const bool IsFetching =
-          Effects == std::vector<DistributionEffect>{FetchPublications{Region::address(1)}};
+      const bool IsFetching = Effects == std::vector<DistributionEffect>{
+                                             FetchPublications{PublicationRegion::address(1)}};
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsFetching, IsFetching);
       Reader.onFetchFailed(TimePoint(10s));
       Reader.onSourceUnavailable();
-      Reader.onNotice(Region::address(1), {Each.Noticed}, TimePoint(11s));
+      Reader.onNotice(PublicationRegion::address(1), {Each.Noticed}, TimePoint(11s));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Noticed > Each.Known,
                                    !Reader.takeEffects().empty());
     }
@@ -257,7 +132,7 @@
 
   /// Guards against a fleet that does not recover from an outage of the source.
   void outageRecovery() {
-    Region TestRegion(18);
+    PublicationRegion TestRegion(18);
     TestRegion.run(10s);
     TestRegion.IsSourceAvailable = [](const std::string &) { return false; };
     TestRegion.run(20s);
@@ -318,9 +193,9 @@
         {"never confirmed", {0, 48}, {{0, 48}, std::nullopt}, std::nullopt, std::nullopt},
     };
     for (const Case &Each : Table) {
-      PublicationDistributor Follower(Region::address(0), {}, Now);
+      PublicationDistributor Follower(PublicationRegion::address(0), {}, Now);
       Follower.onFetched(Each.Known, Now);
-      Follower.onNotice(Region::address(1), Each.Notice, Now);
+      Follower.onNotice(PublicationRegion::address(1), Each.Notice, Now);
       CPPUNIT_ASSERT_MESSAGE(Each.Name, Each.BeforeFetch == Follower.knownAsOf());
       Follower.onFetched({Each.Known.Epoch, 50}, Now);
       CPPUNIT_ASSERT_MESSAGE(Each.Name, Each.AfterFetch == Follower.knownAsOf());
