Reproduce late configurations behind silent watches and stale readers (failing)

A reader of the store took itself for up to date as long as a stale read succeeded, and all others of its region as long as it sent notices. tst_silentwatch: of four rows three fail (one silent watch while stale reads are old; all watches silent, stale reads current or old); the change never arrives within 10 s.

--- a/tests/auto/libs/coordination/PublicationRegion.h
+++ b/tests/auto/libs/coordination/PublicationRegion.h
@@ -91,6 +91,13 @@
   std::function<bool(const std::string &)> IsSourceAvailable = [](const std::string &) {
     return true;
   };
+  /// True if an entry that reads the source gets its current revision. Otherwise the source
+  /// responds with what the entry knows already, as a stale read does.
+  std::function<bool(const std::string &)> IsSourceCurrent = [](const std::string &) {
+    return true;
+  };
+  /// True if an entry responds to others that fetch from it.
+  std::function<bool(const std::string &)> ServesFetches = [](const std::string &) { return true; };
   std::size_t ReadCount = 0;
 
 private:
@@ -105,6 +112,8 @@
     Each.Distributor->onTick(this->Now);
     if (Each.IsReading && !this->IsSourceAvailable(Address)) {
       Each.Distributor->onSourceUnavailable();
+    } else if (Each.IsReading && !this->IsSourceCurrent(Address)) {
+      Each.Distributor->onSourceResponse({0, Each.Revision}, std::nullopt, this->Now);
     } else if (Each.IsReading) {
       this->ReadCount += Each.Revision < this->SourceRevision ? 1 : 0;
       Each.Revision = this->SourceRevision;
@@ -127,7 +136,7 @@
       }
     } else {
       const auto From = this->Entries.find(std::get<FetchPublications>(Effect).Entry);
-      if (From == this->Entries.end()) {
+      if (From == this->Entries.end() || !this->ServesFetches(From->first)) {
         Each.Distributor->onFetchFailed(this->Now);
         return;
       }
