--- a/src/libs/transport/HttpFetch.h
+++ b/src/libs/transport/HttpFetch.h
@@ -38,6 +38,9 @@
              Duration MaxIdle = Duration::max());
   /// Cancels a running fetch without calling the callback.
   void cancel();
+  bool isRunning() const { return this->Call != nullptr; }
+  /// True while a response is being received.
+  bool isReceiving() const { return this->Call && this->Partial.Status != 0; }
 
   void onResponseHead(const ResponseHead &Head) override;
   void onResponseBody(std::string Bytes, bool IsEnd) override;
--- a/tests/auto/platform/FakeStore.h
+++ b/tests/auto/platform/FakeStore.h
@@ -43,7 +43,7 @@
       : Script(std::move(Script)), Server([this](RawConnection &Caller, int) {
           const std::string Request = this->Server.Requests.back();
           if (Request.find("pathPrefix=op/evacuate/") != std::string::npos) {
-            // Stale reads, which check whether the store is reachable.
+            // Checks whether the store is reachable and ahead.
             ++this->CheckCount;
             Caller.send(this->CheckResponse);
             return;
@@ -66,7 +66,7 @@
   }
 
   std::vector<std::string> Script;
-  /// Heads of all requests except the stale reads.
+  /// Heads of all requests except the checks.
   std::vector<std::string> ReceivedRequests;
   std::string CheckResponse = response("", "404 Not Found");
   int CheckCount = 0;
