Read the source where the knowledge of its readers is too old

One process's word held a change back for all. Class: liveness of a process taken for freshness of what it passes on. An entry whose own knowledge, by its own clock, is older than 1.7 s now reads the source itself, and goes on as long as it is stale; notices of stale readers count neither as readers nor as precedence; a stale reader fetches from others.

--- a/src/libs/coordination/publications/PublicationDistributor.cpp
+++ b/src/libs/coordination/publications/PublicationDistributor.cpp
@@ -45,6 +45,10 @@
   });
 }
 
+bool PublicationDistributor::isStale(TimePoint Now) const {
+  return !this->KnownAsOf || Now - *this->KnownAsOf >= MaxStaleness;
+}
+
 void PublicationDistributor::confirm(const Confirmation &Added) {
   this->PendingConfirmations.push_back(Added);
   if (this->PendingConfirmations.size() > MaxPendingConfirmations) {
@@ -97,11 +101,14 @@
 
 void PublicationDistributor::onNotice(const std::string &Sender, const RevisionNotice &Notice,
                                       TimePoint Now) {
-  this->LastNoticeReceived = Now;
   if (Notice.Staleness) {
     this->confirm({Notice.Position, Now - *Notice.Staleness});
   }
-  if (this->hasPrecedence(Sender)) {
+  const bool IsSenderStale = Notice.Staleness.value_or(MaxStaleness) >= MaxStaleness;
+  if (!IsSenderStale) {
+    this->LastNoticeReceived = Now;
+  }
+  if (!IsSenderStale && this->hasPrecedence(Sender)) {
     this->LastPrecedingNotice = Now;
   }
   if (Notice.Position > std::max(this->Position, this->AheadPosition) || !this->IsFetching) {
@@ -112,9 +119,9 @@
 }
 
 void PublicationDistributor::fetchIfBehind(TimePoint Now) {
-  // A reader receives the same changes from the source, unless it has not reached the source since
-  // the source entered a newer epoch.
-  const bool IsReadingEpoch = this->IsReading && this->IsSourceAvailable &&
+  // A reader receives the same changes from the source, unless it is stale or has not reached the
+  // source since the source entered a newer epoch.
+  const bool IsReadingEpoch = this->IsReading && this->IsSourceAvailable && !this->isStale(Now) &&
                               this->AheadPosition.Epoch <= this->Position.Epoch;
   if (this->IsFetching || IsReadingEpoch || this->AheadPosition <= this->Position ||
       Now < this->NextFetchTime) {
@@ -151,12 +158,12 @@
       !IsDiscovering && this->isDesignatedReader(this->Self, this->FleetTopology.OwnDomain);
   // If several entries replaced a reader, only the one with precedence over the others continues.
   const bool HasPrecedingReader = Now - this->LastPrecedingNotice < NoticeTimeout;
-  if ((IsNoticeOverdue || IsDesignated) && !this->IsReading) {
+  if ((IsNoticeOverdue || IsDesignated || this->isStale(Now)) && !this->IsReading) {
     this->IsReading = true;
     this->ReadingSince = Now;
     this->IsSourceAvailable = false;
     this->Effects.emplace_back(SetSourceReading{true});
-  } else if (this->IsReading && !IsDesignated && HasPrecedingReader &&
+  } else if (this->IsReading && !IsDesignated && HasPrecedingReader && !this->isStale(Now) &&
              Now - this->ReadingSince >=
                  (this->IsInitialReading ? DiscoveryTime : MinReadingTime)) {
     this->IsReading = false;
--- a/src/libs/coordination/publications/PublicationDistributor.h
+++ b/src/libs/coordination/publications/PublicationDistributor.h
@@ -60,6 +60,10 @@
 /// replaced without consensus. Each region reads separately, because traffic between regions is
 /// charged by volume.
 ///
+/// Notices alone prove nothing: each names the time for which its sender knows its position to be
+/// the current one, and an entry whose own knowledge is older than MaxStaleness reads the source
+/// itself, whatever others announce.
+///
 /// Performs no I/O and reads no clock; times must not decrease. Not thread-safe.
 class PublicationDistributor {
 public:
@@ -68,6 +72,10 @@
   /// An entry that has received no notice for this time reads the source itself. A new
   /// configuration must take effect everywhere within 2.5 s, even if readers die.
   static constexpr Duration NoticeTimeout = std::chrono::milliseconds(900);
+  /// An entry that has not known for this time that it has everything reads the source itself. The
+  /// bound of 2.5 s leaves the rest for two requests to the source. Longer than the interval and
+  /// the duration of a check of the source and two notice intervals together.
+  static constexpr Duration MaxStaleness = std::chrono::milliseconds(1700);
 
   PublicationDistributor(std::string Self, Topology FleetTopology, TimePoint Now);
 
@@ -101,6 +109,7 @@
   /// Confirmations are kept until this entry has fetched the publications up to their position.
   static constexpr std::size_t MaxPendingConfirmations = 32;
 
+  bool isStale(TimePoint Now) const;
   void confirm(const Confirmation &Added);
   /// Takes over the confirmations of positions that this entry has reached.
   void applyConfirmations();
@@ -124,8 +133,9 @@
   TimePoint LastNoticeSent{};
   std::optional<TimePoint> KnownAsOf;
   std::deque<Confirmation> PendingConfirmations;
+  /// Time of the last notice whose sender was not stale.
   std::optional<TimePoint> LastNoticeReceived;
-  /// Time of the last notice of an entry that has precedence over this one.
+  /// The same for entries that have precedence over this one.
   TimePoint LastPrecedingNotice{};
   /// Entry with a newer position than this one, and that position.
   std::string AheadEntry;
