Reject forwarded requests without a route as not executed

It answers 503 now, as where the services differ, so that the first entry goes on elsewhere. Both new rows of forwardedRequestsKeepTheirService failed before (404).

--- a/src/libs/transport/ProxyHandler.cpp
+++ b/src/libs/transport/ProxyHandler.cpp
@@ -71,9 +71,14 @@
   return MatchedRoute.Services.back().Service;
 }
 
-bool hasService(const Route &MatchedRoute, const ServiceName &Service) {
-  return std::any_of(MatchedRoute.Services.begin(), MatchedRoute.Services.end(),
-                     [&Service](const WeightedService &Each) { return Each.Service == Service; });
+/// True if this entry routes a forwarded request to the service that the first entry chose.
+/// `MatchedRoute` is null if no route matches here; the service is empty if an entry of an earlier
+/// version forwards the request.
+bool isRoutedAlike(const Route *MatchedRoute, const ServiceName &Service) {
+  return MatchedRoute &&
+         (Service.empty() ||
+          std::any_of(MatchedRoute->Services.begin(), MatchedRoute->Services.end(),
+                      [&Service](const WeightedService &Each) { return Each.Service == Service; }));
 }
 
 std::string joinNames(const std::set<RegionName> &Names) {
@@ -208,11 +213,11 @@
     Exchange.respond(std::move(Rejection.Head), Rejection.Text);
     return;
   }
-  if (!MatchedRoute) {
+  if (!MatchedRoute && !Forward) {
     this->rejectUnrouted(Exchange, Metadata.RequestId);
     return;
   }
-  if (Forward && !Forward->Service.empty() && !hasService(*MatchedRoute, Forward->Service)) {
+  if (Forward && !isRoutedAlike(MatchedRoute, Forward->Service)) {
     this->rejectRoutedDifferently(Exchange, Metadata.RequestId, Forward->Service);
     return;
   }
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -829,11 +829,12 @@
   }
 
   /// Guards against requests that run by a configuration which the entry of the caller doesn't
-  /// have.
+  /// have, and against requests for routes which only that entry has that count as executed.
   void forwardedRequestsKeepTheirService() {
     struct Case {
       const char *ServiceHeader;
       std::vector<WeightedService> Services;
+      const char *Path;
       std::string Expected;
       int OldRequests;
       int NewRequests;
@@ -843,11 +844,13 @@
     const WeightedService Old{ServiceName("old"), 1};
     const WeightedService New{ServiceName("new"), 1'000'000};
     const Case Table[] = {
-        {"Anvilsaddle-Forwarded-Service: new\r\n", {New}, Ok, 0, 1},
-        {"Anvilsaddle-Forwarded-Service: old\r\n", {New, Old}, Ok, 1, 0},
-        {"Anvilsaddle-Forwarded-Service: old\r\n", {New}, NotExecuted, 0, 0},
-        {"Anvilsaddle-Forwarded-Service: new\r\n", {Old}, NotExecuted, 0, 0},
-        {"", {New}, Ok, 0, 1},
+        {"Anvilsaddle-Forwarded-Service: new\r\n", {New}, "/safe/", Ok, 0, 1},
+        {"Anvilsaddle-Forwarded-Service: old\r\n", {New, Old}, "/safe/", Ok, 1, 0},
+        {"Anvilsaddle-Forwarded-Service: old\r\n", {New}, "/safe/", NotExecuted, 0, 0},
+        {"Anvilsaddle-Forwarded-Service: new\r\n", {Old}, "/safe/", NotExecuted, 0, 0},
+        {"", {New}, "/safe/", Ok, 0, 1},
+        {"Anvilsaddle-Forwarded-Service: new\r\n", {New}, "/added/", NotExecuted, 0, 0},
+        {"", {New}, "/added/", NotExecuted, 0, 0},
     };
     for (const Case &Each : Table) {
       FakeTarget OldTarget(makeResponse("200 OK", "Id: 7\r\nSigned: s\r\n", "x"));
@@ -860,7 +863,7 @@
       HttpServer ForwardServer(Handler, Entry.Time, 10);
       CPPUNIT_ASSERT_EQUAL(std::string(), ForwardServer.listen({"127.0.0.1", 0}));
       const auto OtherEntry = RawConnection::connect(ForwardServer.port());
-      std::string Text = makeRequest("GET", "/safe/");
+      std::string Text = makeRequest("GET", Each.Path);
       Text.insert(Text.find("Id: 7"),
                   std::string("Anvilsaddle-Forwarded: 1 0 30\r\n") + Each.ServiceHeader);
       OtherEntry->send(Text);
