Reproduce entries that start and stop reading all the time (failing)

The age of what a follower knows reaches twice the response time plus the interval of the checks plus a notice interval, 1.8 s at a slow store, and MaxStaleness is 1.7 s. And a reader that is stale itself announces what it has from the notices of others, so that these stop. The region of entries can now delay responses and lose notices; without either, it does as before.

--- a/tests/auto/libs/coordination/PublicationRegion.h
+++ b/tests/auto/libs/coordination/PublicationRegion.h
@@ -98,7 +98,15 @@
   };
   /// True if an entry responds to others that fetch from it.
   std::function<bool(const std::string &)> ServesFetches = [](const std::string &) { return true; };
+  /// True if a notice is lost on its way to an entry.
+  std::function<bool(const std::string &)> IsNoticeLost = [](const std::string &) { return false; };
+  /// Time that the source takes to respond, and time from a response to the next request of the
+  /// same entry. Without an interval, the source responds in each step.
+  Duration ResponseTime{0};
+  Duration RequestInterval{0};
   std::size_t ReadCount = 0;
+  /// Number of times that an entry started to read the source.
+  std::size_t StartCount = 0;
 
 private:
   struct Entry {
@@ -106,18 +114,23 @@
     std::unique_ptr<PublicationDistributor> Distributor;
     std::int64_t Revision = 0;
     bool IsReading = false;
+    TimePoint RequestTime{};
   };
 
+  /// True if the response to the last request has arrived.
+  bool hasResponse(Entry &Each) const { return this->Now >= Each.RequestTime + this->ResponseTime; }
+
   void step(const std::string &Address, Entry &Each) {
     Each.Distributor->onTick(this->Now);
     if (Each.IsReading && !this->IsSourceAvailable(Address)) {
       Each.Distributor->onSourceUnavailable();
     } else if (Each.IsReading && !this->IsSourceCurrent(Address)) {
       Each.Distributor->onSourceResponse({0, Each.Revision}, std::nullopt, this->Now);
-    } else if (Each.IsReading) {
+    } else if (Each.IsReading && this->hasResponse(Each)) {
       this->ReadCount += Each.Revision < this->SourceRevision ? 1 : 0;
       Each.Revision = this->SourceRevision;
-      Each.Distributor->onSourceResponse({0, Each.Revision}, this->Now, this->Now);
+      Each.Distributor->onSourceResponse({0, Each.Revision}, Each.RequestTime, this->Now);
+      Each.RequestTime = this->Now + this->RequestInterval;
     }
     for (const DistributionEffect &Effect : Each.Distributor->takeEffects()) {
       this->applyEffect(Address, Each, Effect);
@@ -127,10 +140,12 @@
   void applyEffect(const std::string &Address, Entry &Each, const DistributionEffect &Effect) {
     if (const auto *Reading = std::get_if<SetSourceReading>(&Effect)) {
       Each.IsReading = Reading->IsEnabled;
+      Each.RequestTime = this->Now;
+      this->StartCount += Reading->IsEnabled ? 1 : 0;
     } else if (const auto *Send = std::get_if<SendNotice>(&Effect)) {
       for (const std::string &Receiver : Send->Receivers) {
         const auto To = this->Entries.find(Receiver);
-        if (To != this->Entries.end()) {
+        if (To != this->Entries.end() && !this->IsNoticeLost(Receiver)) {
           To->second.Distributor->onNotice(Address, Send->Notice, this->Now);
         }
       }
