--- a/src/libs/transport/HttpFetch.h
+++ b/src/libs/transport/HttpFetch.h
@@ -6,6 +6,7 @@
 #include "transport/HttpCall.h"
 #include "transport/ScheduledCall.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -39,8 +40,8 @@
   /// Cancels a running fetch without calling the callback.
   void cancel();
   bool isRunning() const { return this->Call != nullptr; }
-  /// True while a response is being received.
-  bool isReceiving() const { return this->Call && this->Partial.Status != 0; }
+  /// Bytes of the body received so far; 0 if no fetch is running.
+  std::size_t receivedBytes() const { return this->Call ? this->Partial.Body.size() : 0; }
 
   void onResponseHead(const ResponseHead &Head) override;
   void onResponseBody(std::string Bytes, bool IsEnd) override;
