Let notices tell only what their sender has read itself

The other row of tst_readerchanges, 20 starts beside a source that takes 270 ms, passes since checks are sent at regular times (its stand-in now sends them as StoreClient does).

--- a/src/libs/coordination/publications/PublicationDistributor.cpp
+++ b/src/libs/coordination/publications/PublicationDistributor.cpp
@@ -74,6 +74,7 @@
   this->Position = std::max(this->Position, Known);
   this->applyConfirmations();
   if (AsOf) {
+    this->ReadAsOf = std::max(this->ReadAsOf, AsOf);
     this->confirm({Known, *AsOf});
   }
   if (this->IsReading && HasChanged) {
@@ -85,8 +86,8 @@
   this->LastNoticeSent = Now;
   SendNotice Result;
   Result.Notice.Position = this->Position;
-  if (this->KnownAsOf) {
-    Result.Notice.Staleness = Now - *this->KnownAsOf;
+  if (this->ReadAsOf) {
+    Result.Notice.Staleness = Now - *this->ReadAsOf;
   }
   for (const EntryRecord &Each : this->Entries) {
     if (Each.Address != this->Self &&
--- a/src/libs/coordination/publications/PublicationDistributor.h
+++ b/src/libs/coordination/publications/PublicationDistributor.h
@@ -20,8 +20,9 @@
 /// type.
 struct RevisionNotice {
   SourcePosition Position;
-  /// Time since the position was known to be the current one of the source; absent if it never was,
-  /// or if the sender is of an earlier version.
+  /// Time since the sender learned from the source that it had everything; absent if it never did,
+  /// or if it is of an earlier version. What it learned from other entries doesn't count, so that
+  /// readers that get no news from the source don't pass for working ones.
   std::optional<Duration> Staleness = std::nullopt;
 
   auto operator<=>(const RevisionNotice &) const = default;
@@ -73,8 +74,8 @@
   /// configuration must take effect everywhere within 2.5 s, even if readers die.
   static constexpr Duration NoticeTimeout = std::chrono::milliseconds(900);
   /// An entry that has not known for this time that it has everything reads the source itself. The
-  /// bound of 2.5 s leaves the rest for two requests to the source. Longer than the interval and
-  /// the duration of a check of the source and two notice intervals together.
+  /// bound of 2.5 s leaves the rest for two requests to the source. Longer than the interval of
+  /// checks of the source, the duration of one and a notice interval together.
   static constexpr Duration MaxStaleness = std::chrono::milliseconds(1700);
 
   PublicationDistributor(std::string Self, Topology FleetTopology, TimePoint Now);
@@ -132,6 +133,8 @@
   TimePoint ReadingSince{};
   TimePoint LastNoticeSent{};
   std::optional<TimePoint> KnownAsOf;
+  /// The same, by the responses of the source to this entry alone.
+  std::optional<TimePoint> ReadAsOf;
   std::deque<Confirmation> PendingConfirmations;
   /// Time of the last notice whose sender was not stale.
   std::optional<TimePoint> LastNoticeReceived;
--- a/tests/auto/libs/coordination/PublicationRegion.h
+++ b/tests/auto/libs/coordination/PublicationRegion.h
@@ -100,8 +100,8 @@
   std::function<bool(const std::string &)> ServesFetches = [](const std::string &) { return true; };
   /// True if a notice is lost on its way to an entry.
   std::function<bool(const std::string &)> IsNoticeLost = [](const std::string &) { return false; };
-  /// Time that the source takes to respond, and time from a response to the next request of the
-  /// same entry. Without an interval, the source responds in each step.
+  /// Time that the source takes to respond, and time from a request to the next one of the same
+  /// entry. Without an interval, the source responds in each step.
   Duration ResponseTime{0};
   Duration RequestInterval{0};
   std::size_t ReadCount = 0;
@@ -130,7 +130,7 @@
       this->ReadCount += Each.Revision < this->SourceRevision ? 1 : 0;
       Each.Revision = this->SourceRevision;
       Each.Distributor->onSourceResponse({0, Each.Revision}, Each.RequestTime, this->Now);
-      Each.RequestTime = this->Now + this->RequestInterval;
+      Each.RequestTime = std::max(this->Now, Each.RequestTime + this->RequestInterval);
     }
     for (const DistributionEffect &Effect : Each.Distributor->takeEffects()) {
       this->applyEffect(Address, Each, Effect);
--- a/tests/auto/libs/coordination/tst_readerchanges.cpp
+++ b/tests/auto/libs/coordination/tst_readerchanges.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t EntryCount = 18;
-/// Interval between a response to a check of the source and the next check.
+/// Interval between two checks of the source.
 constexpr Duration CheckInterval = 800ms;
 
 } // namespace
