--- a/src/libs/coordination/publications/PublicationSource.h
+++ b/src/libs/coordination/publications/PublicationSource.h
@@ -26,7 +26,7 @@
   /// The source does not respond. Everything published before remains in effect.
   virtual void onSourceUnavailable(const std::string &Reason) = 0;
   /// The source responds again. The changes made in the meantime follow. `Outage` is the time since
-  /// its last response, or the maximum if it had not responded since the activation.
+  /// its last response, or the maximum if none is known.
   virtual void onSourceRecovered(Duration Outage) = 0;
 };
 
@@ -36,9 +36,11 @@
   virtual ~PublicationSource() = default;
 
   /// Starts following the changes after a position. A snapshot of all publications comes first if
-  /// the position is not valid, and each time the source has entered a newer epoch. Precondition:
-  /// the listener outlives the source, and the source is not active.
-  virtual void activate(PublicationListener &Listener, const SourcePosition &Since) = 0;
+  /// the position is not valid, and each time the source has entered a newer epoch. `KnownAsOf` is
+  /// the last time at which the source is known to have responded to any entry; nothing if it is
+  /// not known. Precondition: the listener outlives the source, and the source is not active.
+  virtual void activate(PublicationListener &Listener, const SourcePosition &Since,
+                        std::optional<TimePoint> KnownAsOf) = 0;
   /// Stops. The listener is not called until the next activate().
   virtual void deactivate() = 0;
 };
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -350,7 +350,8 @@
                {{"epoch", std::to_string(this->Publications.position().Epoch)},
                 {"revision", std::to_string(this->Publications.position().Revision)}});
       if (Reading->IsEnabled) {
-        this->Deps.Source.activate(*this, this->Publications.position());
+        this->Deps.Source.activate(*this, this->Publications.position(),
+                                   this->Distributor.knownAsOf());
       } else {
         this->Deps.Source.deactivate();
       }
--- a/tests/auto/platform/tst_outageafteractivation.cpp
+++ b/tests/auto/platform/tst_outageafteractivation.cpp
@@ -35,11 +35,11 @@
       Store.CheckResponse = range("", 7);
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
       const TimePoint Start = Time.now();
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Listener.KnownAsOf.has_value(); }));
       Client.deactivate();
       Store.CheckResponse = Each.FailedCheck;
-      Client.activate(Listener, {0, 7});
+      Client.activate(Listener, {0, 7}, Listener.KnownAsOf);
       CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Listener.Text.ends_with("lost;"); }));
       Store.CheckResponse = range("", 7);
       CPPUNIT_ASSERT_MESSAGE(
--- a/tests/auto/platform/tst_repeatedlistings.cpp
+++ b/tests/auto/platform/tst_repeatedlistings.cpp
@@ -44,7 +44,7 @@
         Caller.send(range("", 7));
       });
       StoreClient Client({"127.0.0.1", Store.Port}, Time, Random);
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       runUntil([&] { return Checks == 2 || Listings > 2 * MaxListingsBetweenChecks; });
       CPPUNIT_ASSERT_MESSAGE(Each.Name, Checks == 2);
     }
--- a/tests/auto/platform/tst_silentwatch.cpp
+++ b/tests/auto/platform/tst_silentwatch.cpp
@@ -83,7 +83,7 @@
       RecordingListener Listener;
       SilentStore Store(Each.SilentWatches, Each.HasOldStaleReads);
       StoreClient Client({"127.0.0.1", Store.port()}, Time, Random);
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] { return Store.WatchCount == 1; }));
       Store.change();
       CPPUNIT_ASSERT_MESSAGE(
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -85,7 +85,7 @@
       RecordingListener Listener;
       FakeStore Store(Each.Script);
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       runUntil([&] { return Listener.Text.size() >= Each.Expected.size(); });
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Listener.Text);
     }
@@ -127,7 +127,7 @@
       RecordingListener Listener;
       FakeStore Store(Each.Script);
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       runUntil([&] { return Listener.Text.size() >= Each.Expected.size(); });
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Listener.Text);
     }
@@ -177,7 +177,7 @@
       RecordingListener Listener;
       FakeStore Store(Each.Script);
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       runUntil([&] { return Listener.Text.size() >= Each.Expected.size(); });
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Listener.Text);
     }
@@ -190,7 +190,7 @@
     RecordingListener Listener;
     FakeStore Store({inEpoch(1, range("", 7))});
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, {});
+    Client.activate(Listener, {}, std::nullopt);
     CPPUNIT_ASSERT(runUntil([&] { return Store.CheckCount == 1; }));
     CPPUNIT_ASSERT_EQUAL(std::string("all to 7@1:0;"), Listener.Text);
     const std::size_t Before = Store.ReceivedRequests.size();
@@ -210,7 +210,7 @@
     RecordingListener Listener;
     FakeStore Store({range(item("op/a b"), 7, true), range(item("op/c"), 8), events("", 9)});
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, {});
+    Client.activate(Listener, {}, std::nullopt);
     CPPUNIT_ASSERT(runUntil([&] { return Store.ReceivedRequests.size() == 4; }));
     CPPUNIT_ASSERT_EQUAL(std::string("GET /-/kv-range?pathPrefix=&allowStale=1"),
                          Store.requestLine(0));
@@ -230,7 +230,7 @@
     RecordingListener Listener;
     FakeStore Store({range("", 7), response("", "410 Gone"), range("", 20), events("", 20)});
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, {});
+    Client.activate(Listener, {}, std::nullopt);
     CPPUNIT_ASSERT(runUntil([&] { return Store.ReceivedRequests.size() >= 4; }));
     CPPUNIT_ASSERT_EQUAL(std::string("GET /-/kv-range?pathPrefix="), Store.requestLine(2));
   }
@@ -243,7 +243,7 @@
     RecordingListener Listener;
     FakeStore Store({events(item("op/evacuate/a"), 50)});
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, {0, 42});
+    Client.activate(Listener, {0, 42}, std::nullopt);
     CPPUNIT_ASSERT(runUntil([&] { return !Listener.Text.empty(); }));
     CPPUNIT_ASSERT_EQUAL(std::string("since 42 to 50:1;"), Listener.Text);
     Client.deactivate();
@@ -252,7 +252,7 @@
     const std::size_t Before = Store.ReceivedRequests.size();
     Store.Script.resize(Before, response("", "503 Busy"));
     Store.Script.push_back(events("", 60));
-    Client.activate(Listener, {0, 55});
+    Client.activate(Listener, {0, 55}, std::nullopt);
     CPPUNIT_ASSERT(runUntil([&] { return Store.ReceivedRequests.size() > Before + 1; }));
     CPPUNIT_ASSERT_EQUAL(std::string("since 42 to 50:1;since 55 to 60:0;"), Listener.Text);
   }
@@ -267,7 +267,7 @@
     FakeStore Store({events(item("op/evacuate/a"), 50)});
     Store.CheckResponse = "";
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, {0, 42});
+    Client.activate(Listener, {0, 42}, std::nullopt);
     // The store does not respond to the first request, but responds to the second.
     CPPUNIT_ASSERT(runUntil([&] { return Store.CheckCount == 1; }));
     CPPUNIT_ASSERT_EQUAL_MESSAGE("a watch may wait long", std::size_t{0},
@@ -287,7 +287,7 @@
     FakeStore Store({range("", 7)});
     Store.CheckResponse = range("", 7);
     StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-    Client.activate(Listener, {});
+    Client.activate(Listener, {}, std::nullopt);
     CPPUNIT_ASSERT(runUntil([&] { return Store.CheckCount == 3; }));
     CPPUNIT_ASSERT_EQUAL_MESSAGE("a watch without changes goes on", std::size_t{2},
                                  Store.ReceivedRequests.size());
@@ -322,7 +322,7 @@
       FakeStore Store(Each.Script);
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
       const TimePoint Start = Time.now();
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       CPPUNIT_ASSERT_MESSAGE(
           Each.Name, runUntil([&] { return Listener.Text.find("back;") != std::string::npos; }));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsKnown, Listener.Outage < Duration::max());
@@ -358,7 +358,7 @@
       FakeStore Store(Each.Script);
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
       const TimePoint Start = Time.now();
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       runUntil([&] { return Listener.Text.size() >= Each.Expected.size(); });
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.Expected, Listener.Text);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(Each.Name, Each.IsConfirmed, Listener.KnownAsOf.has_value());
@@ -377,7 +377,7 @@
       RecordingListener Listener;
       FakeStore Store({range("", 7)});
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       CPPUNIT_ASSERT(runUntil([&] { return Store.CheckCount == 1; }));
       CPPUNIT_ASSERT_EQUAL(std::string("all to 7:0;"), Listener.Text);
       Store.CheckResponse = Bad;
--- a/tests/auto/platform/tst_storeconnections.cpp
+++ b/tests/auto/platform/tst_storeconnections.cpp
@@ -115,7 +115,7 @@
       RecordingListener Listener;
       PartlySilentStore Store(Each.Kind, Each.IsWatchFailing);
       StoreClient Client({"127.0.0.1", Store.port()}, Time, Random);
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       // Then a check is in the pool beside the watch that waits.
       CPPUNIT_ASSERT_MESSAGE(Each.Name, runUntil([&] {
                                return Store.WatchCount == 1 && Store.CheckCount == 1 &&
--- a/tests/auto/platform/tst_unfinishedwatch.cpp
+++ b/tests/auto/platform/tst_unfinishedwatch.cpp
@@ -42,7 +42,7 @@
       }
       Store.CheckResponse = range("", 9);
       StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
-      Client.activate(Listener, {});
+      Client.activate(Listener, {}, std::nullopt);
       CPPUNIT_ASSERT_MESSAGE(Each.Name,
                              runUntil([&] { return Store.ReceivedRequests.size() == 2; }));
       Store.Script.resize(2, Change);
