--- a/src/libs/transport/PublicationExchange.cpp
+++ b/src/libs/transport/PublicationExchange.cpp
@@ -38,6 +38,13 @@
   return Parsed.ec == std::errc() ? std::optional(Result) : std::nullopt;
 }
 
+/// Step in which a response states for how long removals are delayed, so that it can be cached.
+constexpr Duration RemovalDelayStep = 100ms;
+
+Duration roundedUp(Duration RemovalDelay) {
+  return (RemovalDelay + RemovalDelayStep - Duration(1)) / RemovalDelayStep * RemovalDelayStep;
+}
+
 /// Returns the body without its content coding; nothing if it can't be decompressed.
 std::optional<std::string> decodedBody(const HttpFetch::Result &Response) {
   if (findField(Response.Fields, EncodingHeader) != DeflateEncoding) {
@@ -94,9 +101,11 @@
 }
 
 const std::string &PublicationExchange::encodedBatchSince(const KnownState &Known) {
-  if (this->CachedSince != Known || this->CachedPosition != this->Log.position()) {
+  const Duration RemovalDelay = roundedUp(this->Handlers.RemovalDelay());
+  if (this->CachedSince != Known || this->CachedPosition != this->Log.position() ||
+      this->CachedRemovalDelay != RemovalDelay) {
     PublicationBatch Batch = this->Log.batchSince(Known.Position);
-    Batch.RemovalDelay = this->Handlers.RemovalDelay();
+    Batch.RemovalDelay = RemovalDelay;
     this->CachedBatch = writeBatch(Batch, this->deltaSince(Known.ConfigurationVersion));
     if (Known.ConfigurationVersion) {
       this->CachedBatch = compress(this->CachedBatch);
@@ -104,6 +113,7 @@
     this->IsCachedSnapshot = Batch.IsSnapshot;
     this->CachedSince = Known;
     this->CachedPosition = this->Log.position();
+    this->CachedRemovalDelay = RemovalDelay;
   }
   ++(this->IsCachedSnapshot ? this->Traffic.SnapshotsOut : this->Traffic.ChangesOut);
   this->Traffic.BytesOut += this->CachedBatch.size();
--- a/src/libs/transport/PublicationExchange.h
+++ b/src/libs/transport/PublicationExchange.h
@@ -89,6 +89,7 @@
   /// revision.
   std::optional<KnownState> CachedSince;
   SourcePosition CachedPosition;
+  Duration CachedRemovalDelay{0};
   bool IsCachedSnapshot = false;
   std::string CachedBatch;
 };
