--- a/src/libs/coordination/membership/Membership.cpp
+++ b/src/libs/coordination/membership/Membership.cpp
@@ -125,6 +125,7 @@
   if (TimeSinceLastTick > FailureTimeout / 2) {
     for (auto &[Address, Each] : this->OtherEntries) {
       Each.LastUpdate += TimeSinceLastTick;
+      Each.IsFromBeforePause = true;
     }
   }
   for (auto It = this->OtherEntries.begin(); It != this->OtherEntries.end();) {
@@ -201,7 +202,7 @@
   // The message includes the receiver's own record, so that the receiver learns if an earlier run
   // has announced a later incarnation.
   for (const auto &[Address, Each] : this->OtherEntries) {
-    if (IncludesAllRegions || this->isInOwnRegion(Each.Record)) {
+    if (!Each.IsFromBeforePause && (IncludesAllRegions || this->isInOwnRegion(Each.Record))) {
       Result.Entries.push_back(Each.Record);
     }
   }
--- a/src/libs/coordination/membership/Membership.h
+++ b/src/libs/coordination/membership/Membership.h
@@ -103,6 +103,9 @@
     EntryRecord Record;
     /// Time at which a newer record arrived, or at which the entry was considered dead.
     TimePoint LastUpdate;
+    /// True if this process was paused since then. The record may be of an entry that has died
+    /// meanwhile, so it is not passed on.
+    bool IsFromBeforePause = false;
   };
 
   std::optional<std::int64_t> incarnationOf(const std::string &Address) const;
