Drop lines about single requests before changes of the entry's state

Cause: LogBuffer dropped the newest line when its 128 KiB were full, whatever the line said. A storm of refusals can fill it within one housekeeping interval, and the change of state that follows is lost. That this emptied the users' extracts is a hypothesis: they may have been cut to the entries that they name.

Change: lines have an importance. logStateChange() and all warnings and errors are of importance State, other logEvent() lines of importance Detail. Details may fill three quarters of the buffer, state lines all of it. Lines about single targets (target_registered, target_removed, target_conditions_changed, probe_failed) stay details, as they come in series. log_lines_dropped marks a gap once there is room again, and log_lines_dropped_by_importance_total counts beside the total, which keeps its name and meaning.

--- a/src/anvilsaddled/Daemon.cpp
+++ b/src/anvilsaddled/Daemon.cpp
@@ -36,13 +36,12 @@
   g_unix_signal_add(SIGINT, onStopSignal, this);
   g_unix_signal_add(SIGHUP, onReloadSignal, this);
   g_timeout_add_seconds(SettingsCheckIntervalSeconds, onSettingsCheck, this);
-  logEvent(LogLevel::Info, "started",
-           {{"vm", this->Settings.Vm.str()},
-            {"address", toString(this->Settings.CallerEndpoint)},
-            {"version", ANVILSADDLE_VERSION}});
+  logStateChange("started", {{"vm", this->Settings.Vm.str()},
+                             {"address", toString(this->Settings.CallerEndpoint)},
+                             {"version", ANVILSADDLE_VERSION}});
   flushLog();
   g_main_loop_run(this->Loop.get());
-  logEvent(LogLevel::Info, "stopped");
+  logStateChange("stopped");
   flushLog();
   return 0;
 }
@@ -80,8 +79,7 @@
   }
   this->Settings = std::get<DaemonSettings>(Parsed);
   this->Runtime.reload(this->Settings);
-  logEvent(LogLevel::Info, "settings_reloaded",
-           {{"seeds", std::to_string(this->Settings.Seeds.size())}});
+  logStateChange("settings_reloaded", {{"seeds", std::to_string(this->Settings.Seeds.size())}});
 }
 
 } // namespace anvilsaddle
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -206,7 +206,13 @@
                         this->CallerDisconnects);
   Out.writeSingleSample("log_lines_dropped_total", "counter",
                         "Log lines dropped because the log buffer was full.",
-                        this->LogLinesDropped);
+                        this->LogLinesDropped.total());
+  Out.writeFamily("log_lines_dropped_by_importance_total", "counter",
+                  "The same lines by importance: details of requests, or changes of state.");
+  Out.writeSample("log_lines_dropped_by_importance_total", {{"importance", "detail"}},
+                  this->LogLinesDropped.Detail);
+  Out.writeSample("log_lines_dropped_by_importance_total", {{"importance", "state"}},
+                  this->LogLinesDropped.State);
   Out.writeSingleSample("requests", "gauge", "Requests without a final response.",
                         this->CurrentGauges.Requests);
   Out.writeSingleSample("queued_requests", "gauge", "Requests queued for a target.",
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -4,6 +4,7 @@
 #include "coordination/dispatch/HedgePolicy.h"
 #include "coordination/memory/MemoryAccount.h"
 #include "protocol/LatencyQuantiles.h"
+#include "protocol/LogLineCounts.h"
 #include "protocol/PeerTraffic.h"
 #include "protocol/PublicationTraffic.h"
 #include "protocol/UnansweredRequest.h"
@@ -83,7 +84,7 @@
   void onCallerDisconnected() { ++this->CallerDisconnects; }
   void setUnansweredRequests(const UnansweredCounts &Counts) { this->Unanswered = Counts; }
   void setHedges(const HedgeCounts &Counts) { this->Hedges = Counts; }
-  void setLogLinesDropped(std::uint64_t Total) { this->LogLinesDropped = Total; }
+  void setLogLinesDropped(const LogLineCounts &Counts) { this->LogLinesDropped = Counts; }
   void setPeerTraffic(const PeerTraffic &Traffic) { this->Peers = Traffic; }
   void setPublicationTraffic(const PublicationTraffic &Traffic) { this->Publications = Traffic; }
   void setMemory(const MemoryAccount &Account);
@@ -131,7 +132,7 @@
   std::uint64_t QuotaAdmissions = 0;
   std::uint64_t QuotaRefusals = 0;
   std::uint64_t CallerDisconnects = 0;
-  std::uint64_t LogLinesDropped = 0;
+  LogLineCounts LogLinesDropped;
   UnansweredCounts Unanswered;
   HedgeCounts Hedges;
   std::array<std::size_t, MemoryKindCount> HeldBytes{};
--- a/src/libs/transport/ChangeRecorder.cpp
+++ b/src/libs/transport/ChangeRecorder.cpp
@@ -16,19 +16,19 @@
 
 void ChangeRecorder::onEntriesChanged(std::size_t OldCount, std::size_t NewCount,
                                       std::size_t InRegion) {
-  logEvent(LogLevel::Info, "entries_changed",
-           {{"live", std::to_string(NewCount)}, {"in_region", std::to_string(InRegion)}});
+  logStateChange("entries_changed",
+                 {{"live", std::to_string(NewCount)}, {"in_region", std::to_string(InRegion)}});
   this->append("entries", std::to_string(OldCount), std::to_string(NewCount), "membership");
 }
 
 void ChangeRecorder::onConfiguration(std::uint64_t Version, const std::string &From,
                                      const std::string &Source,
                                      std::optional<TimePoint> KnownAsOf) {
-  logEvent(LogLevel::Info, "configuration_in_force",
-           {{"version", std::to_string(Version)},
-            {"from", From},
-            {"source", Source},
-            {"staleness_ms", formatStaleness(KnownAsOf, this->Time.now())}});
+  logStateChange("configuration_in_force",
+                 {{"version", std::to_string(Version)},
+                  {"from", From},
+                  {"source", Source},
+                  {"staleness_ms", formatStaleness(KnownAsOf, this->Time.now())}});
   this->append("configuration", From, std::to_string(Version), "published", Version);
 }
 
@@ -40,8 +40,8 @@
     this->append("target/" + Removed->Name.str(), "", "removed", "registration removed");
   } else if (const auto *Evacuation = std::get_if<DomainEvacuation>(&Change)) {
     const char *NewState = Evacuation->Active ? "taken out" : "in service";
-    logEvent(LogLevel::Info, "failure_domain_changed",
-             {{"failure_domain", Evacuation->Domain.str()}, {"to", NewState}});
+    logStateChange("failure_domain_changed",
+                   {{"failure_domain", Evacuation->Domain.str()}, {"to", NewState}});
     this->append("failure_domain/" + Evacuation->Domain.str(), "", NewState, "published");
   }
 }
@@ -62,12 +62,11 @@
 void ChangeRecorder::onSaturationChanged(const std::vector<SaturationChange> &Changed) {
   for (const SaturationChange &Each : Changed) {
     const char *NewState = Each.Factor > 1 ? "slower" : "not slower";
-    logEvent(LogLevel::Info, "saturation_changed",
-             {{"service", Each.Service.str()},
-              {"occupancy", toString(Each.Occupancy)},
-              {"to", NewState},
-              {"factor", std::to_string(Each.Factor)},
-              {"fleet_responses", std::to_string(Each.Responses)}});
+    logStateChange("saturation_changed", {{"service", Each.Service.str()},
+                                          {"occupancy", toString(Each.Occupancy)},
+                                          {"to", NewState},
+                                          {"factor", std::to_string(Each.Factor)},
+                                          {"fleet_responses", std::to_string(Each.Responses)}});
     this->append("saturation/" + Each.Service.str() + "/" + toString(Each.Occupancy), "", NewState,
                  "response times");
   }
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -58,14 +58,14 @@
 }
 
 void logFetched(const PublicationBatch &Batch, const FetchDetails &Details) {
-  logEvent(LogLevel::Info, "publications_fetched",
-           {{"entry", Details.Entry},
-            {"content", Batch.IsSnapshot ? "snapshot" : "changes"},
-            {"epoch", std::to_string(Batch.Epoch)},
-            {"revision", std::to_string(Batch.Revision)},
-            {"changes", std::to_string(Batch.Changes.size())},
-            {"bytes", std::to_string(Details.Bytes)},
-            {"after_ms", std::to_string(toMilliseconds(Details.Elapsed))}});
+  logStateChange("publications_fetched",
+                 {{"entry", Details.Entry},
+                  {"content", Batch.IsSnapshot ? "snapshot" : "changes"},
+                  {"epoch", std::to_string(Batch.Epoch)},
+                  {"revision", std::to_string(Batch.Revision)},
+                  {"changes", std::to_string(Batch.Changes.size())},
+                  {"bytes", std::to_string(Details.Bytes)},
+                  {"after_ms", std::to_string(toMilliseconds(Details.Elapsed))}});
 }
 
 } // namespace
@@ -111,7 +111,7 @@
              this->Proxy.setKnownAsOf(this->Distributor.knownAsOf());
            },
            [this](const std::string &Reason) {
-             logEvent(LogLevel::Info, "fetch_failed", {{"reason", Reason}});
+             logStateChange("fetch_failed", {{"reason", Reason}});
              this->Distributor.onFetchFailed(this->now());
            },
            [this] { return this->Proxy.configuration(); },
@@ -345,10 +345,9 @@
 void EntryRuntime::applyDistributionEffects() {
   for (const DistributionEffect &Each : this->Distributor.takeEffects()) {
     if (const auto *Reading = std::get_if<SetSourceReading>(&Each)) {
-      logEvent(LogLevel::Info,
-               Reading->IsEnabled ? "store_reading_started" : "store_reading_stopped",
-               {{"epoch", std::to_string(this->Publications.position().Epoch)},
-                {"revision", std::to_string(this->Publications.position().Revision)}});
+      logStateChange(Reading->IsEnabled ? "store_reading_started" : "store_reading_stopped",
+                     {{"epoch", std::to_string(this->Publications.position().Epoch)},
+                      {"revision", std::to_string(this->Publications.position().Revision)}});
       if (Reading->IsEnabled) {
         this->Deps.Source.activate(*this, this->Publications.position());
       } else {
@@ -428,12 +427,11 @@
   const bool IsRestored = this->Publications.isRestoredBy(Batch);
   const SourcePosition Before = this->Publications.position();
   if (!this->Publications.apply(Batch)) {
-    logEvent(LogLevel::Info, "publications_passed_over",
-             {{"since", std::to_string(Batch.Since)},
-              {"epoch", std::to_string(Batch.Epoch)},
-              {"revision", std::to_string(Batch.Revision)},
-              {"known_epoch", std::to_string(Before.Epoch)},
-              {"known", std::to_string(Before.Revision)}});
+    logStateChange("publications_passed_over", {{"since", std::to_string(Batch.Since)},
+                                                {"epoch", std::to_string(Batch.Epoch)},
+                                                {"revision", std::to_string(Batch.Revision)},
+                                                {"known_epoch", std::to_string(Before.Epoch)},
+                                                {"known", std::to_string(Before.Revision)}});
     return;
   }
   if (Batch.RemovalDelay > Duration(0)) {
@@ -471,8 +469,8 @@
   const Configuration *Current = this->Proxy.configuration();
   const std::string CurrentVersion = Current ? std::to_string(Current->Version) : "none";
   if (Current && Newer.Version <= Current->Version) {
-    logEvent(LogLevel::Info, "configuration_passed_over",
-             {{"version", std::to_string(Newer.Version)}, {"in_force", CurrentVersion}});
+    logStateChange("configuration_passed_over",
+                   {{"version", std::to_string(Newer.Version)}, {"in_force", CurrentVersion}});
     return;
   }
   this->Changes.onConfiguration(Newer.Version, CurrentVersion, Source,
@@ -492,8 +490,8 @@
     return;
   }
   this->Members.setState(EntryState::Ready);
-  logEvent(LogLevel::Info, "ready",
-           {{"targets", std::to_string(this->RequestDispatcher.targets().all().size())}});
+  logStateChange("ready",
+                 {{"targets", std::to_string(this->RequestDispatcher.targets().all().size())}});
 }
 
 void EntryRuntime::onInvalidPublication(const Diagnostic &Problem) {
@@ -507,10 +505,10 @@
 }
 
 void EntryRuntime::onSourceRecovered(Duration Outage) {
-  logEvent(LogLevel::Info, "store_returned",
-           {{"outage_ms", std::to_string(toMilliseconds(Outage))},
-            {"known_epoch", std::to_string(this->Publications.position().Epoch)},
-            {"known", std::to_string(this->Publications.position().Revision)}});
+  logStateChange("store_returned",
+                 {{"outage_ms", std::to_string(toMilliseconds(Outage))},
+                  {"known_epoch", std::to_string(this->Publications.position().Epoch)},
+                  {"known", std::to_string(this->Publications.position().Revision)}});
   this->RequestDispatcher.targets().onSourceRecovered(Outage, this->now());
 }
 
@@ -523,7 +521,7 @@
   this->sendGossip(this->Members.makeAnnouncements());
   this->CallerServer.disableKeepAlive();
   this->ForwardServer.disableKeepAlive();
-  logEvent(LogLevel::Info, "leaving", {{"requests", std::to_string(this->Proxy.size())}});
+  logStateChange("leaving", {{"requests", std::to_string(this->Proxy.size())}});
   this->RequestDispatcher.beginShutdown(this->Shutdown->finalResponseTime(), this->now());
   this->applyEffects();
 }
--- a/src/libs/transport/EventLog.cpp
+++ b/src/libs/transport/EventLog.cpp
@@ -2,6 +2,9 @@
 
 #include "transport/LogBuffer.h"
 
+#include <optional>
+#include <string>
+
 #include <easylogging++.h>
 #include <glib.h>
 #include <unistd.h>
@@ -12,23 +15,35 @@
 
 namespace {
 
+/// Logger of the lines of info level that tell about changes of state. The other lines use the
+/// default logger.
+constexpr const char *StateLogger = "state";
+
 LogBuffer &outputBuffer() {
   static LogBuffer Result(STDOUT_FILENO);
   return Result;
 }
 
+LogImportance importanceOf(const el::LogMessage &Message) {
+  const bool IsProblem =
+      Message.level() == el::Level::Warning || Message.level() == el::Level::Error;
+  const bool IsStateChange = Message.logger()->id() == StateLogger;
+  return IsProblem || IsStateChange ? LogImportance::State : LogImportance::Detail;
+}
+
 /// Replaces the output of the logging library, which may block.
 class BufferedDispatch final : public el::LogDispatchCallback {
 protected:
   void handle(const el::LogDispatchData *Data) override {
     const el::LogMessage &Message = *Data->logMessage();
-    outputBuffer().add(Message.message());
-    if (Message.level() == el::Level::Warning || Message.level() == el::Level::Error) {
-      outputBuffer().flush();
-    }
+    outputBuffer().add(Message.message(), importanceOf(Message));
   }
 };
 
+std::string formatLine(LogLevel Level, std::string_view Event, const LogFields &Fields) {
+  return formatLogLine(g_get_real_time(), Level, Event, Fields);
+}
+
 } // namespace
 
 void configureLog(std::string_view LowestLevel) {
@@ -43,18 +58,27 @@
   Settings.set(el::Level::Info, el::ConfigurationType::Enabled, IsInfoDisabled ? "false" : "true");
   Settings.set(el::Level::Warning, el::ConfigurationType::Enabled,
                LowestLevel == "error" ? "false" : "true");
-  el::Loggers::reconfigureLogger("default", Settings);
+  el::Loggers::getLogger(StateLogger);
+  el::Loggers::reconfigureAllLoggers(Settings);
   el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
       "DefaultLogDispatchCallback");
   el::Helpers::installLogDispatchCallback<BufferedDispatch>("BufferedDispatch");
 }
 
-void flushLog() { outputBuffer().flush(); }
+void flushLog() {
+  outputBuffer().flush();
+  const std::optional<LogLineCounts> Dropped = outputBuffer().takeGap();
+  if (Dropped) {
+    logEvent(
+        LogLevel::Warning, "log_lines_dropped",
+        {{"detail", std::to_string(Dropped->Detail)}, {"state", std::to_string(Dropped->State)}});
+  }
+}
 
-std::uint64_t droppedLogLines() { return outputBuffer().dropped(); }
+const LogLineCounts &droppedLogLines() { return outputBuffer().dropped(); }
 
 void logEvent(LogLevel Level, std::string_view Event, const LogFields &Fields) {
-  const std::string Line = formatLogLine(g_get_real_time(), Level, Event, Fields);
+  const std::string Line = formatLine(Level, Event, Fields);
   switch (Level) {
   case LogLevel::Debug:
     LOG(DEBUG) << Line;
@@ -64,11 +88,17 @@
     break;
   case LogLevel::Warning:
     LOG(WARNING) << Line;
+    flushLog();
     break;
   case LogLevel::Error:
     LOG(ERROR) << Line;
+    flushLog();
     break;
   }
 }
 
+void logStateChange(std::string_view Event, const LogFields &Fields) {
+  CLOG(INFO, StateLogger) << formatLine(LogLevel::Info, Event, Fields);
+}
+
 } // namespace anvilsaddle
--- a/src/libs/transport/LogBuffer.cpp
+++ b/src/libs/transport/LogBuffer.cpp
@@ -8,9 +8,24 @@
 
 namespace anvilsaddle {
 
-void LogBuffer::add(std::string_view Line) {
-  if (this->Buffer.size() + Line.size() + 1 > this->Capacity) {
-    ++this->DroppedLines;
+std::size_t LogBuffer::capacityFor(LogImportance Importance) const {
+  const std::size_t Reserved = this->Capacity / StateShareDivisor;
+  return Importance == LogImportance::State ? this->Capacity : this->Capacity - Reserved;
+}
+
+std::optional<LogLineCounts> LogBuffer::takeGap() {
+  const LogLineCounts Gap = this->DroppedLines - this->ReportedLines;
+  const bool HasRoom = this->Buffer.size() < this->capacityFor(LogImportance::Detail);
+  if (Gap.total() == 0 || !HasRoom) {
+    return std::nullopt;
+  }
+  this->ReportedLines = this->DroppedLines;
+  return Gap;
+}
+
+void LogBuffer::add(std::string_view Line, LogImportance Importance) {
+  if (this->Buffer.size() + Line.size() + 1 > this->capacityFor(Importance)) {
+    this->DroppedLines.add(Importance);
     return;
   }
   this->Buffer += Line;
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -66,8 +66,12 @@
     Counters.setDispatchCounters(Decisions);
     Counters.setGauges({1, 2, 3, 4, 5, 6, 13, 14, {3, 41}, 1500ms});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
+    Counters.setLogLinesDropped({31, 32});
     const std::string Text = Counters.render(Start);
     const char *const Table[] = {
+        "anvilsaddle_log_lines_dropped_total 63\n",
+        "anvilsaddle_log_lines_dropped_by_importance_total{importance=\"detail\"} 31\n",
+        "anvilsaddle_log_lines_dropped_by_importance_total{importance=\"state\"} 32\n",
         "anvilsaddle_hedges_total 21\n",
         "anvilsaddle_hedges_won_total 22\n",
         "anvilsaddle_hedges_withheld_total{reason=\"hedge_budget\"} 24\n",
