Move the path of a publication into a class of its own

Change: PublicationFollower owns PublicationLog, PublicationDistributor and PublicationExchange and listens to the source. What it needs of the entry is the interface PublicationConsumer, which EntryRuntime implements. Behaviour is unchanged. One call has moved: PublicationExchange::onConfiguration() runs before the dispatcher and the servers get the new configuration instead of after them; it only records the difference of the two configurations, and still runs before the new one replaces the old one.

--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -57,17 +57,6 @@
   return Result;
 }
 
-void logFetched(const PublicationBatch &Batch, const FetchDetails &Details) {
-  logStateChange("publications_fetched",
-                 {{"entry", Details.Entry},
-                  {"content", Batch.IsSnapshot ? "snapshot" : "changes"},
-                  {"epoch", std::to_string(Batch.Epoch)},
-                  {"revision", std::to_string(Batch.Revision)},
-                  {"changes", std::to_string(Batch.Changes.size())},
-                  {"bytes", std::to_string(Details.Bytes)},
-                  {"after_ms", std::to_string(toMilliseconds(Details.Elapsed))}});
-}
-
 } // namespace
 
 EntryRuntime::EntryRuntime(DaemonSettings InitialSettings, const Dependencies &Deps)
@@ -85,8 +74,6 @@
       Members(makeOwnRecord(this->Settings, this->OwnIncarnation.StartedUnixMilliseconds),
               this->Settings.FleetTopology, toSet(this->Settings.Seeds), Deps.Random,
               Deps.Time.now()),
-      Distributor(this->Settings.CallerEndpoint.Address, this->Settings.FleetTopology,
-                  Deps.Time.now()),
       Connections(Deps.Time),
       Probes(
           this->Connections, Deps.Protocol,
@@ -101,21 +88,10 @@
              this->RequestDispatcher.onProbeFailed(Name, Reason, this->now());
              this->applyEffects();
            }}),
-      PublicationTransfer(
-          this->Publications, this->Connections, Deps.Time,
-          {[this](const PublicationBatch &Batch, const FetchDetails &Details) {
-             logFetched(Batch, Details);
-             this->applyBatch(Batch, Details.Entry);
-             this->Distributor.onFetched(this->Publications.position(), this->now());
-             this->applyDistributionEffects();
-             this->Proxy.setKnownAsOf(this->Distributor.knownAsOf());
-           },
-           [this](const std::string &Reason) {
-             logStateChange("fetch_failed", {{"reason", Reason}});
-             this->Distributor.onFetchFailed(this->now());
-           },
-           [this] { return this->Proxy.configuration(); },
-           [this] { return this->RequestDispatcher.targets().removalDelay(this->now()); }}),
+      Publications({this->Settings.CallerEndpoint.Address, this->Settings.FleetTopology,
+                    this->Settings.ControlEndpoint.Port},
+                   {Deps.Source, this->Connections, Deps.Time, this->RequestDispatcher.targets(),
+                    this->Changes, *this}),
       Proxy({this->RequestDispatcher, this->Connections, Deps.Protocol, this->EntryMetrics,
              Deps.Time, Deps.Random, this->Quotas, [this] { this->applyEffects(); },
              this->Authenticator, this->Memory}),
@@ -139,7 +115,7 @@
           this->PageHandler, Deps.Time,
           maxConnections(this->Settings, InternalConnectionShare, MaxInternalConnections),
           this->Memory),
-      ControlServer(this->PublicationTransfer, Deps.Time,
+      ControlServer(this->Publications.requestHandler(), Deps.Time,
                     maxConnections(this->Settings, InternalConnectionShare, MaxInternalConnections),
                     this->Memory),
       OperatorServer(
@@ -260,10 +236,9 @@
 gboolean EntryRuntime::onHousekeeping(gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
   Self.updateLiveMembers();
-  Self.Distributor.onTick(Self.now());
-  Self.applyDistributionEffects();
+  Self.Publications.onTick();
   Self.EntryMetrics.setPeerTraffic(Self.Peers.traffic());
-  Self.EntryMetrics.setPublicationTraffic(Self.PublicationTransfer.traffic());
+  Self.EntryMetrics.setPublicationTraffic(Self.Publications.traffic());
   UnansweredCounts Unanswered = Self.CallerServer.unanswered();
   Unanswered += Self.ForwardServer.unanswered();
   Self.EntryMetrics.setUnansweredRequests(Unanswered);
@@ -271,7 +246,7 @@
   Self.EntryMetrics.setMemory(*Self.Memory);
   Self.EntryMetrics.setLogLinesDropped(droppedLogLines());
   const Configuration *Current = Self.Proxy.configuration();
-  const auto KnownAsOf = Self.Distributor.knownAsOf();
+  const auto KnownAsOf = Self.Publications.knownAsOf();
   Self.EntryMetrics.setGauges(
       {Self.Proxy.size(), Self.RequestDispatcher.queueLength(), Self.CallerServer.connectionCount(),
        Self.LastLiveMembers.size(), Self.RequestDispatcher.targets().all().size(),
@@ -317,9 +292,7 @@
 
 void EntryRuntime::onPeerMessage(const std::string &Sender, const PeerMessage &Message) {
   if (const auto *Notice = std::get_if<RevisionNotice>(&Message)) {
-    this->Distributor.onNotice(Sender, *Notice, this->now());
-    this->applyDistributionEffects();
-    this->Proxy.setKnownAsOf(this->Distributor.knownAsOf());
+    this->Publications.onNotice(Sender, *Notice);
     return;
   }
   const auto *Gossiped = std::get_if<Gossip>(&Message);
@@ -342,29 +315,6 @@
   this->sendGossip(this->withSaturation(std::move(Replies)));
 }
 
-void EntryRuntime::applyDistributionEffects() {
-  for (const DistributionEffect &Each : this->Distributor.takeEffects()) {
-    if (const auto *Reading = std::get_if<SetSourceReading>(&Each)) {
-      logStateChange(Reading->IsEnabled ? "store_reading_started" : "store_reading_stopped",
-                     {{"epoch", std::to_string(this->Publications.position().Epoch)},
-                      {"revision", std::to_string(this->Publications.position().Revision)}});
-      if (Reading->IsEnabled) {
-        this->Deps.Source.activate(*this, this->Publications.position());
-      } else {
-        this->Deps.Source.deactivate();
-      }
-    } else if (const auto *OutgoingNotice = std::get_if<SendNotice>(&Each)) {
-      for (const std::string &Receiver : OutgoingNotice->Receivers) {
-        this->Peers.send(VmName(Receiver), Receiver, this->Settings.PeerPort,
-                         OutgoingNotice->Notice);
-      }
-    } else {
-      const auto &Fetch = std::get<FetchPublications>(Each);
-      this->PublicationTransfer.fetch({Fetch.Entry, this->Settings.ControlEndpoint.Port});
-    }
-  }
-}
-
 void EntryRuntime::updateLiveMembers() {
   std::vector<EntryRecord> Live = this->Members.liveEntries();
   // Heartbeats increase all the time. Only the set of live entries and their states matter here.
@@ -390,7 +340,7 @@
                                  OwnRegionEntries.size());
   this->RequestDispatcher.setEntries(std::move(OwnRegionEntries), Live.size());
   this->RequestDispatcher.setRemoteEntries(std::move(RemoteEntriesByRegion));
-  this->Distributor.setEntries(Live);
+  this->Publications.setEntries(Live);
   std::vector<QuotaEntry> QuotaEntries;
   QuotaEntries.reserve(Live.size());
   for (const EntryRecord &Each : Live) {
@@ -408,84 +358,21 @@
 
 // Publications
 
-void EntryRuntime::onPublications(const PublicationBatch &Batch, std::optional<TimePoint> AsOf) {
-  this->applyBatch(Batch, "store");
-  this->onSourceResponse(this->Publications.position(), AsOf);
-}
-
-void EntryRuntime::onSourceUpToDate(const SourcePosition &Position, TimePoint AsOf) {
-  this->onSourceResponse(Position, AsOf);
-}
-
-void EntryRuntime::onSourceResponse(const SourcePosition &Position, std::optional<TimePoint> AsOf) {
-  this->Distributor.onSourceResponse(Position, AsOf, this->now());
-  this->applyDistributionEffects();
-  this->Proxy.setKnownAsOf(this->Distributor.knownAsOf());
-}
-
-void EntryRuntime::applyBatch(const PublicationBatch &Batch, const std::string &Source) {
-  const bool IsRestored = this->Publications.isRestoredBy(Batch);
-  const SourcePosition Before = this->Publications.position();
-  if (!this->Publications.apply(Batch)) {
-    logStateChange("publications_passed_over", {{"since", std::to_string(Batch.Since)},
-                                                {"epoch", std::to_string(Batch.Epoch)},
-                                                {"revision", std::to_string(Batch.Revision)},
-                                                {"known_epoch", std::to_string(Before.Epoch)},
-                                                {"known", std::to_string(Before.Revision)}});
-    return;
-  }
-  if (Batch.RemovalDelay > Duration(0)) {
-    this->RequestDispatcher.targets().deferRemovals(Batch.RemovalDelay, this->now());
-  }
-  for (const Publication &Each : Batch.Changes) {
-    if (const auto *Newer = std::get_if<Configuration>(&Each)) {
-      this->applyConfiguration(*Newer, Source);
-    } else {
-      this->Changes.onPublication(Each);
-    }
-  }
-  this->RequestDispatcher.targets().apply(Batch, this->now());
-  if (IsRestored) {
-    this->logRestore(Before, Source);
-  }
-  this->HasSnapshot = this->HasSnapshot || Batch.IsSnapshot;
-  this->updateReadiness();
-}
-
-void EntryRuntime::logRestore(const SourcePosition &Before, const std::string &Source) {
-  const TargetTable &Targets = this->RequestDispatcher.targets();
-  const SourcePosition &Now = this->Publications.position();
-  logEvent(LogLevel::Warning, "store_restored",
-           {{"source", Source},
-            {"known_epoch", std::to_string(Before.Epoch)},
-            {"known", std::to_string(Before.Revision)},
-            {"epoch", std::to_string(Now.Epoch)},
-            {"revision", std::to_string(Now.Revision)},
-            {"retained", std::to_string(Targets.retainedCount())},
-            {"postponed", std::to_string(Targets.postponedCount())}});
-}
-
-void EntryRuntime::applyConfiguration(const Configuration &Newer, const std::string &Source) {
-  const Configuration *Current = this->Proxy.configuration();
-  const std::string CurrentVersion = Current ? std::to_string(Current->Version) : "none";
-  if (Current && Newer.Version <= Current->Version) {
-    logStateChange("configuration_passed_over",
-                   {{"version", std::to_string(Newer.Version)}, {"in_force", CurrentVersion}});
-    return;
-  }
-  this->Changes.onConfiguration(Newer.Version, CurrentVersion, Source,
-                                this->Distributor.knownAsOf());
+void EntryRuntime::setConfiguration(const Configuration &Newer) {
   this->RequestDispatcher.setServices(Newer.Services);
   this->CallerServer.setLimits(Newer.Limits);
   this->DirectoryServer.setLimits(Newer.Limits);
   this->ForwardServer.setLimits(limitsOfForwardedRequests(Newer.Limits));
-  this->PublicationTransfer.onConfiguration(Current, Newer);
   this->Proxy.setConfiguration(Newer);
   this->Quotas.setCustomers(Newer.Customers, this->now());
 }
 
-void EntryRuntime::updateReadiness() {
-  const bool IsPrepared = this->HasSnapshot && this->Proxy.configuration();
+void EntryRuntime::sendNotice(const std::string &Receiver, const RevisionNotice &Notice) {
+  this->Peers.send(VmName(Receiver), Receiver, this->Settings.PeerPort, Notice);
+}
+
+void EntryRuntime::onPublicationsApplied() {
+  const bool IsPrepared = this->Publications.hasSnapshot() && this->Proxy.configuration();
   if (!IsPrepared || this->Members.state() != EntryState::Starting) {
     return;
   }
@@ -494,24 +381,6 @@
                  {{"targets", std::to_string(this->RequestDispatcher.targets().all().size())}});
 }
 
-void EntryRuntime::onInvalidPublication(const Diagnostic &Problem) {
-  logEvent(LogLevel::Warning, "publication_unreadable",
-           {{"item", Problem.Path}, {"reason", Problem.Message}});
-}
-
-void EntryRuntime::onSourceUnavailable(const std::string &Reason) {
-  logEvent(LogLevel::Warning, "store_lost", {{"reason", Reason}});
-  this->Distributor.onSourceUnavailable();
-}
-
-void EntryRuntime::onSourceRecovered(Duration Outage) {
-  logStateChange("store_returned",
-                 {{"outage_ms", std::to_string(toMilliseconds(Outage))},
-                  {"known_epoch", std::to_string(this->Publications.position().Epoch)},
-                  {"known", std::to_string(this->Publications.position().Revision)}});
-  this->RequestDispatcher.targets().onSourceRecovered(Outage, this->now());
-}
-
 // Shutdown
 
 void EntryRuntime::stop(std::function<void()> Callback) {
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -5,8 +5,6 @@
 #include "coordination/limits/CustomerQuotas.h"
 #include "coordination/membership/Incarnation.h"
 #include "coordination/membership/Membership.h"
-#include "coordination/publications/PublicationDistributor.h"
-#include "coordination/publications/PublicationLog.h"
 #include "coordination/publications/PublicationSource.h"
 #include "protocol/DaemonSettings.h"
 #include "protocol/GlibMessageAuthenticator.h"
@@ -21,7 +19,8 @@
 #include "transport/PeerSocket.h"
 #include "transport/ProbeRunner.h"
 #include "transport/ProxyHandler.h"
-#include "transport/PublicationExchange.h"
+#include "transport/PublicationConsumer.h"
+#include "transport/PublicationFollower.h"
 
 #include <functional>
 #include <optional>
@@ -39,7 +38,7 @@
 
 /// Runs one entry: connects the decision logic with the network and the clock. Not thread-safe;
 /// uses the thread-default main context.
-class EntryRuntime final : public PublicationListener {
+class EntryRuntime final : private PublicationConsumer {
 public:
   /// Objects that the embedding program supplies. Precondition: they outlive the runtime.
   struct Dependencies {
@@ -63,12 +62,6 @@
   /// or when the grace period is over. Precondition: called at most once.
   void stop(std::function<void()> OnStopped);
 
-  void onPublications(const PublicationBatch &Batch, std::optional<TimePoint> AsOf) override;
-  void onSourceUpToDate(const SourcePosition &Position, TimePoint AsOf) override;
-  void onInvalidPublication(const Diagnostic &Problem) override;
-  void onSourceUnavailable(const std::string &Reason) override;
-  void onSourceRecovered(Duration Outage) override;
-
 private:
   static gboolean onTimer(gpointer Data);
   static gboolean onHousekeeping(gpointer Data);
@@ -85,16 +78,18 @@
   void sendGossip(const std::vector<OutgoingGossip> &Messages);
   void sendQuotaMessages();
   void onPeerMessage(const std::string &Sender, const PeerMessage &Message);
-  void applyDistributionEffects();
-  /// `Source` is the origin of the publications, for the log: an entry's address, or the store.
-  void applyBatch(const PublicationBatch &Batch, const std::string &Source);
-  void logRestore(const SourcePosition &Before, const std::string &Source);
-  void applyConfiguration(const Configuration &Newer, const std::string &Source);
-  void onSourceResponse(const SourcePosition &Position, std::optional<TimePoint> AsOf);
-  void updateReadiness();
   void updateLiveMembers();
   void advanceShutdown();
 
+  const Configuration *configuration() const override { return this->Proxy.configuration(); }
+  void setConfiguration(const Configuration &Newer) override;
+  void setKnownAsOf(std::optional<TimePoint> KnownAsOf) override {
+    this->Proxy.setKnownAsOf(KnownAsOf);
+  }
+  /// The entry is ready once all publications, among them a configuration, are in force.
+  void onPublicationsApplied() override;
+  void sendNotice(const std::string &Receiver, const RevisionNotice &Notice) override;
+
   DaemonSettings Settings;
   Dependencies Deps;
   Incarnation OwnIncarnation;
@@ -107,11 +102,9 @@
   CustomerQuotas Quotas;
   ChangeRecorder Changes;
   Membership Members;
-  PublicationLog Publications;
-  PublicationDistributor Distributor;
   ConnectionPool Connections;
   ProbeRunner Probes;
-  PublicationExchange PublicationTransfer;
+  PublicationFollower Publications;
   ProxyHandler Proxy;
   ForwardHandler ForwardedRequests;
   EntryPageHandler PageHandler;
@@ -127,8 +120,6 @@
   GSource *Timer = nullptr;
   guint HousekeepingSource = 0;
   bool IsApplyingEffects = false;
-  /// All publications have been received at least once.
-  bool HasSnapshot = false;
   bool IsListening = true;
   std::vector<EntryRecord> LastLiveMembers;
   /// Set once the shutdown has begun.
