Keep changes of state that are logged before the log is configured

Seen: in a test program that does not call configureLog(), each logStateChange() wrote "Logger [state] is not registered yet!" instead of its line. The daemon configures the log first and was not affected.

Cause: only configureLog() registered the logger of those lines.

Evidence: changesOfStateNeedNoConfiguration failed before.

Change: logStateChange() registers the logger if there is none.

--- a/src/libs/transport/EventLog.cpp
+++ b/src/libs/transport/EventLog.cpp
@@ -98,6 +98,8 @@
 }
 
 void logStateChange(std::string_view Event, const LogFields &Fields) {
+  // Registers the logger if configureLog() was not called.
+  el::Loggers::getLogger(StateLogger);
   CLOG(INFO, StateLogger) << formatLine(LogLevel::Info, Event, Fields);
 }
 
--- a/tests/auto/libs/transport/tst_eventlog.cpp
+++ b/tests/auto/libs/transport/tst_eventlog.cpp
@@ -53,10 +53,21 @@
 
 class EventLogTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EventLogTest);
+  CPPUNIT_TEST(changesOfStateNeedNoConfiguration);
   CPPUNIT_TEST(changesOfStateOutlastRequestLines);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /// Guards against changes of state that are lost, with a complaint of the logging library, in
+  /// programs that have not configured the log. Precondition: runs before configureLog().
+  void changesOfStateNeedNoConfiguration() {
+    const CapturedOutput Output;
+    logStateChange("configuration_in_force", {{"version", "183"}});
+    const std::string Text = Output.read();
+    CPPUNIT_ASSERT(Text.find("configuration_in_force") != std::string::npos);
+    CPPUNIT_ASSERT(Text.find("not registered") == std::string::npos);
+  }
+
   /// Guards against logs that lack the changes of state of an entry that is busy with refusals, and
   /// against gaps that a reader can't see.
   void changesOfStateOutlastRequestLines() {
