Show an entry's share of the retry budget and the entry count behind it

`retry_budget_share` says, at most once a second, when the share of an entry changes, by how many entries the base is divided and how many are live in its view; gauges give the base share and, by service, the requests, the repeats and the allowed repeats of the window. No change of decisions. tst_metrics and tst_retrybudget pass.

--- a/src/libs/coordination/dispatch/Dispatcher.h
+++ b/src/libs/coordination/dispatch/Dispatcher.h
@@ -50,6 +50,10 @@
     this->State.EntriesOfOtherRegions.setReadyEntries(std::move(Ready));
   }
 
+  /// This entry's share of the budget for retries, and its use by service.
+  const RetryShare &retryShare() const { return this->State.Retries.share(); }
+  double baseRetryShare() const { return this->State.Retries.baseShare(); }
+  RetryUsages retryUsages(TimePoint Now) const { return this->State.Retries.usages(Now); }
   const HedgeCounts &hedgeCounts() const { return this->State.Hedges.counts(); }
   /// Estimates to exchange with other entries.
   SaturationEstimator &saturation() { return this->State.Estimates.saturation(); }
--- a/src/libs/coordination/limits/RetryBudget.cpp
+++ b/src/libs/coordination/limits/RetryBudget.cpp
@@ -15,8 +15,22 @@
   }
 }
 
+/// Number of times from `First` on. Precondition: the times are in order.
+std::size_t countSince(const std::deque<TimePoint> &Times, TimePoint First) {
+  const auto Begin = std::lower_bound(Times.begin(), Times.end(), First);
+  return static_cast<std::size_t>(Times.end() - Begin);
+}
+
 } // namespace
 
+const char *toString(RetryShareReason Reason) {
+  switch (Reason) {
+  case RetryShareReason::LiveEntries:
+    return "live entries";
+  }
+  return "unknown";
+}
+
 RetryBudget::History &RetryBudget::recentHistory(const ServiceName &Service, TimePoint Now) {
   History &Result = this->Histories[Service];
   dropBefore(Result.Requests, Now - this->Limits.Window);
@@ -29,20 +43,33 @@
   this->recentHistory(Service, Now).Requests.push_back(Now);
 }
 
-double RetryBudget::limit(const History &Current) const {
-  const double ByRequests = this->Limits.Ratio * static_cast<double>(Current.Requests.size());
-  const double BaseShare = this->Limits.BaseRetries / static_cast<double>(this->EntryCount);
-  return UsedFraction * (ByRequests + BaseShare);
+double RetryBudget::limit(std::size_t RequestCount) const {
+  const double ByRequests = this->Limits.Ratio * static_cast<double>(RequestCount);
+  return UsedFraction * ByRequests + this->baseShare();
+}
+
+double RetryBudget::baseShare() const {
+  return UsedFraction * this->Limits.BaseRetries / static_cast<double>(this->Share.EntryCount);
+}
+
+RetryUsages RetryBudget::usages(TimePoint Now) const {
+  RetryUsages Result;
+  for (const auto &[Service, Each] : this->Histories) {
+    const std::size_t Requests = countSince(Each.Requests, Now - this->Limits.Window);
+    const std::size_t Used = countSince(Each.Retries, Now - this->Limits.Window);
+    Result[Service] = {Requests, this->limit(Requests), Used};
+  }
+  return Result;
 }
 
 bool RetryBudget::canAcquire(const ServiceName &Service, TimePoint Now) {
   const History &Current = this->recentHistory(Service, Now);
-  return static_cast<double>(Current.Retries.size()) + 1 <= this->limit(Current);
+  return static_cast<double>(Current.Retries.size()) + 1 <= this->limit(Current.Requests.size());
 }
 
 bool RetryBudget::canAcquireHedge(const ServiceName &Service, TimePoint Now) {
   const History &Current = this->recentHistory(Service, Now);
-  const double Limit = std::max(1.0, this->limit(Current) * HedgeFraction);
+  const double Limit = std::max(1.0, this->limit(Current.Requests.size()) * HedgeFraction);
   return static_cast<double>(Current.Hedges.size()) + 1 <= Limit && this->canAcquire(Service, Now);
 }
 
--- a/src/libs/coordination/limits/RetryBudget.h
+++ b/src/libs/coordination/limits/RetryBudget.h
@@ -21,6 +21,34 @@
   auto operator<=>(const RetryBudgetLimits &) const = default;
 };
 
+/// What the size of an entry's share of the base retries follows from.
+enum class RetryShareReason {
+  /// The number of live entries.
+  LiveEntries,
+};
+
+/// An entry's share of the base retries of the fleet. Value type.
+struct RetryShare {
+  /// Number of entries by which the base retries are divided.
+  std::size_t EntryCount = 1;
+  RetryShareReason Reason = RetryShareReason::LiveEntries;
+
+  auto operator<=>(const RetryShare &) const = default;
+};
+
+/// What an entry may use and has used of the budget of one service within the window that ends now.
+/// Value type.
+struct RetryUsage {
+  std::size_t Requests = 0;
+  /// Maximum number of retries, with a fraction.
+  double Allowed = 0;
+  std::size_t Used = 0;
+
+  auto operator<=>(const RetryUsage &) const = default;
+};
+
+using RetryUsages = std::map<ServiceName, RetryUsage>;
+
 /// This entry's share of the fleet's budget for retries, which include hedges. Entries share no
 /// state: the ratio applies to this entry's own requests, and the base retries are divided evenly
 /// by the number of entries. Not thread-safe; times must not decrease.
@@ -33,7 +61,14 @@
   explicit RetryBudget(RetryBudgetLimits Limits) : Limits(Limits) {}
 
   /// Precondition: the count is positive.
-  void setEntryCount(std::size_t Count) { this->EntryCount = Count; }
+  void setEntryCount(std::size_t Count) { this->setShare({Count, RetryShareReason::LiveEntries}); }
+  /// Precondition: the count of entries is positive.
+  void setShare(const RetryShare &Value) { this->Share = Value; }
+  const RetryShare &share() const { return this->Share; }
+  /// Base retries of each service that this entry may use within the window.
+  double baseShare() const;
+  /// Use of all services that this entry has had requests for.
+  RetryUsages usages(TimePoint Now) const;
   void onRequest(const ServiceName &Service, TimePoint Now);
   /// Takes one retry from the budget. Returns false and takes nothing if none is left.
   bool tryAcquire(const ServiceName &Service, TimePoint Now);
@@ -52,13 +87,15 @@
     std::deque<TimePoint> Hedges;
   };
 
-  /// Retries and hedges within the window that the history of a service allows.
-  double limit(const History &Current) const;
+  /// Retries and hedges within the window that so many requests allow.
+  double limit(std::size_t RequestCount) const;
   History &recentHistory(const ServiceName &Service, TimePoint Now);
 
   RetryBudgetLimits Limits;
-  std::size_t EntryCount = 1;
+  RetryShare Share;
   std::map<ServiceName, History> Histories;
 };
 
+const char *toString(RetryShareReason Reason);
+
 } // namespace anvilsaddle
--- a/src/libs/protocol/Metrics.cpp
+++ b/src/libs/protocol/Metrics.cpp
@@ -119,6 +119,7 @@
   Writer Out;
   this->writeServices(Out, Now);
   this->writeEntry(Out);
+  this->writeRetryBudget(Out);
   this->writeHedges(Out);
   this->writeDecisions(Out);
   this->writeUnanswered(Out);
@@ -236,6 +237,28 @@
   }
 }
 
+void Metrics::writeRetryBudget(Writer &Out) const {
+  Out.writeSingleSample("repeat_budget_entries", "gauge",
+                        "Entries by which the repeats allowed without requests are divided.",
+                        this->RetryValues.EntryCount);
+  Out.writeSingleSample("repeat_budget_base", "gauge",
+                        "Repeats of each service that this entry may send without requests.",
+                        this->RetryValues.BaseShare);
+  Out.writeFamily("repeats_allowed", "gauge", "Repeats that this entry may send in the window.");
+  Out.writeFamily("repeats_in_window", "gauge", "Repeats that this entry has sent in the window.");
+  Out.writeFamily("repeat_budget_requests", "gauge",
+                  "Requests in the window for which this entry may send repeats.");
+  std::size_t Remaining = MaxServices;
+  for (const auto &[Service, Usage] : this->RetryValues.Usages) {
+    if (Remaining-- == 0) {
+      break;
+    }
+    Out.writeSample("repeats_allowed", {{"service", Service.str()}}, Usage.Allowed);
+    Out.writeSample("repeats_in_window", {{"service", Service.str()}}, Usage.Used);
+    Out.writeSample("repeat_budget_requests", {{"service", Service.str()}}, Usage.Requests);
+  }
+}
+
 void Metrics::writeHedges(Writer &Out) const {
   Out.writeSingleSample("hedges_total", "counter",
                         "Hedges sent within the limit that operators set.", this->Hedges.Sent);
--- a/src/libs/protocol/Metrics.h
+++ b/src/libs/protocol/Metrics.h
@@ -2,6 +2,7 @@
 
 #include "coordination/dispatch/DispatchTypes.h"
 #include "coordination/dispatch/HedgePolicy.h"
+#include "coordination/limits/RetryBudget.h"
 #include "coordination/memory/MemoryAccount.h"
 #include "protocol/LatencyQuantiles.h"
 #include "protocol/PeerTraffic.h"
@@ -44,6 +45,13 @@
     std::uint64_t Refused = 0;
   };
 
+  /// This entry's part of the budget for retries. Value type.
+  struct RetryBudgetValues {
+    std::size_t EntryCount = 0;
+    double BaseShare = 0;
+    RetryUsages Usages;
+  };
+
   /// Current state of the entry.
   struct Gauges {
     std::size_t Requests = 0;
@@ -88,6 +96,7 @@
   void setPublicationTraffic(const PublicationTraffic &Traffic) { this->Publications = Traffic; }
   void setMemory(const MemoryAccount &Account);
   void setDispatchCounters(const DispatchCounters &Values) { this->Decisions = Values; }
+  void setRetryBudget(RetryBudgetValues Values) { this->RetryValues = std::move(Values); }
   void setGauges(const Gauges &Values) { this->CurrentGauges = Values; }
 
   /// Returns all series as `text/plain; version=0.0.4`.
@@ -116,6 +125,7 @@
   static void writeLatencies(Writer &Out, const std::string &Service, ServiceSeries &Series,
                              TimePoint Now);
   void writeEntry(Writer &Out) const;
+  void writeRetryBudget(Writer &Out) const;
   void writeHedges(Writer &Out) const;
   void writeDecisions(Writer &Out) const;
   void writeUnanswered(Writer &Out) const;
@@ -141,6 +151,7 @@
   PeerTraffic Peers;
   PublicationTraffic Publications;
   DispatchCounters Decisions;
+  RetryBudgetValues RetryValues;
   Gauges CurrentGauges;
 };
 
--- a/src/libs/transport/ChangeRecorder.cpp
+++ b/src/libs/transport/ChangeRecorder.cpp
@@ -21,6 +21,22 @@
   this->append("entries", std::to_string(OldCount), std::to_string(NewCount), "membership");
 }
 
+void ChangeRecorder::onRetryShare(const RetryShare &Share, double BaseShare,
+                                  std::size_t LiveCount) {
+  const TimePoint Now = this->Time.now();
+  if (this->RecordedShare == Share ||
+      (this->RecordedShare && Now - this->ShareRecordedAt < MinRetryShareInterval)) {
+    return;
+  }
+  logEvent(LogLevel::Info, "retry_budget_share",
+           {{"base_share", std::to_string(BaseShare)},
+            {"entries", std::to_string(Share.EntryCount)},
+            {"live", std::to_string(LiveCount)},
+            {"reason", toString(Share.Reason)}});
+  this->RecordedShare = Share;
+  this->ShareRecordedAt = Now;
+}
+
 void ChangeRecorder::onConfiguration(std::uint64_t Version, const std::string &From,
                                      const std::string &Source,
                                      std::optional<TimePoint> KnownAsOf) {
--- a/src/libs/transport/ChangeRecorder.h
+++ b/src/libs/transport/ChangeRecorder.h
@@ -2,6 +2,7 @@
 
 #include "coordination/dispatch/SaturationEstimator.h"
 #include "coordination/dispatch/TargetTable.h"
+#include "coordination/limits/RetryBudget.h"
 #include "state/AuditTrail.h"
 #include "state/Publication.h"
 
@@ -19,12 +20,17 @@
 /// thread-safe.
 class ChangeRecorder {
 public:
+  static constexpr Duration MinRetryShareInterval = std::chrono::seconds(1);
+
   /// Precondition: the audit trail, the targets and the clock outlive the object.
   ChangeRecorder(AuditTrail &Audit, TargetTable &Targets, const Clock &Time)
       : Audit(Audit), Targets(Targets), Time(Time) {}
 
   void onSeedsChanged(std::size_t OldCount, std::size_t NewCount);
   void onEntriesChanged(std::size_t OldCount, std::size_t NewCount, std::size_t InRegion);
+  /// Records a change of this entry's share of the budget for retries. To be called periodically:
+  /// changes that follow within MinRetryShareInterval are recorded together at its end.
+  void onRetryShare(const RetryShare &Share, double BaseShare, std::size_t LiveCount);
   /// A configuration is in force. `From` is the version before it, `Source` the store or the entry
   /// that it came from, `KnownAsOf` the time up to which the publications were known before.
   void onConfiguration(std::uint64_t Version, const std::string &From, const std::string &Source,
@@ -45,6 +51,8 @@
   AuditTrail &Audit;
   TargetTable &Targets;
   const Clock &Time;
+  std::optional<RetryShare> RecordedShare;
+  TimePoint ShareRecordedAt{};
 };
 
 } // namespace anvilsaddle
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -260,6 +260,8 @@
 gboolean EntryRuntime::onHousekeeping(gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
   Self.updateLiveMembers();
+  Self.Changes.onRetryShare(Self.RequestDispatcher.retryShare(),
+                            Self.RequestDispatcher.baseRetryShare(), Self.LastLiveMembers.size());
   Self.Distributor.onTick(Self.now());
   Self.applyDistributionEffects();
   Self.EntryMetrics.setPeerTraffic(Self.Peers.traffic());
--- a/src/libs/transport/OperatorPages.cpp
+++ b/src/libs/transport/OperatorPages.cpp
@@ -56,8 +56,7 @@
   const std::string_view RequestTarget = Exchange.head().RequestTarget;
   const std::string_view Path = pathWithoutQuery(RequestTarget);
   if (Path == "/metrics") {
-    Exchange.respondText(200, "text/plain; version=0.0.4",
-                         this->Deps.EntryMetrics.render(this->Deps.Time.now()));
+    Exchange.respondText(200, "text/plain; version=0.0.4", this->renderMetrics());
   } else if (Path == "/status") {
     Exchange.respondText(200, "application/json", this->renderStatus());
   } else if (Path == "/targets") {
@@ -73,6 +72,14 @@
   }
 }
 
+std::string OperatorPages::renderMetrics() const {
+  const TimePoint Now = this->Deps.Time.now();
+  const Dispatcher &Requests = this->Deps.RequestDispatcher;
+  this->Deps.EntryMetrics.setRetryBudget(
+      {Requests.retryShare().EntryCount, Requests.baseRetryShare(), Requests.retryUsages(Now)});
+  return this->Deps.EntryMetrics.render(Now);
+}
+
 std::string OperatorPages::renderStatus() const {
   const Configuration *Current = this->Deps.Proxy.configuration();
   Json Result;
--- a/src/libs/transport/OperatorPages.h
+++ b/src/libs/transport/OperatorPages.h
@@ -35,6 +35,7 @@
   void onCallerDisconnected(HttpExchange &, CloseReason) override {}
 
 private:
+  std::string renderMetrics() const;
   std::string renderStatus() const;
   std::string renderTargets() const;
   std::string renderCustomers() const;
--- a/tests/auto/libs/protocol/tst_metrics.cpp
+++ b/tests/auto/libs/protocol/tst_metrics.cpp
@@ -64,10 +64,16 @@
     Decisions.RejectionsWithRoom = 27;
     Decisions.RejectionsWhenFull = 28;
     Counters.setDispatchCounters(Decisions);
+    Counters.setRetryBudget({18, 2.5, {{Board, {50, 9.5, 3}}}});
     Counters.setGauges({1, 2, 3, 4, 5, 6, 13, 14, {3, 41}, 1500ms});
     Counters.setPublicationTraffic({7, 8, 9, 10, 11, 12});
     const std::string Text = Counters.render(Start);
     const char *const Table[] = {
+        "anvilsaddle_repeat_budget_entries 18\n",
+        "anvilsaddle_repeat_budget_base 2.5\n",
+        "anvilsaddle_repeats_allowed{service=\"board\"} 9.5\n",
+        "anvilsaddle_repeats_in_window{service=\"board\"} 3\n",
+        "anvilsaddle_repeat_budget_requests{service=\"board\"} 50\n",
         "anvilsaddle_hedges_total 21\n",
         "anvilsaddle_hedges_won_total 22\n",
         "anvilsaddle_hedges_withheld_total{reason=\"hedge_budget\"} 24\n",
