Divide the base retries by all entries that may use them

Each entry divided the base by the entries live in its view of that moment: parted regions, lost heartbeats, a view of itself alone after a start and the deaths of others all made shares grow while the shares of the others were in use. BudgetEntries counts every entry for an hour after it was last live, one that announced its end for one window, and at least one for each failure domain. An entry that hears of no other, or counts none of some region, doesn't know the fleet and has no base share; the part by requests remains.

--- a/src/libs/coordination/dispatch/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -18,12 +18,13 @@
                        RandomSource &Random)
     : State(std::move(FleetTopology), Limits, std::move(Self), Random), Completion(this->State),
       Queueing(this->State, this->Completion),
-      Searches(this->State, this->Completion, this->Queueing) {}
+      Searches(this->State, this->Completion, this->Queueing) {
+  this->State.Retries.setShare({1, RetryShareReason::FleetUnknown});
+}
 
 void Dispatcher::setEntries(std::vector<std::string> RegionEntries, std::size_t FleetEntryCount) {
   this->State.Finder.setEntries(std::move(RegionEntries));
   const std::size_t EntryCount = std::max<std::size_t>(1, FleetEntryCount);
-  this->State.Retries.setEntryCount(EntryCount);
   this->State.Hedges.setEntryCount(EntryCount);
   this->State.Estimates.saturation().setEntryCount(EntryCount);
 }
--- a/src/libs/coordination/dispatch/Dispatcher.h
+++ b/src/libs/coordination/dispatch/Dispatcher.h
@@ -42,9 +42,12 @@
   void setServices(std::map<ServiceName, Service> Services) {
     this->State.Finder.setServices(std::move(Services));
   }
-  /// Sets the names of the live entries of this region, including this one, and the number of
+  /// Sets the names of the live entries of this region, including this one, and the number of live
   /// entries of the whole fleet.
   void setEntries(std::vector<std::string> RegionEntries, std::size_t FleetEntryCount);
+  /// Sets this entry's share of the budget for retries. Without a call, the entry has no base
+  /// share.
+  void setRetryShare(const RetryShare &Share) { this->State.Retries.setShare(Share); }
   /// Sets the ready entries of other regions, to which requests may be forwarded.
   void setRemoteEntries(RemoteEntries::EntriesByRegion Ready) {
     this->State.EntriesOfOtherRegions.setReadyEntries(std::move(Ready));
--- a/src/libs/coordination/limits/RetryBudget.cpp
+++ b/src/libs/coordination/limits/RetryBudget.cpp
@@ -25,8 +25,10 @@
 
 const char *toString(RetryShareReason Reason) {
   switch (Reason) {
-  case RetryShareReason::LiveEntries:
-    return "live entries";
+  case RetryShareReason::KnownEntries:
+    return "known entries";
+  case RetryShareReason::FleetUnknown:
+    return "fleet unknown";
   }
   return "unknown";
 }
@@ -49,6 +51,9 @@
 }
 
 double RetryBudget::baseShare() const {
+  if (this->Share.Reason != RetryShareReason::KnownEntries) {
+    return 0;
+  }
   return UsedFraction * this->Limits.BaseRetries / static_cast<double>(this->Share.EntryCount);
 }
 
--- a/src/libs/coordination/limits/RetryBudget.h
+++ b/src/libs/coordination/limits/RetryBudget.h
@@ -23,15 +23,17 @@
 
 /// What the size of an entry's share of the base retries follows from.
 enum class RetryShareReason {
-  /// The number of live entries.
-  LiveEntries,
+  /// The number of entries that may use the budget.
+  KnownEntries,
+  /// The entry does not know which entries share the budget, and has no share.
+  FleetUnknown,
 };
 
 /// An entry's share of the base retries of the fleet. Value type.
 struct RetryShare {
-  /// Number of entries by which the base retries are divided.
+  /// Number of entries by which the base retries are divided. Positive.
   std::size_t EntryCount = 1;
-  RetryShareReason Reason = RetryShareReason::LiveEntries;
+  RetryShareReason Reason = RetryShareReason::KnownEntries;
 
   auto operator<=>(const RetryShare &) const = default;
 };
@@ -61,7 +63,7 @@
   explicit RetryBudget(RetryBudgetLimits Limits) : Limits(Limits) {}
 
   /// Precondition: the count is positive.
-  void setEntryCount(std::size_t Count) { this->setShare({Count, RetryShareReason::LiveEntries}); }
+  void setEntryCount(std::size_t Count) { this->setShare({Count, RetryShareReason::KnownEntries}); }
   /// Precondition: the count of entries is positive.
   void setShare(const RetryShare &Value) { this->Share = Value; }
   const RetryShare &share() const { return this->Share; }
--- a/src/libs/model/DispatcherPolicy.cpp
+++ b/src/libs/model/DispatcherPolicy.cpp
@@ -89,6 +89,7 @@
     }
   }
   Self.RequestDispatcher->setEntries(std::move(RegionEntries), this->Entries.size());
+  Self.RequestDispatcher->setRetryShare({this->Entries.size(), RetryShareReason::KnownEntries});
   Self.RequestDispatcher->setRemoteEntries(std::move(Remote));
   PublicationBatch Registrations;
   Registrations.IsSnapshot = true;
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -81,6 +81,7 @@
                         this->Settings.CallerEndpoint.Address, Deps.Random),
       Quotas(this->Settings.CallerEndpoint.Address, this->OwnIncarnation.StartedUnixMilliseconds,
              this->Settings.Quotas, Deps.Time.now()),
+      RetryEntries(this->Settings.FleetTopology, this->Settings.Dispatch.Retries.Window),
       Changes(this->Audit, this->RequestDispatcher.targets(), Deps.Time),
       Members(makeOwnRecord(this->Settings, this->OwnIncarnation.StartedUnixMilliseconds),
               this->Settings.FleetTopology, toSet(this->Settings.Seeds), Deps.Random,
@@ -260,8 +261,7 @@
 gboolean EntryRuntime::onHousekeeping(gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
   Self.updateLiveMembers();
-  Self.Changes.onRetryShare(Self.RequestDispatcher.retryShare(),
-                            Self.RequestDispatcher.baseRetryShare(), Self.LastLiveMembers.size());
+  Self.updateRetryShare();
   Self.Distributor.onTick(Self.now());
   Self.applyDistributionEffects();
   Self.EntryMetrics.setPeerTraffic(Self.Peers.traffic());
@@ -368,6 +368,13 @@
   }
 }
 
+void EntryRuntime::updateRetryShare() {
+  this->RequestDispatcher.setRetryShare(this->RetryEntries.share(this->now()));
+  this->Changes.onRetryShare(this->RequestDispatcher.retryShare(),
+                             this->RequestDispatcher.baseRetryShare(),
+                             this->LastLiveMembers.size());
+}
+
 void EntryRuntime::updateLiveMembers() {
   std::vector<EntryRecord> Live = this->Members.liveEntries();
   // Heartbeats increase all the time. Only the set of live entries and their states matter here.
@@ -392,6 +399,7 @@
   this->Changes.onEntriesChanged(this->LastLiveMembers.size(), Live.size(),
                                  OwnRegionEntries.size());
   this->RequestDispatcher.setEntries(std::move(OwnRegionEntries), Live.size());
+  this->RetryEntries.setLive(Live, this->now());
   this->RequestDispatcher.setRemoteEntries(std::move(RemoteEntriesByRegion));
   this->Distributor.setEntries(Live);
   std::vector<QuotaEntry> QuotaEntries;
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -2,6 +2,7 @@
 
 #include "coordination/dispatch/Dispatcher.h"
 #include "coordination/dispatch/ShutdownSchedule.h"
+#include "coordination/limits/BudgetEntries.h"
 #include "coordination/limits/CustomerQuotas.h"
 #include "coordination/membership/Incarnation.h"
 #include "coordination/membership/Membership.h"
@@ -93,6 +94,7 @@
   void onSourceResponse(const SourcePosition &Position, std::optional<TimePoint> AsOf);
   void updateReadiness();
   void updateLiveMembers();
+  void updateRetryShare();
   void advanceShutdown();
 
   DaemonSettings Settings;
@@ -105,6 +107,7 @@
   std::shared_ptr<MemoryAccount> Memory;
   Dispatcher RequestDispatcher;
   CustomerQuotas Quotas;
+  BudgetEntries RetryEntries;
   ChangeRecorder Changes;
   Membership Members;
   PublicationLog Publications;
--- a/tests/auto/libs/coordination/DispatcherHarness.cpp
+++ b/tests/auto/libs/coordination/DispatcherHarness.cpp
@@ -35,6 +35,7 @@
     : Random(Seed),
       TestedDispatcher(makeTopology(), makeLimits(Retries, Hedges), Self, this->Random) {
   this->TestedDispatcher.setEntries({Self}, 1);
+  this->TestedDispatcher.setRetryShare({1, RetryShareReason::KnownEntries});
   Service TestService;
   TestService.Name = ServiceName("s");
   TestService.HealthPath = "/health";
--- a/tests/auto/libs/coordination/RetryFleet.h
+++ b/tests/auto/libs/coordination/RetryFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/limits/BudgetEntries.h"
 #include "coordination/limits/RetryBudget.h"
 #include "coordination/membership/Membership.h"
 
@@ -93,6 +94,7 @@
 private:
   struct Entry {
     RetryBudget Budget{Limits};
+    BudgetEntries Counted{makeTopology(), Limits.Window};
     TimePoint StartedAt{};
     bool IsRunning = false;
     bool IsIsolated = false;
@@ -101,10 +103,21 @@
   static std::size_t regionOf(std::size_t Index) { return Index * RegionCount / EntryCount; }
   static std::size_t domainOf(std::size_t Index) { return Index * DomainCount / EntryCount; }
 
+  static FailureDomainName domainNameOf(std::size_t Index) {
+    return FailureDomainName("d" + std::to_string(domainOf(Index)));
+  }
+  static Topology makeTopology() {
+    Topology Result;
+    for (std::size_t Index = 0; Index < EntryCount; ++Index) {
+      Result.RegionByDomain[domainNameOf(Index)] =
+          RegionName("r" + std::to_string(regionOf(Index)));
+    }
+    return Result;
+  }
   static EntryRecord recordOf(std::size_t Index) {
     EntryRecord Result;
     Result.Address = "10.0.0." + std::to_string(Index + 1);
-    Result.Domain = FailureDomainName("d" + std::to_string(domainOf(Index)));
+    Result.Domain = domainNameOf(Index);
     Result.State = EntryState::Ready;
     return Result;
   }
@@ -131,7 +144,8 @@
     }
   }
   void setView(Entry &Self, const std::vector<EntryRecord> &Live) {
-    Self.Budget.setEntryCount(Live.size());
+    Self.Counted.setLive(Live, this->Now);
+    Self.Budget.setShare(Self.Counted.share(this->Now));
   }
 
   /// Number of times after `First` up to `Last`.
--- a/tests/auto/libs/coordination/tst_dispatcher.cpp
+++ b/tests/auto/libs/coordination/tst_dispatcher.cpp
@@ -815,7 +815,7 @@
     for (const char *Name : {"x", "y", "z"}) {
       Harness.addTarget(Name, "a1");
     }
-    Harness.TestedDispatcher.setEntries({"10.0.0.1"}, 1000);
+    Harness.TestedDispatcher.setRetryShare({1000, RetryShareReason::KnownEntries});
     Harness.OnSend = [](const SendAttempt &) { return Behavior{5ms, AttemptOutcome::NotExecuted}; };
     constexpr std::size_t Requests = 100;
     for (std::size_t Index = 0; Index < Requests; ++Index) {
--- a/tests/auto/libs/coordination/tst_hedging.cpp
+++ b/tests/auto/libs/coordination/tst_hedging.cpp
@@ -382,6 +382,7 @@
     for (const Case &Each : Table) {
       DispatcherHarness Harness(11, "10.0.0.1", DispatcherHarness::AmpleRetries, {Each.Share});
       Harness.TestedDispatcher.setEntries({"10.0.0.1"}, Each.EntryCount);
+      Harness.TestedDispatcher.setRetryShare({Each.EntryCount, RetryShareReason::KnownEntries});
       Harness.addTarget("t0", "a1");
       Harness.OnSend = [](const SendAttempt &) {
         return DispatcherHarness::AttemptBehavior{1500ms, AttemptOutcome::Succeeded};
--- a/tests/auto/libs/coordination/tst_requestlimits.cpp
+++ b/tests/auto/libs/coordination/tst_requestlimits.cpp
@@ -99,6 +99,7 @@
 
   void prepare(DispatcherHarness &Entry, const std::vector<std::string> &Names) {
     Entry.TestedDispatcher.setEntries(Names, Names.size());
+    Entry.TestedDispatcher.setRetryShare({Names.size(), RetryShareReason::KnownEntries});
     for (std::size_t Index = 0; Index < this->Scenario.Targets; ++Index) {
       Entry.addTarget(targetName(Index), "a1");
     }
--- a/tests/auto/libs/transport/tst_proxyhandler.cpp
+++ b/tests/auto/libs/transport/tst_proxyhandler.cpp
@@ -66,6 +66,7 @@
         Proxy({RequestDispatcher, Pool, Protocol, RequestMetrics, Time, Random, Quotas,
                [this] { this->applyEffects(); }, Authenticator, Memory}),
         Server(Proxy, Time, 100, Memory) {
+    this->RequestDispatcher.setRetryShare({1, RetryShareReason::KnownEntries});
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Server.listen({"127.0.0.1", 0}));
     this->TickTimer = g_timeout_add(
         2,
