Give no base share within a window after an entry learned the fleet

A restarted entry began with an empty window and used its base share again, although the process before it had used the share in the same window; restarts in series multiplied it. An entry now has a base share only after it has known the fleet for one window. By then whatever an earlier process, or an entry that died unheard of, has used is out of the window. The test calls setLive only when the view changes, as EntryRuntime does, which also makes it faster.

--- a/src/libs/coordination/limits/BudgetEntries.cpp
+++ b/src/libs/coordination/limits/BudgetEntries.cpp
@@ -47,8 +47,13 @@
   const std::size_t Count =
       std::max({std::size_t(1), this->Entries.size(), this->FleetTopology.RegionByDomain.size()});
   if (!this->knowsFleet()) {
+    this->KnownSince.reset();
     return {Count, RetryShareReason::FleetUnknown};
   }
+  this->KnownSince = this->KnownSince.value_or(Now);
+  if (Now - *this->KnownSince < this->Window) {
+    return {Count, RetryShareReason::JustStarted};
+  }
   return {Count, RetryShareReason::KnownEntries};
 }
 
--- a/src/libs/coordination/limits/BudgetEntries.h
+++ b/src/libs/coordination/limits/BudgetEntries.h
@@ -18,8 +18,10 @@
 ///
 /// An entry that is no longer live counts for Retention, as it may be alive in a part of the fleet
 /// that can't be reached, and as what it used stays in the window. An entry that announced its end
-/// counts for one window more. This entry has a share only while it knows the fleet. It knows the
-/// fleet while it hears of other entries and counts one of each region at least.
+/// counts for one window more. This entry has a share only after it has known the fleet for one
+/// window: until then, an earlier run of it or entries that it never heard of may have used the
+/// budget of the window. It knows the fleet while it hears of other entries and counts one of each
+/// region at least.
 ///
 /// Performs no I/O and reads no clock; times must not decrease. Not thread-safe.
 class BudgetEntries {
@@ -53,6 +55,8 @@
   Duration Window;
   std::map<std::string, CountedEntry> Entries;
   std::size_t LiveCount = 0;
+  /// Time from which on this entry has known the fleet without a break.
+  std::optional<TimePoint> KnownSince;
 };
 
 } // namespace anvilsaddle
--- a/src/libs/coordination/limits/RetryBudget.cpp
+++ b/src/libs/coordination/limits/RetryBudget.cpp
@@ -27,6 +27,8 @@
   switch (Reason) {
   case RetryShareReason::KnownEntries:
     return "known entries";
+  case RetryShareReason::JustStarted:
+    return "just started";
   case RetryShareReason::FleetUnknown:
     return "fleet unknown";
   }
--- a/src/libs/coordination/limits/RetryBudget.h
+++ b/src/libs/coordination/limits/RetryBudget.h
@@ -25,6 +25,8 @@
 enum class RetryShareReason {
   /// The number of entries that may use the budget.
   KnownEntries,
+  /// The entry has known the fleet for less than a window, and has no share yet.
+  JustStarted,
   /// The entry does not know which entries share the budget, and has no share.
   FleetUnknown,
 };
--- a/tests/auto/libs/coordination/RetryFleet.h
+++ b/tests/auto/libs/coordination/RetryFleet.h
@@ -5,6 +5,7 @@
 #include "coordination/membership/Membership.h"
 
 #include <algorithm>
+#include <bitset>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,7 @@
   struct Entry {
     RetryBudget Budget{Limits};
     BudgetEntries Counted{makeTopology(), Limits.Window};
+    std::bitset<EntryCount> View;
     TimePoint StartedAt{};
     bool IsRunning = false;
     bool IsIsolated = false;
@@ -121,6 +123,15 @@
     Result.State = EntryState::Ready;
     return Result;
   }
+  static std::vector<EntryRecord> recordsOf(const std::bitset<EntryCount> &View) {
+    std::vector<EntryRecord> Result;
+    for (std::size_t Index = 0; Index < EntryCount; ++Index) {
+      if (View.test(Index)) {
+        Result.push_back(recordOf(Index));
+      }
+    }
+    return Result;
+  }
   bool sees(std::size_t Index, std::size_t Other) const {
     const Entry &Self = this->Entries[Index];
     const Entry &Seen = this->Entries[Other];
@@ -134,17 +145,18 @@
   }
   void updateViews() {
     for (std::size_t Index = 0; Index < EntryCount; ++Index) {
-      std::vector<EntryRecord> Live;
+      std::bitset<EntryCount> View;
       for (std::size_t Other = 0; Other < EntryCount; ++Other) {
-        if (this->sees(Index, Other)) {
-          Live.push_back(recordOf(Other));
-        }
+        View.set(Other, this->sees(Index, Other));
       }
-      this->setView(this->Entries[Index], Live);
+      this->setView(this->Entries[Index], View);
     }
   }
-  void setView(Entry &Self, const std::vector<EntryRecord> &Live) {
-    Self.Counted.setLive(Live, this->Now);
+  void setView(Entry &Self, const std::bitset<EntryCount> &View) {
+    if (View != Self.View) {
+      Self.View = View;
+      Self.Counted.setLive(recordsOf(View), this->Now);
+    }
     Self.Budget.setShare(Self.Counted.share(this->Now));
   }
 
