Count a request for the retry budget where it is sent to a target

Both the entry that forwards a request and the one that gets it counted it on arrival, so the part by requests was granted twice. An entry counts a request now when it sends its first attempt to a target; one that forwards it after an attempt of its own gives its count up. Moving the count at the time of the forward wouldn't do, as other retries may have used it by then. Requests that are refused without an attempt no longer count. tst_retrybudgetfleet counted 200 of 100 forwarded requests, at once or after a failure, and counts 100 now. tst_dispatcher and tst_hedging pass unchanged.

--- a/src/libs/coordination/dispatch/Dispatcher.cpp
+++ b/src/libs/coordination/dispatch/Dispatcher.cpp
@@ -62,7 +62,6 @@
 }
 
 void Dispatcher::onRequest(RequestNumber Number, RequestAttributes Attributes, TimePoint Now) {
-  this->State.Retries.onRequest(Attributes.Service, Now);
   this->State.Hedges.onRequest(Attributes);
   DispatchRequest &Request = this->State.Requests[Number];
   Request.Attributes = std::move(Attributes);
--- a/src/libs/coordination/dispatch/RequestSearches.cpp
+++ b/src/libs/coordination/dispatch/RequestSearches.cpp
@@ -194,6 +194,9 @@
   const TargetName Name = Selected.Registration.Name;
   this->State.Finder.onSent(Name, Now);
   const auto Attempt = static_cast<AttemptNumber>(Request.Attempts.size());
+  if (Request.Attempts.empty()) {
+    this->State.Retries.onRequest(Request.Attributes.Service, Now);
+  }
   DispatchAttempt Attempted;
   Attempted.Target = Name;
   Attempted.Address = Selected.Registration.Address;
@@ -238,6 +241,9 @@
     return false;
   }
   this->Completion.endSearch(Request);
+  if (!Request.Attempts.empty()) {
+    this->State.Retries.onRequestMoved(Attributes.Service);
+  }
   Request.WasSentToOtherEntry = true;
   const std::uint32_t TargetsLeft = Attributes.MaxTargets - Request.usedTargetCount();
   ForwardOptions Forward;
--- a/src/libs/coordination/limits/RetryBudget.cpp
+++ b/src/libs/coordination/limits/RetryBudget.cpp
@@ -47,6 +47,13 @@
   this->recentHistory(Service, Now).Requests.push_back(Now);
 }
 
+void RetryBudget::onRequestMoved(const ServiceName &Service) {
+  std::deque<TimePoint> &Requests = this->Histories[Service].Requests;
+  if (!Requests.empty()) {
+    Requests.pop_back();
+  }
+}
+
 double RetryBudget::limit(std::size_t RequestCount) const {
   const double ByRequests = this->Limits.Ratio * static_cast<double>(RequestCount);
   return UsedFraction * ByRequests + this->baseShare();
--- a/src/libs/coordination/limits/RetryBudget.h
+++ b/src/libs/coordination/limits/RetryBudget.h
@@ -73,7 +73,11 @@
   double baseShare() const;
   /// Use of all services that this entry has had requests for.
   RetryUsages usages(TimePoint Now) const;
+  /// The entry sends the first attempt of a request to a target. Requests that are forwarded at
+  /// once are counted where they are sent to a target, so that all entries count each one once.
   void onRequest(const ServiceName &Service, TimePoint Now);
+  /// A counted request is forwarded to an entry that counts it too.
+  void onRequestMoved(const ServiceName &Service);
   /// Takes one retry from the budget. Returns false and takes nothing if none is left.
   bool tryAcquire(const ServiceName &Service, TimePoint Now);
   /// True if a retry could be taken now.
