--- a/src/libs/coordination/limits/RetryBudget.h
+++ b/src/libs/coordination/limits/RetryBudget.h
@@ -21,20 +21,66 @@
   auto operator<=>(const RetryBudgetLimits &) const = default;
 };
 
+/// What the size of an entry's share of the base retries follows from.
+enum class RetryShareReason {
+  /// The number of entries that may use the budget.
+  KnownEntries,
+  /// The entry has known the fleet for less than a window, and has no share yet.
+  JustStarted,
+  /// The entry does not know which entries share the budget, and has no share.
+  FleetUnknown,
+};
+
+/// An entry's share of the base retries of the fleet. Value type.
+struct RetryShare {
+  /// Number of entries by which the base retries are divided. Positive.
+  std::size_t EntryCount = 1;
+  RetryShareReason Reason = RetryShareReason::KnownEntries;
+
+  auto operator<=>(const RetryShare &) const = default;
+};
+
+/// What an entry may use and has used of the budget of one service within the window that ends now.
+/// Value type.
+struct RetryUsage {
+  std::size_t Requests = 0;
+  /// Maximum number of retries, with a fraction.
+  double Allowed = 0;
+  std::size_t Used = 0;
+
+  auto operator<=>(const RetryUsage &) const = default;
+};
+
+using RetryUsages = std::map<ServiceName, RetryUsage>;
+
 /// This entry's share of the fleet's budget for retries, which include hedges. Entries share no
 /// state: the ratio applies to this entry's own requests, and the base retries are divided evenly
 /// by the number of entries. Not thread-safe; times must not decrease.
 class RetryBudget {
 public:
-  /// Fraction of the limit that is used, because the windows of the entries slide independently and
-  /// entries may disagree on the number of live entries.
-  static constexpr double UsedFraction = 0.7;
+  /// Fraction of the ratio that is used. The windows of the entries end at different times, so all
+  /// retries within one window may rest on the requests of two, which callers sent to some entries
+  /// first and then to others.
+  static constexpr double UsedRatioFraction = 0.5;
+  /// Fraction of the base retries that is used, because entries may disagree on their number.
+  static constexpr double UsedBaseFraction = 0.7;
 
   explicit RetryBudget(RetryBudgetLimits Limits) : Limits(Limits) {}
 
   /// Precondition: the count is positive.
-  void setEntryCount(std::size_t Count) { this->EntryCount = Count; }
+  void setEntryCount(std::size_t Count) { this->setShare({Count, RetryShareReason::KnownEntries}); }
+  /// Precondition: the count of entries is positive.
+  void setShare(const RetryShare &Value) { this->Share = Value; }
+  const RetryShare &share() const { return this->Share; }
+  /// Base retries of each service that this entry may use within the window.
+  double baseShare() const;
+  /// Use of all services that this entry has had requests for.
+  RetryUsages usages(TimePoint Now) const;
+  /// The entry sends the first attempt of a request to a target. Requests that are forwarded at
+  /// once are counted where they are sent to a target, so that all entries count each one once.
   void onRequest(const ServiceName &Service, TimePoint Now);
+  /// A counted request is forwarded to an entry that counts it too.
+  void onRequestMoved(const ServiceName &Service);
   /// Takes one retry from the budget. Returns false and takes nothing if none is left.
   bool tryAcquire(const ServiceName &Service, TimePoint Now);
   /// True if a retry could be taken now.
@@ -52,13 +98,15 @@
     std::deque<TimePoint> Hedges;
   };
 
-  /// Retries and hedges within the window that the history of a service allows.
-  double limit(const History &Current) const;
+  /// Retries and hedges within the window that so many requests allow.
+  double limit(std::size_t RequestCount) const;
   History &recentHistory(const ServiceName &Service, TimePoint Now);
 
   RetryBudgetLimits Limits;
-  std::size_t EntryCount = 1;
+  RetryShare Share;
   std::map<ServiceName, History> Histories;
 };
 
+const char *toString(RetryShareReason Reason);
+
 } // namespace anvilsaddle
--- a/src/libs/transport/EntryRuntime.cpp
+++ b/src/libs/transport/EntryRuntime.cpp
@@ -70,6 +70,7 @@
                         this->Settings.CallerEndpoint.Address, Deps.Random),
       Quotas(this->Settings.CallerEndpoint.Address, this->OwnIncarnation.StartedUnixMilliseconds,
              this->Settings.Quotas, Deps.Time.now()),
+      RetryEntries(this->Settings.FleetTopology, this->Settings.Dispatch.Retries.Window),
       Changes(this->Audit, this->RequestDispatcher.targets(), Deps.Time),
       Members(makeOwnRecord(this->Settings, this->OwnIncarnation.StartedUnixMilliseconds),
               this->Settings.FleetTopology, toSet(this->Settings.Seeds), Deps.Random,
@@ -236,6 +237,7 @@
 gboolean EntryRuntime::onHousekeeping(gpointer Data) {
   auto &Self = *static_cast<EntryRuntime *>(Data);
   Self.updateLiveMembers();
+  Self.updateRetryShare();
   Self.Publications.onTick();
   Self.EntryMetrics.setPeerTraffic(Self.Peers.traffic());
   Self.EntryMetrics.setPublicationTraffic(Self.Publications.traffic());
@@ -315,6 +317,13 @@
   this->sendGossip(this->withSaturation(std::move(Replies)));
 }
 
+void EntryRuntime::updateRetryShare() {
+  this->RequestDispatcher.setRetryShare(this->RetryEntries.share(this->now()));
+  this->Changes.onRetryShare(this->RequestDispatcher.retryShare(),
+                             this->RequestDispatcher.baseRetryShare(),
+                             this->LastLiveMembers.size());
+}
+
 void EntryRuntime::updateLiveMembers() {
   std::vector<EntryRecord> Live = this->Members.liveEntries();
   // Heartbeats increase all the time. Only the set of live entries and their states matter here.
@@ -339,6 +348,7 @@
   this->Changes.onEntriesChanged(this->LastLiveMembers.size(), Live.size(),
                                  OwnRegionEntries.size());
   this->RequestDispatcher.setEntries(std::move(OwnRegionEntries), Live.size());
+  this->RetryEntries.setLive(Live, this->now());
   this->RequestDispatcher.setRemoteEntries(std::move(RemoteEntriesByRegion));
   this->Publications.setEntries(Live);
   std::vector<QuotaEntry> QuotaEntries;
--- a/src/libs/transport/EntryRuntime.h
+++ b/src/libs/transport/EntryRuntime.h
@@ -2,6 +2,7 @@
 
 #include "coordination/dispatch/Dispatcher.h"
 #include "coordination/dispatch/ShutdownSchedule.h"
+#include "coordination/limits/BudgetEntries.h"
 #include "coordination/limits/CustomerQuotas.h"
 #include "coordination/membership/Incarnation.h"
 #include "coordination/membership/Membership.h"
@@ -79,6 +80,7 @@
   void sendQuotaMessages();
   void onPeerMessage(const std::string &Sender, const PeerMessage &Message);
   void updateLiveMembers();
+  void updateRetryShare();
   void advanceShutdown();
 
   const Configuration *configuration() const override { return this->Proxy.configuration(); }
@@ -100,6 +102,7 @@
   std::shared_ptr<MemoryAccount> Memory;
   Dispatcher RequestDispatcher;
   CustomerQuotas Quotas;
+  BudgetEntries RetryEntries;
   ChangeRecorder Changes;
   Membership Members;
   ConnectionPool Connections;
--- a/tests/auto/libs/coordination/tst_dispatcher.cpp
+++ b/tests/auto/libs/coordination/tst_dispatcher.cpp
@@ -815,15 +815,15 @@
     for (const char *Name : {"x", "y", "z"}) {
       Harness.addTarget(Name, "a1");
     }
-    Harness.TestedDispatcher.setEntries({"10.0.0.1"}, 1000);
+    Harness.TestedDispatcher.setRetryShare({1000, RetryShareReason::KnownEntries});
     Harness.OnSend = [](const SendAttempt &) { return Behavior{5ms, AttemptOutcome::NotExecuted}; };
     constexpr std::size_t Requests = 100;
     for (std::size_t Index = 0; Index < Requests; ++Index) {
       Harness.request(Harness.attributes());
       Harness.run(20ms);
     }
-    // 0.7 x (0.2 x 100 + 1000 / 1000) retries.
-    CPPUNIT_ASSERT(Harness.sent().size() <= Requests + 15);
+    // 0.5 x 0.2 x 100 + 0.7 x 1000 / 1000 retries.
+    CPPUNIT_ASSERT(Harness.sent().size() <= Requests + 11);
     CPPUNIT_ASSERT(Harness.sent().size() >= Requests + 10);
   }
 };
