--- a/tests/auto/libs/coordination/RetryFleet.h
+++ b/tests/auto/libs/coordination/RetryFleet.h
@@ -81,6 +81,11 @@
     this->AreRegionsParted = AreParted;
     this->updateViews();
   }
+  /// Divides the fleet into as many parts as there are regions, each with entries of all regions.
+  void setPartedAcrossRegions() {
+    this->AreRegionsDivided = true;
+    this->updateViews();
+  }
   /// Whether an entry gets no heartbeats of others.
   void setIsolated(std::size_t Index, bool IsIsolated) {
     this->Entries[Index].IsIsolated = IsIsolated;
@@ -138,8 +143,9 @@
     if (Index == Other) {
       return true;
     }
-    const bool IsReachable =
-        !Self.IsIsolated && !(this->AreRegionsParted && regionOf(Index) != regionOf(Other));
+    const bool IsParted = (this->AreRegionsParted && regionOf(Index) != regionOf(Other)) ||
+                          (this->AreRegionsDivided && Index % RegionCount != Other % RegionCount);
+    const bool IsReachable = !Self.IsIsolated && !IsParted;
     return Seen.IsRunning && IsReachable &&
            std::max(Self.StartedAt, Seen.StartedAt) + DiscoveryDelay <= this->Now;
   }
@@ -187,6 +193,7 @@
   std::vector<TimePoint> Retries;
   TimePoint Now{std::chrono::seconds(100)};
   bool AreRegionsParted = false;
+  bool AreRegionsDivided = false;
   double MaxExcess = 0;
   std::string Exceeded;
 };
