Leave out checks of the store while another reader confirms

A reader now checks only if no confirmation of another reader, or of its own watch, is younger than 1.2 s, so that one of each region does in general; if that one stops, another goes on before any entry is stale (1.7 s). An outage is measured from the last confirmation of any reader. checksAreLeftOutWhileOthersConfirm covers both.

--- a/src/libs/coordination/publications/PublicationSource.h
+++ b/src/libs/coordination/publications/PublicationSource.h
@@ -28,6 +28,9 @@
   /// The source responds again. The changes made in the meantime follow. `Outage` is the time since
   /// its last response, or the maximum if none is known.
   virtual void onSourceRecovered(Duration Outage) = 0;
+  /// Latest time for which this entry is known to have everything that the source had acknowledged,
+  /// also by what other entries say; nothing before the first confirmation.
+  virtual std::optional<TimePoint> knownAsOf() const = 0;
 };
 
 /// Source of the publications of operators and targets. Not thread-safe.
--- a/src/libs/transport/PublicationFollower.h
+++ b/src/libs/transport/PublicationFollower.h
@@ -66,9 +66,6 @@
 
   /// Position up to which this entry has all publications.
   const SourcePosition &position() const { return this->Log.position(); }
-  /// Latest time for which this entry is known to have everything that the source had acknowledged;
-  /// nothing before the first confirmation.
-  std::optional<TimePoint> knownAsOf() const { return this->Distributor.knownAsOf(); }
   /// True once all publications have been received at least once.
   bool hasSnapshot() const { return this->HasSnapshot; }
   const PublicationTraffic &traffic() const { return this->Exchange.traffic(); }
@@ -80,6 +77,7 @@
   void onInvalidPublication(const Diagnostic &Problem) override;
   void onSourceUnavailable(const std::string &Reason) override;
   void onSourceRecovered(Duration Outage) override;
+  std::optional<TimePoint> knownAsOf() const override { return this->Distributor.knownAsOf(); }
 
 private:
   PublicationExchange::Callbacks makeExchangeCallbacks();
--- a/tests/auto/platform/FakeStore.h
+++ b/tests/auto/platform/FakeStore.h
@@ -101,6 +101,8 @@
     this->Outage = Outage;
   }
 
+  std::optional<TimePoint> knownAsOf() const override { return this->KnownAsOf; }
+
   std::string Text;
   /// The last one reported.
   Duration Outage{0};
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(silentWatchIsReplaced);
   CPPUNIT_TEST(outagesAreMeasuredFromTheLastResponse);
   CPPUNIT_TEST(staleListingConfirmsNothing);
+  CPPUNIT_TEST(checksAreLeftOutWhileOthersConfirm);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -368,6 +369,35 @@
     }
   }
 
+  /// Guards against calls to the store that grow with the readers of a region, and against a client
+  /// that goes on relying on other readers when they stop.
+  void checksAreLeftOutWhileOthersConfirm() {
+    const SystemClock Time;
+    SeededRandom Random(1);
+    RecordingListener Listener;
+    FakeStore Store({range("", 7)});
+    StoreClient Client({"127.0.0.1", Store.Server.Port}, Time, Random);
+    Client.activate(Listener, {}, std::nullopt);
+    constexpr int Confirmations = 30;
+    constexpr guint ConfirmationIntervalMs = 100;
+    struct Confirmer {
+      RecordingListener &Listener;
+      const SystemClock &Time;
+      int Count = 0;
+    } Others{Listener, Time};
+    g_timeout_add(
+        ConfirmationIntervalMs,
+        [](gpointer Data) -> gboolean {
+          auto &Self = *static_cast<Confirmer *>(Data);
+          Self.Listener.KnownAsOf = Self.Time.now();
+          return ++Self.Count < Confirmations ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+        },
+        &Others);
+    CPPUNIT_ASSERT(runUntil([&] { return Others.Count == Confirmations; }));
+    CPPUNIT_ASSERT_EQUAL(0, Store.CheckCount);
+    CPPUNIT_ASSERT(runUntil([&] { return Store.CheckCount == 2; }));
+  }
+
   /// Guards against a client that takes an unresponsive store for available because a watch is
   /// silent while nothing changes. Its region used an old configuration for three seconds (found by
   /// cocomisur-gw scale-2, seed 542791531110).
