--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -11,7 +11,7 @@
 CALLERS, READINESS, DIRECTORY, CONTROL, OPERATORS, PEERS = 18080, 18081, 18082, 18083, 18084, 18090
 STORE_PORT, TARGET_PORT, STOP_GRACE_S, MEAN_PROCESSING_TIME_S = 18384, 19000, 3.0, 0.02
 HEARTBEAT_INTERVAL_S, HEARTBEAT_JITTER = 1.5, 0.1
-# Region of each failure domain. Entries and targets are assigned to the domains round-robin.
+# Default region of each failure domain. Entries and targets are assigned round-robin.
 REGIONS = {"a1": "a", "b1": "b", "a2": "a", "b2": "b"}
 SERVICES = ["board", "book"]
 SEED_COUNT = 2
@@ -59,18 +59,19 @@
         return f"127.{self.number}.4.{1 + index}"
 
 
-def domain_of(index):
-    return list(REGIONS)[index % len(REGIONS)]
+def domain_of(index, regions):
+    return list(regions)[index % len(regions)]
 
 
 class Entry:
     """One daemon. Terminates only the process that it started itself."""
 
-    def __init__(self, index, network, binary, directory):
+    def __init__(self, index, network, binary, directory, regions):
         self.index = index
         self.network = network
         self.ip = network.entry(index)
-        self.domain = domain_of(index)
+        self.domain = domain_of(index, regions)
+        self.regions = regions
         self.binary = binary
         self.directory = directory
         self.process = None
@@ -85,10 +86,10 @@
     def start_process(self):
         path = os.path.join(self.directory, f"entry-{self.index}.toml")
         seeds = ", ".join(f'"{self.network.entry(seed)}:{CONTROL}"' for seed in range(SEED_COUNT))
-        regions = "\n".join(f'{domain} = "{region}"' for domain, region in REGIONS.items())
+        regions = "\n".join(f'{domain} = "{region}"' for domain, region in self.regions.items())
         with open(path, "w", encoding="utf-8") as file:
             file.write(SETTINGS_TEMPLATE.format(
-                index=self.index, region=REGIONS[self.domain], domain=self.domain,
+                index=self.index, region=self.regions[self.domain], domain=self.domain,
                 ip=self.ip, callers=CALLERS, readiness=READINESS, directory=DIRECTORY,
                 control=CONTROL, operators=OPERATORS, peers=PEERS,
                 store=f"{self.network.store_proxy(self.index)}:{STORE_PORT}",
@@ -118,7 +119,11 @@
 
 
 class Fleet:
-    def __init__(self, options, random_source, checker, directory):
+    """Daemons, targets and a store. `regions` holds the region of each failure domain."""
+
+    def __init__(self, options, random_source, checker, directory, regions=None, services=None):
+        self.regions = regions or REGIONS
+        self.services = services or SERVICES
         self.random = random_source
         self.checker = checker
         self.store = FakeStore()
@@ -127,20 +132,21 @@
         self.heartbeats = []
         self.version = 0
         self.network = Network(options.network)
-        self.entries = [Entry(index, self.network, options.binary, directory)
+        self.entries = [Entry(index, self.network, options.binary, directory, self.regions)
                         for index in range(options.entries)]
         self.targets = []
         self.target_proxies = []
         for index in range(options.targets):
-            target = FakeTarget(f"t{index}-0", SERVICES[index // len(REGIONS) % len(SERVICES)],
-                                domain_of(index), checker.on_execution, MEAN_PROCESSING_TIME_S)
+            service = self.services[index // len(self.regions) % len(self.services)]
+            target = FakeTarget(f"t{index}-0", service, domain_of(index, self.regions),
+                                checker.on_execution, MEAN_PROCESSING_TIME_S)
             target.index = index
             self.targets.append(target)
             self.target_proxies.append(FaultProxy(
                 lambda index=index: (self.network.target(index), TARGET_PORT)))
 
     def domain_names(self):
-        return list(REGIONS)
+        return list(self.regions)
 
     async def start(self):
         network = self.network
@@ -194,25 +200,29 @@
         await self.store.available.wait()
         previous = self.version
         self.version += self.random.randint(1, 5)
-        columns = ["name", "host", "pathPrefix", "kind", "timeoutS", "targetLatencyS", "priority",
-                   "service", "attempts", "allowedRegions", "trafficSplit"]
         rows = [["r-1", "h", "/board/", "safe", 2, 0.3, 2, "board", 2, [], None],
                 ["r-2", "h", "/book/", "unsafe", 2, 0.3, 1, "book", 2, [], None],
                 ["r-3", "h", "/home/", "safe", 2, 0.3, 2, "board", 2, ["a"], None],
                 ["r-4", "h", f"/mark-{self.version}/", "safe", 2, 0.3, 2, "board", 2, [], None]]
-        services = [[name, "/health", 4.0] for name in SERVICES]
         version = self.version
-        await self.store_writer.write(CONFIGURATION_KEY, {
-            "version": f"{version:08x}", "routes": {"columns": columns, "rows": rows},
-            "services": {"columns": ["name", "healthCheckPath", "coldPerS"], "rows": services},
-            "limits": {"headerBytes": 16384, "bodyBytes": 1000000, "headerTimeoutS": 3,
-                       "idleTimeoutS": 15}})
+        await self.write_configuration(rows)
         now = asyncio.get_running_loop().time()
         self.checker.publication_times[version] = (now, None)
         if previous in self.checker.publication_times:
             self.checker.publication_times[previous] = (
                 self.checker.publication_times[previous][0], now)
 
+    async def write_configuration(self, rows):
+        """Writes the routes (rows of the platform's columns) as the current version."""
+        columns = ["name", "host", "pathPrefix", "kind", "timeoutS", "targetLatencyS", "priority",
+                   "service", "attempts", "allowedRegions", "trafficSplit"]
+        services = [[name, "/health", 4.0] for name in self.services]
+        await self.store_writer.write(CONFIGURATION_KEY, {
+            "version": f"{self.version:08x}", "routes": {"columns": columns, "rows": rows},
+            "services": {"columns": ["name", "healthCheckPath", "coldPerS"], "rows": services},
+            "limits": {"headerBytes": 16384, "bodyBytes": 1000000, "headerTimeoutS": 3,
+                       "idleTimeoutS": 15}})
+
     async def evacuate(self, domain, duration_s):
         loop = asyncio.get_running_loop()
         await self.store_writer.write(evacuation_key(domain), {})
--- a/scripts/soak/invariants.py
+++ b/scripts/soak/invariants.py
@@ -1,5 +1,6 @@
 """Checks the invariants of the system against events at callers, targets and operators."""
 
+import asyncio
 import bisect
 import collections
 
@@ -17,7 +18,7 @@
 LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK_REQUESTS = 4.0, 1.5, 5
 COLD_RATE_PER_S, COLD_BURST_FACTOR, COLD_SLACK_REQUESTS = 4.0, 1.5, 5
 # If timers of this process fire later than this, the host is too busy to check time bounds.
-MAX_TIMER_LAG_S = 0.25
+TIMER_INTERVAL_S, MAX_TIMER_LAG_S = 0.05, 0.25
 NOT_EXECUTED_STATUSES = ("408", "421", "429", "503")
 # A connection that ends this soon after a request was sent may have been closed before it arrived.
 CLOSE_CROSSING_S = 0.2
@@ -48,6 +49,25 @@
                    for begin, end in self.intervals[name])
 
 
+class HostMonitor:
+    """Excludes times from the checks of time bounds in which this process itself runs late."""
+
+    def __init__(self, fault_intervals):
+        self.fault_intervals = fault_intervals
+        self.max_timer_lag_s = 0.0
+
+    async def run(self):
+        """Measures the lag of timers until it is cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            started_at = loop.time()
+            await asyncio.sleep(TIMER_INTERVAL_S)
+            lag_s = loop.time() - started_at - TIMER_INTERVAL_S
+            self.max_timer_lag_s = max(self.max_timer_lag_s, lag_s)
+            if lag_s > MAX_TIMER_LAG_S:
+                self.fault_intervals.begin("host", started_at)[1] = loop.time()
+
+
 class InvariantChecker:
     def __init__(self, region_of):
         self.region_of = region_of
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -14,10 +14,8 @@
 from callers import Callers
 from faults import FaultInjector
 from fleet import REGIONS, Fleet
-from invariants import (CONFIGURATION_BOUND_S, FAULT_RECOVERY_S, MAX_TIMER_LAG_S,
-                        InvariantChecker)
+from invariants import CONFIGURATION_BOUND_S, FAULT_RECOVERY_S, HostMonitor, InvariantChecker
 
-TIMER_INTERVAL_S = 0.05
 SETTLE_S = FAULT_RECOVERY_S + CONFIGURATION_BOUND_S + 1.5
 
 
@@ -31,22 +29,11 @@
         self.fleet = Fleet(options, random_source, self.checker, self.log_directory)
         self.callers = Callers(self.fleet, self.checker, random_source, options.seed)
         self.fault_injector = FaultInjector(self.fleet, random_source)
-        self.max_timer_lag_s = 0.0
-
-    async def measure_timer_lag(self):
-        """Excludes times from the checks of time bounds in which this process itself runs late."""
-        loop = asyncio.get_running_loop()
-        while True:
-            started_at = loop.time()
-            await asyncio.sleep(TIMER_INTERVAL_S)
-            lag = loop.time() - started_at - TIMER_INTERVAL_S
-            self.max_timer_lag_s = max(self.max_timer_lag_s, lag)
-            if lag > MAX_TIMER_LAG_S:
-                self.checker.fault_intervals.begin("host", started_at)[1] = loop.time()
+        self.host_monitor = HostMonitor(self.checker.fault_intervals)
 
     async def run(self):
         loop = asyncio.get_running_loop()
-        lag_task = asyncio.create_task(self.measure_timer_lag())
+        lag_task = asyncio.create_task(self.host_monitor.run())
         await self.fleet.start()
         if not await self.callers.wait_until_ready():
             self.checker.report_violation("liveness violated: the fleet did not become ready")
@@ -82,7 +69,7 @@
                 "outcomes": dict(collections.Counter(self.checker.outcomes.values())),
                 "restores": self.fault_injector.restore_count,
                 "excused": self.checker.skipped_checks,
-                "largest_lag_s": round(self.max_timer_lag_s, 3),
+                "largest_lag_s": round(self.host_monitor.max_timer_lag_s, 3),
                 "violations": self.checker.violations}
 
 
